--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,39 @@
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(gflags REQUIRED)
+find_package(nlohmann_json 3.11 REQUIRED)
+find_package(tomlplusplus CONFIG QUIET)
+find_library(LOG4CPLUS_LIBRARY log4cplus REQUIRED)
+
+add_library(tamarackwing_log4cplus INTERFACE)
+target_link_libraries(tamarackwing_log4cplus INTERFACE "${LOG4CPLUS_LIBRARY}")
+
+# The package's own configuration file looks for libatomic where Debian does not
+# keep it, so the libraries are named here.
+add_library(tamarackwing_capnp INTERFACE)
+foreach(library capnp-rpc capnp kj-async kj)
+  find_library(TAMARACKWING_LIBRARY_${library} ${library} REQUIRED)
+  target_link_libraries(tamarackwing_capnp
+                        INTERFACE "${TAMARACKWING_LIBRARY_${library}}")
+endforeach()
+
+# Asio and Beast cost about ten seconds a file; one precompiled header serves
+# every package that does I/O.
+add_library(tamarackwing_beast INTERFACE)
+target_compile_definitions(
+  tamarackwing_beast INTERFACE BOOST_ASIO_NO_DEPRECATED
+                               BOOST_ASIO_DISABLE_CONCEPTS
+                               BOOST_ERROR_CODE_HEADER_ONLY)
+target_compile_options(tamarackwing_beast INTERFACE -fcoroutines
+                       -Wno-mismatched-new-delete)
+target_link_libraries(tamarackwing_beast INTERFACE Boost::headers
+                                                   Threads::Threads)
+target_precompile_headers(
+  tamarackwing_beast INTERFACE <utility> <boost/asio.hpp> <boost/beast/core.hpp>
+  <boost/beast/http.hpp>)
+
+if(TAMARACKWING_BUILD_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(rapidcheck REQUIRED)
+endif()
--- /dev/null
+++ b/cmake/Install.cmake
@@ -0,0 +1,17 @@
+# The coordination parts that others embed.
+install(
+  TARGETS tamarackwing_base tamarackwing_policy tamarackwing_state
+  EXPORT tamarackwing-targets
+  ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+foreach(package base policy state)
+  install(DIRECTORY packages/${package}/include/
+          DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+endforeach()
+install(
+  EXPORT tamarackwing-targets
+  NAMESPACE tamarackwing::
+  DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/tamarackwing
+  FILE tamarackwing-targets.cmake)
+install(FILES cmake/tamarackwing-config.cmake
+        DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/tamarackwing)
+install(TARGETS tamarackwing tamarackwingd DESTINATION ${CMAKE_INSTALL_BINDIR})
--- /dev/null
+++ b/cmake/tamarackwing-config.cmake
@@ -0,0 +1,5 @@
+include(CMakeFindDependencyMacro)
+find_dependency(OpenSSL)
+find_dependency(nlohmann_json)
+find_dependency(Threads)
+include("${CMAKE_CURRENT_LIST_DIR}/tamarackwing-targets.cmake")
--- /dev/null
+++ b/packages/backend_servers/include/tamarackwing/backend_servers.h
@@ -0,0 +1,8 @@
+#pragma once
+
+//! Backend servers: their announcements and the connections to them.
+
+#include "tamarackwing/backend_servers/announcement.h"
+#include "tamarackwing/backend_servers/announcement_listener.h"
+#include "tamarackwing/backend_servers/connection_pool.h"
+#include "tamarackwing/backend_servers/server_registry.h"
--- /dev/null
+++ b/packages/backend_servers/include/tamarackwing/backend_servers/announcement_listener.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "tamarackwing/http/handler.h"
+
+namespace tamarackwing::backend_servers {
+
+class ServerRegistry;
+
+//! Takes `POST /v1/servers` (announce, renew, leave) and
+//! `POST /v1/cache_events` from backend servers.
+class AnnouncementListener final : public http::Handler {
+ public:
+  //! Precondition: `registry` outlives the listener.
+  explicit AnnouncementListener(ServerRegistry& registry);
+
+  std::optional<http::Response> CheckHead(
+      const http::RequestHead& head) override;
+  http::asio::awaitable<void> Handle(http::Request request,
+                                     http::ResponseWriter& writer) override;
+  http::Response RejectFault(http::RequestFault fault) override;
+
+ private:
+  http::Response Take(const http::Request& request);
+
+  ServerRegistry& registry;
+};
+
+}  // namespace tamarackwing::backend_servers
--- /dev/null
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace tamarackwing {
+
+//! The numbered log events; docs/events.md explains each.
+enum class Event {
+  kHostStarted = 1001,
+  kHostStopped = 1002,
+  kDrainStarted = 1003,
+  kSettingsRejected = 1004,
+  kBackendServerAnnounced = 2001,
+  kBackendServerLeft = 2002,
+  kBackendServerLeaseExpired = 2003,
+  kBackendServerFailed = 2004,
+  kLeaderElected = 3001,
+  kSteppedDown = 3002,
+  kSetApplied = 3003,
+  kKeyWithdrawn = 3004,
+  kJournalDamaged = 3005,
+  kJournalRecovered = 3006,
+  kHostJoined = 3007,
+  kHostLost = 3008,
+  kPeerConnected = 3101,
+  kPeerLost = 3102,
+  kLedgerViewChanged = 4001,
+  kAllocatorStarted = 4002,
+  kRequestRefused = 5001,
+  kStreamEnded = 5002,
+};
+
+//! One named value of an event.
+struct EventField {
+  std::string_view name;
+  std::string value;
+};
+
+//! How much is written.
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+//! Opens the log on standard error, one line an event. Precondition: called
+//! once, before other threads log.
+void OpenLog(LogLevel level);
+
+//! Writes one event. Thread safety: callable from any thread.
+void LogEvent(Event event,
+              LogLevel level,
+              std::initializer_list<EventField> fields);
+
+//! The event's name in the catalogue. Thread safety: reentrant.
+std::string_view EventName(Event event);
+
+}  // namespace tamarackwing
--- /dev/null
+++ b/packages/base/include/tamarackwing/base/metrics.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace tamarackwing {
+
+//! Counts and latency distributions of a host, by name.
+//! Thread safety: every method is callable from any thread.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  //! Adds to a counter. Precondition: `name` is a valid metric name.
+  void Count(const std::string& name, std::uint64_t by = 1);
+  //! Records one latency. Precondition: `name` is a valid metric name.
+  void Record(const std::string& name, std::chrono::nanoseconds latency);
+  //! All metrics in the Prometheus text format.
+  std::string Render() const;
+
+ private:
+  struct Distribution;
+  mutable std::mutex mutex;
+  std::map<std::string, std::uint64_t> counters;
+  std::map<std::string, std::unique_ptr<Distribution>> distributions;
+};
+
+}  // namespace tamarackwing
--- /dev/null
+++ b/packages/base/src/event.cc
@@ -0,0 +1,116 @@
+#include "tamarackwing/base/event.h"
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace tamarackwing {
+namespace {
+
+log4cplus::LogLevel ToLibraryLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+log4cplus::Logger& EventLogger() {
+  static log4cplus::Logger logger =
+      log4cplus::Logger::getInstance("tamarackwing");
+  return logger;
+}
+
+}  // namespace
+
+void OpenLog(LogLevel level) {
+  static const log4cplus::Initializer initializer;
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
+  EventLogger().addAppender(appender);
+  EventLogger().setLogLevel(ToLibraryLevel(level));
+}
+
+void LogEvent(Event event,
+              LogLevel level,
+              std::initializer_list<EventField> fields) {
+  const auto library_level = ToLibraryLevel(level);
+  if (!EventLogger().isEnabledFor(library_level)) {
+    return;
+  }
+  nlohmann::ordered_json line;
+  line["event"] = static_cast<int>(event);
+  line["name"] = EventName(event);
+  for (const EventField& field : fields) {
+    line[std::string(field.name)] = field.value;
+  }
+  const std::string text =
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  EventLogger().log(library_level, text);
+}
+
+std::string_view EventName(Event event) {
+  switch (event) {
+    case Event::kHostStarted:
+      return "host_started";
+    case Event::kHostStopped:
+      return "host_stopped";
+    case Event::kDrainStarted:
+      return "drain_started";
+    case Event::kSettingsRejected:
+      return "settings_rejected";
+    case Event::kBackendServerAnnounced:
+      return "backend_server_announced";
+    case Event::kBackendServerLeft:
+      return "backend_server_left";
+    case Event::kBackendServerLeaseExpired:
+      return "backend_server_lease_expired";
+    case Event::kBackendServerFailed:
+      return "backend_server_failed";
+    case Event::kLeaderElected:
+      return "leader_elected";
+    case Event::kSteppedDown:
+      return "stepped_down";
+    case Event::kSetApplied:
+      return "set_applied";
+    case Event::kKeyWithdrawn:
+      return "key_withdrawn";
+    case Event::kJournalDamaged:
+      return "journal_damaged";
+    case Event::kJournalRecovered:
+      return "journal_recovered";
+    case Event::kHostJoined:
+      return "host_joined";
+    case Event::kHostLost:
+      return "host_lost";
+    case Event::kPeerConnected:
+      return "peer_connected";
+    case Event::kPeerLost:
+      return "peer_lost";
+    case Event::kLedgerViewChanged:
+      return "ledger_view_changed";
+    case Event::kAllocatorStarted:
+      return "allocator_started";
+    case Event::kRequestRefused:
+      return "request_refused";
+    case Event::kStreamEnded:
+      return "stream_ended";
+  }
+  return "unknown";
+}
+
+}  // namespace tamarackwing
--- /dev/null
+++ b/packages/base/tests/base_tests.cc
@@ -0,0 +1,54 @@
+#include <gtest/gtest.h>
+
+#include "tamarackwing/base.h"
+
+namespace tamarackwing {
+namespace {
+
+TEST(TraceContext, AWellFormedTraceparentIsReadAndWrittenBack) {
+  const std::string header =
+      "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+  const auto context = ParseTraceparent(header);
+  ASSERT_TRUE(context.has_value());
+  EXPECT_EQ(FormatTraceparent(*context), header);
+}
+
+TEST(TraceContext, AMalformedTraceparentStartsANewTrace) {
+  EXPECT_FALSE(ParseTraceparent("00-zz").has_value());
+  EXPECT_FALSE(ParseTraceparent(
+                   "00-00000000000000000000000000000000-00f067aa0ba902b7-01")
+                   .has_value());
+  SeededRandom random(1);
+  EXPECT_EQ(StartTrace(std::nullopt, random).trace_id.size(), 32U);
+}
+
+TEST(Digest, OperationsOfTwoWorkspacesDiffer) {
+  const RouteName route("booking");
+  EXPECT_NE(DigestOperation(WorkspaceName("a"), route, "bk"),
+            DigestOperation(WorkspaceName("ab"), route, "k"));
+}
+
+TEST(Digest, MatchesThePublishedSha256OfAbc) {
+  EXPECT_EQ(Sha256Hex("abc"),
+            "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+TEST(Refusal, EveryRefusalHasANameAndAnErrorStatus) {
+  for (int i = 0; i <= static_cast<int>(RefusalCode::kUnknownRoute); ++i) {
+    const auto code = static_cast<RefusalCode>(i);
+    EXPECT_FALSE(RefusalName(code).empty());
+    EXPECT_GE(RefusalStatus(code), 400U);
+  }
+}
+
+TEST(Metrics, CountsAndQuantilesAreRendered) {
+  Metrics metrics;
+  metrics.Count("requests_total", 3);
+  metrics.Record("first_byte_seconds", std::chrono::milliseconds(5));
+  const std::string text = metrics.Render();
+  EXPECT_NE(text.find("requests_total 3"), std::string::npos);
+  EXPECT_NE(text.find("first_byte_seconds_count 1"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace tamarackwing
--- /dev/null
+++ b/packages/callers/include/tamarackwing/callers.h
@@ -0,0 +1,9 @@
+#pragma once
+
+//! What callers send and get: typed requests, refusals, the listener.
+
+#include "tamarackwing/callers/caller_head.h"
+#include "tamarackwing/callers/caller_listener.h"
+#include "tamarackwing/callers/caller_service.h"
+#include "tamarackwing/callers/model_call.h"
+#include "tamarackwing/callers/refusal_response.h"
--- /dev/null
+++ b/packages/callers/include/tamarackwing/callers/caller_service.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "tamarackwing/base/refusal.h"
+#include "tamarackwing/callers/caller_head.h"
+#include "tamarackwing/http/asio.h"
+
+namespace tamarackwing::http {
+class ResponseWriter;
+}  // namespace tamarackwing::http
+
+namespace tamarackwing::callers {
+
+//! A caller's request, whole.
+struct CallerRequest {
+  CallerHead head;
+  std::string content_type;
+  std::string accept;
+  std::string body;
+};
+
+//! Interface: what serves the callers of a host.
+//! Thread safety: called from every traffic thread.
+class CallerService {
+ public:
+  virtual ~CallerService() = default;
+  //! Refuses what the head alone shows to be refused, before the body is read.
+  virtual std::optional<Refusal> CheckHead(const CallerHead& head) = 0;
+  //! Serves one request: an answer, or a refusal, goes to `writer`.
+  virtual http::asio::awaitable<void> Serve(CallerRequest request,
+                                            http::ResponseWriter& writer) = 0;
+};
+
+}  // namespace tamarackwing::callers
--- /dev/null
+++ b/packages/gateway/include/tamarackwing/gateway/forward_listener.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "tamarackwing/http/handler.h"
+
+namespace tamarackwing::gateway {
+
+class Gateway;
+
+//! Takes requests that other hosts forward; they are never forwarded again.
+class ForwardListener final : public http::Handler {
+ public:
+  //! Precondition: `gateway` outlives the listener.
+  explicit ForwardListener(Gateway& gateway);
+
+  std::optional<http::Response> CheckHead(
+      const http::RequestHead& head) override;
+  http::asio::awaitable<void> Handle(http::Request request,
+                                     http::ResponseWriter& writer) override;
+  http::Response RejectFault(http::RequestFault fault) override;
+
+ private:
+  Gateway& gateway;
+};
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/include/tamarackwing/gateway/gateway.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "tamarackwing/backend_servers/connection_pool.h"
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/metrics.h"
+#include "tamarackwing/base/span.h"
+#include "tamarackwing/callers/caller_service.h"
+#include "tamarackwing/gateway/active_requests.h"
+#include "tamarackwing/gateway/admission_gate.h"
+#include "tamarackwing/gateway/gateway_settings.h"
+#include "tamarackwing/gateway/server_directory.h"
+#include "tamarackwing/gateway/snapshot_holder.h"
+
+namespace tamarackwing::http {
+class IoThreads;
+}
+
+namespace tamarackwing::gateway {
+
+class OperationPermits;
+class RegionHosts;
+class TokenBudget;
+
+//! What a gateway works with; everything outlives it.
+struct GatewayParts {
+  http::IoThreads& threads;
+  const Clock& clock;
+  Metrics& metrics;
+  SpanSink& spans;
+  SnapshotHolder& snapshots;
+  ServerDirectory& servers;
+  AdmissionGate& gate;
+  ActiveRequests& active;
+  TokenBudget& budget;
+  OperationPermits& permits;
+  RegionHosts& regions;
+};
+
+//! Serves callers: checks, admits, routes and answers their requests.
+//! Thread safety: as for callers::CallerService.
+class Gateway final : public callers::CallerService {
+ public:
+  //! Counts a request as under way for as long as it lives.
+  class Presence {
+   public:
+    explicit Presence(Gateway& gateway);
+    ~Presence();
+    Presence(const Presence&) = delete;
+    Presence& operator=(const Presence&) = delete;
+
+   private:
+    Gateway& gateway;
+  };
+
+  Gateway(GatewayParts parts, GatewaySettings settings);
+  ~Gateway() override;
+
+  std::optional<Refusal> CheckHead(const callers::CallerHead& head) override;
+  http::asio::awaitable<void> Serve(callers::CallerRequest request,
+                                    http::ResponseWriter& writer) override;
+
+  //! Serves a request that another host has forwarded for a workspace.
+  http::asio::awaitable<void> ServeForwarded(callers::CallerRequest request,
+                                             WorkspaceName workspace,
+                                             KeyDigest key,
+                                             http::ResponseWriter& writer);
+  //! Refuses new requests from now on. Thread safety: from any thread.
+  void StartDrain();
+  //! Whether new requests are refused. Thread safety: from any thread.
+  bool IsDraining() const { return this->draining.load(); }
+
+  //! Requests under way, operations that outlive their callers included.
+  //! Thread safety: from any thread.
+  std::size_t UnderWay() const { return this->under_way.load(); }
+  //! The parts. Thread safety: as for each part.
+  const GatewayParts& Parts() const { return this->parts; }
+  //! The settings. Thread safety: from any thread.
+  const GatewaySettings& Settings() const { return this->settings; }
+  //! The pool of the calling traffic thread's context.
+  backend_servers::ConnectionPool& PoolOf(
+      const http::asio::any_io_executor& executor);
+  //! A number for a request that waits. Thread safety: from any thread.
+  std::uint64_t NextRequest() { return this->next_request.fetch_add(1); }
+  //! Hosts that a caller of this workspace should try, best first.
+  std::vector<HostName> HostsFor(const state::Snapshot& snapshot,
+                                 const WorkspaceName& workspace) const;
+
+ private:
+  http::asio::awaitable<void> ServeDirectory(const callers::CallerHead& head,
+                                             http::ResponseWriter& writer);
+
+  GatewayParts parts;
+  GatewaySettings settings;
+  std::atomic<bool> draining{false};
+  std::atomic<std::size_t> under_way{0};
+  std::atomic<std::uint64_t> next_request{1};
+  std::map<http::asio::execution_context*,
+           std::unique_ptr<backend_servers::ConnectionPool>>
+      pools;
+};
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tamarackwing/backend_servers/server_registry.h"
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/random_source.h"
+#include "tamarackwing/policy/retry_budget.h"
+#include "tamarackwing/policy/server_table.h"
+
+namespace tamarackwing::gateway {
+
+//! The servers of the host's region, shared by the traffic threads.
+//! Thread safety: every method is callable from any thread.
+class ServerDirectory final : public backend_servers::ServerRegistry {
+ public:
+  //! Called with each announcement that came straight from a server.
+  using OnAnnounced = std::function<void(const policy::ServerReport&)>;
+
+  //! Precondition: `clock` outlives the directory.
+  ServerDirectory(RegionName region,
+                  policy::ServerTableLimits limits,
+                  const Clock& clock,
+                  std::uint64_t seed);
+
+  //! Sets who else is told of announcements. Precondition: called before
+  //! traffic starts.
+  void SetOnAnnounced(OnAnnounced callback);
+  bool Announce(const policy::ServerReport& report) override;
+  void NoteCacheEvents(const backend_servers::CacheEvents& events) override;
+  //! Takes an announcement that another host of the region passed on.
+  void TakeRelayed(const policy::ServerReport& report);
+  //! Chooses a server; counts it as sent.
+  std::optional<policy::ServerChoice> Take(const policy::ServerQuery& query);
+  //! The expected time of the best server, without taking it.
+  std::optional<Duration> Expect(const policy::ServerQuery& query);
+  //! Notes how a request ended.
+  void Finish(const BackendServerName& name, bool failed);
+  //! Notes that a server now holds a prefix.
+  void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
+  //! Notes a first try for the retry budget.
+  void NoteRequest();
+  //! Takes one retry; false where the budget is spent.
+  bool TryRetry();
+  //! Drops expired leases.
+  void Expire();
+  //! Usable slots of a target.
+  std::uint32_t Slots(const std::string& target);
+  //! The last reports of all servers.
+  std::vector<policy::ServerReport> Reports();
+
+ private:
+  void Take(const policy::ServerReport& report);
+
+  RegionName region;
+  const Clock& clock;
+  std::mutex mutex;
+  policy::ServerTable table;
+  policy::RetryBudget retries;
+  SeededRandom random;
+  OnAnnounced on_announced;
+};
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/served_request.cc
@@ -0,0 +1,902 @@
+#include "served_request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "backend_request.h"
+#include "tamarackwing/base/digest.h"
+#include "tamarackwing/base/event.h"
+#include "tamarackwing/callers/refusal_response.h"
+#include "tamarackwing/gateway/forward_headers.h"
+#include "tamarackwing/http/response_writer.h"
+
+namespace tamarackwing::gateway {
+namespace {
+
+using http::ConnectionError;
+
+constexpr int kMostTries = 3;
+constexpr int kMostResumes = 2;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kTooManyRequests = 429;
+constexpr TokenCount kServiceTokens = 1;
+constexpr std::size_t kStoredAnswerBytes = 16 * 1024;
+constexpr std::string_view kEventStream = "text/event-stream";
+
+bool IsWorthAnotherServer(unsigned status) {
+  return status >= kServerError || status == kTooManyRequests;
+}
+
+http::Endpoint EndpointOf(const policy::ServerChoice& choice) {
+  return {choice.address, choice.port};
+}
+
+std::string ContentType(const http::ResponseHead& head) {
+  return std::string(
+      head.headers.Find("Content-Type").value_or("application/json"));
+}
+
+http::ResponseHead PassedHead(const http::ResponseHead& head) {
+  http::ResponseHead passed;
+  passed.status = head.status;
+  passed.headers.Add("Content-Type", ContentType(head));
+  return passed;
+}
+
+std::string Authority(const http::Endpoint& endpoint) {
+  return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+}  // namespace
+
+ServedRequest::ServedRequest(Gateway& gateway,
+                             callers::CallerRequest request,
+                             std::optional<ForwardedIdentity> forwarded,
+                             http::ResponseWriter& writer,
+                             http::asio::any_io_executor executor)
+    : gateway(gateway),
+      request(std::move(request)),
+      forwarded(std::move(forwarded)),
+      writer(writer),
+      executor(std::move(executor)) {}
+
+ServedRequest::~ServedRequest() = default;
+
+http::asio::awaitable<void> ServedRequest::Run() {
+  const Gateway::Presence presence(this->gateway);
+  const GatewayParts& parts = this->gateway.Parts();
+  this->started = parts.clock.Now();
+  this->started_at = std::chrono::system_clock::now();
+  this->snapshot = parts.snapshots.Get();
+  SeededRandom random(std::hash<std::string>{}(
+      this->gateway.Settings().host.Text() +
+      std::to_string(this->gateway.NextRequest()) +
+      std::to_string(this->started_at.time_since_epoch().count())));
+  this->trace = StartTrace(this->request.head.trace, random);
+  if (this->request.head.trace) {
+    this->parent_span = this->request.head.trace->span_id;
+  }
+  Outcome refusal = co_await this->Serve();
+  this->LeaveGate();
+  if (this->reservation != 0) {
+    parts.budget.Settle(this->grant.workspace, this->reservation,
+                        this->used_tokens);
+  }
+  if (this->active_id != 0) {
+    parts.active.Remove(this->active_id);
+  }
+  if (refusal && !this->caller_gone) {
+    if (this->writer.HasStarted()) {
+      co_await this->writer.WritePiece(callers::MakeRefusalEvent(*refusal));
+      this->writer.Abort();
+    } else {
+      co_await this->writer.Send(callers::MakeRefusalResponse(*refusal));
+    }
+  }
+  this->Finish(refusal);
+}
+
+void ServedRequest::Cancel(RefusalCode reason) {
+  http::asio::post(this->executor, [self = this->shared_from_this(), reason] {
+    if (!self->cancelled) {
+      self->cancelled = reason;
+    }
+    self->Interrupt();
+  });
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::Serve() {
+  Outcome refusal = this->Resolve();
+  if (!refusal) {
+    refusal = this->Authorize();
+  }
+  if (!refusal) {
+    refusal = this->CheckPlace();
+  }
+  if (refusal) {
+    co_return refusal;
+  }
+  const GatewayParts& parts = this->gateway.Parts();
+  if (!this->grant.key.IsEmpty()) {
+    const std::weak_ptr<ServedRequest> weak = this->weak_from_this();
+    this->active_id =
+        parts.active.Add(this->grant.key, [weak](RefusalCode reason) {
+          if (const auto self = weak.lock()) {
+            self->Cancel(reason);
+          }
+        });
+    // A key withdrawn between the check and the entry would be missed.
+    const auto newest = parts.snapshots.Get();
+    if (newest->withdrawn && newest->withdrawn->contains(this->grant.key)) {
+      co_return RefuseNotRun(RefusalCode::kKeyWithdrawn);
+    }
+  }
+  const std::weak_ptr<ServedRequest> weak = this->weak_from_this();
+  this->writer.OnPeerGone([weak] {
+    if (const auto self = weak.lock()) {
+      self->caller_gone = true;
+      if (self->route->idempotent) {
+        self->Interrupt();
+      }
+    }
+  });
+  if (!this->forwarded) {
+    refusal = co_await this->ReserveTokens();
+    if (refusal) {
+      co_return refusal;
+    }
+  }
+  if (this->ShouldForward()) {
+    co_return co_await this->Forward();
+  }
+  refusal = co_await this->EnterGate();
+  if (refusal) {
+    co_return refusal;
+  }
+  if (this->route->idempotent) {
+    co_return co_await this->ServeIdempotent();
+  }
+  co_return co_await this->ServeOperation();
+}
+
+ServedRequest::Outcome ServedRequest::Resolve() {
+  if (this->request.head.target == callers::CallerTarget::kModel) {
+    const auto parsed = callers::ParseModelCall(this->request.body);
+    if (!parsed) {
+      return RefuseNotRun(parsed.error());
+    }
+    const RouteName& named = this->request.head.route;
+    if (!named.IsEmpty() && named != parsed->route) {
+      return RefuseNotRun(RefusalCode::kMalformedRequest);
+    }
+    this->call = *parsed;
+    this->request.head.route = parsed->route;
+  }
+  const auto found = FindRoute(*this->snapshot, this->request.head.route);
+  if (!found) {
+    return RefuseNotRun(found.error());
+  }
+  this->route = **found;
+  const bool is_model = this->route->kind == state::RouteKind::kModel;
+  if (is_model != this->call.has_value()) {
+    return RefuseNotRun(RefusalCode::kUnknownRoute);
+  }
+  this->target =
+      is_model ? this->route->model_version.Text() : this->route->name.Text();
+  const auto longest = this->route->deadline;
+  const auto wanted = this->request.head.deadline.value_or(longest);
+  this->deadline = this->started + std::min(wanted, longest);
+  return std::nullopt;
+}
+
+ServedRequest::Outcome ServedRequest::Authorize() {
+  const GatewayParts& parts = this->gateway.Parts();
+  if (this->forwarded) {
+    const auto checked =
+        AuthorizeKey(*this->snapshot, this->forwarded->key,
+                     this->gateway.Settings().region, parts.clock.Now());
+    if (this->forwarded->key.IsEmpty() && this->route->open) {
+      return std::nullopt;
+    }
+    if (!checked) {
+      return RefuseNotRun(checked.error());
+    }
+    if (checked->workspace != this->forwarded->workspace) {
+      return RefuseNotRun(RefusalCode::kKeyInvalid);
+    }
+    this->grant = *checked;
+    return std::nullopt;
+  }
+  if (!this->request.head.key) {
+    if (this->route->open && this->route->idempotent) {
+      return std::nullopt;
+    }
+    return RefuseNotRun(RefusalCode::kKeyInvalid);
+  }
+  const auto checked =
+      AuthorizeKey(*this->snapshot, DigestKey(*this->request.head.key),
+                   this->gateway.Settings().region, parts.clock.Now());
+  if (!checked) {
+    return RefuseNotRun(checked.error());
+  }
+  this->grant = *checked;
+  return std::nullopt;
+}
+
+ServedRequest::Outcome ServedRequest::CheckPlace() {
+  if (this->gateway.IsDraining()) {
+    Refusal refusal = RefuseNotRun(RefusalCode::kDraining);
+    refusal.hosts =
+        this->gateway.HostsFor(*this->snapshot, this->grant.workspace);
+    return refusal;
+  }
+  if (CarriesKey(this->request)) {
+    return RefuseNotRun(RefusalCode::kMalformedRequest);
+  }
+  if (!MayRunIn(*this->snapshot, this->grant.workspace, *this->route,
+                this->gateway.Settings().region)) {
+    Refusal refusal = RefuseNotRun(RefusalCode::kResidency);
+    refusal.hosts =
+        this->gateway.HostsFor(*this->snapshot, this->grant.workspace);
+    return refusal;
+  }
+  if (!this->route->idempotent && !this->request.head.idempotency_key) {
+    return RefuseNotRun(RefusalCode::kIdempotencyKeyMissing);
+  }
+  return std::nullopt;
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::ReserveTokens() {
+  const TokenCount tokens =
+      this->call ? this->call->prompt_tokens + this->call->output_tokens
+                 : kServiceTokens;
+  this->used_tokens = 0;
+  auto handoff = std::make_shared<Handoff<BudgetAnswer>>(this->executor);
+  this->interrupt_wait = [handoff] { handoff->Interrupt(); };
+  TokenBudget& budget = this->gateway.Parts().budget;
+  const WorkspaceName workspace = this->grant.workspace;
+  budget.Reserve(workspace, tokens,
+                 [handoff, &budget, workspace](BudgetAnswer answer) {
+                   if (!handoff->Set(answer) && answer.granted) {
+                     budget.Settle(workspace, answer.reservation, 0);
+                   }
+                 });
+  const auto answer = co_await handoff->Wait(this->deadline);
+  this->interrupt_wait = nullptr;
+  if (answer && answer->granted) {
+    this->reservation = answer->reservation;
+  }
+  if (this->cancelled) {
+    co_return RefuseNotRun(*this->cancelled);
+  }
+  if (!answer) {
+    co_return RefuseNotRun(RefusalCode::kDeadlinePassed);
+  }
+  if (!answer->granted) {
+    Refusal refusal =
+        RefuseNotRun(RefusalCode::kOverBudget, answer->retry_after);
+    refusal.hosts = this->gateway.HostsFor(*this->snapshot, workspace);
+    co_return refusal;
+  }
+  co_return std::nullopt;
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::EnterGate() {
+  const GatewayParts& parts = this->gateway.Parts();
+  const auto expected = parts.servers.Expect(this->Query());
+  if (!expected) {
+    co_return RefuseNotRun(RefusalCode::kNoBackendServer);
+  }
+  const TimePoint now = parts.clock.Now();
+  const Duration wait = parts.gate.EstimateWait(this->target);
+  if (now + wait + *expected > this->deadline) {
+    Refusal refusal = RefuseNotRun(
+        RefusalCode::kDeadlineUnreachable,
+        std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+    co_return refusal;
+  }
+  policy::QueuedRequest queued;
+  queued.id = this->gateway.NextRequest();
+  queued.workspace = this->grant.workspace;
+  queued.weight = this->grant.weight;
+  queued.tokens = this->call
+                      ? this->call->prompt_tokens + this->call->output_tokens
+                      : kServiceTokens;
+  queued.latest_start = this->deadline - *expected;
+  this->queue_id = queued.id;
+  auto handoff = std::make_shared<Handoff<Admission>>(this->executor);
+  this->interrupt_wait = [handoff] { handoff->Interrupt(); };
+  AdmissionGate& gate = parts.gate;
+  gate.Enter(this->target, std::move(queued),
+             [handoff, &gate, target = this->target](Admission admission) {
+               if (!handoff->Set(admission) && admission == Admission::kStart) {
+                 gate.Leave(target, Duration::zero());
+               }
+             });
+  const auto admission = co_await handoff->Wait(this->deadline);
+  this->interrupt_wait = nullptr;
+  if (!admission) {
+    gate.Cancel(this->target, this->grant.workspace, this->queue_id);
+  }
+  this->holds_slot = admission == Admission::kStart;
+  this->slot_since = parts.clock.Now();
+  if (this->cancelled) {
+    co_return RefuseNotRun(*this->cancelled);
+  }
+  if (admission == Admission::kQueueFull) {
+    co_return RefuseNotRun(
+        RefusalCode::kQueueFull,
+        std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+  }
+  if (admission != Admission::kStart || this->caller_gone) {
+    co_return RefuseNotRun(RefusalCode::kDeadlineUnreachable);
+  }
+  co_return std::nullopt;
+}
+
+void ServedRequest::LeaveGate() {
+  if (!this->holds_slot) {
+    return;
+  }
+  this->holds_slot = false;
+  const GatewayParts& parts = this->gateway.Parts();
+  parts.gate.Leave(this->target, parts.clock.Now() - this->slot_since);
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::ServeIdempotent() {
+  const GatewayParts& parts = this->gateway.Parts();
+  parts.servers.NoteRequest();
+  Refusal last = RefuseNotRun(RefusalCode::kNoBackendServer);
+  bool fresh = false;
+  for (int attempt = 0; attempt < kMostTries; ++attempt) {
+    if (attempt > 0 && !parts.servers.TryRetry()) {
+      break;
+    }
+    const auto choice = parts.servers.Take(this->Query());
+    if (!choice) {
+      break;
+    }
+    this->peer = choice->name.Text();
+    const TryOutcome outcome = co_await this->TryServer(*choice, fresh);
+    const bool failed = outcome.result == TryResult::kTryAnother;
+    parts.servers.Finish(choice->name, failed);
+    if (!failed) {
+      co_return outcome.refusal;
+    }
+    this->tried.insert(choice->name);
+    last = outcome.refusal.value_or(last);
+    fresh = true;
+    if (this->cancelled || this->caller_gone ||
+        parts.clock.Now() >= this->deadline) {
+      break;
+    }
+  }
+  co_return last;
+}
+
+http::asio::awaitable<ServedRequest::TryOutcome> ServedRequest::TryServer(
+    policy::ServerChoice choice,
+    bool fresh) {
+  const http::Endpoint endpoint = EndpointOf(choice);
+  backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
+  auto acquired = co_await pool.Acquire(endpoint, this->deadline, fresh);
+  if (!acquired) {
+    co_return TryOutcome{TryResult::kTryAnother,
+                         this->UpstreamRefusal(acquired.error())};
+  }
+  backend_servers::PooledConnection connection = std::move(*acquired);
+  this->current_connection = connection.connection.get();
+  if (this->cancelled || this->caller_gone) {
+    connection.connection->Cancel();
+  }
+  const bool reused = connection.reused;
+  auto sent = co_await connection.connection->Send(
+      this->BackendRequest(endpoint), this->deadline);
+  Expected<http::ResponseHead, ConnectionError> head =
+      unexpected(ConnectionError::kSendFailed);
+  if (sent) {
+    head = co_await connection.connection->ReadHead(
+        this->FirstByteDeadline(reused, choice.expected));
+  }
+  if (!head) {
+    this->current_connection = nullptr;
+    const bool stale = reused && !this->cancelled && !this->caller_gone &&
+                       this->TimeLeft().count() > 0;
+    if (stale) {
+      // The connection, not the server, may be what went silent.
+      connection.connection->Cancel();
+      co_return co_await this->TryServer(choice, true);
+    }
+    const Refusal refusal = this->UpstreamRefusal(head.error());
+    const bool gave_up = this->cancelled || this->caller_gone;
+    co_return TryOutcome{gave_up ? TryResult::kDone : TryResult::kTryAnother,
+                         refusal};
+  }
+  TryOutcome outcome =
+      co_await this->PassAnswer(choice, connection, std::move(*head));
+  this->current_connection = nullptr;
+  pool.Release(endpoint, std::move(connection));
+  co_return outcome;
+}
+
+http::asio::awaitable<ServedRequest::TryOutcome> ServedRequest::PassAnswer(
+    const policy::ServerChoice& choice,
+    backend_servers::PooledConnection& connection,
+    http::ResponseHead head) {
+  const GatewayParts& parts = this->gateway.Parts();
+  if (IsWorthAnotherServer(head.status)) {
+    connection.connection->Cancel();
+    co_return TryOutcome{
+        TryResult::kTryAnother,
+        RefuseOutcomeUnknown(RefusalCode::kBackendServerFailed)};
+  }
+  parts.metrics.Record("tamarackwing_first_byte_seconds",
+                       parts.clock.Now() - this->started);
+  if (this->call && choice.name.Text().size() > 0) {
+    parts.servers.NotePrefix(choice.name, this->call->prefix);
+  }
+  if (ContentType(head).starts_with(kEventStream)) {
+    co_return co_await this->PassStream(choice, *connection.connection,
+                                        std::move(head));
+  }
+  co_return co_await this->PassWhole(*connection.connection, std::move(head));
+}
+
+http::asio::awaitable<ServedRequest::TryOutcome> ServedRequest::PassWhole(
+    http::Connection& connection,
+    http::ResponseHead head) {
+  http::Response response;
+  response.head = PassedHead(head);
+  while (true) {
+    auto piece = co_await connection.ReadPiece(this->deadline);
+    if (!piece) {
+      const bool gave_up = this->cancelled || this->caller_gone;
+      co_return TryOutcome{gave_up ? TryResult::kDone : TryResult::kTryAnother,
+                           this->UpstreamRefusal(piece.error())};
+    }
+    if (piece->empty()) {
+      break;
+    }
+    if (response.body.size() + piece->size() >
+        this->gateway.Settings().answer_bytes) {
+      connection.Cancel();
+      co_return TryOutcome{TryResult::kDone,
+                           RefuseOutcomeUnknown(RefusalCode::kTooLarge)};
+    }
+    response.body += *piece;
+  }
+  const TokenCount reserved =
+      this->call ? this->call->prompt_tokens + this->call->output_tokens
+                 : kServiceTokens;
+  this->used_tokens = UsedTokens(response.body, reserved);
+  co_await this->writer.Send(std::move(response));
+  co_return TryOutcome{};
+}
+
+http::asio::awaitable<ServedRequest::TryOutcome> ServedRequest::PassStream(
+    const policy::ServerChoice& choice,
+    http::Connection& connection,
+    http::ResponseHead head) {
+  const std::string stream_id(head.headers.Find("X-Stream-Id").value_or(""));
+  this->used_tokens = this->call ? this->call->prompt_tokens : kServiceTokens;
+  if (!co_await this->writer.StartStream(PassedHead(head))) {
+    this->caller_gone = true;
+    connection.Cancel();
+    co_return TryOutcome{};
+  }
+  std::unique_ptr<http::Connection> resumed;
+  http::Connection* source = &connection;
+  for (int resumes = 0;; ++resumes) {
+    bool gone = false;
+    const bool whole = co_await this->PipeEvents(*source, gone);
+    if (gone) {
+      this->caller_gone = true;
+      source->Cancel();
+      co_return TryOutcome{};
+    }
+    if (whole) {
+      co_await this->writer.FinishStream();
+      co_return TryOutcome{};
+    }
+    source->Cancel();
+    const bool may_resume = !this->cancelled && !this->caller_gone &&
+                            this->TimeLeft().count() > 0 &&
+                            !stream_id.empty() && resumes < kMostResumes;
+    if (!may_resume) {
+      break;
+    }
+    this->events.DropRest();
+    resumed = co_await this->ResumeStream(choice, stream_id);
+    if (!resumed) {
+      break;
+    }
+    source = resumed.get();
+    this->current_connection = source;
+  }
+  const RefusalCode reason = this->cancelled.value_or(
+      this->TimeLeft().count() > 0 ? RefusalCode::kBackendServerFailed
+                                   : RefusalCode::kDeadlinePassed);
+  co_return TryOutcome{TryResult::kDone, RefuseOutcomeUnknown(reason)};
+}
+
+http::asio::awaitable<bool> ServedRequest::PipeEvents(
+    http::Connection& connection,
+    bool& gone) {
+  const auto silence = this->gateway.Settings().stream_silence;
+  while (true) {
+    const TimePoint until =
+        std::min(this->deadline, this->gateway.Parts().clock.Now() + silence);
+    auto piece = co_await connection.ReadPiece(until);
+    if (!piece) {
+      co_return false;
+    }
+    std::string whole =
+        piece->empty() ? this->events.TakeRest() : this->events.Add(*piece);
+    if (!whole.empty() && !co_await this->writer.WritePiece(whole)) {
+      gone = true;
+      co_return false;
+    }
+    if (this->call) {
+      const auto sent = static_cast<TokenCount>(this->events.Events());
+      this->used_tokens =
+          this->call->prompt_tokens + std::min(sent, this->call->output_tokens);
+    }
+    if (piece->empty()) {
+      co_return true;
+    }
+  }
+}
+
+http::asio::awaitable<std::unique_ptr<http::Connection>>
+ServedRequest::ResumeStream(const policy::ServerChoice& choice,
+                            const std::string& stream_id) {
+  const http::Endpoint endpoint = EndpointOf(choice);
+  backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
+  auto acquired = co_await pool.Acquire(endpoint, this->deadline, true);
+  if (!acquired) {
+    co_return nullptr;
+  }
+  std::unique_ptr<http::Connection> connection =
+      std::move(acquired->connection);
+  http::Request resume;
+  resume.head.method = "GET";
+  resume.head.target = "/v1/streams/" + stream_id +
+                       "?offset=" + std::to_string(this->events.Events());
+  resume.head.headers.Add("Host", Authority(endpoint));
+  resume.head.headers.Add(callers::kHopHeader,
+                          this->gateway.Settings().host.Text());
+  const auto sent =
+      co_await connection->Send(std::move(resume), this->deadline);
+  if (!sent) {
+    co_return nullptr;
+  }
+  const auto silence = this->gateway.Settings().stream_silence;
+  const TimePoint until =
+      std::min(this->deadline, this->gateway.Parts().clock.Now() + silence);
+  const auto head = co_await connection->ReadHead(until);
+  if (!head || head->status >= kTooManyRequests - 29) {
+    co_return nullptr;
+  }
+  this->gateway.Parts().metrics.Count("tamarackwing_streams_resumed_total");
+  co_return connection;
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::ServeOperation() {
+  auto done = std::make_shared<Handoff<std::optional<Refusal>>>(this->executor);
+  http::asio::co_spawn(this->executor,
+                       RunOperation(this->shared_from_this(), done),
+                       http::asio::detached);
+  this->interrupt_wait = [done] { done->Interrupt(); };
+  const auto result = co_await done->Wait(this->deadline);
+  this->interrupt_wait = nullptr;
+  this->used_tokens = kServiceTokens;
+  // Without its caller the operation goes on, so that its answer is kept.
+  if (!result) {
+    const RefusalCode reason =
+        this->cancelled.value_or(RefusalCode::kDeadlinePassed);
+    co_return this->sent_operation ? RefuseOutcomeUnknown(reason)
+                                   : RefuseNotRun(reason);
+  }
+  if (*result) {
+    co_return **result;
+  }
+  http::Response response = http::MakeResponse(
+      this->operation_answer.status, this->operation_answer.content_type,
+      this->operation_answer.body);
+  co_await this->writer.Send(std::move(response));
+  co_return std::nullopt;
+}
+
+http::asio::awaitable<void> ServedRequest::RunOperation(
+    std::shared_ptr<ServedRequest> self,
+    std::shared_ptr<Handoff<std::optional<Refusal>>> done) {
+  const Gateway::Presence presence(self->gateway);
+  Outcome refusal = co_await self->AskPermit();
+  if (!refusal && self->operation_answer.status == 0) {
+    refusal = co_await self->SendOperation();
+  }
+  done->Set(refusal);
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::AskPermit() {
+  const RegionName& region = this->route->home_regions.front();
+  const OperationId operation =
+      DigestOperation(this->grant.workspace, this->route->name,
+                      *this->request.head.idempotency_key);
+  auto handoff = std::make_shared<Handoff<Permit>>(this->executor);
+  OperationPermits& permits = this->gateway.Parts().permits;
+  permits.Ask(region, operation,
+              [handoff, &permits, region, operation](Permit permit) {
+                const bool granted = permit.kind == PermitKind::kGranted;
+                if (!handoff->Set(std::move(permit)) && granted) {
+                  permits.Release(region, operation);
+                }
+              });
+  auto permit = co_await handoff->Wait(this->deadline);
+  if (!permit) {
+    co_return RefuseNotRun(RefusalCode::kLedgerUnavailable);
+  }
+  switch (permit->kind) {
+    case PermitKind::kGranted:
+      co_return std::nullopt;
+    case PermitKind::kAnswered:
+      this->operation_answer = std::move(permit->answer);
+      co_return std::nullopt;
+    case PermitKind::kInProgress:
+      co_return RefuseOutcomeUnknown(RefusalCode::kOperationInProgress);
+    case PermitKind::kUnknown:
+      co_return RefuseOutcomeUnknown(RefusalCode::kOutcomeUnknown);
+    case PermitKind::kFull:
+      co_return RefuseNotRun(RefusalCode::kLedgerFull);
+    case PermitKind::kUnavailable:
+      break;
+  }
+  co_return RefuseNotRun(RefusalCode::kLedgerUnavailable);
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::SendOperation() {
+  const GatewayParts& parts = this->gateway.Parts();
+  const RegionName& region = this->route->home_regions.front();
+  const OperationId operation =
+      DigestOperation(this->grant.workspace, this->route->name,
+                      *this->request.head.idempotency_key);
+  RefusalCode reason = RefusalCode::kNoBackendServer;
+  for (int attempt = 0; attempt < kMostTries; ++attempt) {
+    const bool late = parts.clock.Now() >= this->deadline;
+    if (late || this->cancelled) {
+      reason = this->cancelled.value_or(RefusalCode::kDeadlinePassed);
+      break;
+    }
+    const auto choice = parts.servers.Take(this->Query());
+    if (!choice) {
+      break;
+    }
+    this->peer = choice->name.Text();
+    const http::Endpoint endpoint = EndpointOf(*choice);
+    auto acquired = co_await this->gateway.PoolOf(this->executor)
+                        .Acquire(endpoint, this->deadline, true);
+    // Only now may bytes leave: whoever gave up meanwhile sends nothing.
+    const bool given_up =
+        this->cancelled || parts.clock.Now() >= this->deadline;
+    if (!acquired || given_up) {
+      parts.servers.Finish(choice->name, !acquired);
+      this->tried.insert(choice->name);
+      reason = RefusalCode::kBackendServerFailed;
+      continue;
+    }
+    this->sent_operation = true;
+    const TimePoint until =
+        this->deadline + this->gateway.Settings().operation_grace;
+    http::Connection& connection = *acquired->connection;
+    bool whole = false;
+    auto sent = co_await connection.Send(this->BackendRequest(endpoint), until);
+    if (sent) {
+      auto head = co_await connection.ReadHead(until);
+      OperationAnswer answer;
+      while (head) {
+        auto piece = co_await connection.ReadPiece(until);
+        if (!piece || answer.body.size() + piece->size() >
+                          this->gateway.Settings().answer_bytes) {
+          break;
+        }
+        if (piece->empty()) {
+          answer.status = head->status;
+          answer.content_type = ContentType(*head);
+          whole = true;
+          break;
+        }
+        answer.body += *piece;
+      }
+      this->operation_answer = std::move(answer);
+    }
+    parts.servers.Finish(choice->name, !whole);
+    if (!whole) {
+      parts.permits.Lose(region, operation);
+      co_return RefuseOutcomeUnknown(RefusalCode::kBackendServerFailed);
+    }
+    OperationAnswer stored = this->operation_answer;
+    if (stored.body.size() > kStoredAnswerBytes) {
+      stored.body.clear();
+    }
+    parts.permits.Answer(region, operation, stored);
+    co_return std::nullopt;
+  }
+  parts.permits.Release(region, operation);
+  co_return RefuseNotRun(reason);
+}
+
+bool ServedRequest::ShouldForward() {
+  if (this->forwarded || !this->route->idempotent) {
+    return false;
+  }
+  const GatewayParts& parts = this->gateway.Parts();
+  const auto expected = parts.servers.Expect(this->Query());
+  const TimePoint now = parts.clock.Now();
+  const Duration local = expected
+                             ? *expected + parts.gate.EstimateWait(this->target)
+                             : Duration::max();
+  const bool local_in_time = expected && now + local <= this->deadline;
+  this->PickForwardTarget();
+  if (!this->forward_target) {
+    return false;
+  }
+  const Duration far = this->forward_target->expected;
+  const bool far_in_time = now + far <= this->deadline;
+  if (!local_in_time) {
+    return far_in_time;
+  }
+  const auto margin = 100 + this->gateway.Settings().spill_margin_percent;
+  return far_in_time && far * margin / 100 < local;
+}
+
+void ServedRequest::PickForwardTarget() {
+  for (ForwardTarget& candidate :
+       this->gateway.Parts().regions.Candidates(this->target)) {
+    if (MayRunIn(*this->snapshot, this->grant.workspace, *this->route,
+                 candidate.region)) {
+      this->forward_target = std::move(candidate);
+      return;
+    }
+  }
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::Forward() {
+  const GatewayParts& parts = this->gateway.Parts();
+  parts.metrics.Count("tamarackwing_forwarded_total");
+  const http::Endpoint endpoint = this->forward_target->endpoint;
+  this->peer = this->forward_target->host.Text();
+  policy::ServerChoice choice;
+  choice.address = endpoint.address;
+  choice.port = endpoint.port;
+  choice.expected = this->forward_target->expected;
+  backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
+  auto acquired = co_await pool.Acquire(endpoint, this->deadline, false);
+  if (!acquired) {
+    co_return RefuseNotRun(RefusalCode::kNoBackendServer);
+  }
+  backend_servers::PooledConnection connection = std::move(*acquired);
+  this->current_connection = connection.connection.get();
+  http::Request forward = this->BackendRequest(endpoint);
+  if (this->route->kind == state::RouteKind::kService) {
+    forward.head.target =
+        "/services/" + this->route->name.Text() + this->request.head.path;
+  }
+  ForwardHeaders headers;
+  headers.secret = this->gateway.Settings().cluster_secret;
+  headers.workspace = this->grant.workspace;
+  headers.key = this->grant.key;
+  headers.origin = this->gateway.Settings().host;
+  AddForwardHeaders(headers, forward.head.headers);
+  const auto sent =
+      co_await connection.connection->Send(std::move(forward), this->deadline);
+  Expected<http::ResponseHead, ConnectionError> head =
+      unexpected(ConnectionError::kSendFailed);
+  if (sent) {
+    head = co_await connection.connection->ReadHead(this->deadline);
+  }
+  if (!head) {
+    this->current_connection = nullptr;
+    co_return this->UpstreamRefusal(head.error());
+  }
+  TryOutcome outcome;
+  if (ContentType(*head).starts_with(kEventStream)) {
+    outcome = co_await this->PassStream(choice, *connection.connection,
+                                        std::move(*head));
+  } else {
+    outcome =
+        co_await this->PassWhole(*connection.connection, std::move(*head));
+  }
+  this->current_connection = nullptr;
+  pool.Release(endpoint, std::move(connection));
+  co_return outcome.refusal;
+}
+
+Refusal ServedRequest::UpstreamRefusal(ConnectionError error) const {
+  const bool not_sent = error == ConnectionError::kConnectFailed;
+  RefusalCode code = RefusalCode::kBackendServerFailed;
+  if (this->cancelled) {
+    code = *this->cancelled;
+  } else if (this->TimeLeft().count() <= 0) {
+    code = RefusalCode::kDeadlinePassed;
+  }
+  // An earlier try of this request may have run.
+  return not_sent && this->tried.empty() ? RefuseNotRun(code)
+                                         : RefuseOutcomeUnknown(code);
+}
+
+policy::ServerQuery ServedRequest::Query() const {
+  policy::ServerQuery query;
+  query.target = this->target;
+  query.data_centre = this->gateway.Settings().data_centre;
+  query.tried = this->tried;
+  if (this->call) {
+    query.prompt_tokens = this->call->prompt_tokens;
+    query.output_tokens = this->call->output_tokens;
+    query.prefix = this->call->prefix;
+  }
+  return query;
+}
+
+http::Request ServedRequest::BackendRequest(
+    const http::Endpoint& endpoint) const {
+  BackendRequestContext context;
+  context.workspace = this->grant.workspace;
+  context.trace = this->trace;
+  context.time_left = this->TimeLeft();
+  context.host = this->gateway.Settings().host;
+  context.authority = Authority(endpoint);
+  return MakeBackendRequest(this->request, context);
+}
+
+std::chrono::milliseconds ServedRequest::TimeLeft() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->deadline - this->gateway.Parts().clock.Now());
+}
+
+TimePoint ServedRequest::FirstByteDeadline(bool reused,
+                                           Duration expected) const {
+  if (!reused) {
+    return this->deadline;
+  }
+  const TimePoint patient = this->gateway.Parts().clock.Now() + expected +
+                            this->gateway.Settings().first_byte_silence;
+  return std::min(patient, this->deadline);
+}
+
+void ServedRequest::Interrupt() {
+  if (this->interrupt_wait) {
+    this->interrupt_wait();
+  }
+  if (this->current_connection != nullptr) {
+    this->current_connection->Cancel();
+  }
+}
+
+void ServedRequest::Finish(const Outcome& refusal) {
+  const GatewayParts& parts = this->gateway.Parts();
+  const std::string outcome =
+      refusal ? std::string(RefusalName(refusal->code)) : "served";
+  parts.metrics.Count("tamarackwing_requests_total{outcome=\"" + outcome +
+                      "\"}");
+  parts.metrics.Record("tamarackwing_request_seconds",
+                       parts.clock.Now() - this->started);
+  if (refusal) {
+    LogEvent(Event::kRequestRefused, LogLevel::kDebug,
+             {{"code", outcome},
+              {"workspace", this->grant.workspace.Text()},
+              {"trace", this->trace.trace_id}});
+  }
+  Span span;
+  span.context = this->trace;
+  span.parent_span_id = this->parent_span;
+  span.name = this->forwarded ? "serve forwarded" : "serve";
+  span.start = this->started_at;
+  span.end = std::chrono::system_clock::now();
+  span.workspace = this->grant.workspace.Text();
+  span.peer = this->peer;
+  span.outcome = outcome;
+  parts.spans.Write(span);
+}
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/server_directory.cc
@@ -0,0 +1,138 @@
+#include "tamarackwing/gateway/server_directory.h"
+
+#include <utility>
+
+#include "tamarackwing/base/event.h"
+
+namespace tamarackwing::gateway {
+namespace {
+
+constexpr std::uint32_t kRetryPercent = 10;
+constexpr std::uint32_t kRetryReserve = 20;
+
+}  // namespace
+
+ServerDirectory::ServerDirectory(RegionName region,
+                                 policy::ServerTableLimits limits,
+                                 const Clock& clock,
+                                 std::uint64_t seed)
+    : region(std::move(region)),
+      clock(clock),
+      table(limits),
+      retries(kRetryPercent, kRetryReserve),
+      random(seed) {}
+
+void ServerDirectory::SetOnAnnounced(OnAnnounced callback) {
+  this->on_announced = std::move(callback);
+}
+
+bool ServerDirectory::Announce(const policy::ServerReport& report) {
+  if (report.region != this->region) {
+    return false;
+  }
+  this->Take(report);
+  if (this->on_announced) {
+    this->on_announced(report);
+  }
+  return true;
+}
+
+void ServerDirectory::NoteCacheEvents(
+    const backend_servers::CacheEvents& events) {
+  const std::lock_guard lock(this->mutex);
+  for (const std::uint64_t prefix : events.prefixes) {
+    this->table.NotePrefix(events.server, prefix);
+  }
+}
+
+void ServerDirectory::TakeRelayed(const policy::ServerReport& report) {
+  if (report.region == this->region) {
+    this->Take(report);
+  }
+}
+
+std::optional<policy::ServerChoice> ServerDirectory::Take(
+    const policy::ServerQuery& query) {
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+  auto choice = this->table.Pick(query, now, this->random);
+  if (choice) {
+    this->table.NoteSent(choice->name, now);
+  }
+  return choice;
+}
+
+std::optional<Duration> ServerDirectory::Expect(
+    const policy::ServerQuery& query) {
+  const std::lock_guard lock(this->mutex);
+  const auto choice = this->table.Pick(query, this->clock.Now(), this->random);
+  if (!choice) {
+    return std::nullopt;
+  }
+  return choice->expected;
+}
+
+void ServerDirectory::Finish(const BackendServerName& name, bool failed) {
+  if (failed) {
+    LogEvent(Event::kBackendServerFailed, LogLevel::kWarning,
+             {{"server", name.Text()}});
+  }
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteFinished(name, failed, this->clock.Now());
+}
+
+void ServerDirectory::NotePrefix(const BackendServerName& name,
+                                 std::uint64_t prefix) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NotePrefix(name, prefix);
+}
+
+void ServerDirectory::NoteRequest() {
+  const std::lock_guard lock(this->mutex);
+  this->retries.NoteRequest();
+}
+
+bool ServerDirectory::TryRetry() {
+  const std::lock_guard lock(this->mutex);
+  return this->retries.TryRetry();
+}
+
+void ServerDirectory::Expire() {
+  std::vector<BackendServerName> expired;
+  {
+    const std::lock_guard lock(this->mutex);
+    expired = this->table.Expire(this->clock.Now());
+  }
+  for (const BackendServerName& name : expired) {
+    LogEvent(Event::kBackendServerLeaseExpired, LogLevel::kWarning,
+             {{"server", name.Text()}});
+  }
+}
+
+std::uint32_t ServerDirectory::Slots(const std::string& target) {
+  const std::lock_guard lock(this->mutex);
+  return this->table.Slots(target, this->clock.Now());
+}
+
+std::vector<policy::ServerReport> ServerDirectory::Reports() {
+  const std::lock_guard lock(this->mutex);
+  return this->table.Reports();
+}
+
+void ServerDirectory::Take(const policy::ServerReport& report) {
+  bool is_new = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    is_new = this->table.Announce(report, this->clock.Now());
+  }
+  if (is_new) {
+    LogEvent(Event::kBackendServerAnnounced, LogLevel::kInfo,
+             {{"server", report.name.Text()}});
+  }
+  if (report.leaving) {
+    LogEvent(Event::kBackendServerLeft, LogLevel::kDebug,
+             {{"server", report.name.Text()}});
+  }
+}
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/http/include/tamarackwing/http/asio.h
@@ -0,0 +1,12 @@
+#pragma once
+
+// Asio of Boost 1.74 uses std::exchange without including <utility>.
+#include <utility>
+
+#include <boost/asio.hpp>
+
+namespace tamarackwing::http {
+
+namespace asio = boost::asio;
+
+}  // namespace tamarackwing::http
--- /dev/null
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/expected.h"
+#include "tamarackwing/http/asio.h"
+#include "tamarackwing/http/endpoint.h"
+#include "tamarackwing/http/message.h"
+
+namespace tamarackwing::http {
+
+//! What went wrong on a connection that this process opened.
+enum class ConnectionError {
+  kConnectFailed,
+  kSendFailed,
+  kReadFailed,
+  kTimeout,
+  kMalformed,
+  kCancelled,
+};
+
+//! One HTTP/1.1 connection to a server; one request at a time.
+//! Thread safety: only from the thread of its io_context.
+class Connection {
+ public:
+  explicit Connection(asio::io_context& context);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  //! Connects. Errors: kConnectFailed, kTimeout, kCancelled.
+  asio::awaitable<Expected<void, ConnectionError>> Connect(Endpoint endpoint,
+                                                           TimePoint deadline);
+  //! Sends a whole request. After an error some bytes may have left.
+  asio::awaitable<Expected<void, ConnectionError>> Send(Request request,
+                                                        TimePoint deadline);
+  //! Reads the head of the answer. Precondition: a request was sent.
+  asio::awaitable<Expected<ResponseHead, ConnectionError>> ReadHead(
+      TimePoint deadline);
+  //! Reads the next piece; an empty one says that the answer is whole.
+  //! An answer whose end only the closing would show is kMalformed.
+  asio::awaitable<Expected<std::string, ConnectionError>> ReadPiece(
+      TimePoint deadline);
+  //! Whether the last answer was whole and another request may follow.
+  bool IsReusable() const;
+  //! Whether the server has closed an idle connection.
+  bool IsPeerClosed();
+  //! Closes at once; a pending call returns kCancelled.
+  void Cancel();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+//! Sends a request on a fresh connection and reads the whole answer.
+//! Errors: as for the calls of Connection; kMalformed over `body_limit` bytes.
+asio::awaitable<Expected<Response, ConnectionError>> Fetch(
+    asio::io_context& context,
+    Endpoint endpoint,
+    Request request,
+    TimePoint deadline,
+    std::size_t body_limit);
+
+}  // namespace tamarackwing::http
--- /dev/null
+++ b/packages/http/src/connection.cc
@@ -0,0 +1,203 @@
+#include "tamarackwing/http/connection.h"
+
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include "socket_options.h"
+
+namespace tamarackwing::http {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::uint32_t kHeadBytes = 64 * 1024;
+constexpr unsigned kHttp11 = 11;
+constexpr std::chrono::milliseconds kSilence{10'000};
+
+using Parser = beast_http::response_parser<beast_http::buffer_body>;
+
+auto Use(boost::system::error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+}  // namespace
+
+struct Connection::State {
+  explicit State(asio::io_context& context) : stream(context) {}
+
+  ConnectionError Classify(const boost::system::error_code& error,
+                           ConnectionError otherwise) const {
+    if (this->cancelled) {
+      return ConnectionError::kCancelled;
+    }
+    if (error == boost::beast::error::timeout) {
+      return ConnectionError::kTimeout;
+    }
+    return otherwise;
+  }
+
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  std::array<char, kPieceBytes> piece{};
+  bool cancelled = false;
+  bool whole = false;
+};
+
+Connection::Connection(asio::io_context& context)
+    : state(std::make_unique<State>(context)) {}
+
+Connection::~Connection() = default;
+
+asio::awaitable<Expected<void, ConnectionError>> Connection::Connect(
+    Endpoint endpoint,
+    TimePoint deadline) {
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(endpoint.address, error);
+  if (error) {
+    co_return unexpected(ConnectionError::kConnectFailed);
+  }
+  const asio::ip::tcp::endpoint remote(address, endpoint.port);
+  this->state->stream.expires_at(deadline);
+  co_await this->state->stream.async_connect(remote, Use(error));
+  if (error) {
+    co_return unexpected(
+        this->state->Classify(error, ConnectionError::kConnectFailed));
+  }
+  SetSocketOptions(this->state->stream.socket(), kSilence);
+  this->state->whole = true;
+  co_return Expected<void, ConnectionError>();
+}
+
+asio::awaitable<Expected<void, ConnectionError>> Connection::Send(
+    Request request,
+    TimePoint deadline) {
+  beast_http::request<beast_http::string_body> message;
+  message.version(kHttp11);
+  message.method_string(request.head.method);
+  message.target(request.head.target);
+  for (const Header& header : request.head.headers.All()) {
+    message.insert(header.name, header.value);
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  this->state->whole = false;
+  this->state->parser.emplace();
+  this->state->parser->header_limit(kHeadBytes);
+  this->state->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  this->state->stream.expires_at(deadline);
+  boost::system::error_code error;
+  co_await beast_http::async_write(this->state->stream, message, Use(error));
+  if (error) {
+    co_return unexpected(
+        this->state->Classify(error, ConnectionError::kSendFailed));
+  }
+  co_return Expected<void, ConnectionError>();
+}
+
+asio::awaitable<Expected<ResponseHead, ConnectionError>> Connection::ReadHead(
+    TimePoint deadline) {
+  this->state->stream.expires_at(deadline);
+  boost::system::error_code error;
+  co_await beast_http::async_read_header(this->state->stream,
+                                         this->state->buffer,
+                                         *this->state->parser, Use(error));
+  if (error) {
+    co_return unexpected(
+        this->state->Classify(error, ConnectionError::kReadFailed));
+  }
+  if (this->state->parser->need_eof()) {
+    co_return unexpected(ConnectionError::kMalformed);
+  }
+  const auto& message = this->state->parser->get();
+  ResponseHead head;
+  head.status = message.result_int();
+  for (const auto& field : message) {
+    head.headers.Add(std::string(field.name_string()),
+                     std::string(field.value()));
+  }
+  co_return head;
+}
+
+asio::awaitable<Expected<std::string, ConnectionError>> Connection::ReadPiece(
+    TimePoint deadline) {
+  State& connection = *this->state;
+  while (!connection.parser->is_done()) {
+    auto& body = connection.parser->get().body();
+    body.data = connection.piece.data();
+    body.size = connection.piece.size();
+    body.more = true;
+    connection.stream.expires_at(deadline);
+    boost::system::error_code error;
+    co_await beast_http::async_read_some(connection.stream, connection.buffer,
+                                         *connection.parser, Use(error));
+    if (error && error != beast_http::error::need_buffer) {
+      co_return unexpected(
+          connection.Classify(error, ConnectionError::kReadFailed));
+    }
+    const std::size_t length = connection.piece.size() - body.size;
+    if (length > 0) {
+      co_return std::string(connection.piece.data(), length);
+    }
+  }
+  connection.whole = true;
+  co_return std::string();
+}
+
+bool Connection::IsReusable() const {
+  return this->state->whole && !this->state->cancelled &&
+         (!this->state->parser || this->state->parser->keep_alive());
+}
+
+bool Connection::IsPeerClosed() {
+  return http::IsPeerClosed(this->state->stream.socket());
+}
+
+void Connection::Cancel() {
+  this->state->cancelled = true;
+  this->state->stream.close();
+}
+
+asio::awaitable<Expected<Response, ConnectionError>> Fetch(
+    asio::io_context& context,
+    Endpoint endpoint,
+    Request request,
+    TimePoint deadline,
+    std::size_t body_limit) {
+  Connection connection(context);
+  auto connected = co_await connection.Connect(endpoint, deadline);
+  if (!connected) {
+    co_return unexpected(connected.error());
+  }
+  auto sent = co_await connection.Send(std::move(request), deadline);
+  if (!sent) {
+    co_return unexpected(sent.error());
+  }
+  auto head = co_await connection.ReadHead(deadline);
+  if (!head) {
+    co_return unexpected(head.error());
+  }
+  Response response;
+  response.head = std::move(*head);
+  while (true) {
+    auto piece = co_await connection.ReadPiece(deadline);
+    if (!piece) {
+      co_return unexpected(piece.error());
+    }
+    if (piece->empty()) {
+      co_return response;
+    }
+    if (response.body.size() + piece->size() > body_limit) {
+      co_return unexpected(ConnectionError::kMalformed);
+    }
+    response.body += *piece;
+  }
+}
+
+}  // namespace tamarackwing::http
--- /dev/null
+++ b/packages/http/src/session.cc
@@ -0,0 +1,254 @@
+#include "session.h"
+
+#include <utility>
+
+#include "socket_options.h"
+
+namespace tamarackwing::http {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+constexpr unsigned kHttp11 = 11;
+
+auto Use(boost::system::error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+template <typename Fields>
+RequestHead ReadHead(const beast_http::header<true, Fields>& message) {
+  RequestHead head;
+  head.method = std::string(message.method_string());
+  head.target = std::string(message.target());
+  for (const auto& field : message) {
+    head.headers.Add(std::string(field.name_string()),
+                     std::string(field.value()));
+  }
+  return head;
+}
+
+template <typename Message>
+void WriteHead(const ResponseHead& head, Message& message) {
+  message.version(kHttp11);
+  message.result(head.status);
+  for (const Header& header : head.headers.All()) {
+    message.insert(header.name, header.value);
+  }
+}
+
+std::optional<RequestFault> FaultOf(const boost::system::error_code& error) {
+  if (error == beast_http::error::header_limit) {
+    return RequestFault::kHeadTooLarge;
+  }
+  if (error == beast_http::error::body_limit) {
+    return RequestFault::kBodyTooLarge;
+  }
+  const bool is_parse_error =
+      error.category() ==
+      beast_http::make_error_code(beast_http::error::bad_version).category();
+  if (is_parse_error && error != beast_http::error::end_of_stream &&
+      error != beast_http::error::partial_message) {
+    return RequestFault::kMalformed;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Session::Session(asio::ip::tcp::socket socket,
+                 std::shared_ptr<SessionContext> context)
+    : stream(std::move(socket)), context(std::move(context)) {
+  SetSocketOptions(this->stream.socket(),
+                   this->context->limits.silence_timeout);
+  this->context->open.fetch_add(1);
+}
+
+Session::~Session() {
+  this->context->open.fetch_sub(1);
+}
+
+asio::awaitable<void> Session::Run() {
+  bool again = true;
+  while (again) {
+    again = co_await this->ServeOne();
+  }
+  boost::system::error_code ignored;
+  this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  this->stream.close();
+}
+
+asio::awaitable<bool> Session::ServeOne() {
+  const ServerLimits& limits = this->context->limits;
+  Parser parser;
+  parser.header_limit(limits.head_bytes);
+  parser.body_limit(limits.body_bytes);
+  boost::system::error_code error;
+  this->stream.expires_after(limits.idle_timeout);
+  co_await beast_http::async_read_header(this->stream, this->buffer, parser,
+                                         Use(error));
+  if (error) {
+    const auto fault = FaultOf(error);
+    if (fault) {
+      co_await this->Refuse(this->context->handler.RejectFault(*fault));
+    }
+    co_return false;
+  }
+  this->Reset(parser.get().keep_alive());
+  Request request;
+  request.head = ReadHead(parser.get());
+  if (parser.content_length()) {
+    request.head.content_length = *parser.content_length();
+  }
+  auto refusal = this->context->handler.CheckHead(request.head);
+  if (refusal) {
+    const bool has_body = !parser.is_done();
+    const bool sent = co_await this->Refuse(std::move(*refusal));
+    co_return sent && !has_body && this->KeepsAlive();
+  }
+  if (!co_await this->ReadBody(parser)) {
+    co_return false;
+  }
+  request.body = std::move(parser.get().body());
+  this->stream.expires_never();
+  this->serving = true;
+  this->WatchPeer();
+  co_await this->context->handler.Handle(std::move(request), *this);
+  this->serving = false;
+  this->peer_gone = nullptr;
+  co_return this->finished&& this->KeepsAlive();
+}
+
+asio::awaitable<bool> Session::ReadBody(Parser& parser) {
+  boost::system::error_code error;
+  this->stream.expires_after(this->context->limits.head_timeout);
+  const std::string expectation(parser.get()[beast_http::field::expect]);
+  if (EqualFieldNames(expectation, "100-continue")) {
+    beast_http::response<beast_http::empty_body> go_on{
+        beast_http::status::continue_, kHttp11};
+    co_await beast_http::async_write(this->stream, go_on, Use(error));
+    if (error) {
+      co_return false;
+    }
+  }
+  co_await beast_http::async_read(this->stream, this->buffer, parser,
+                                  Use(error));
+  if (!error) {
+    co_return true;
+  }
+  const auto fault = FaultOf(error);
+  if (fault) {
+    co_await this->Refuse(this->context->handler.RejectFault(*fault));
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> Session::Refuse(Response response) {
+  this->stream.expires_after(this->context->limits.head_timeout);
+  co_return co_await this->Send(std::move(response));
+}
+
+asio::awaitable<bool> Session::Send(Response response) {
+  beast_http::response<beast_http::string_body> message;
+  WriteHead(response.head, message);
+  message.keep_alive(this->KeepsAlive());
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  this->started = true;
+  boost::system::error_code error;
+  this->stream.expires_after(this->context->limits.head_timeout);
+  co_await beast_http::async_write(this->stream, message, Use(error));
+  this->finished = !error;
+  co_return !error;
+}
+
+asio::awaitable<bool> Session::StartStream(ResponseHead head) {
+  this->stream_response = std::make_unique<StreamResponse>();
+  WriteHead(head, *this->stream_response);
+  this->stream_response->keep_alive(this->KeepsAlive());
+  this->stream_response->chunked(true);
+  this->stream_response->body().data = nullptr;
+  this->stream_response->body().more = true;
+  this->serializer = std::make_unique<StreamSerializer>(*this->stream_response);
+  this->started = true;
+  boost::system::error_code error;
+  this->stream.expires_after(this->context->limits.head_timeout);
+  co_await beast_http::async_write_header(this->stream, *this->serializer,
+                                          Use(error));
+  co_return !error;
+}
+
+asio::awaitable<bool> Session::WritePiece(std::string_view piece) {
+  auto& body = this->stream_response->body();
+  body.data = const_cast<char*>(piece.data());
+  body.size = piece.size();
+  body.more = true;
+  boost::system::error_code error;
+  this->stream.expires_after(this->context->limits.head_timeout);
+  co_await beast_http::async_write(this->stream, *this->serializer, Use(error));
+  if (error == beast_http::error::need_buffer) {
+    error = {};
+  }
+  co_return !error;
+}
+
+asio::awaitable<bool> Session::FinishStream() {
+  auto& body = this->stream_response->body();
+  body.data = nullptr;
+  body.size = 0;
+  body.more = false;
+  boost::system::error_code error;
+  this->stream.expires_after(this->context->limits.head_timeout);
+  co_await beast_http::async_write(this->stream, *this->serializer, Use(error));
+  this->finished = !error;
+  co_return !error;
+}
+
+void Session::Abort() {
+  this->keep_alive = false;
+  this->finished = false;
+  this->stream.close();
+}
+
+void Session::OnPeerGone(std::function<void()> callback) {
+  this->peer_gone = std::move(callback);
+}
+
+void Session::WatchPeer() {
+  if (this->watching || this->buffer.size() > 0) {
+    return;
+  }
+  this->watching = true;
+  auto self = this->shared_from_this();
+  this->stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self](const boost::system::error_code& error) {
+        self->watching = false;
+        if (error || !self->serving) {
+          return;
+        }
+        if (IsPeerClosed(self->stream.socket())) {
+          self->ReportPeerGone();
+        }
+      });
+}
+
+void Session::ReportPeerGone() {
+  auto callback = std::exchange(this->peer_gone, nullptr);
+  if (callback) {
+    callback();
+  }
+}
+
+bool Session::KeepsAlive() const {
+  return this->keep_alive && !this->context->stopping.load();
+}
+
+void Session::Reset(bool keep_alive_wanted) {
+  this->keep_alive = keep_alive_wanted;
+  this->started = false;
+  this->finished = false;
+  this->stream_response.reset();
+  this->serializer.reset();
+}
+
+}  // namespace tamarackwing::http
--- /dev/null
+++ b/packages/policy/include/tamarackwing/policy.h
@@ -0,0 +1,16 @@
+#pragma once
+
+//! Pure decisions on traffic: residency, routing, admission, budgets, retries.
+//! No I/O, no clock and no threads: events and times come in, decisions go out.
+
+#include "tamarackwing/policy/budget_allocator.h"
+#include "tamarackwing/policy/budget_holder.h"
+#include "tamarackwing/policy/budget_messages.h"
+#include "tamarackwing/policy/fair_queue.h"
+#include "tamarackwing/policy/host_order.h"
+#include "tamarackwing/policy/residency.h"
+#include "tamarackwing/policy/retry_budget.h"
+#include "tamarackwing/policy/server_report.h"
+#include "tamarackwing/policy/server_table.h"
+#include "tamarackwing/policy/slot_share.h"
+#include "tamarackwing/policy/token_bucket.h"
--- /dev/null
+++ b/packages/policy/include/tamarackwing/policy/residency.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <vector>
+
+#include "tamarackwing/base/identifiers.h"
+
+namespace tamarackwing::policy {
+
+//! Whether `region` stands in every list. Thread safety: reentrant.
+bool IsPermitted(const RegionName& region,
+                 const std::vector<RegionName>& workspace_regions,
+                 const std::vector<RegionName>& route_regions);
+
+}  // namespace tamarackwing::policy
--- /dev/null
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/policy/server_report.h"
+
+namespace tamarackwing {
+class RandomSource;
+}
+
+namespace tamarackwing::policy {
+
+//! Limits of a server table.
+struct ServerTableLimits {
+  //! A server that has not renewed for so long gets no work.
+  std::chrono::milliseconds lease{3'000};
+  //! How long a failed server is first set aside; doubled up to the longest.
+  std::chrono::milliseconds first_pause{500};
+  std::chrono::milliseconds longest_pause{30'000};
+  //! How long a server takes to come back to all its slots.
+  std::chrono::milliseconds ramp{5'000};
+  //! The cost of reaching a server of another data centre.
+  std::chrono::milliseconds other_data_centre{2};
+  //! Prompt prefixes remembered for each server.
+  std::size_t prefixes = 1024;
+};
+
+//! What a request needs of a server.
+struct ServerQuery {
+  //! The model version or service.
+  std::string target;
+  TokenCount prompt_tokens = 0;
+  TokenCount output_tokens = 0;
+  //! Digest of the prompt's prefix; zero for none.
+  std::uint64_t prefix = 0;
+  //! The asker's own data centre.
+  DataCentreName data_centre;
+  //! Servers that this request has tried.
+  std::set<BackendServerName> tried;
+};
+
+//! A chosen server with the time it should take.
+struct ServerChoice {
+  BackendServerName name;
+  std::string address;
+  std::uint16_t port = 0;
+  Duration expected{};
+};
+
+//! The backend servers of a region as one host knows them: their leases, their
+//! lagged reports corrected by what this host has sent since, their failures.
+//! Not thread-safe.
+class ServerTable {
+ public:
+  explicit ServerTable(ServerTableLimits limits);
+  ~ServerTable();
+  ServerTable(ServerTable&&) noexcept;
+
+  //! Takes an announcement or renewal; true where the server is new.
+  bool Announce(const ServerReport& report, TimePoint now);
+  //! Drops servers whose lease has run out and names them.
+  std::vector<BackendServerName> Expire(TimePoint now);
+  //! Chooses by least expected cost, with two choices among the near-best.
+  std::optional<ServerChoice> Pick(const ServerQuery& query,
+                                   TimePoint now,
+                                   RandomSource& random) const;
+  //! Notes that a request left for a server.
+  void NoteSent(const BackendServerName& name, TimePoint now);
+  //! Notes that a request ended and how.
+  void NoteFinished(const BackendServerName& name, bool failed, TimePoint now);
+  //! Notes what a server says its cache holds; a hint that may be wrong.
+  void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
+  //! Slots of all usable servers for a target.
+  std::uint32_t Slots(const std::string& target, TimePoint now) const;
+  //! Whether any usable server serves the target.
+  bool Serves(const std::string& target, TimePoint now) const;
+  //! The last reports of all servers.
+  std::vector<ServerReport> Reports() const;
+  //! How many servers hold a lease.
+  std::size_t Count() const { return this->servers.size(); }
+
+ private:
+  struct Server;
+  bool IsUsable(const Server& server, TimePoint now) const;
+  std::uint32_t RampedSlots(const Server& server, TimePoint now) const;
+  Duration ExpectedCost(const Server& server,
+                        const ServerQuery& query,
+                        TimePoint now) const;
+  void Index(Server& server);
+  void Unindex(const Server& server);
+
+  ServerTableLimits limits;
+  std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
+  std::unordered_map<std::string, std::vector<Server*>> by_target;
+};
+
+}  // namespace tamarackwing::policy
--- /dev/null
+++ b/packages/state/src/set_checker.cc
@@ -0,0 +1,114 @@
+#include "tamarackwing/state/set_checker.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace tamarackwing::state {
+namespace {
+
+class SetChecker {
+ public:
+  SetChecker(const ConfigurationSet& set,
+             const Topology& topology,
+             const std::set<KeyDigest>& withdrawn)
+      : set(set), topology(topology), withdrawn(withdrawn) {}
+
+  config::Faults Check() {
+    for (const auto& [name, rule] : this->set.residency_rules) {
+      this->CheckRegions("residency_rules." + name.Text() + ".regions",
+                         rule.regions);
+    }
+    for (const auto& [name, workspace] : this->set.workspaces) {
+      this->CheckWorkspace(workspace);
+    }
+    for (const auto& [digest, key] : this->set.keys) {
+      this->CheckKey(key);
+    }
+    for (const auto& [name, route] : this->set.routes) {
+      this->CheckRoute(route);
+    }
+    return std::move(this->faults);
+  }
+
+ private:
+  void Note(config::FaultCode code, std::string path, std::string found) {
+    this->faults.push_back({code, std::move(path), 0, std::move(found)});
+  }
+
+  void CheckRegions(const std::string& path,
+                    const std::vector<RegionName>& regions) {
+    for (const RegionName& region : regions) {
+      if (!this->topology.regions.contains(region)) {
+        this->Note(config::FaultCode::kUnknownRegion, path, region.Text());
+      }
+    }
+  }
+
+  void CheckResidency(const std::string& path,
+                      const ResidencyRuleName& residency,
+                      const std::vector<RegionName>& home_regions) {
+    const auto rule = this->set.residency_rules.find(residency);
+    if (rule == this->set.residency_rules.end()) {
+      this->Note(config::FaultCode::kUnknownReference, path + ".residency",
+                 residency.Text());
+      return;
+    }
+    for (const RegionName& home : home_regions) {
+      const auto& allowed = rule->second.regions;
+      if (std::find(allowed.begin(), allowed.end(), home) == allowed.end()) {
+        this->Note(config::FaultCode::kNoCommonRegion, path + ".home_regions",
+                   home.Text());
+      }
+    }
+  }
+
+  void CheckWorkspace(const Workspace& workspace) {
+    const std::string path = "workspaces." + workspace.name.Text();
+    this->CheckRegions(path + ".home_regions", workspace.home_regions);
+    this->CheckResidency(path, workspace.residency, workspace.home_regions);
+  }
+
+  void CheckKey(const Key& key) {
+    const std::string path = "keys." + key.digest.Text();
+    if (!this->set.workspaces.contains(key.workspace)) {
+      this->Note(config::FaultCode::kUnknownReference, path + ".workspace",
+                 key.workspace.Text());
+    }
+    if (this->withdrawn.contains(key.digest)) {
+      this->Note(config::FaultCode::kKeyWithdrawn, path, key.digest.Text());
+    }
+    this->CheckRegions(path + ".home_regions", key.home_regions);
+  }
+
+  void CheckRoute(const Route& route) {
+    const std::string path = "routes." + route.name.Text();
+    this->CheckRegions(path + ".home_regions", route.home_regions);
+    this->CheckResidency(path, route.residency, route.home_regions);
+    if (route.kind == RouteKind::kModel &&
+        !this->set.model_versions.contains(route.model_version)) {
+      this->Note(config::FaultCode::kUnknownReference, path + ".model_version",
+                 route.model_version.Text());
+    }
+    if (!route.idempotent && !route.home_regions.empty() &&
+        !this->topology.disk_regions.contains(route.home_regions.front())) {
+      this->Note(config::FaultCode::kNoDiskHost, path + ".home_regions",
+                 route.home_regions.front().Text());
+    }
+  }
+
+  const ConfigurationSet& set;
+  const Topology& topology;
+  const std::set<KeyDigest>& withdrawn;
+  config::Faults faults;
+};
+
+}  // namespace
+
+config::Faults CheckSet(const ConfigurationSet& set,
+                        const Topology& topology,
+                        const std::set<KeyDigest>& withdrawn) {
+  return SetChecker(set, topology, withdrawn).Check();
+}
+
+}  // namespace tamarackwing::state
--- /dev/null
+++ b/packages/state/src/set_parser.cc
@@ -0,0 +1,150 @@
+#include "tamarackwing/state/set_parser.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "tamarackwing/config/table_reader.h"
+
+namespace tamarackwing::state {
+namespace {
+
+constexpr TokenCount kLargestRate = 1'000'000'000;
+constexpr std::int64_t kLargestWeight = 1'000;
+constexpr std::int64_t kLongestDeadlineMs = 3'600'000;
+constexpr std::size_t kDigestDigits = 64;
+
+bool IsDigest(const std::string& text) {
+  return text.size() == kDigestDigits &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+         });
+}
+
+std::vector<RegionName> ReadRegions(config::TableReader& reader,
+                                    std::string_view field) {
+  std::vector<RegionName> regions;
+  for (std::string& text : reader.Texts(field)) {
+    regions.emplace_back(std::move(text));
+  }
+  return regions;
+}
+
+ResidencyRule ReadResidencyRule(config::TableReader& reader) {
+  reader.RejectOthers({"name", "regions"});
+  ResidencyRule rule;
+  rule.name = ResidencyRuleName(reader.Text("name", true));
+  rule.regions = ReadRegions(reader, "regions");
+  return rule;
+}
+
+Workspace ReadWorkspace(config::TableReader& reader) {
+  reader.RejectOthers(
+      {"name", "rate", "burst", "weight", "home_regions", "residency"});
+  Workspace workspace;
+  workspace.name = WorkspaceName(reader.Text("name", true));
+  workspace.rate = reader.Number("rate", 1, kLargestRate, 1, true);
+  workspace.burst = reader.Number("burst", 1, kLargestRate, 1, true);
+  workspace.weight = static_cast<std::uint32_t>(
+      reader.Number("weight", 1, kLargestWeight, 1, false));
+  workspace.home_regions = ReadRegions(reader, "home_regions");
+  workspace.residency = ResidencyRuleName(reader.Text("residency", true));
+  return workspace;
+}
+
+Key ReadKey(config::TableReader& reader) {
+  reader.RejectOthers({"digest", "workspace", "home_regions"});
+  Key key;
+  key.digest = KeyDigest(reader.Text("digest", true));
+  if (!key.digest.IsEmpty() && !IsDigest(key.digest.Text())) {
+    reader.Note(config::FaultCode::kInvalidDigest, "digest");
+  }
+  key.workspace = WorkspaceName(reader.Text("workspace", true));
+  key.home_regions = ReadRegions(reader, "home_regions");
+  return key;
+}
+
+ModelVersion ReadModelVersion(config::TableReader& reader) {
+  reader.RejectOthers({"name", "model"});
+  ModelVersion version;
+  version.name = ModelVersionName(reader.Text("name", true));
+  version.model = reader.Text("model", true);
+  return version;
+}
+
+Route ReadRoute(config::TableReader& reader) {
+  reader.RejectOthers({"name", "kind", "idempotent", "open", "deadline_ms",
+                       "model_version", "home_regions", "residency"});
+  Route route;
+  route.name = RouteName(reader.Text("name", true));
+  const std::string kind = reader.Text("kind", true);
+  if (kind == "service") {
+    route.kind = RouteKind::kService;
+  } else if (kind != "model" && !kind.empty()) {
+    reader.Note(config::FaultCode::kOutOfRange, "kind");
+  }
+  route.idempotent = reader.Flag("idempotent", route.kind == RouteKind::kModel);
+  route.open = reader.Flag("open", false);
+  route.deadline = std::chrono::milliseconds(
+      reader.Number("deadline_ms", 1, kLongestDeadlineMs, 1, true));
+  route.model_version = ModelVersionName(
+      reader.Text("model_version", route.kind == RouteKind::kModel));
+  route.home_regions = ReadRegions(reader, "home_regions");
+  route.residency = ResidencyRuleName(reader.Text("residency", true));
+  return route;
+}
+
+template <typename Object, typename Name>
+void ReadObjects(config::TableReader& document,
+                 ObjectKind kind,
+                 Object (*read)(config::TableReader&),
+                 const Name& (*name_of)(const Object&),
+                 std::map<Name, Object>& objects,
+                 config::Faults& faults) {
+  for (config::TableReader& reader : document.Tables(ObjectKindName(kind))) {
+    Object object = read(reader);
+    const Name name = name_of(object);
+    if (!objects.emplace(name, std::move(object)).second) {
+      faults.push_back({config::FaultCode::kDuplicateName, reader.Path(),
+                        reader.Line(), name.Text()});
+    }
+  }
+}
+
+template <typename Object>
+const auto& NameOf(const Object& object) {
+  return object.name;
+}
+
+const KeyDigest& DigestOf(const Key& key) {
+  return key.digest;
+}
+
+}  // namespace
+
+Expected<ConfigurationSet, config::Faults> ParseSet(std::string_view toml) {
+  const auto table = config::ParseDocument(toml);
+  if (!table) {
+    return unexpected(table.error());
+  }
+  config::Faults faults;
+  ConfigurationSet set;
+  config::TableReader document(*table, "", faults);
+  document.RejectOthers(
+      {"residency_rules", "workspaces", "keys", "model_versions", "routes"});
+  ReadObjects(document, ObjectKind::kResidencyRule, ReadResidencyRule,
+              NameOf<ResidencyRule>, set.residency_rules, faults);
+  ReadObjects(document, ObjectKind::kWorkspace, ReadWorkspace,
+              NameOf<Workspace>, set.workspaces, faults);
+  ReadObjects(document, ObjectKind::kKey, ReadKey, DigestOf, set.keys, faults);
+  ReadObjects(document, ObjectKind::kModelVersion, ReadModelVersion,
+              NameOf<ModelVersion>, set.model_versions, faults);
+  ReadObjects(document, ObjectKind::kRoute, ReadRoute, NameOf<Route>,
+              set.routes, faults);
+  if (!faults.empty()) {
+    return unexpected(std::move(faults));
+  }
+  return set;
+}
+
+}  // namespace tamarackwing::state
--- /dev/null
+++ b/programs/tamarackwingd/src/settings.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tamarackwing/base/event.h"
+#include "tamarackwing/base/expected.h"
+#include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/config/fault.h"
+#include "tamarackwing/gateway/gateway_settings.h"
+#include "tamarackwing/http/endpoint.h"
+#include "tamarackwing/http/server.h"
+#include "tamarackwing/policy/server_table.h"
+#include "tamarackwing/state/host_record.h"
+
+namespace tamarackwing::daemon {
+
+//! The times of the control state.
+struct ControlTimes {
+  std::chrono::milliseconds heartbeat{300};
+  std::chrono::milliseconds election{1'500};
+  std::chrono::milliseconds host_lost{3'000};
+  std::chrono::milliseconds key_freshness{5'000};
+  std::chrono::milliseconds chunk_life{2'000};
+};
+
+//! The settings of one host.
+struct Settings {
+  gateway::GatewaySettings gateway;
+  //! Empty where the host has no disk.
+  std::string data_folder;
+  std::string span_file;
+  LogLevel log_level = LogLevel::kInfo;
+  std::size_t traffic_threads = 2;
+  http::Endpoint callers;
+  http::Endpoint backend_servers;
+  http::Endpoint operators;
+  //! Digest of the operators' token; empty refuses all orders.
+  std::string operator_token_digest;
+  //! All hosts known at the start, this one among them.
+  std::vector<state::HostRecord> hosts;
+  //! The first voters of the agreed log.
+  std::vector<HostName> voters;
+  http::ServerLimits limits;
+  policy::ServerTableLimits servers;
+  ControlTimes times;
+  //! Tokens a second for routes open to all, for each host.
+  TokenCount open_rate = 1'000;
+  std::chrono::milliseconds drain_limit{60'000};
+};
+
+//! Reads settings from TOML; on failure every fault with its path and line.
+//! Thread safety: reentrant.
+Expected<Settings, config::Faults> ParseSettings(std::string_view toml);
+
+}  // namespace tamarackwing::daemon
--- /dev/null
+++ b/programs/tamarackwingd/tests/settings_tests.cc
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "settings.h"
+
+namespace tamarackwing::daemon {
+namespace {
+
+constexpr const char* kGood = R"(
+name = "muscat-1"
+region = "muscat"
+data_centre = "muscat-a"
+cluster_secret = "s"
+[callers]
+address = "127.0.0.1"
+port = 1
+[backend_servers]
+address = "127.0.0.1"
+port = 2
+[operators]
+address = "127.0.0.1"
+port = 3
+[[hosts]]
+name = "muscat-1"
+region = "muscat"
+data_centre = "muscat-a"
+caller_address = "127.0.0.1"
+caller_port = 1
+peer_address = "127.0.0.1"
+peer_port = 4
+forward_port = 5
+disk = true
+voter = true
+)";
+
+TEST(Settings, AWholeDocumentIsRead) {
+  const auto settings = ParseSettings(kGood);
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->voters.size(), 1U);
+  EXPECT_EQ(settings->callers.port, 1);
+}
+
+TEST(Settings, EveryFaultIsNamedWithItsLine) {
+  const auto settings = ParseSettings(
+      "name = \"x\"\nregion = 3\ncolour = \"red\"\n[callers]\nport = 70000\n");
+  ASSERT_FALSE(settings.has_value());
+  const auto has = [&](config::FaultCode code, const std::string& path,
+                       std::uint32_t line) {
+    for (const config::Fault& fault : settings.error()) {
+      if (fault.code == code && fault.path == path && fault.line == line) {
+        return true;
+      }
+    }
+    return false;
+  };
+  EXPECT_TRUE(has(config::FaultCode::kWrongType, "region", 2));
+  EXPECT_TRUE(has(config::FaultCode::kUnknownField, "colour", 3));
+  EXPECT_TRUE(has(config::FaultCode::kOutOfRange, "callers.port", 5));
+}
+
+RC_GTEST_PROP(Settings, AnyBytesAreReadOrRefused, (const std::string& bytes)) {
+  RC_ASSERT(!ParseSettings(bytes).has_value());
+}
+
+}  // namespace
+}  // namespace tamarackwing::daemon
--- /dev/null
+++ b/tests/request_path_tests.cc
@@ -0,0 +1,177 @@
+#include <gtest/gtest.h>
+
+#include <future>
+#include "tamarackwing/state/set_parser.h"
+
+#include "test_host.h"
+
+namespace tamarackwing::tests {
+namespace {
+
+constexpr std::uint16_t kPort = 21'000;
+
+//! One host, one model engine and one plain service.
+class RequestPath : public testing::Test {
+ protected:
+  void SetUp() override {
+    auto set = state::ParseSet(ExampleSet());
+    ASSERT_TRUE(set.has_value());
+    this->settings.servers.ramp = std::chrono::milliseconds(0);
+    this->host = std::make_unique<daemon::Daemon>(this->settings);
+    ASSERT_TRUE(this->host->Start().has_value());
+    this->host->Apply(*set);
+    this->engine = this->StartServer("engine", {"drafter@3"});
+    this->service = this->StartServer("service", {"booking", "gauge"});
+    ASSERT_TRUE(WaitFor([&] {
+      return this->Send(ServiceRequest("desk-key", "gauge", "")).status == 200;
+    }));
+    ASSERT_TRUE(WaitFor([&] {
+      return this->Send(ModelRequest("desk-key", 1, false)).status == 200;
+    }));
+  }
+
+  std::unique_ptr<fakes::FakeServer> StartServer(
+      const std::string& name,
+      std::vector<std::string> targets) {
+    fakes::FakeIdentity identity;
+    identity.name = name;
+    identity.region = "muscat";
+    identity.data_centre = "muscat-a";
+    identity.targets = std::move(targets);
+    identity.hosts = {this->settings.backend_servers};
+    fakes::FakeBehaviour behaviour;
+    behaviour.report_lag = std::chrono::milliseconds(10);
+    behaviour.announce_every = std::chrono::milliseconds(100);
+    auto server =
+        std::make_unique<fakes::FakeServer>(this->threads, identity, behaviour);
+    EXPECT_NE(server->Start({"127.0.0.1", 0}), 0);
+    return server;
+  }
+
+  CallResult Send(http::Request request) {
+    return Call(this->threads, this->settings.callers, std::move(request));
+  }
+
+  static std::size_t CountTokens(const std::string& body) {
+    std::size_t count = 0;
+    while (body.find("\"t" + std::to_string(count) + " \"") !=
+           std::string::npos) {
+      count += 1;
+    }
+    return count;
+  }
+
+  http::IoThreads threads{2};
+  daemon::Settings settings = AloneSettings(kPort);
+  std::unique_ptr<daemon::Daemon> host;
+  std::unique_ptr<fakes::FakeServer> engine;
+  std::unique_ptr<fakes::FakeServer> service;
+
+  void TearDown() override {
+    this->host.reset();
+    this->threads.Stop();
+  }
+};
+
+TEST_F(RequestPath, AStreamedQuotationComesWhole) {
+  const CallResult result = this->Send(ModelRequest("desk-key", 20, true));
+  EXPECT_EQ(result.status, 200U);
+  EXPECT_TRUE(result.whole);
+  EXPECT_EQ(CountTokens(result.body), 20U);
+  EXPECT_NE(result.body.find("[DONE]"), std::string::npos);
+}
+
+TEST_F(RequestPath, NoBackendServerSeesTheKey) {
+  this->Send(ModelRequest("desk-key", 2, true));
+  EXPECT_EQ(this->engine->Seen().find("desk-key"), std::string::npos);
+  http::Request request = ModelRequest("desk-key", 2, true);
+  request.head.headers.Add("X-Copy", "desk-key");
+  EXPECT_EQ(this->Send(std::move(request)).status, 200U);
+  EXPECT_EQ(this->engine->Seen().find("desk-key"), std::string::npos);
+}
+
+TEST_F(RequestPath, AnUnknownKeyIsRefusedAndDidNotRun) {
+  const std::uint32_t before = this->engine->Started();
+  const CallResult result = this->Send(ModelRequest("other-key", 2, true));
+  EXPECT_EQ(result.status, 401U);
+  EXPECT_NE(result.body.find("\"ran\":\"no\""), std::string::npos);
+  EXPECT_EQ(this->engine->Started(), before);
+}
+
+TEST_F(RequestPath, ADeadlineThatCannotBeMetIsRefusedAtOnce) {
+  http::Request request = ModelRequest("desk-key", 4000, false);
+  request.head.headers.Add("Request-Timeout", "500");
+  const CallResult result = this->Send(std::move(request));
+  EXPECT_EQ(result.status, 503U);
+  EXPECT_NE(result.body.find("deadline_unreachable"), std::string::npos);
+}
+
+TEST_F(RequestPath, AWorkspaceOverItsBudgetIsRefused) {
+  const CallResult result = this->Send(ModelRequest("crew-key", 500, false));
+  EXPECT_EQ(result.status, 429U);
+  EXPECT_NE(result.body.find("over_budget"), std::string::npos);
+}
+
+TEST_F(RequestPath, AStreamThatIsCutIsResumedWithoutALostOrDoubledToken) {
+  fakes::FakeBehaviour behaviour = this->engine->Behaviour();
+  behaviour.cut_after = 7;
+  this->engine->SetBehaviour(behaviour);
+  const CallResult result = this->Send(ModelRequest("desk-key", 20, true));
+  EXPECT_TRUE(result.whole);
+  EXPECT_EQ(CountTokens(result.body), 20U);
+  EXPECT_EQ(result.body.find("\"t6 \""), result.body.rfind("\"t6 \""));
+}
+
+TEST_F(RequestPath, ACallerThatGoesAwayCancelsTheStream) {
+  http::asio::co_spawn(
+      *this->threads.All().front(),
+      [](http::IoThreads& threads,
+         http::Endpoint endpoint) -> http::asio::awaitable<void> {
+        const TimePoint until =
+            std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        http::Connection connection(*threads.All().front());
+        co_await connection.Connect(endpoint, until);
+        co_await connection.Send(ModelRequest("desk-key", 2000, true), until);
+        co_await connection.ReadHead(until);
+      }(this->threads, this->settings.callers),
+      http::asio::use_future)
+      .get();
+  EXPECT_TRUE(WaitFor([&] { return this->engine->Cancelled() > 0; }));
+}
+
+TEST_F(RequestPath, AStopUnderLoadCutsNoOpenStream) {
+  auto open = std::async(std::launch::async, [&] {
+    return this->Send(ModelRequest("desk-key", 200, true));
+  });
+  const std::uint32_t before = this->engine->Started();
+  ASSERT_TRUE(WaitFor([&] { return this->engine->Started() > before; }));
+  EXPECT_TRUE(this->host->Drain());
+  const CallResult result = open.get();
+  EXPECT_TRUE(result.whole);
+  EXPECT_EQ(CountTokens(result.body), 200U);
+}
+
+TEST_F(RequestPath, BytesThatAreNoRequestAreRefusedAndTheHostLivesOn) {
+  const std::string head =
+      "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+      "Authorization: Bearer desk-key\r\n";
+  const std::uint32_t before = this->engine->Started();
+  for (const std::string& bytes :
+       {std::string("\x16\x03\x01 no HTTP\r\n\r\n"),
+        head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "0\r\n\r\n",
+        head + "Content-Length: 4\r\nContent-Length: 9\r\n\r\n{}{}",
+        head + "Content-Length: -1\r\n\r\n",
+        head + "X-Long: " + std::string(20'000, 'a') + "\r\n\r\n",
+        head + "Content-Length: 99999999\r\n\r\n"}) {
+    const std::string answer =
+        CallRaw(this->threads, this->settings.callers, bytes);
+    EXPECT_NE(answer.find("HTTP/1.1 4"), std::string::npos) << bytes;
+    EXPECT_NE(answer.find("\"ran\":\"no\""), std::string::npos) << bytes;
+  }
+  EXPECT_EQ(this->engine->Started(), before);
+  EXPECT_EQ(this->Send(ModelRequest("desk-key", 1, false)).status, 200U);
+}
+
+}  // namespace
+}  // namespace tamarackwing::tests
--- /dev/null
+++ b/tests/test_host.cc
@@ -0,0 +1,199 @@
+#include "test_host.h"
+
+#include <future>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "tamarackwing/base/digest.h"
+
+namespace tamarackwing::tests {
+namespace {
+
+constexpr std::chrono::seconds kPatience{5};
+constexpr std::chrono::milliseconds kPoll{5};
+
+http::asio::awaitable<CallResult> CallOnce(http::IoThreads& threads,
+                                           http::Endpoint endpoint,
+                                           http::Request request) {
+  CallResult result;
+  const TimePoint until = std::chrono::steady_clock::now() + kPatience;
+  http::Connection connection(*threads.All().front());
+  const auto connected = co_await connection.Connect(endpoint, until);
+  if (!connected) {
+    co_return result;
+  }
+  const auto sent = co_await connection.Send(std::move(request), until);
+  if (!sent) {
+    co_return result;
+  }
+  const auto head = co_await connection.ReadHead(until);
+  if (!head) {
+    co_return result;
+  }
+  result.status = head->status;
+  while (true) {
+    const auto piece = co_await connection.ReadPiece(until);
+    if (!piece) {
+      co_return result;
+    }
+    if (piece->empty()) {
+      result.whole = true;
+      co_return result;
+    }
+    result.body += *piece;
+  }
+}
+
+http::asio::awaitable<std::string> CallRawOnce(http::Endpoint endpoint,
+                                               std::string bytes) {
+  http::asio::ip::tcp::socket socket(co_await http::asio::this_coro::executor);
+  const http::asio::ip::tcp::endpoint remote(
+      http::asio::ip::make_address(endpoint.address), endpoint.port);
+  boost::system::error_code error;
+  auto use = http::asio::redirect_error(http::asio::use_awaitable, error);
+  co_await socket.async_connect(remote, use);
+  co_await http::asio::async_write(socket, http::asio::buffer(bytes), use);
+  std::string answer;
+  co_await http::asio::async_read(socket, http::asio::dynamic_buffer(answer),
+                                  use);
+  co_return answer;
+}
+
+std::string KeyTable(const std::string& key, const std::string& workspace) {
+  return "[[keys]]\ndigest = \"" + Sha256Hex(key) + "\"\nworkspace = \"" +
+         workspace + "\"\nhome_regions = [\"muscat\"]\n";
+}
+
+}  // namespace
+
+std::string ExampleSet() {
+  return R"(
+[[residency_rules]]
+name = "oman"
+regions = ["muscat", "sohar", "salalah"]
+[[workspaces]]
+name = "desk"
+rate = 100000
+burst = 200000
+home_regions = ["muscat"]
+residency = "oman"
+[[workspaces]]
+name = "crew"
+rate = 10
+burst = 100
+home_regions = ["muscat"]
+residency = "oman"
+[[model_versions]]
+name = "drafter@3"
+model = "drafter"
+[[routes]]
+name = "drafting"
+kind = "model"
+model_version = "drafter@3"
+deadline_ms = 8000
+home_regions = ["muscat"]
+residency = "oman"
+[[routes]]
+name = "booking"
+kind = "service"
+idempotent = false
+deadline_ms = 4000
+home_regions = ["muscat"]
+residency = "oman"
+[[routes]]
+name = "gauge"
+kind = "service"
+idempotent = true
+deadline_ms = 4000
+home_regions = ["muscat"]
+residency = "oman"
+)" + KeyTable("desk-key", "desk") +
+         KeyTable("crew-key", "crew");
+}
+
+daemon::Settings AloneSettings(std::uint16_t first_port) {
+  daemon::Settings settings;
+  settings.gateway.host = HostName("muscat-1");
+  settings.gateway.region = RegionName("muscat");
+  settings.gateway.data_centre = DataCentreName("muscat-a");
+  settings.gateway.cluster_secret = "secret";
+  settings.callers = {"127.0.0.1", first_port};
+  settings.backend_servers = {"127.0.0.1",
+                              static_cast<std::uint16_t>(first_port + 1)};
+  settings.operators = {"127.0.0.1",
+                        static_cast<std::uint16_t>(first_port + 2)};
+  state::HostRecord host;
+  host.name = settings.gateway.host;
+  host.region = settings.gateway.region;
+  host.data_centre = settings.gateway.data_centre;
+  host.caller_address = settings.callers.address;
+  host.caller_port = settings.callers.port;
+  host.peer_address = "127.0.0.1";
+  host.peer_port = static_cast<std::uint16_t>(first_port + 3);
+  host.forward_port = static_cast<std::uint16_t>(first_port + 4);
+  host.has_disk = true;
+  settings.hosts.push_back(host);
+  settings.voters.push_back(host.name);
+  return settings;
+}
+
+CallResult Call(http::IoThreads& threads,
+                const http::Endpoint& endpoint,
+                http::Request request) {
+  return http::asio::co_spawn(*threads.All().front(),
+                              CallOnce(threads, endpoint, std::move(request)),
+                              http::asio::use_future)
+      .get();
+}
+
+std::string CallRaw(http::IoThreads& threads,
+                    const http::Endpoint& endpoint,
+                    std::string bytes) {
+  return http::asio::co_spawn(*threads.All().front(),
+                              CallRawOnce(endpoint, std::move(bytes)),
+                              http::asio::use_future)
+      .get();
+}
+
+http::Request ModelRequest(const std::string& key, int tokens, bool stream) {
+  http::Request request;
+  request.head.method = "POST";
+  request.head.target = "/v1/chat/completions";
+  request.head.headers.Add("Host", "gateway");
+  request.head.headers.Add("Authorization", "Bearer " + key);
+  const nlohmann::json body = {
+      {"model", "drafting"},
+      {"stream", stream},
+      {"max_tokens", tokens},
+      {"messages", {{{"role", "user"}, {"content", "four dome lights"}}}}};
+  request.body = body.dump();
+  return request;
+}
+
+http::Request ServiceRequest(const std::string& key,
+                             const std::string& route,
+                             const std::string& idempotency_key) {
+  http::Request request;
+  request.head.method = "POST";
+  request.head.target = "/services/" + route + "/orders";
+  request.head.headers.Add("Host", "gateway");
+  request.head.headers.Add("Authorization", "Bearer " + key);
+  if (!idempotency_key.empty()) {
+    request.head.headers.Add("Idempotency-Key", idempotency_key);
+  }
+  request.body = "{}";
+  return request;
+}
+
+bool WaitFor(const std::function<bool()>& done) {
+  const TimePoint until = std::chrono::steady_clock::now() + kPatience;
+  while (std::chrono::steady_clock::now() < until) {
+    if (done()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return done();
+}
+
+}  // namespace tamarackwing::tests
