--- /dev/null
+++ b/packages/state/src/agreed_log.cc
@@ -0,0 +1,712 @@
+#include "tamarackwing/state/agreed_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tamarackwing/base/random_source.h"
+
+namespace tamarackwing::state {
+namespace {
+
+//! Rounds whose sending time is kept while their answers are awaited.
+constexpr std::size_t kMostRounds = 256;
+
+}  // namespace
+
+AgreedLog::AgreedLog(HostName self,
+                     LogOptions options,
+                     const std::set<HostName>& first_voters,
+                     RecoveredLog recovered,
+                     RandomSource& random,
+                     TimePoint now)
+    : self(std::move(self)),
+      options(options),
+      random(random),
+      vote(std::move(recovered.vote)),
+      snapshot(std::move(recovered.snapshot)),
+      entries(recovered.entries.begin(), recovered.entries.end()),
+      leader_word(now) {
+  this->base_voters =
+      this->snapshot.index == 0 ? first_voters : this->snapshot.voters;
+  this->snapshot.voters = this->base_voters;
+  this->commit = this->snapshot.index;
+  this->handed_out = this->snapshot.index;
+  this->persisted = this->LastIndex();
+  this->RecomputeVoters();
+  this->ResetElectionTimer(now);
+}
+
+LogEffects AgreedLog::Tick(TimePoint now) {
+  LogEffects effects;
+  if (this->role == Role::kLeader) {
+    std::set<HostName> heard{this->self};
+    for (const auto& [host, peer] : this->progress) {
+      if (now - peer.heard < this->options.election) {
+        heard.insert(host);
+      }
+    }
+    const bool has_settled = now - this->leader_since >= this->options.election;
+    if (has_settled && !this->HasQuorum(heard)) {
+      this->BecomeFollower(this->vote.term, HostName(), now);
+      return effects;
+    }
+    if (now >= this->heartbeat_at) {
+      this->SendToAll(now, effects);
+    }
+    return effects;
+  }
+  if (now >= this->election_at && this->IsVoter()) {
+    this->StartPreVote(now, effects);
+  }
+  return effects;
+}
+
+LogEffects AgreedLog::Receive(const HostName& from,
+                              const LogMessage& message,
+                              TimePoint now) {
+  LogEffects effects;
+  if (const auto* request = std::get_if<VoteRequest>(&message)) {
+    this->HandleVoteRequest(from, *request, now, effects);
+  } else if (const auto* vote_reply = std::get_if<VoteReply>(&message)) {
+    this->HandleVoteReply(from, *vote_reply, now, effects);
+  } else if (const auto* append = std::get_if<AppendRequest>(&message)) {
+    this->HandleAppend(from, *append, now, effects);
+  } else if (const auto* reply = std::get_if<AppendReply>(&message)) {
+    this->HandleAppendReply(from, *reply, now, effects);
+  } else if (const auto* install = std::get_if<InstallRequest>(&message)) {
+    this->HandleInstall(from, *install, now, effects);
+  }
+  return effects;
+}
+
+LogEffects AgreedLog::Persisted(std::uint64_t ticket, TimePoint now) {
+  LogEffects effects;
+  this->persisted_ticket = std::max(this->persisted_ticket, ticket);
+  while (!this->batch_ends.empty() &&
+         this->batch_ends.front().first <= this->persisted_ticket) {
+    this->persisted = this->batch_ends.front().second;
+    this->batch_ends.pop_front();
+  }
+  for (Waiting& held : this->waiting) {
+    if (held.ticket <= this->persisted_ticket) {
+      effects.sends.push_back(std::move(held.send));
+    }
+  }
+  std::erase_if(this->waiting, [&](const Waiting& held) {
+    return held.ticket <= this->persisted_ticket;
+  });
+  // A candidate's own vote counts only once it is on disk.
+  if (this->role == Role::kCandidate && this->HasQuorum(this->votes) &&
+      this->persisted_ticket + 1 == this->next_ticket) {
+    this->BecomeLeader(now, effects);
+  }
+  if (this->role == Role::kLeader) {
+    this->AdvanceCommit(now, effects);
+  }
+  this->HandOut(effects);
+  return effects;
+}
+
+Expected<LogIndex, ProposeError> AgreedLog::Propose(std::string payload,
+                                                    TimePoint now,
+                                                    LogEffects& effects) {
+  if (this->role != Role::kLeader) {
+    return unexpected(ProposeError::kNotLeader);
+  }
+  LogEntry entry;
+  entry.kind = EntryKind::kChange;
+  entry.payload = std::move(payload);
+  this->Append(std::move(entry), now, effects);
+  return this->LastIndex();
+}
+
+Expected<void, ProposeError> AgreedLog::AddVoter(const HostName& host,
+                                                 TimePoint now,
+                                                 LogEffects& effects) {
+  if (this->role != Role::kLeader) {
+    return unexpected(ProposeError::kNotLeader);
+  }
+  if (this->voters.contains(host) || this->joining == host) {
+    return {};
+  }
+  if (!this->joining.IsEmpty() || this->voters_index > this->commit) {
+    return unexpected(ProposeError::kChangeUnderWay);
+  }
+  this->joining = host;
+  this->progress[host] = {this->LastIndex() + 1, 0, now, TimePoint()};
+  this->SendTo(host, effects);
+  return {};
+}
+
+Expected<void, ProposeError> AgreedLog::RemoveVoter(const HostName& host,
+                                                    TimePoint now,
+                                                    LogEffects& effects) {
+  if (this->role != Role::kLeader) {
+    return unexpected(ProposeError::kNotLeader);
+  }
+  if (this->joining == host) {
+    this->joining = HostName();
+    this->progress.erase(host);
+    return {};
+  }
+  if (!this->voters.contains(host)) {
+    return {};
+  }
+  if (!this->joining.IsEmpty() || this->voters_index > this->commit ||
+      this->voters.size() == 1) {
+    return unexpected(ProposeError::kChangeUnderWay);
+  }
+  std::set<HostName> fewer = this->voters;
+  fewer.erase(host);
+  this->AppendVoters(std::move(fewer), now, effects);
+  return {};
+}
+
+LogEffects AgreedLog::Compact(LogIndex index, std::string state) {
+  LogEffects effects;
+  if (index <= this->snapshot.index || index > this->handed_out) {
+    return effects;
+  }
+  LogSnapshot newer;
+  newer.index = index;
+  newer.term = this->TermAt(index);
+  newer.voters = this->base_voters;
+  for (const LogEntry& entry : this->entries) {
+    if (entry.index <= index && entry.kind == EntryKind::kVoters) {
+      newer.voters = entry.voters;
+    }
+  }
+  newer.state = std::move(state);
+  while (!this->entries.empty() && this->entries.front().index <= index) {
+    this->entries.pop_front();
+  }
+  this->base_voters = newer.voters;
+  this->snapshot = newer;
+  LogBatch batch;
+  batch.snapshot = std::move(newer);
+  this->AddBatch(std::move(batch), effects);
+  return effects;
+}
+
+bool AgreedLog::HasLease(TimePoint now) const {
+  return this->role == Role::kLeader && now < this->lease_until;
+}
+
+LogIndex AgreedLog::LastIndex() const {
+  return this->entries.empty() ? this->snapshot.index
+                               : this->entries.back().index;
+}
+
+std::set<HostName> AgreedLog::SilentSince(TimePoint time) const {
+  std::set<HostName> silent;
+  for (const HostName& host : this->voters) {
+    const auto peer = this->progress.find(host);
+    if (host != this->self && peer != this->progress.end() &&
+        peer->second.heard < time) {
+      silent.insert(host);
+    }
+  }
+  return silent;
+}
+
+std::optional<std::vector<LogEntry>> AgreedLog::CommittedFrom(
+    LogIndex from,
+    std::size_t most) const {
+  if (from <= this->snapshot.index) {
+    return std::nullopt;
+  }
+  std::vector<LogEntry> found;
+  for (LogIndex i = from; i <= this->handed_out && found.size() < most; ++i) {
+    found.push_back(*this->EntryAt(i));
+  }
+  return found;
+}
+
+void AgreedLog::BecomeFollower(Term term,
+                               const HostName& new_leader,
+                               TimePoint now) {
+  this->role = Role::kFollower;
+  if (term > this->vote.term) {
+    this->vote = {term, HostName()};
+  }
+  this->leader = new_leader;
+  this->votes.clear();
+  this->progress.clear();
+  this->joining = HostName();
+  this->lease_until = TimePoint();
+  this->ResetElectionTimer(now);
+}
+
+void AgreedLog::FollowLeader(Term term, const HostName& from, TimePoint now) {
+  const bool is_new_term = term > this->vote.term;
+  this->BecomeFollower(term, from, now);
+  if (is_new_term) {
+    // A vote for who leads the term already cannot help another to win it.
+    this->vote.vote = from;
+  }
+  this->leader_word = now;
+}
+
+void AgreedLog::StartPreVote(TimePoint now, LogEffects& effects) {
+  this->role = Role::kPreCandidate;
+  this->leader = HostName();
+  this->votes = {this->self};
+  this->ResetElectionTimer(now);
+  if (this->HasQuorum(this->votes)) {
+    this->StartElection(now, effects);
+    return;
+  }
+  const VoteRequest request{this->vote.term + 1, this->LastIndex(),
+                            this->TermAt(this->LastIndex()), true};
+  for (const HostName& host : this->Followers()) {
+    effects.sends.push_back({host, request});
+  }
+}
+
+void AgreedLog::StartElection(TimePoint now, LogEffects& effects) {
+  this->role = Role::kCandidate;
+  this->vote = {this->vote.term + 1, this->self};
+  this->votes = {this->self};
+  this->ResetElectionTimer(now);
+  LogBatch batch;
+  batch.vote = this->vote;
+  const std::uint64_t ticket = this->AddBatch(std::move(batch), effects);
+  const VoteRequest request{this->vote.term, this->LastIndex(),
+                            this->TermAt(this->LastIndex()), false};
+  for (const HostName& host : this->Followers()) {
+    this->SendAfter(ticket, {host, request}, effects);
+  }
+}
+
+void AgreedLog::BecomeLeader(TimePoint now, LogEffects& effects) {
+  this->role = Role::kLeader;
+  this->leader = this->self;
+  this->leader_since = now;
+  this->progress.clear();
+  for (const HostName& host : this->Followers()) {
+    this->progress[host] = {this->LastIndex() + 1, 0, now, TimePoint()};
+  }
+  this->round_times.clear();
+  this->lease_until = TimePoint();
+  this->Append(LogEntry(), now, effects);
+}
+
+void AgreedLog::ResetElectionTimer(TimePoint now) {
+  const auto spread = static_cast<std::uint64_t>(this->options.election.count());
+  this->election_at = now + this->options.election +
+                      std::chrono::milliseconds(this->random.Below(spread + 1));
+}
+
+bool AgreedLog::HasQuorum(const std::set<HostName>& hosts) const {
+  std::size_t count = 0;
+  for (const HostName& host : this->voters) {
+    count += hosts.contains(host) ? 1 : 0;
+  }
+  return 2 * count > this->voters.size();
+}
+
+bool AgreedLog::IsUpToDate(LogIndex last_index, Term last_term) const {
+  const Term own_term = this->TermAt(this->LastIndex());
+  return last_term > own_term ||
+         (last_term == own_term && last_index >= this->LastIndex());
+}
+
+void AgreedLog::HandleVoteRequest(const HostName& from,
+                                  const VoteRequest& request,
+                                  TimePoint now,
+                                  LogEffects& effects) {
+  // Whoever hears a leader lets nobody else disturb it: its lease relies on it.
+  // Nor does a host vote that has forgotten, with its disk, what it promised.
+  const bool hears_leader = now - this->leader_word < this->options.election;
+  if (hears_leader || this->role == Role::kLeader || !this->IsVoter()) {
+    effects.sends.push_back(
+        {from, VoteReply{this->vote.term, false, request.is_pre_vote}});
+    return;
+  }
+  if (request.is_pre_vote) {
+    const bool granted = request.term > this->vote.term &&
+                         this->IsUpToDate(request.last_index, request.last_term);
+    const Term answered = granted ? request.term : this->vote.term;
+    effects.sends.push_back({from, VoteReply{answered, granted, true}});
+    return;
+  }
+  const VoteRecord before = this->vote;
+  if (request.term > this->vote.term) {
+    this->BecomeFollower(request.term, HostName(), now);
+  }
+  const bool granted =
+      request.term == this->vote.term &&
+      (this->vote.vote.IsEmpty() || this->vote.vote == from) &&
+      this->IsUpToDate(request.last_index, request.last_term);
+  if (granted) {
+    this->vote.vote = from;
+    this->ResetElectionTimer(now);
+  }
+  LogSend reply{from, VoteReply{this->vote.term, granted, false}};
+  if (this->vote == before) {
+    this->SendAfter(this->next_ticket - 1, std::move(reply), effects);
+    return;
+  }
+  LogBatch batch;
+  batch.vote = this->vote;
+  const std::uint64_t ticket = this->AddBatch(std::move(batch), effects);
+  this->SendAfter(ticket, std::move(reply), effects);
+}
+
+void AgreedLog::HandleVoteReply(const HostName& from,
+                                const VoteReply& reply,
+                                TimePoint now,
+                                LogEffects& effects) {
+  if (!reply.granted) {
+    if (reply.term > this->vote.term) {
+      this->BecomeFollower(reply.term, HostName(), now);
+      LogBatch batch;
+      batch.vote = this->vote;
+      this->AddBatch(std::move(batch), effects);
+    }
+    return;
+  }
+  if (reply.is_pre_vote) {
+    if (this->role != Role::kPreCandidate ||
+        reply.term != this->vote.term + 1) {
+      return;
+    }
+    this->votes.insert(from);
+    if (this->HasQuorum(this->votes)) {
+      this->StartElection(now, effects);
+    }
+    return;
+  }
+  if (this->role != Role::kCandidate || reply.term != this->vote.term) {
+    return;
+  }
+  this->votes.insert(from);
+  const bool own_vote_is_on_disk =
+      this->persisted_ticket + 1 == this->next_ticket;
+  if (this->HasQuorum(this->votes) && own_vote_is_on_disk) {
+    this->BecomeLeader(now, effects);
+  }
+}
+
+void AgreedLog::HandleAppend(const HostName& from,
+                             const AppendRequest& request,
+                             TimePoint now,
+                             LogEffects& effects) {
+  if (request.term < this->vote.term) {
+    effects.sends.push_back(
+        {from, AppendReply{this->vote.term, false, 0, request.round}});
+    return;
+  }
+  LogBatch batch;
+  if (request.term > this->vote.term) {
+    batch.vote = VoteRecord{request.term, from};
+  }
+  this->FollowLeader(request.term, from, now);
+  const bool has_previous =
+      request.previous_index <= this->snapshot.index ||
+      (request.previous_index <= this->LastIndex() &&
+       this->TermAt(request.previous_index) == request.previous_term);
+  if (!has_previous) {
+    if (batch.vote) {
+      this->AddBatch(std::move(batch), effects);
+    }
+    const LogIndex hint = std::min(this->LastIndex(),
+                                   request.previous_index - 1);
+    effects.sends.push_back(
+        {from, AppendReply{this->vote.term, false, hint, request.round}});
+    return;
+  }
+  for (const LogEntry& entry : request.entries) {
+    if (entry.index <= this->snapshot.index) {
+      continue;
+    }
+    const LogEntry* held = this->EntryAt(entry.index);
+    if (held != nullptr && held->term == entry.term) {
+      continue;
+    }
+    if (held != nullptr) {
+      batch.truncate_from = entry.index;
+      while (this->LastIndex() >= entry.index) {
+        this->entries.pop_back();
+      }
+      this->persisted = std::min(this->persisted, entry.index - 1);
+      for (auto& [ticket, end] : this->batch_ends) {
+        end = std::min(end, entry.index - 1);
+      }
+    }
+    this->entries.push_back(entry);
+    batch.entries.push_back(entry);
+  }
+  if (!batch.entries.empty()) {
+    this->RecomputeVoters();
+  }
+  std::uint64_t ticket = this->next_ticket - 1;
+  if (batch.vote || !batch.entries.empty()) {
+    ticket = this->AddBatch(std::move(batch), effects);
+  }
+  const LogIndex match = request.previous_index + request.entries.size();
+  this->commit = std::max(this->commit, std::min(request.commit, match));
+  this->SendAfter(
+      ticket,
+      {from, AppendReply{this->vote.term, true, match, request.round}},
+      effects);
+  this->HandOut(effects);
+}
+
+void AgreedLog::HandleAppendReply(const HostName& from,
+                                  const AppendReply& reply,
+                                  TimePoint now,
+                                  LogEffects& effects) {
+  if (reply.term > this->vote.term) {
+    this->BecomeFollower(reply.term, HostName(), now);
+    LogBatch batch;
+    batch.vote = this->vote;
+    this->AddBatch(std::move(batch), effects);
+    return;
+  }
+  const auto found = this->progress.find(from);
+  if (this->role != Role::kLeader || reply.term != this->vote.term ||
+      found == this->progress.end()) {
+    return;
+  }
+  Progress& peer = found->second;
+  peer.heard = now;
+  for (const auto& [number, sent] : this->round_times) {
+    if (number == reply.round) {
+      peer.lease_from = std::max(peer.lease_from, sent);
+    }
+  }
+  this->UpdateLease(now);
+  if (!reply.accepted) {
+    // A host that has lost its disk no longer holds what it had confirmed.
+    peer.match = std::min(peer.match, reply.match);
+    peer.next = std::max<LogIndex>(1, std::min(peer.next - 1, reply.match + 1));
+    this->SendTo(from, effects);
+    return;
+  }
+  peer.match = std::max(peer.match, reply.match);
+  peer.next = std::max(peer.next, peer.match + 1);
+  this->AdvanceCommit(now, effects);
+  this->FinishJoin(now, effects);
+  if (peer.next <= this->LastIndex()) {
+    this->SendTo(from, effects);
+  }
+}
+
+void AgreedLog::HandleInstall(const HostName& from,
+                              const InstallRequest& request,
+                              TimePoint now,
+                              LogEffects& effects) {
+  if (request.term < this->vote.term) {
+    effects.sends.push_back(
+        {from, AppendReply{this->vote.term, false, 0, request.round}});
+    return;
+  }
+  LogBatch batch;
+  if (request.term > this->vote.term) {
+    batch.vote = VoteRecord{request.term, from};
+  }
+  this->FollowLeader(request.term, from, now);
+  const LogSnapshot& newer = request.snapshot;
+  std::uint64_t ticket = this->next_ticket - 1;
+  if (newer.index > this->commit) {
+    batch.snapshot = newer;
+    batch.truncate_from = this->snapshot.index + 1;
+    this->entries.clear();
+    this->batch_ends.clear();
+    this->snapshot = newer;
+    this->base_voters = newer.voters;
+    this->commit = newer.index;
+    this->handed_out = newer.index;
+    this->persisted = newer.index;
+    this->RecomputeVoters();
+    effects.installed = newer;
+  }
+  if (batch.vote || batch.snapshot) {
+    ticket = this->AddBatch(std::move(batch), effects);
+  }
+  this->SendAfter(
+      ticket,
+      {from, AppendReply{this->vote.term, true, newer.index, request.round}},
+      effects);
+}
+
+void AgreedLog::Append(LogEntry entry, TimePoint now, LogEffects& effects) {
+  entry.index = this->LastIndex() + 1;
+  entry.term = this->vote.term;
+  this->entries.push_back(entry);
+  if (entry.kind == EntryKind::kVoters) {
+    this->RecomputeVoters();
+  }
+  LogBatch batch;
+  batch.entries.push_back(std::move(entry));
+  this->AddBatch(std::move(batch), effects);
+  this->SendToAll(now, effects);
+}
+
+void AgreedLog::AppendVoters(std::set<HostName> next_voters,
+                             TimePoint now,
+                             LogEffects& effects) {
+  LogEntry entry;
+  entry.kind = EntryKind::kVoters;
+  entry.voters = std::move(next_voters);
+  this->Append(std::move(entry), now, effects);
+}
+
+void AgreedLog::SendToAll(TimePoint now, LogEffects& effects) {
+  this->heartbeat_at = now + this->options.heartbeat;
+  this->round += 1;
+  this->round_times.emplace_back(this->round, now);
+  if (this->round_times.size() > kMostRounds) {
+    this->round_times.pop_front();
+  }
+  for (const HostName& host : this->Followers()) {
+    this->progress.try_emplace(
+        host, Progress{this->LastIndex() + 1, 0, now, TimePoint()});
+    this->SendTo(host, effects);
+  }
+  this->UpdateLease(now);
+}
+
+void AgreedLog::SendTo(const HostName& host, LogEffects& effects) {
+  const Progress& peer = this->progress.at(host);
+  if (peer.next <= this->snapshot.index) {
+    effects.sends.push_back(
+        {host, InstallRequest{this->vote.term, this->snapshot, this->round}});
+    return;
+  }
+  AppendRequest request;
+  request.term = this->vote.term;
+  request.previous_index = peer.next - 1;
+  request.previous_term = this->TermAt(peer.next - 1);
+  request.commit = this->commit;
+  request.round = this->round;
+  for (LogIndex i = peer.next;
+       i <= this->LastIndex() &&
+       request.entries.size() < this->options.entries_per_message;
+       ++i) {
+    request.entries.push_back(*this->EntryAt(i));
+  }
+  effects.sends.push_back({host, std::move(request)});
+}
+
+void AgreedLog::AdvanceCommit(TimePoint now, LogEffects& effects) {
+  std::vector<LogIndex> matches;
+  for (const HostName& host : this->voters) {
+    if (host == this->self) {
+      matches.push_back(this->persisted);
+      continue;
+    }
+    const auto peer = this->progress.find(host);
+    matches.push_back(peer == this->progress.end() ? 0 : peer->second.match);
+  }
+  std::sort(matches.begin(), matches.end());
+  const LogIndex agreed = matches[(matches.size() - 1) / 2];
+  // Only an entry of the own term commits by counting copies.
+  if (agreed <= this->commit || this->TermAt(agreed) != this->vote.term) {
+    return;
+  }
+  this->commit = agreed;
+  this->HandOut(effects);
+  this->SendToAll(now, effects);
+  if (this->commit >= this->voters_index && !this->IsVoter()) {
+    this->BecomeFollower(this->vote.term, HostName(), now);
+  }
+}
+
+void AgreedLog::HandOut(LogEffects& effects) {
+  const LogIndex end = std::min(this->commit, this->persisted);
+  while (this->handed_out < end) {
+    this->handed_out += 1;
+    effects.committed.push_back(*this->EntryAt(this->handed_out));
+  }
+}
+
+void AgreedLog::FinishJoin(TimePoint now, LogEffects& effects) {
+  if (this->joining.IsEmpty()) {
+    return;
+  }
+  if (this->progress.at(this->joining).match < this->commit ||
+      this->voters_index > this->commit) {
+    return;
+  }
+  std::set<HostName> more = this->voters;
+  more.insert(this->joining);
+  this->joining = HostName();
+  this->AppendVoters(std::move(more), now, effects);
+}
+
+void AgreedLog::UpdateLease(TimePoint now) {
+  std::vector<TimePoint> times;
+  for (const HostName& host : this->voters) {
+    if (host == this->self) {
+      times.push_back(now);
+      continue;
+    }
+    const auto peer = this->progress.find(host);
+    times.push_back(peer == this->progress.end() ? TimePoint()
+                                                 : peer->second.lease_from);
+  }
+  std::sort(times.begin(), times.end());
+  const TimePoint quorum_from = times[(times.size() - 1) / 2];
+  if (quorum_from == TimePoint()) {
+    return;
+  }
+  this->leader_word = std::max(this->leader_word, quorum_from);
+  this->lease_until =
+      quorum_from + this->options.election - this->options.drift;
+}
+
+std::uint64_t AgreedLog::AddBatch(LogBatch batch, LogEffects& effects) {
+  batch.ticket = this->next_ticket++;
+  this->batch_ends.emplace_back(batch.ticket, this->LastIndex());
+  effects.batches.push_back(std::move(batch));
+  return this->next_ticket - 1;
+}
+
+void AgreedLog::SendAfter(std::uint64_t ticket,
+                          LogSend send,
+                          LogEffects& effects) {
+  if (ticket <= this->persisted_ticket) {
+    effects.sends.push_back(std::move(send));
+    return;
+  }
+  this->waiting.push_back({ticket, std::move(send)});
+}
+
+std::set<HostName> AgreedLog::Followers() const {
+  std::set<HostName> followers = this->voters;
+  if (!this->joining.IsEmpty()) {
+    followers.insert(this->joining);
+  }
+  followers.erase(this->self);
+  return followers;
+}
+
+const LogEntry* AgreedLog::EntryAt(LogIndex index) const {
+  if (index <= this->snapshot.index || index > this->LastIndex()) {
+    return nullptr;
+  }
+  return &this->entries[index - this->snapshot.index - 1];
+}
+
+Term AgreedLog::TermAt(LogIndex index) const {
+  if (index == this->snapshot.index) {
+    return this->snapshot.term;
+  }
+  const LogEntry* entry = this->EntryAt(index);
+  return entry == nullptr ? 0 : entry->term;
+}
+
+void AgreedLog::RecomputeVoters() {
+  this->voters = this->base_voters;
+  this->voters_index = this->snapshot.index;
+  for (const LogEntry& entry : this->entries) {
+    if (entry.kind == EntryKind::kVoters) {
+      this->voters = entry.voters;
+      this->voters_index = entry.index;
+    }
+  }
+}
+
+}  // namespace tamarackwing::state
