--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -83,7 +83,6 @@
   if (this->shared->stopping.exchange(true)) {
     return;
   }
-  boost::system::error_code ignored;
   ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
 }
 
--- /dev/null
+++ b/packages/policy/tests/server_table_tests.cc
@@ -0,0 +1,134 @@
+#include "tamarackwing/policy/server_table.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "tamarackwing/base/random_source.h"
+
+namespace tamarackwing::policy {
+namespace {
+
+using std::chrono::milliseconds;
+
+ServerReport Report(const std::string& name, std::uint32_t running = 0) {
+  ServerReport report;
+  report.name = BackendServerName(name);
+  report.region = RegionName("muscat");
+  report.data_centre = DataCentreName("muscat-a");
+  report.targets = {"drafter@3"};
+  report.slots = 4;
+  report.running = running;
+  report.prefill_rate = 1'000;
+  report.decode_rate = 50;
+  return report;
+}
+
+ServerQuery Query() {
+  ServerQuery query;
+  query.target = "drafter@3";
+  query.prompt_tokens = 1'000;
+  query.output_tokens = 50;
+  query.data_centre = DataCentreName("muscat-a");
+  return query;
+}
+
+class ServerTableTest : public testing::Test {
+ protected:
+  std::map<std::string, int> PickMany(const ServerQuery& query, int times) {
+    std::map<std::string, int> picks;
+    for (int i = 0; i < times; ++i) {
+      const auto choice =
+          this->table.Pick(query, this->clock.Now(), this->random);
+      if (choice) {
+        picks[choice->name.Text()] += 1;
+      }
+    }
+    return picks;
+  }
+
+  static ServerTableLimits Limits() {
+    ServerTableLimits limits;
+    limits.ramp = milliseconds(0);
+    return limits;
+  }
+
+  ManualClock clock;
+  SeededRandom random{1};
+  ServerTable table{Limits()};
+};
+
+TEST_F(ServerTableTest, ABusyServerIsAvoided) {
+  this->table.Announce(Report("idle"), this->clock.Now());
+  this->table.Announce(Report("busy", 40), this->clock.Now());
+  EXPECT_EQ(this->PickMany(Query(), 50)["idle"], 50);
+}
+
+TEST_F(ServerTableTest, WhatWasSentSinceALaggedReportCounts) {
+  this->table.Announce(Report("a"), this->clock.Now());
+  this->table.Announce(Report("b"), this->clock.Now());
+  for (int i = 0; i < 20; ++i) {
+    this->table.NoteSent(BackendServerName("a"), this->clock.Now());
+  }
+  EXPECT_EQ(this->PickMany(Query(), 50)["b"], 50);
+}
+
+TEST_F(ServerTableTest, ACachedPrefixDrawsItsRequests) {
+  this->table.Announce(Report("a"), this->clock.Now());
+  this->table.Announce(Report("b"), this->clock.Now());
+  this->table.NotePrefix(BackendServerName("a"), 7);
+  ServerQuery query = Query();
+  query.prefix = 7;
+  EXPECT_EQ(this->PickMany(query, 50)["a"], 50);
+}
+
+TEST_F(ServerTableTest, EqualServersShareTheLoad) {
+  for (const char* name : {"a", "b", "c"}) {
+    this->table.Announce(Report(name), this->clock.Now());
+  }
+  for (const auto& [name, picks] : this->PickMany(Query(), 300)) {
+    EXPECT_GT(picks, 30) << name;
+  }
+}
+
+TEST_F(ServerTableTest, ALeavingServerGetsNoNewWork) {
+  ServerReport leaving = Report("a");
+  leaving.leaving = true;
+  this->table.Announce(leaving, this->clock.Now());
+  EXPECT_FALSE(this->table.Pick(Query(), this->clock.Now(), this->random));
+}
+
+TEST_F(ServerTableTest, AServerThatDoesNotRenewGetsNoWork) {
+  this->table.Announce(Report("a"), this->clock.Now());
+  this->clock.Advance(ServerTableLimits().lease);
+  EXPECT_FALSE(this->table.Pick(Query(), this->clock.Now(), this->random));
+  EXPECT_EQ(this->table.Expire(this->clock.Now()).size(), 1U);
+}
+
+TEST_F(ServerTableTest, AFailedServerIsSetAsideAndThenProbedByOneRequest) {
+  const BackendServerName name("a");
+  this->table.Announce(Report("a"), this->clock.Now());
+  this->table.NoteSent(name, this->clock.Now());
+  this->table.NoteFinished(name, true, this->clock.Now());
+  EXPECT_FALSE(this->table.Pick(Query(), this->clock.Now(), this->random));
+  this->clock.Advance(milliseconds(600));
+  this->table.Announce(Report("a"), this->clock.Now());
+  EXPECT_TRUE(this->table.Pick(Query(), this->clock.Now(), this->random));
+  this->table.NoteSent(name, this->clock.Now());
+  EXPECT_FALSE(this->table.Pick(Query(), this->clock.Now(), this->random));
+  this->table.NoteFinished(name, false, this->clock.Now());
+  EXPECT_TRUE(this->table.Pick(Query(), this->clock.Now(), this->random));
+}
+
+TEST_F(ServerTableTest, AServerThatCameBackRampsUpItsSlots) {
+  ServerTableLimits limits;
+  limits.ramp = milliseconds(4'000);
+  ServerTable ramped(limits);
+  ramped.Announce(Report("a"), this->clock.Now());
+  EXPECT_EQ(ramped.Slots("drafter@3", this->clock.Now()), 1U);
+  this->clock.Advance(milliseconds(2'000));
+  EXPECT_EQ(ramped.Slots("drafter@3", this->clock.Now()), 2U);
+}
+
+}  // namespace
+}  // namespace tamarackwing::policy
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -36,6 +36,8 @@
   VoteRecord vote;
   LogSnapshot snapshot;
   std::vector<LogEntry> entries;
+  //! Entries up to here were committed.
+  LogIndex commit = 0;
 };
 
 //! What must be on disk before a ticket is given back.
@@ -46,6 +48,9 @@
   LogIndex truncate_from = 0;
   std::vector<LogEntry> entries;
   std::optional<LogSnapshot> snapshot;
+  //! Entries up to here are committed; zero says nothing. An entry takes effect
+  //! only after this is on disk, so that a restart never goes back behind it.
+  LogIndex commit = 0;
 };
 
 //! A message to another host.
@@ -183,6 +188,7 @@
   void SendToAll(TimePoint now, LogEffects& effects);
   void SendTo(const HostName& host, LogEffects& effects);
   void AdvanceCommit(TimePoint now, LogEffects& effects);
+  void MarkCommit(LogEffects& effects);
   void HandOut(LogEffects& effects);
   void FinishJoin(TimePoint now, LogEffects& effects);
   void UpdateLease(TimePoint now);
@@ -224,6 +230,8 @@
   std::uint64_t next_ticket = 1;
   std::uint64_t persisted_ticket = 0;
   std::deque<std::pair<std::uint64_t, LogIndex>> batch_ends;
+  std::deque<std::pair<std::uint64_t, LogIndex>> commit_marks;
+  LogIndex marked = 0;
   std::vector<Waiting> waiting;
 };
 
--- a/packages/state/include/tamarackwing/state/log_message.h
+++ b/packages/state/include/tamarackwing/state/log_message.h
@@ -49,10 +49,7 @@
 };
 
 //! What the voters of the agreed log tell each other.
-using LogMessage = std::variant<VoteRequest,
-                                VoteReply,
-                                AppendRequest,
-                                AppendReply,
-                                InstallRequest>;
+using LogMessage = std::
+    variant<VoteRequest, VoteReply, AppendRequest, AppendReply, InstallRequest>;
 
 }  // namespace tamarackwing::state
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -29,15 +29,18 @@
   this->base_voters =
       this->snapshot.index == 0 ? first_voters : this->snapshot.voters;
   this->snapshot.voters = this->base_voters;
-  this->commit = this->snapshot.index;
-  this->handed_out = this->snapshot.index;
   this->persisted = this->LastIndex();
+  this->commit = std::max(this->snapshot.index,
+                          std::min(recovered.commit, this->persisted));
+  this->marked = this->commit;
+  this->handed_out = this->snapshot.index;
   this->RecomputeVoters();
   this->ResetElectionTimer(now);
 }
 
 LogEffects AgreedLog::Tick(TimePoint now) {
   LogEffects effects;
+  this->HandOut(effects);
   if (this->role == Role::kLeader) {
     std::set<HostName> heard{this->self};
     for (const auto& [host, peer] : this->progress) {
@@ -87,6 +90,11 @@
     this->persisted = this->batch_ends.front().second;
     this->batch_ends.pop_front();
   }
+  while (!this->commit_marks.empty() &&
+         this->commit_marks.front().first <= this->persisted_ticket) {
+    this->marked = std::max(this->marked, this->commit_marks.front().second);
+    this->commit_marks.pop_front();
+  }
   for (Waiting& held : this->waiting) {
     if (held.ticket <= this->persisted_ticket) {
       effects.sends.push_back(std::move(held.send));
@@ -292,7 +300,8 @@
 }
 
 void AgreedLog::ResetElectionTimer(TimePoint now) {
-  const auto spread = static_cast<std::uint64_t>(this->options.election.count());
+  const auto spread =
+      static_cast<std::uint64_t>(this->options.election.count());
   this->election_at = now + this->options.election +
                       std::chrono::milliseconds(this->random.Below(spread + 1));
 }
@@ -324,8 +333,9 @@
     return;
   }
   if (request.is_pre_vote) {
-    const bool granted = request.term > this->vote.term &&
-                         this->IsUpToDate(request.last_index, request.last_term);
+    const bool granted =
+        request.term > this->vote.term &&
+        this->IsUpToDate(request.last_index, request.last_term);
     const Term answered = granted ? request.term : this->vote.term;
     effects.sends.push_back({from, VoteReply{answered, granted, true}});
     return;
@@ -334,10 +344,9 @@
   if (request.term > this->vote.term) {
     this->BecomeFollower(request.term, HostName(), now);
   }
-  const bool granted =
-      request.term == this->vote.term &&
-      (this->vote.vote.IsEmpty() || this->vote.vote == from) &&
-      this->IsUpToDate(request.last_index, request.last_term);
+  const bool granted = request.term == this->vote.term &&
+                       (this->vote.vote.IsEmpty() || this->vote.vote == from) &&
+                       this->IsUpToDate(request.last_index, request.last_term);
   if (granted) {
     this->vote.vote = from;
     this->ResetElectionTimer(now);
@@ -410,8 +419,8 @@
     if (batch.vote) {
       this->AddBatch(std::move(batch), effects);
     }
-    const LogIndex hint = std::min(this->LastIndex(),
-                                   request.previous_index - 1);
+    const LogIndex hint =
+        std::min(this->LastIndex(), request.previous_index - 1);
     effects.sends.push_back(
         {from, AppendReply{this->vote.term, false, hint, request.round}});
     return;
@@ -445,10 +454,13 @@
     ticket = this->AddBatch(std::move(batch), effects);
   }
   const LogIndex match = request.previous_index + request.entries.size();
-  this->commit = std::max(this->commit, std::min(request.commit, match));
+  const LogIndex known = std::min(request.commit, match);
+  if (known > this->commit) {
+    this->commit = known;
+    this->MarkCommit(effects);
+  }
   this->SendAfter(
-      ticket,
-      {from, AppendReply{this->vote.term, true, match, request.round}},
+      ticket, {from, AppendReply{this->vote.term, true, match, request.round}},
       effects);
   this->HandOut(effects);
 }
@@ -519,6 +531,8 @@
     this->commit = newer.index;
     this->handed_out = newer.index;
     this->persisted = newer.index;
+    this->marked = newer.index;
+    this->commit_marks.clear();
     this->RecomputeVoters();
     effects.installed = newer;
   }
@@ -607,15 +621,22 @@
     return;
   }
   this->commit = agreed;
-  this->HandOut(effects);
+  this->MarkCommit(effects);
   this->SendToAll(now, effects);
   if (this->commit >= this->voters_index && !this->IsVoter()) {
     this->BecomeFollower(this->vote.term, HostName(), now);
   }
 }
 
+void AgreedLog::MarkCommit(LogEffects& effects) {
+  LogBatch batch;
+  batch.commit = this->commit;
+  const std::uint64_t ticket = this->AddBatch(std::move(batch), effects);
+  this->commit_marks.emplace_back(ticket, this->commit);
+}
+
 void AgreedLog::HandOut(LogEffects& effects) {
-  const LogIndex end = std::min(this->commit, this->persisted);
+  const LogIndex end = std::min(this->marked, this->persisted);
   while (this->handed_out < end) {
     this->handed_out += 1;
     effects.committed.push_back(*this->EntryAt(this->handed_out));
--- /dev/null
+++ b/packages/state/src/control_change.cc
@@ -0,0 +1,48 @@
+#include "tamarackwing/state/control_change.h"
+
+#include <cstddef>
+#include <utility>
+
+#include "internal/json_codec.h"
+
+namespace tamarackwing::state {
+namespace {
+
+using nlohmann::json;
+
+//! Reads the alternative with that number.
+template <std::size_t I = 0>
+ControlChange ReadAlternative(std::size_t wanted, const json& body) {
+  if constexpr (I + 1 < std::variant_size_v<ControlChange>) {
+    if (wanted != I) {
+      return ReadAlternative<I + 1>(wanted, body);
+    }
+  }
+  return body.get<std::variant_alternative_t<I, ControlChange>>();
+}
+
+}  // namespace
+
+std::string EncodeChange(const ControlChange& change) {
+  json document = json::array({change.index()});
+  std::visit([&](const auto& value) { document.push_back(value); }, change);
+  std::string payload;
+  json::to_cbor(document, payload);
+  return payload;
+}
+
+Expected<ControlChange, DecodeError> DecodeChange(std::string_view payload) {
+  const json document = json::from_cbor(payload, true, false);
+  if (!document.is_array() || document.size() != 2 ||
+      !document[0].is_number_unsigned() ||
+      document[0].get<std::size_t>() >= std::variant_size_v<ControlChange>) {
+    return unexpected(DecodeError::kMalformed);
+  }
+  try {
+    return ReadAlternative(document[0].get<std::size_t>(), document[1]);
+  } catch (const json::exception&) {
+    return unexpected(DecodeError::kMalformed);
+  }
+}
+
+}  // namespace tamarackwing::state
--- /dev/null
+++ b/packages/state/src/control_state.cc
@@ -0,0 +1,323 @@
+#include "tamarackwing/state/control_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "internal/json_codec.h"
+#include "tamarackwing/state/set_checker.h"
+
+namespace tamarackwing::config {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Fault, code, path, line, found)
+
+}  // namespace tamarackwing::config
+
+namespace tamarackwing::state {
+namespace {
+
+using nlohmann::json;
+
+//! Outcomes of publishes that are kept for resends.
+constexpr std::size_t kMostOutcomes = 4096;
+
+RegionShare ShareIn(const Workspace& workspace, const RegionName& region) {
+  const auto& homes = workspace.home_regions;
+  const auto home = std::find(homes.begin(), homes.end(), region);
+  if (home == homes.end()) {
+    return {};
+  }
+  const auto count = static_cast<TokenCount>(homes.size());
+  return {workspace.rate / count, workspace.burst / count};
+}
+
+RegionShare Least(const RegionShare& a, const RegionShare& b) {
+  return {std::min(a.rate, b.rate), std::min(a.burst, b.burst)};
+}
+
+}  // namespace
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ApplyOutcome, kind, version, faults)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationSet,
+                                   residency_rules,
+                                   workspaces,
+                                   keys,
+                                   model_versions,
+                                   routes)
+
+ControlState::ControlState()
+    : set(std::make_shared<const ConfigurationSet>()),
+      withdrawn(std::make_shared<const std::set<KeyDigest>>()) {}
+
+ApplyOutcome ControlState::Apply(LogIndex index, std::string_view payload) {
+  this->applied = index;
+  const auto change = DecodeChange(payload);
+  if (!change) {
+    return {};
+  }
+  return std::visit(
+      [&](const auto& value) { return this->ApplyChange(index, value); },
+      *change);
+}
+
+ApplyOutcome ControlState::Check(const PublishSet& publish) const {
+  const auto earlier = this->OutcomeOf(publish.id);
+  if (earlier) {
+    return *earlier;
+  }
+  ApplyOutcome outcome;
+  outcome.version = this->version;
+  if (publish.base != this->version) {
+    outcome.kind = ApplyKind::kConflict;
+    return outcome;
+  }
+  ConfigurationSet next = *this->set;
+  ApplyDelta(publish.delta, next);
+  outcome.faults = CheckSet(next, this->CurrentTopology(), *this->withdrawn);
+  outcome.kind =
+      outcome.faults.empty() ? ApplyKind::kApplied : ApplyKind::kRejected;
+  return outcome;
+}
+
+std::optional<ApplyOutcome> ControlState::OutcomeOf(const PublishId& id) const {
+  const auto found = this->outcomes.find(id);
+  if (found == this->outcomes.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+RegionShare ControlState::ShareOf(const WorkspaceName& workspace,
+                                  const RegionName& region) const {
+  const auto current = this->set->workspaces.find(workspace);
+  if (current == this->set->workspaces.end()) {
+    return {};
+  }
+  RegionShare share = ShareIn(current->second, region);
+  const auto old = this->old_workspaces.find(workspace);
+  if (old == this->old_workspaces.end()) {
+    return share;
+  }
+  for (const OldWorkspace& entry : old->second) {
+    share = Least(share, ShareIn(entry.workspace, region));
+  }
+  return share;
+}
+
+std::optional<std::size_t> ControlState::SliceOf(const HostName& host) const {
+  const auto found = this->slices.find(host);
+  if (found == this->slices.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex index,
+                                       const PublishSet& change) {
+  ApplyOutcome outcome = this->Check(change);
+  if (this->OutcomeOf(change.id)) {
+    return outcome;
+  }
+  if (outcome.kind == ApplyKind::kApplied) {
+    this->PutInForce(index, change.delta);
+    outcome.version = this->version;
+  }
+  this->Remember(change.id, outcome);
+  return outcome;
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex index, const GrantKey& change) {
+  PublishSet publish;
+  publish.id = change.id;
+  publish.base = this->version;
+  publish.delta.keys.push_back(change.key);
+  return this->ApplyChange(index, publish);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex, const WithdrawKeys& change) {
+  auto more = std::make_shared<std::set<KeyDigest>>(*this->withdrawn);
+  more->insert(change.digests.begin(), change.digests.end());
+  this->withdrawn = std::move(more);
+  auto fewer = std::make_shared<ConfigurationSet>(*this->set);
+  for (const KeyDigest& digest : change.digests) {
+    fewer->keys.erase(digest);
+  }
+  this->set = std::move(fewer);
+  return this->Applied(this->version);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex, const PutHost& change) {
+  const HostRecord& host = change.host;
+  const auto known = this->hosts.find(host.name);
+  if (known != this->hosts.end() &&
+      known->second.incarnation > host.incarnation) {
+    return {};
+  }
+  if (known == this->hosts.end()) {
+    std::set<std::size_t> taken;
+    for (const auto& [name, slice] : this->slices) {
+      if (this->hosts.at(name).region == host.region) {
+        taken.insert(slice);
+      }
+    }
+    std::size_t free = 0;
+    while (taken.contains(free)) {
+      free += 1;
+    }
+    this->slices[host.name] = free;
+  }
+  this->hosts[host.name] = host;
+  return this->Applied(this->version);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex, const RemoveHost& change) {
+  this->hosts.erase(change.host);
+  this->slices.erase(change.host);
+  return this->Applied(this->version);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex, const DrainHost& change) {
+  const auto host = this->hosts.find(change.host);
+  if (host == this->hosts.end()) {
+    return {};
+  }
+  host->second.draining = change.draining;
+  return this->Applied(this->version);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex, const PutRegionView& change) {
+  RegionView& view = this->views[change.view.region];
+  if (change.view.epoch != view.epoch + 1) {
+    return {};
+  }
+  view = change.view;
+  return this->Applied(this->version);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex, const ConfirmVersion& change) {
+  this->confirmed = std::max(this->confirmed, change.version);
+  for (auto& [name, old] : this->old_workspaces) {
+    std::erase_if(old, [&](const OldWorkspace& entry) {
+      return entry.until <= this->confirmed;
+    });
+  }
+  std::erase_if(this->old_workspaces,
+                [](const auto& entry) { return entry.second.empty(); });
+  return this->Applied(this->version);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex, const SetLiveHosts& change) {
+  this->live[change.region] = change.hosts;
+  return this->Applied(this->version);
+}
+
+ApplyOutcome ControlState::Applied(SetVersion at) const {
+  return {ApplyKind::kApplied, at, {}};
+}
+
+void ControlState::PutInForce(LogIndex index, const SetDelta& delta) {
+  this->KeepOldWorkspaces(index, delta);
+  auto next = std::make_shared<ConfigurationSet>(*this->set);
+  ApplyDelta(delta, *next);
+  this->set = std::move(next);
+  this->version = index;
+}
+
+void ControlState::KeepOldWorkspaces(LogIndex index, const SetDelta& delta) {
+  const auto keep = [&](const WorkspaceName& name) {
+    const auto old = this->set->workspaces.find(name);
+    if (old != this->set->workspaces.end()) {
+      this->old_workspaces[name].push_back({index, old->second});
+    }
+  };
+  for (const Workspace& workspace : delta.workspaces) {
+    keep(workspace.name);
+  }
+  for (const ObjectReference& object : delta.removed) {
+    if (object.kind == ObjectKind::kWorkspace) {
+      keep(WorkspaceName(object.name));
+    }
+  }
+}
+
+void ControlState::Remember(const PublishId& id, const ApplyOutcome& outcome) {
+  this->outcomes[id] = outcome;
+  this->outcome_order.push_back(id);
+  if (this->outcome_order.size() > kMostOutcomes) {
+    this->outcomes.erase(this->outcome_order.front());
+    this->outcome_order.pop_front();
+  }
+}
+
+Topology ControlState::CurrentTopology() const {
+  Topology topology;
+  for (const auto& [name, host] : this->hosts) {
+    topology.regions.insert(host.region);
+    if (host.has_disk) {
+      topology.disk_regions.insert(host.region);
+    }
+  }
+  return topology;
+}
+
+std::string ControlState::Encode() const {
+  json document;
+  document["applied"] = this->applied;
+  document["version"] = this->version;
+  document["confirmed"] = this->confirmed;
+  document["set"] = *this->set;
+  document["withdrawn"] = *this->withdrawn;
+  document["hosts"] = this->hosts;
+  document["slices"] = this->slices;
+  document["views"] = this->views;
+  document["live"] = this->live;
+  document["outcomes"] = this->outcomes;
+  document["outcome_order"] = this->outcome_order;
+  json old = json::array();
+  for (const auto& [name, entries] : this->old_workspaces) {
+    for (const OldWorkspace& entry : entries) {
+      old.push_back({entry.until, entry.workspace});
+    }
+  }
+  document["old_workspaces"] = std::move(old);
+  std::string bytes;
+  json::to_cbor(document, bytes);
+  return bytes;
+}
+
+Expected<ControlState, DecodeError> ControlState::Decode(
+    std::string_view bytes) {
+  ControlState state;
+  if (bytes.empty()) {
+    return state;
+  }
+  const json document = json::from_cbor(bytes, true, false);
+  if (!document.is_object()) {
+    return unexpected(DecodeError::kMalformed);
+  }
+  try {
+    document.at("applied").get_to(state.applied);
+    document.at("version").get_to(state.version);
+    document.at("confirmed").get_to(state.confirmed);
+    state.set = std::make_shared<const ConfigurationSet>(
+        document.at("set").get<ConfigurationSet>());
+    state.withdrawn = std::make_shared<const std::set<KeyDigest>>(
+        document.at("withdrawn").get<std::set<KeyDigest>>());
+    document.at("hosts").get_to(state.hosts);
+    document.at("slices").get_to(state.slices);
+    document.at("views").get_to(state.views);
+    document.at("live").get_to(state.live);
+    document.at("outcomes").get_to(state.outcomes);
+    document.at("outcome_order").get_to(state.outcome_order);
+    for (const json& entry : document.at("old_workspaces")) {
+      auto workspace = entry.at(1).get<Workspace>();
+      const WorkspaceName name = workspace.name;
+      state.old_workspaces[name].push_back(
+          {entry.at(0).get<SetVersion>(), std::move(workspace)});
+    }
+  } catch (const json::exception&) {
+    return unexpected(DecodeError::kMalformed);
+  }
+  return state;
+}
+
+}  // namespace tamarackwing::state
--- /dev/null
+++ b/packages/state/src/internal/json_codec.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "tamarackwing/base/strong_id.h"
+#include "tamarackwing/state/configuration_set.h"
+#include "tamarackwing/state/control_change.h"
+#include "tamarackwing/state/host_record.h"
+#include "tamarackwing/state/region_view.h"
+
+namespace nlohmann {
+
+template <typename Tag>
+struct adl_serializer<tamarackwing::StrongId<Tag>> {
+  static void to_json(json& out, const tamarackwing::StrongId<Tag>& id) {
+    out = id.Text();
+  }
+  static void from_json(const json& in, tamarackwing::StrongId<Tag>& id) {
+    id = tamarackwing::StrongId<Tag>(in.get<std::string>());
+  }
+};
+
+template <>
+struct adl_serializer<std::chrono::milliseconds> {
+  static void to_json(json& out, const std::chrono::milliseconds& time) {
+    out = time.count();
+  }
+  static void from_json(const json& in, std::chrono::milliseconds& time) {
+    time = std::chrono::milliseconds(in.get<std::int64_t>());
+  }
+};
+
+}  // namespace nlohmann
+
+namespace tamarackwing::state {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyRule, name, regions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Workspace,
+                                   name,
+                                   rate,
+                                   burst,
+                                   weight,
+                                   home_regions,
+                                   residency)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Key, digest, workspace, home_regions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ModelVersion, name, model)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Route,
+                                   name,
+                                   kind,
+                                   idempotent,
+                                   open,
+                                   deadline,
+                                   model_version,
+                                   home_regions,
+                                   residency)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObjectReference, kind, name)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetDelta,
+                                   residency_rules,
+                                   workspaces,
+                                   keys,
+                                   model_versions,
+                                   routes,
+                                   removed)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostRecord,
+                                   name,
+                                   region,
+                                   data_centre,
+                                   caller_address,
+                                   caller_port,
+                                   peer_address,
+                                   peer_port,
+                                   forward_port,
+                                   has_disk,
+                                   incarnation,
+                                   draining)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewMember, host, incarnation, has_disk)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegionView,
+                                   region,
+                                   epoch,
+                                   base_epoch,
+                                   coordinator,
+                                   members)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PublishSet, id, base, delta)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GrantKey, id, key)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WithdrawKeys, digests)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PutHost, host)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveHost, host)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DrainHost, host, draining)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PutRegionView, view)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfirmVersion, version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetLiveHosts, region, hosts)
+
+}  // namespace tamarackwing::state
--- a/packages/state/tests/log_cluster.cc
+++ b/packages/state/tests/log_cluster.cc
@@ -1,5 +1,6 @@
 #include "log_cluster.h"
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -60,20 +61,19 @@
   if (!keep) {
     this->Drop(at);
   }
-  const bool is_cut = this->cut.contains(message.from) !=
-                      this->cut.contains(message.send.to);
+  const bool is_cut =
+      this->cut.contains(message.from) != this->cut.contains(message.send.to);
   Host& host = this->hosts.at(message.send.to);
   if (!is_cut && host.log) {
-    this->Take(message.send.to, host.log->Receive(message.from,
-                                                  message.send.message,
-                                                  this->now));
+    this->Take(
+        message.send.to,
+        host.log->Receive(message.from, message.send.message, this->now));
   }
 }
 
 void LogCluster::Drop(std::size_t choice) {
   if (!this->messages.empty()) {
-    const auto at =
-        static_cast<std::ptrdiff_t>(choice % this->messages.size());
+    const auto at = static_cast<std::ptrdiff_t>(choice % this->messages.size());
     this->messages.erase(this->messages.begin() + at);
   }
 }
@@ -103,14 +103,18 @@
   }
   host.applied = Split(host.disk.snapshot.state);
   host.log = std::make_unique<AgreedLog>(
-      name, kOptions,
-      host.founded ? this->first_voters : std::set<HostName>(), host.disk,
-      this->random, this->now);
+      name, kOptions, host.founded ? this->first_voters : std::set<HostName>(),
+      host.disk, this->random, this->now);
+  this->Take(name, host.log->Tick(this->now));
+  if (host.applied.size() < host.floor) {
+    this->violations.push_back("a restart went back behind what was in force");
+  }
 }
 
 void LogCluster::LoseDisk(const HostName& name) {
   Host& host = this->hosts.at(name);
   host.disk = RecoveredLog();
+  host.floor = 0;
   host.founded = false;
 }
 
@@ -167,8 +171,8 @@
     const auto entries =
         host.log->CommittedFrom(host.log->SnapshotIndex() + 1, 1 << 20);
     if (entries && !entries->empty()) {
-      this->Take(name, host.log->Compact(entries->back().index,
-                                         Join(host.applied)));
+      this->Take(name,
+                 host.log->Compact(entries->back().index, Join(host.applied)));
     }
   }
 }
@@ -239,7 +243,9 @@
                                std::to_string(entry.index));
   }
   if (entry.kind == EntryKind::kChange) {
-    this->hosts.at(name).applied.push_back(entry.payload);
+    Host& host = this->hosts.at(name);
+    host.applied.push_back(entry.payload);
+    host.floor = std::max(host.floor, host.applied.size());
   }
 }
 
@@ -247,6 +253,7 @@
   if (batch.vote) {
     disk.vote = *batch.vote;
   }
+  disk.commit = std::max(disk.commit, batch.commit);
   if (batch.truncate_from != 0) {
     std::erase_if(disk.entries, [&](const LogEntry& entry) {
       return entry.index >= batch.truncate_from;
--- a/packages/state/tests/log_cluster.h
+++ b/packages/state/tests/log_cluster.h
@@ -71,6 +71,8 @@
     RecoveredLog disk;
     std::deque<LogBatch> pending;
     std::vector<std::string> applied;
+    //! The most that was ever applied here, until the disk is lost.
+    std::size_t floor = 0;
     bool founded = true;
   };
   struct Message {
