Add the control node: feed, watch, leader's duties, ledger client, allocator lease

Cause: log, ledger and budgets must act together on each host. Change: package control, a pure node that carries events to typed effects; hosts follow the log through a source in their region; a coordinator gives out tokens only under a lease of the group or of all other members of its view.

--- /dev/null
+++ b/packages/control/include/tamarackwing/control.h
@@ -0,0 +1,8 @@
+#pragma once
+
+//! The control state of one host, as a pure state machine.
+
+#include "tamarackwing/control/control_effects.h"
+#include "tamarackwing/control/control_node.h"
+#include "tamarackwing/control/control_options.h"
+#include "tamarackwing/control/peer_message.h"
--- /dev/null
+++ b/packages/control/include/tamarackwing/control/control_effects.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "tamarackwing/control/peer_message.h"
+#include "tamarackwing/state/agreed_log.h"
+#include "tamarackwing/state/operation_ledger.h"
+
+namespace tamarackwing::control {
+
+//! The outcome of a change that was proposed here.
+struct ChangeDone {
+  std::uint64_t number = 0;
+  state::ApplyOutcome outcome;
+};
+
+//! Load and announcements that another host of the region sent.
+struct RegionNews {
+  HostName from;
+  RegionStatus status;
+};
+
+//! How another region stands, from the host that was probed there.
+struct ProbeNews {
+  HostName from;
+  ProbeReply reply;
+};
+
+//! What a control node wants done. Batches are written in order, each kind on
+//! its own; the rest may be done in any order.
+struct ControlEffects {
+  std::vector<PeerSend> sends;
+  std::vector<state::LogBatch> log_batches;
+  std::vector<state::LedgerBatch> ledger_batches;
+  std::vector<ChangeDone> changes;
+  std::vector<state::LedgerPermit> permits;
+  std::vector<policy::ChunkGrant> grants;
+  std::vector<KeyDigest> withdrawn;
+  std::vector<RegionNews> news;
+  std::vector<StatusReply> statuses;
+  std::vector<ProbeNews> probes;
+  //! Whether traffic needs a new snapshot.
+  bool snapshot_changed = false;
+};
+
+}  // namespace tamarackwing::control
--- /dev/null
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -0,0 +1,240 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/control/control_effects.h"
+#include "tamarackwing/control/control_options.h"
+#include "tamarackwing/control/feed_buffer.h"
+#include "tamarackwing/control/host_watch.h"
+#include "tamarackwing/control/leader_duties.h"
+#include "tamarackwing/control/ledger_client.h"
+#include "tamarackwing/control/peer_message.h"
+#include "tamarackwing/control/region_allocator.h"
+#include "tamarackwing/state/agreed_log.h"
+#include "tamarackwing/state/control_state.h"
+#include "tamarackwing/state/operation_ledger.h"
+#include "tamarackwing/state/snapshot.h"
+
+namespace tamarackwing {
+class RandomSource;
+}
+
+namespace tamarackwing::control {
+
+//! What a control node reads back at its start.
+struct RecoveredControl {
+  state::RecoveredLog log;
+  state::RecoveredLedger ledger;
+};
+
+//! All control state of one host: the agreed log or the feed of it, the ledger
+//! and the budget of its region, the watch over other hosts. Events and times
+//! come in, effects go out; there is no I/O. Not thread-safe.
+class ControlNode {
+ public:
+  //! Precondition: `random` outlives the node.
+  ControlNode(ControlOptions options,
+              RecoveredControl recovered,
+              RandomSource& random,
+              TimePoint now);
+  ~ControlNode();
+
+  //! Lets time pass; to be called every few tens of milliseconds.
+  ControlEffects Tick(TimePoint now);
+  //! Takes a message of another host.
+  ControlEffects Receive(const HostName& from,
+                         const PeerMessage& message,
+                         TimePoint now);
+  //! Says that batches up to a ticket are on disk.
+  ControlEffects LogPersisted(std::uint64_t ticket, TimePoint now);
+  ControlEffects LedgerPersisted(std::uint64_t ticket, TimePoint now);
+
+  //! Proposes a change, here or at the leader, until it is done; its number
+  //! stands in ControlEffects::changes then.
+  std::uint64_t Propose(const state::ControlChange& change,
+                        TimePoint now,
+                        ControlEffects& effects);
+  //! Gives a proposal up.
+  void GiveUp(std::uint64_t number);
+  //! Withdraws a key here and at every host that can be reached, at once.
+  ControlEffects Withdraw(const KeyDigest& digest, TimePoint now);
+  //! Asks the leader how far the hosts are; nothing where none is known.
+  std::optional<std::uint64_t> AskStatus(TimePoint now,
+                                         ControlEffects& effects);
+
+  //! Asks the ledger of a region for a permit; the answer stands in
+  //! ControlEffects::permits under the number.
+  std::uint64_t AskPermit(const RegionName& region,
+                          const OperationId& operation,
+                          TimePoint now,
+                          ControlEffects& effects);
+  //! Says how a granted operation ended.
+  ControlEffects EndOperation(const RegionName& region,
+                              const OperationId& operation,
+                              state::OperationState outcome,
+                              const state::StoredAnswer& answer,
+                              TimePoint now);
+  //! Asks the region's allocator for tokens.
+  ControlEffects RequestChunk(const policy::ChunkRequest& request,
+                              TimePoint now);
+  //! Gives a chunk back to the region's allocator.
+  ControlEffects SettleChunk(const policy::ChunkSettled& settled,
+                             TimePoint now);
+  //! Sets what the region's hosts are told with the next report.
+  void SetRegionStatus(RegionStatus status);
+  //! Probes a host of another region.
+  ControlEffects Probe(const HostName& host,
+                       std::uint64_t number);
+  //! Starts to tell others that this host drains.
+  void StartDrain();
+
+  //! What traffic should know now.
+  std::shared_ptr<const state::Snapshot> MakeSnapshot(TimePoint now) const;
+  const state::ControlState& State() const { return this->state; }
+  const ControlOptions& Options() const { return this->options; }
+  bool IsLeader() const { return this->log.IsLeader(); }
+  const HostName& Leader() const;
+  Term CurrentTerm() const { return this->log.CurrentTerm(); }
+  const std::set<HostName>& Voters() const { return this->log.Voters(); }
+  const state::OperationLedger& Ledger() const { return this->ledger; }
+  //! Whether this host may serve.
+  bool IsReady() const { return this->ready; }
+  //! Whether what this host has handed over on a planned stop is taken.
+  bool IsQuiet() const { return this->client.OpenUpdates() == 0; }
+  //! Hosts of this region, this one left out, as the agreed state has them.
+  std::vector<HostName> RegionPeers() const;
+
+ private:
+  struct Subscriber {
+    LogIndex next = 1;
+    TimePoint heard;
+  };
+  struct Proposal {
+    std::string payload;
+    TimePoint sent;
+    //! Proposed in this host's own log at this index; zero where not.
+    LogIndex index = 0;
+  };
+  //! A proposal that another host forwarded.
+  struct Forwarded {
+    HostName from;
+    std::uint64_t number = 0;
+  };
+
+  void TakeLog(state::LogEffects log_effects,
+               TimePoint now,
+               ControlEffects& effects);
+  void TakeLedger(state::LedgerEffects ledger_effects,
+                  TimePoint now,
+                  ControlEffects& effects);
+  void ApplyEntry(const state::LogEntry& entry,
+                  TimePoint now,
+                  ControlEffects& effects);
+  void InstallSnapshot(const state::LogSnapshot& snapshot,
+                       TimePoint now,
+                       ControlEffects& effects);
+  void AfterApply(TimePoint now, ControlEffects& effects);
+  void FinishProposals(const state::LogEntry& entry,
+                       const state::ApplyOutcome& outcome,
+                       ControlEffects& effects);
+  void Deliver(const HostName& to,
+               PeerMessage message,
+               TimePoint now,
+               ControlEffects& effects);
+
+  void HandleFeedRequest(const HostName& from,
+                         const FeedRequest& request,
+                         TimePoint now,
+                         ControlEffects& effects);
+  void HandleFeedReply(const HostName& from,
+                       const FeedReply& reply,
+                       TimePoint now,
+                       ControlEffects& effects);
+  void HandlePropose(const HostName& from,
+                     const ProposeRequest& request,
+                     TimePoint now,
+                     ControlEffects& effects);
+  void HandleProposeReply(const ProposeReply& reply, ControlEffects& effects);
+  void HandleNotice(const HostName& from,
+                    const WithdrawalNotice& notice,
+                    TimePoint now,
+                    ControlEffects& effects);
+  void HandleRegionStatus(const HostName& from,
+                          const RegionStatus& status,
+                          ControlEffects& effects);
+  void HandleLedger(const HostName& from,
+                    const state::LedgerMessage& message,
+                    TimePoint now,
+                    ControlEffects& effects);
+  void HandleChunk(const HostName& from,
+                   const PeerMessage& message,
+                   TimePoint now,
+                   ControlEffects& effects);
+  void HandleStatusRequest(const HostName& from,
+                           const StatusRequest& request,
+                           TimePoint now,
+                           ControlEffects& effects);
+
+  void Report(TimePoint now, ControlEffects& effects);
+  void AskFeed(TimePoint now, ControlEffects& effects);
+  void PushFeed(TimePoint now, ControlEffects& effects);
+  FeedReply MakeFeed(LogIndex next, TimePoint now);
+  void DoLeaderDuties(TimePoint now, ControlEffects& effects);
+  void ReplaceVoters(TimePoint now, ControlEffects& effects);
+  void CompactLog(ControlEffects& effects, TimePoint now);
+  void ResendProposals(TimePoint now, ControlEffects& effects);
+  void ProposeHere(Proposal& proposal, TimePoint now, ControlEffects& effects);
+  void UpdateReady(TimePoint now, ControlEffects& effects);
+  HostStatus OwnStatus() const;
+  std::vector<HostName> Sources() const;
+  std::optional<TimePoint> Word(TimePoint now) const;
+  bool IsAlive(const state::AskId& id) const;
+  std::uint64_t IncarnationOf(const HostName& host) const;
+  const state::HostRecord* FindHost(const HostName& host) const;
+
+  ControlOptions options;
+  state::AgreedLog log;
+  state::ControlState state;
+  state::OperationLedger ledger;
+  LedgerClient client;
+  RegionAllocator allocator;
+  HostWatch watch;
+  LeaderDuties duties;
+  FeedBuffer buffer;
+
+  bool was_leader = false;
+  bool ready = false;
+  bool draining = false;
+  TimePoint started;
+  TimePoint report_at;
+  std::size_t source = 0;
+  std::uint64_t feed_number = 0;
+  std::map<std::uint64_t, TimePoint> feed_sent;
+  TimePoint feed_answered;
+  TimePoint feed_word;
+  LogIndex feed_commit = 0;
+  bool heard_region = false;
+  HostName feed_leader;
+  std::map<HostName, Subscriber> subscribers;
+
+  std::uint64_t next_number = 1;
+  std::map<std::uint64_t, Proposal> proposals;
+  std::map<LogIndex, Forwarded> forwarded;
+  std::set<std::pair<HostName, std::uint64_t>> forwarded_open;
+  std::map<std::string, LogIndex> duties_under_way;
+  std::set<KeyDigest> early_withdrawn;
+  RegionStatus region_status;
+  std::map<HostName, std::uint64_t> status_number;
+  std::map<HostName, std::map<std::uint64_t, TimePoint>> status_sent;
+  std::map<HostName, std::uint64_t> status_heard;
+};
+
+}  // namespace tamarackwing::control
--- /dev/null
+++ b/packages/control/include/tamarackwing/control/feed_buffer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "tamarackwing/state/log_entry.h"
+
+namespace tamarackwing::control {
+
+//! The newest applied entries, for hosts that follow this one. Not
+//! thread-safe.
+class FeedBuffer {
+ public:
+  //! Precondition: `most` is positive.
+  explicit FeedBuffer(std::size_t most);
+
+  //! Adds the next entry. Precondition: entries come in order.
+  void Add(const state::LogEntry& entry);
+  //! Starts again after a snapshot.
+  void Clear();
+  //! Entries from `next` on; nothing where they are no longer held.
+  std::optional<std::vector<state::LogEntry>> From(LogIndex next,
+                                                   LogIndex applied,
+                                                   std::size_t most_entries) const;
+
+ private:
+  std::size_t most;
+  std::deque<state::LogEntry> entries;
+};
+
+}  // namespace tamarackwing::control
--- /dev/null
+++ b/packages/control/src/control_node.cc
@@ -0,0 +1,939 @@
+#include "tamarackwing/control/control_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tamarackwing/base/event.h"
+#include "tamarackwing/base/random_source.h"
+
+namespace tamarackwing::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kBufferedEntries = 8'192;
+constexpr std::size_t kEntriesPerFeed = 512;
+constexpr milliseconds kProposalResend{500};
+constexpr milliseconds kLedgerResend{200};
+//! Reports without an answer after which another source is tried.
+constexpr int kSilentReports = 4;
+//! Reports to a member whose answers may still confirm the view.
+constexpr std::size_t kReportsKept = 32;
+
+state::RecoveredLedger TakeLedgerOf(RecoveredControl& recovered) {
+  return std::move(recovered.ledger);
+}
+
+}  // namespace
+
+ControlNode::ControlNode(ControlOptions given,
+                         RecoveredControl recovered,
+                         RandomSource& random,
+                         TimePoint now)
+    : options(std::move(given)),
+      log(options.self.name,
+          options.log,
+          options.first_voters,
+          recovered.log,
+          random,
+          now),
+      ledger(options.self.name,
+             options.self.incarnation,
+             options.self.has_disk,
+             options.ledger,
+             TakeLedgerOf(recovered),
+             [this](const state::AskId& id) { return this->IsAlive(id); }),
+      client(options.self.name, options.self.incarnation, kLedgerResend),
+      allocator(options),
+      watch(options.host_lost),
+      duties(options),
+      buffer(kBufferedEntries),
+      started(now),
+      report_at(now),
+      feed_answered(now) {
+  if (!recovered.log.snapshot.state.empty()) {
+    auto decoded = state::ControlState::Decode(recovered.log.snapshot.state);
+    if (decoded) {
+      this->state = std::move(*decoded);
+    }
+  }
+}
+
+ControlNode::~ControlNode() = default;
+
+ControlEffects ControlNode::Tick(TimePoint now) {
+  ControlEffects effects;
+  if (this->options.self.has_disk) {
+    this->TakeLog(this->log.Tick(now), now, effects);
+  }
+  this->TakeLedger(this->ledger.Tick(now), now, effects);
+  std::vector<PeerSend> sends;
+  for (state::LedgerPermit& refused :
+       this->client.Tick(this->state, now, sends)) {
+    effects.permits.push_back(std::move(refused));
+  }
+  for (PeerSend& send : sends) {
+    this->Deliver(send.to, std::move(send.message), now, effects);
+  }
+  if (now >= this->report_at) {
+    this->report_at = now + this->options.report;
+    this->Report(now, effects);
+  }
+  this->ResendProposals(now, effects);
+  if (this->log.IsLeader()) {
+    this->DoLeaderDuties(now, effects);
+  }
+  this->was_leader = this->log.IsLeader();
+  this->UpdateReady(now, effects);
+  return effects;
+}
+
+ControlEffects ControlNode::Receive(const HostName& from,
+                                    const PeerMessage& message,
+                                    TimePoint now) {
+  ControlEffects effects;
+  this->watch.NoteHeard(from, now);
+  if (const auto* log_message = std::get_if<state::LogMessage>(&message)) {
+    if (this->options.self.has_disk) {
+      this->TakeLog(this->log.Receive(from, *log_message, now), now, effects);
+    }
+  } else if (const auto* ledger_message =
+                 std::get_if<state::LedgerMessage>(&message)) {
+    this->HandleLedger(from, *ledger_message, now, effects);
+  } else if (const auto* request = std::get_if<FeedRequest>(&message)) {
+    this->HandleFeedRequest(from, *request, now, effects);
+  } else if (const auto* reply = std::get_if<FeedReply>(&message)) {
+    this->HandleFeedReply(from, *reply, now, effects);
+  } else if (const auto* propose = std::get_if<ProposeRequest>(&message)) {
+    this->HandlePropose(from, *propose, now, effects);
+  } else if (const auto* done = std::get_if<ProposeReply>(&message)) {
+    this->HandleProposeReply(*done, effects);
+  } else if (const auto* notice = std::get_if<WithdrawalNotice>(&message)) {
+    this->HandleNotice(from, *notice, now, effects);
+  } else if (const auto* status = std::get_if<RegionStatus>(&message)) {
+    this->HandleRegionStatus(from, *status, effects);
+  } else if (const auto* asked = std::get_if<StatusRequest>(&message)) {
+    this->HandleStatusRequest(from, *asked, now, effects);
+  } else if (const auto* answer = std::get_if<StatusReply>(&message)) {
+    effects.statuses.push_back(*answer);
+  } else {
+    this->HandleChunk(from, message, now, effects);
+  }
+  this->UpdateReady(now, effects);
+  return effects;
+}
+
+ControlEffects ControlNode::LogPersisted(std::uint64_t ticket, TimePoint now) {
+  ControlEffects effects;
+  this->TakeLog(this->log.Persisted(ticket, now), now, effects);
+  this->UpdateReady(now, effects);
+  return effects;
+}
+
+ControlEffects ControlNode::LedgerPersisted(std::uint64_t ticket,
+                                            TimePoint now) {
+  ControlEffects effects;
+  this->TakeLedger(this->ledger.Persisted(ticket, now), now, effects);
+  return effects;
+}
+
+std::uint64_t ControlNode::Propose(const state::ControlChange& change,
+                                   TimePoint now,
+                                   ControlEffects& effects) {
+  const std::uint64_t number = this->next_number++;
+  Proposal& proposal = this->proposals[number];
+  proposal.payload = state::EncodeChange(change);
+  proposal.sent = now;
+  if (this->log.IsLeader()) {
+    this->ProposeHere(proposal, now, effects);
+  } else if (!this->Leader().IsEmpty()) {
+    effects.sends.push_back(
+        {this->Leader(), ProposeRequest{number, proposal.payload}});
+  }
+  return number;
+}
+
+void ControlNode::GiveUp(std::uint64_t number) {
+  this->proposals.erase(number);
+}
+
+ControlEffects ControlNode::Withdraw(const KeyDigest& digest, TimePoint now) {
+  ControlEffects effects;
+  this->HandleNotice(this->options.self.name, WithdrawalNotice{{digest}}, now,
+                     effects);
+  return effects;
+}
+
+std::optional<std::uint64_t> ControlNode::AskStatus(TimePoint now,
+                                                    ControlEffects& effects) {
+  const std::uint64_t number = this->next_number++;
+  if (this->log.IsLeader()) {
+    this->HandleStatusRequest(this->options.self.name, StatusRequest{number},
+                              now, effects);
+    return number;
+  }
+  if (this->Leader().IsEmpty()) {
+    return std::nullopt;
+  }
+  effects.sends.push_back({this->Leader(), StatusRequest{number}});
+  return number;
+}
+
+std::uint64_t ControlNode::AskPermit(const RegionName& region,
+                                     const OperationId& operation,
+                                     TimePoint now,
+                                     ControlEffects& effects) {
+  std::vector<PeerSend> sends;
+  const std::uint64_t number =
+      this->client.Ask(region, operation, this->state, now, sends);
+  for (PeerSend& send : sends) {
+    this->Deliver(send.to, std::move(send.message), now, effects);
+  }
+  return number;
+}
+
+ControlEffects ControlNode::EndOperation(const RegionName& region,
+                                         const OperationId& operation,
+                                         state::OperationState outcome,
+                                         const state::StoredAnswer& answer,
+                                         TimePoint now) {
+  ControlEffects effects;
+  std::vector<PeerSend> sends;
+  this->client.Update(region, operation, outcome, answer, this->state, now,
+                      sends);
+  for (PeerSend& send : sends) {
+    this->Deliver(send.to, std::move(send.message), now, effects);
+  }
+  return effects;
+}
+
+ControlEffects ControlNode::RequestChunk(const policy::ChunkRequest& request,
+                                         TimePoint now) {
+  ControlEffects effects;
+  const auto view = this->state.Views().find(this->options.self.region);
+  if (view == this->state.Views().end()) {
+    effects.grants.push_back(
+        {request.chunk, request.workspace, 0, this->options.report});
+    return effects;
+  }
+  this->Deliver(view->second.coordinator, request, now, effects);
+  return effects;
+}
+
+ControlEffects ControlNode::SettleChunk(const policy::ChunkSettled& settled,
+                                        TimePoint now) {
+  ControlEffects effects;
+  const auto view = this->state.Views().find(this->options.self.region);
+  if (view != this->state.Views().end()) {
+    this->Deliver(view->second.coordinator, settled, now, effects);
+  }
+  return effects;
+}
+
+void ControlNode::SetRegionStatus(RegionStatus status) {
+  this->region_status = std::move(status);
+}
+
+ControlEffects ControlNode::Probe(const HostName& host, std::uint64_t number) {
+  ControlEffects effects;
+  effects.sends.push_back({host, ProbeRequest{number}});
+  return effects;
+}
+
+void ControlNode::StartDrain() {
+  this->draining = true;
+}
+
+std::shared_ptr<const state::Snapshot> ControlNode::MakeSnapshot(
+    TimePoint now) const {
+  auto snapshot = std::make_shared<state::Snapshot>();
+  snapshot->applied = this->state.Applied();
+  snapshot->version = this->state.Version();
+  snapshot->set = this->state.Set();
+  snapshot->withdrawn = this->state.Withdrawn();
+  if (!this->early_withdrawn.empty()) {
+    auto all = std::make_shared<std::set<KeyDigest>>(*this->state.Withdrawn());
+    all->insert(this->early_withdrawn.begin(), this->early_withdrawn.end());
+    snapshot->withdrawn = std::move(all);
+  }
+  snapshot->hosts = this->state.Hosts();
+  for (const auto& [region, hosts] : this->state.Live()) {
+    snapshot->live.insert(hosts.begin(), hosts.end());
+  }
+  const RegionName& region = this->options.self.region;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    // In its own region a host goes by what it hears itself.
+    if (host.region == region && name != this->options.self.name &&
+        !this->watch.IsHeard(name, now)) {
+      snapshot->live.erase(name);
+    }
+  }
+  snapshot->live.insert(this->options.self.name);
+  const auto word = this->Word(now);
+  snapshot->keys_fresh_until =
+      word ? *word + this->options.key_freshness : TimePoint::min();
+  snapshot->ready = this->ready;
+  return snapshot;
+}
+
+const HostName& ControlNode::Leader() const {
+  return this->log.Leader().IsEmpty() ? this->feed_leader : this->log.Leader();
+}
+
+std::vector<HostName> ControlNode::RegionPeers() const {
+  std::vector<HostName> peers;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    if (host.region == this->options.self.region &&
+        name != this->options.self.name) {
+      peers.push_back(name);
+    }
+  }
+  return peers;
+}
+
+void ControlNode::TakeLog(state::LogEffects log_effects,
+                          TimePoint now,
+                          ControlEffects& effects) {
+  for (state::LogSend& send : log_effects.sends) {
+    effects.sends.push_back({std::move(send.to), std::move(send.message)});
+  }
+  for (state::LogBatch& batch : log_effects.batches) {
+    effects.log_batches.push_back(std::move(batch));
+  }
+  if (log_effects.installed) {
+    this->InstallSnapshot(*log_effects.installed, now, effects);
+  }
+  for (const state::LogEntry& entry : log_effects.committed) {
+    this->ApplyEntry(entry, now, effects);
+  }
+  if (!log_effects.committed.empty()) {
+    this->AfterApply(now, effects);
+    this->CompactLog(effects, now);
+  }
+  if (this->log.IsLeader() && !this->was_leader) {
+    this->was_leader = true;
+    this->duties.StartTerm(now);
+    this->duties_under_way.clear();
+    this->forwarded.clear();
+    this->forwarded_open.clear();
+    LogEvent(Event::kLeaderElected, LogLevel::kInfo,
+             {{"host", this->options.self.name.Text()},
+              {"term", std::to_string(this->log.CurrentTerm())}});
+  }
+}
+
+void ControlNode::TakeLedger(state::LedgerEffects ledger_effects,
+                             TimePoint now,
+                             ControlEffects& effects) {
+  for (state::LedgerBatch& batch : ledger_effects.batches) {
+    effects.ledger_batches.push_back(std::move(batch));
+  }
+  for (state::LedgerSend& send : ledger_effects.sends) {
+    this->Deliver(send.to, std::move(send.message), now, effects);
+  }
+}
+
+void ControlNode::ApplyEntry(const state::LogEntry& entry,
+                             TimePoint now,
+                             ControlEffects& effects) {
+  // The log and the feed bring the same entries; each takes effect once.
+  if (entry.index != this->state.Applied() + 1) {
+    return;
+  }
+  state::ApplyOutcome outcome;
+  if (entry.kind == state::EntryKind::kChange) {
+    const SetVersion before = this->state.Version();
+    const auto withdrawn = this->state.Withdrawn();
+    outcome = this->state.Apply(entry.index, entry.payload);
+    for (const KeyDigest& digest : *this->state.Withdrawn()) {
+      if (withdrawn != this->state.Withdrawn() && !withdrawn->contains(digest)) {
+        effects.withdrawn.push_back(digest);
+        this->early_withdrawn.erase(digest);
+      }
+    }
+    if (this->state.Version() != before) {
+      LogEvent(Event::kSetApplied, LogLevel::kInfo,
+               {{"host", this->options.self.name.Text()},
+                {"version", std::to_string(this->state.Version())}});
+    }
+  } else {
+    this->state.Skip(entry.index);
+  }
+  this->buffer.Add(entry);
+  this->FinishProposals(entry, outcome, effects);
+  const auto view = this->state.Views().find(this->options.self.region);
+  if (view != this->state.Views().end()) {
+    this->allocator.SetView(view->second, now);
+    this->TakeLedger(this->ledger.SetView(view->second, now), now, effects);
+  }
+  effects.snapshot_changed = true;
+}
+
+void ControlNode::InstallSnapshot(const state::LogSnapshot& snapshot,
+                                  TimePoint now,
+                                  ControlEffects& effects) {
+  if (snapshot.index <= this->state.Applied()) {
+    return;
+  }
+  auto decoded = state::ControlState::Decode(snapshot.state);
+  if (!decoded) {
+    return;
+  }
+  const auto before = this->state.Withdrawn();
+  this->state = std::move(*decoded);
+  this->state.Skip(snapshot.index);
+  for (const KeyDigest& digest : *this->state.Withdrawn()) {
+    if (!before->contains(digest)) {
+      effects.withdrawn.push_back(digest);
+    }
+  }
+  this->buffer.Clear();
+  this->AfterApply(now, effects);
+  effects.snapshot_changed = true;
+}
+
+void ControlNode::AfterApply(TimePoint now, ControlEffects& effects) {
+  const auto view = this->state.Views().find(this->options.self.region);
+  if (view != this->state.Views().end()) {
+    this->allocator.SetView(view->second, now);
+    this->TakeLedger(this->ledger.SetView(view->second, now), now, effects);
+  }
+  this->PushFeed(now, effects);
+}
+
+void ControlNode::FinishProposals(const state::LogEntry& entry,
+                                  const state::ApplyOutcome& outcome,
+                                  ControlEffects& effects) {
+  for (auto proposal = this->proposals.begin();
+       proposal != this->proposals.end();) {
+    const bool is_this = proposal->second.index == entry.index &&
+                         proposal->second.payload == entry.payload;
+    if (is_this) {
+      effects.changes.push_back({proposal->first, outcome});
+      proposal = this->proposals.erase(proposal);
+    } else {
+      ++proposal;
+    }
+  }
+  const auto remote = this->forwarded.find(entry.index);
+  if (remote != this->forwarded.end()) {
+    const Forwarded& origin = remote->second;
+    effects.sends.push_back(
+        {origin.from, ProposeReply{origin.number, outcome}});
+    this->forwarded_open.erase({origin.from, origin.number});
+    this->forwarded.erase(remote);
+  }
+}
+
+void ControlNode::Deliver(const HostName& to,
+                          PeerMessage message,
+                          TimePoint now,
+                          ControlEffects& effects) {
+  if (to != this->options.self.name) {
+    effects.sends.push_back({to, std::move(message)});
+    return;
+  }
+  if (const auto* ledger_message =
+          std::get_if<state::LedgerMessage>(&message)) {
+    this->HandleLedger(to, *ledger_message, now, effects);
+  } else {
+    this->HandleChunk(to, message, now, effects);
+  }
+}
+
+void ControlNode::HandleFeedRequest(const HostName& from,
+                                    const FeedRequest& request,
+                                    TimePoint now,
+                                    ControlEffects& effects) {
+  for (const HostStatus& status : request.statuses) {
+    this->watch.NoteStatus(status, now - status.age);
+  }
+  FeedReply reply = this->MakeFeed(request.next, now);
+  reply.number = request.number;
+  Subscriber& subscriber = this->subscribers[from];
+  subscriber.heard = now;
+  subscriber.next = std::max(request.next, this->state.Applied() + 1);
+  if (!reply.entries.empty()) {
+    subscriber.next = reply.entries.back().index + 1;
+  }
+  effects.sends.push_back({from, std::move(reply)});
+}
+
+void ControlNode::HandleFeedReply(const HostName& from,
+                                  const FeedReply& reply,
+                                  TimePoint now,
+                                  ControlEffects& effects) {
+  if (reply.snapshot) {
+    this->InstallSnapshot(*reply.snapshot, now, effects);
+  }
+  for (const state::LogEntry& entry : reply.entries) {
+    this->ApplyEntry(entry, now, effects);
+  }
+  if (!reply.entries.empty()) {
+    this->AfterApply(now, effects);
+  }
+  const auto sent = this->feed_sent.find(reply.number);
+  if (sent != this->feed_sent.end()) {
+    this->feed_answered = now;
+    this->feed_leader = reply.leader;
+    const state::HostRecord* host = this->FindHost(from);
+    this->heard_region =
+        this->heard_region ||
+        (host != nullptr && host->region == this->options.self.region);
+    this->feed_commit = std::max(this->feed_commit, reply.commit);
+    // The word counts only once all that it spoke of is in force.
+    if (reply.word_age && this->state.Applied() >= reply.commit) {
+      this->feed_word =
+          std::max(this->feed_word, sent->second - *reply.word_age);
+    }
+    this->feed_sent.erase(this->feed_sent.begin(), std::next(sent));
+  }
+  if (this->state.Applied() < reply.commit && reply.number != 0) {
+    this->report_at = now;
+  }
+  const auto word = this->Word(now);
+  if (word) {
+    this->allocator.NoteWord(*word);
+  }
+}
+
+void ControlNode::HandlePropose(const HostName& from,
+                                const ProposeRequest& request,
+                                TimePoint now,
+                                ControlEffects& effects) {
+  const std::pair<HostName, std::uint64_t> origin{from, request.number};
+  if (!this->log.IsLeader() || this->forwarded_open.contains(origin)) {
+    return;
+  }
+  state::LogEffects log_effects;
+  const auto index = this->log.Propose(request.payload, now, log_effects);
+  if (index) {
+    this->forwarded[*index] = {from, request.number};
+    this->forwarded_open.insert(origin);
+  }
+  this->TakeLog(std::move(log_effects), now, effects);
+}
+
+void ControlNode::HandleProposeReply(const ProposeReply& reply,
+                                     ControlEffects& effects) {
+  if (this->proposals.erase(reply.number) > 0) {
+    effects.changes.push_back({reply.number, reply.outcome});
+  }
+}
+
+void ControlNode::HandleNotice(const HostName& from,
+                               const WithdrawalNotice& notice,
+                               TimePoint now,
+                               ControlEffects& effects) {
+  std::vector<KeyDigest> fresh;
+  for (const KeyDigest& digest : notice.digests) {
+    const bool is_known = this->early_withdrawn.contains(digest) ||
+                          this->state.Withdrawn()->contains(digest);
+    if (!is_known) {
+      fresh.push_back(digest);
+      this->early_withdrawn.insert(digest);
+      effects.withdrawn.push_back(digest);
+    }
+  }
+  if (fresh.empty()) {
+    return;
+  }
+  effects.snapshot_changed = true;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    if (name != from && name != this->options.self.name) {
+      effects.sends.push_back({name, WithdrawalNotice{fresh}});
+    }
+  }
+  this->Propose(state::WithdrawKeys{fresh}, now, effects);
+}
+
+void ControlNode::HandleRegionStatus(const HostName& from,
+                                     const RegionStatus& status,
+                                     ControlEffects& effects) {
+  this->status_heard[from] = status.number;
+  auto& sent = this->status_sent[from];
+  const auto echoed = sent.find(status.echo);
+  if (echoed != sent.end()) {
+    this->allocator.NoteConfirmed(from, status.epoch, echoed->second);
+    sent.erase(sent.begin(), std::next(echoed));
+  }
+  effects.news.push_back({from, status});
+}
+
+void ControlNode::HandleLedger(const HostName& from,
+                               const state::LedgerMessage& message,
+                               TimePoint now,
+                               ControlEffects& effects) {
+  if (const auto* permit = std::get_if<state::LedgerPermit>(&message)) {
+    if (this->client.HandlePermit(*permit, now)) {
+      effects.permits.push_back(*permit);
+    }
+    return;
+  }
+  if (const auto* updated = std::get_if<state::LedgerUpdated>(&message)) {
+    this->client.HandleUpdated(*updated);
+    return;
+  }
+  this->TakeLedger(this->ledger.Receive(from, message, now), now, effects);
+}
+
+void ControlNode::HandleChunk(const HostName& from,
+                              const PeerMessage& message,
+                              TimePoint now,
+                              ControlEffects& effects) {
+  if (const auto* grant = std::get_if<policy::ChunkGrant>(&message)) {
+    effects.grants.push_back(*grant);
+    return;
+  }
+  const std::uint64_t incarnation = this->IncarnationOf(from);
+  if (const auto* request = std::get_if<policy::ChunkRequest>(&message)) {
+    const policy::ChunkGrant grant = this->allocator.Grant(
+        {from, incarnation, request->chunk}, *request, this->state, now);
+    this->Deliver(from, grant, now, effects);
+  } else if (const auto* settled =
+                 std::get_if<policy::ChunkSettled>(&message)) {
+    this->allocator.Settle({from, incarnation, settled->chunk}, *settled, now);
+  } else if (const auto* probe = std::get_if<ProbeRequest>(&message)) {
+    ProbeReply reply;
+    reply.number = probe->number;
+    reply.region = this->options.self.region;
+    reply.loads = this->region_status.loads;
+    effects.sends.push_back({from, std::move(reply)});
+  } else if (const auto* probed = std::get_if<ProbeReply>(&message)) {
+    effects.probes.push_back({from, *probed});
+  }
+}
+
+void ControlNode::HandleStatusRequest(const HostName& from,
+                                      const StatusRequest& request,
+                                      TimePoint now,
+                                      ControlEffects& effects) {
+  if (!this->log.IsLeader()) {
+    return;
+  }
+  StatusReply reply;
+  reply.number = request.number;
+  reply.leader = this->options.self.name;
+  reply.version = this->state.Version();
+  reply.voters.assign(this->log.Voters().begin(), this->log.Voters().end());
+  this->watch.NoteStatus(this->OwnStatus(), now);
+  for (const auto& [name, host] : this->state.Hosts()) {
+    const HostStatus* status = this->watch.StatusOf(name);
+    reply.hosts.push_back({name, status == nullptr ? 0 : status->version,
+                           this->watch.IsLive(name, now)});
+  }
+  if (from == this->options.self.name) {
+    effects.statuses.push_back(std::move(reply));
+  } else {
+    effects.sends.push_back({from, std::move(reply)});
+  }
+}
+
+void ControlNode::Report(TimePoint now, ControlEffects& effects) {
+  this->watch.NoteStatus(this->OwnStatus(), now);
+  this->AskFeed(now, effects);
+  const auto view = this->state.Views().find(this->options.self.region);
+  RegionStatus status = this->region_status;
+  status.epoch =
+      view == this->state.Views().end() ? 0 : view->second.epoch;
+  status.draining = this->draining;
+  for (const HostName& peer : this->RegionPeers()) {
+    status.number = ++this->status_number[peer];
+    status.echo = this->status_heard[peer];
+    auto& sent = this->status_sent[peer];
+    sent[status.number] = now;
+    if (sent.size() > kReportsKept) {
+      sent.erase(sent.begin());
+    }
+    effects.sends.push_back({peer, status});
+  }
+  // Served tokens and announcements are news; loads are told again.
+  this->region_status.servers.clear();
+  this->region_status.served.clear();
+  std::erase_if(this->subscribers, [&](const auto& entry) {
+    return now - entry.second.heard > this->options.host_lost;
+  });
+  if (!this->early_withdrawn.empty() && !this->Leader().IsEmpty()) {
+    // Withdrawals are final, so to propose one twice does no harm.
+    if (this->proposals.empty()) {
+      this->Propose(state::WithdrawKeys{{this->early_withdrawn.begin(),
+                                         this->early_withdrawn.end()}},
+                    now, effects);
+    }
+  }
+}
+
+void ControlNode::AskFeed(TimePoint now, ControlEffects& effects) {
+  if (this->log.IsLeader()) {
+    return;
+  }
+  std::vector<HostName> sources = this->Sources();
+  if (sources.empty()) {
+    return;
+  }
+  if (now - this->feed_answered > kSilentReports * this->options.report) {
+    this->source += 1;
+    this->feed_answered = now;
+  }
+  FeedRequest request;
+  request.number = ++this->feed_number;
+  request.next = this->state.Applied() + 1;
+  request.statuses = this->watch.Recent(now);
+  this->feed_sent[request.number] = now;
+  if (this->feed_sent.size() > kReportsKept) {
+    this->feed_sent.erase(this->feed_sent.begin());
+  }
+  if (!this->ready) {
+    // Whoever starts asks all, so as not to begin behind its region.
+    for (const HostName& host : sources) {
+      effects.sends.push_back({host, request});
+    }
+    return;
+  }
+  effects.sends.push_back(
+      {sources[this->source % sources.size()], std::move(request)});
+}
+
+void ControlNode::PushFeed(TimePoint now, ControlEffects& effects) {
+  for (auto& [host, subscriber] : this->subscribers) {
+    if (subscriber.next > this->state.Applied()) {
+      continue;
+    }
+    FeedReply reply = this->MakeFeed(subscriber.next, now);
+    if (reply.snapshot) {
+      continue;
+    }
+    subscriber.next = reply.entries.back().index + 1;
+    effects.sends.push_back({host, std::move(reply)});
+  }
+}
+
+FeedReply ControlNode::MakeFeed(LogIndex next, TimePoint now) {
+  FeedReply reply;
+  reply.commit = this->state.Applied();
+  reply.leader = this->Leader();
+  const auto word = this->Word(now);
+  if (word) {
+    reply.word_age = std::chrono::ceil<milliseconds>(now - *word);
+  }
+  auto entries =
+      this->buffer.From(next, this->state.Applied(), kEntriesPerFeed);
+  if (entries) {
+    reply.entries = std::move(*entries);
+    return reply;
+  }
+  state::LogSnapshot snapshot;
+  snapshot.index = this->state.Applied();
+  snapshot.state = this->state.Encode();
+  reply.snapshot = std::move(snapshot);
+  return reply;
+}
+
+void ControlNode::DoLeaderDuties(TimePoint now, ControlEffects& effects) {
+  if (!this->log.HasLease(now) ||
+      this->state.Applied() < this->log.SnapshotIndex()) {
+    return;
+  }
+  for (const state::ControlChange& change :
+       this->duties.Due(this->state, this->watch, now)) {
+    std::string payload = state::EncodeChange(change);
+    const auto under_way = this->duties_under_way.find(payload);
+    if (under_way != this->duties_under_way.end() &&
+        under_way->second > this->state.Applied()) {
+      continue;
+    }
+    state::LogEffects log_effects;
+    const auto index = this->log.Propose(payload, now, log_effects);
+    if (index) {
+      this->duties_under_way[std::move(payload)] = *index;
+    }
+    this->TakeLog(std::move(log_effects), now, effects);
+  }
+  std::erase_if(this->duties_under_way, [&](const auto& entry) {
+    return entry.second <= this->state.Applied();
+  });
+  this->ReplaceVoters(now, effects);
+}
+
+void ControlNode::ReplaceVoters(TimePoint now, ControlEffects& effects) {
+  const auto silent = this->log.SilentSince(now - this->options.voter_lost);
+  if (silent.empty()) {
+    return;
+  }
+  const HostName& lost = *silent.begin();
+  const std::set<HostName>& voters = this->log.Voters();
+  const bool has_spare_voter = voters.size() > this->options.first_voters.size() &&
+                               !this->options.first_voters.empty();
+  state::LogEffects log_effects;
+  if (has_spare_voter) {
+    static_cast<void>(this->log.RemoveVoter(lost, now, log_effects));
+  } else if (this->log.Joining().IsEmpty()) {
+    const HostName spare = LeaderDuties::PickSpare(this->state, this->watch,
+                                                   voters, lost, now);
+    if (!spare.IsEmpty()) {
+      static_cast<void>(this->log.AddVoter(spare, now, log_effects));
+    }
+  }
+  this->TakeLog(std::move(log_effects), now, effects);
+}
+
+void ControlNode::CompactLog(ControlEffects& effects, TimePoint now) {
+  const LogIndex applied = this->state.Applied();
+  if (applied < this->log.SnapshotIndex() + this->options.compact_after ||
+      applied > this->log.Commit()) {
+    return;
+  }
+  this->TakeLog(this->log.Compact(applied, this->state.Encode()), now,
+                effects);
+}
+
+void ControlNode::ResendProposals(TimePoint now, ControlEffects& effects) {
+  std::vector<std::uint64_t> due;
+  for (const auto& [number, proposal] : this->proposals) {
+    if (now - proposal.sent >= kProposalResend) {
+      due.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : due) {
+    Proposal& proposal = this->proposals.at(number);
+    proposal.sent = now;
+    if (this->log.IsLeader()) {
+      this->ProposeHere(proposal, now, effects);
+    } else if (!this->Leader().IsEmpty()) {
+      proposal.index = 0;
+      effects.sends.push_back(
+          {this->Leader(), ProposeRequest{number, proposal.payload}});
+    }
+  }
+}
+
+void ControlNode::ProposeHere(Proposal& proposal,
+                              TimePoint now,
+                              ControlEffects& effects) {
+  if (proposal.index > this->state.Applied()) {
+    return;
+  }
+  state::LogEffects log_effects;
+  const auto index = this->log.Propose(proposal.payload, now, log_effects);
+  if (index) {
+    proposal.index = *index;
+  }
+  this->TakeLog(std::move(log_effects), now, effects);
+}
+
+void ControlNode::UpdateReady(TimePoint now, ControlEffects& effects) {
+  if (this->ready) {
+    return;
+  }
+  const state::HostRecord* self = this->FindHost(this->options.self.name);
+  const bool is_listed =
+      self != nullptr &&
+      this->state.Hosts().contains(this->options.self.name) &&
+      self->incarnation == this->options.self.incarnation;
+  const auto word = this->Word(now);
+  const bool is_fresh = word && now - *word < this->options.key_freshness &&
+                        this->state.Applied() >= this->feed_commit;
+  // Cut off from the group, the newest state of the region must do.
+  const bool has_floor = now - this->started >= this->options.floor_wait &&
+                         this->heard_region &&
+                         this->state.Applied() >= this->feed_commit &&
+                         this->state.Applied() > 0;
+  if ((is_listed && is_fresh) || has_floor) {
+    this->ready = true;
+    effects.snapshot_changed = true;
+  }
+}
+
+HostStatus ControlNode::OwnStatus() const {
+  HostStatus status;
+  status.record = this->options.self;
+  status.record.draining = this->draining;
+  status.applied = this->state.Applied();
+  status.version = this->state.Version();
+  status.synced_epoch = this->ledger.SyncedEpoch();
+  return status;
+}
+
+std::vector<HostName> ControlNode::Sources() const {
+  const HostName& self = this->options.self.name;
+  std::set<HostName> voters = this->log.Voters();
+  if (voters.empty()) {
+    for (const state::HostRecord& host : this->options.seeds) {
+      if (host.has_disk) {
+        voters.insert(host.name);
+      }
+    }
+  }
+  std::vector<HostName> sources;
+  const auto add = [&](const HostName& host) {
+    const bool is_there =
+        std::find(sources.begin(), sources.end(), host) != sources.end();
+    if (host != self && !host.IsEmpty() && !is_there) {
+      sources.push_back(host);
+    }
+  };
+  const bool is_voter = voters.contains(self);
+  if (is_voter) {
+    add(this->log.Leader());
+  }
+  for (const state::HostRecord& host : this->options.seeds) {
+    const bool is_near = host.region == this->options.self.region;
+    if (is_near && !is_voter && voters.contains(host.name)) {
+      add(host.name);
+    }
+  }
+  for (const state::HostRecord& host : this->options.seeds) {
+    const bool is_near = host.region == this->options.self.region;
+    const bool may_feed =
+        !this->ready || (!is_voter && host.name < self);
+    if (is_near && may_feed) {
+      add(host.name);
+    }
+  }
+  add(this->Leader());
+  for (const HostName& voter : voters) {
+    add(voter);
+  }
+  return sources;
+}
+
+std::optional<TimePoint> ControlNode::Word(TimePoint now) const {
+  if (this->log.HasLease(now)) {
+    return now;
+  }
+  TimePoint word = this->feed_word;
+  const bool follows = !this->log.IsLeader() && !this->log.Leader().IsEmpty();
+  if (follows && this->log.IsVoter()) {
+    word = std::max(word, this->log.LeaderWord());
+  }
+  if (word == TimePoint()) {
+    return std::nullopt;
+  }
+  return word;
+}
+
+bool ControlNode::IsAlive(const state::AskId& id) const {
+  const auto host = this->state.Hosts().find(id.host);
+  return host != this->state.Hosts().end() &&
+         host->second.incarnation == id.incarnation;
+}
+
+std::uint64_t ControlNode::IncarnationOf(const HostName& host) const {
+  const auto found = this->state.Hosts().find(host);
+  return found == this->state.Hosts().end() ? 0 : found->second.incarnation;
+}
+
+const state::HostRecord* ControlNode::FindHost(const HostName& host) const {
+  const auto found = this->state.Hosts().find(host);
+  if (found != this->state.Hosts().end()) {
+    return &found->second;
+  }
+  for (const state::HostRecord& seed : this->options.seeds) {
+    if (seed.name == host) {
+      return &seed;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace tamarackwing::control
--- /dev/null
+++ b/packages/control/src/region_allocator.cc
@@ -0,0 +1,93 @@
+#include "tamarackwing/control/region_allocator.h"
+
+#include <algorithm>
+
+namespace tamarackwing::control {
+namespace {
+
+constexpr std::chrono::milliseconds kRetryWithoutAllocator{300};
+constexpr unsigned kWhole = 100;
+
+}  // namespace
+
+RegionAllocator::RegionAllocator(const ControlOptions& options)
+    : self(options.self.name),
+      region(options.self.region),
+      lease(options.view_lease),
+      takeover(options.view_lease + options.chunk_life + 2 * options.drift),
+      allocator_percent(kWhole - options.slice_percent),
+      allocator(options.chunk_life + options.drift) {}
+
+void RegionAllocator::SetView(const state::RegionView& newer, TimePoint now) {
+  if (newer.epoch <= this->view.epoch) {
+    return;
+  }
+  const bool is_first = newer.epoch == 1;
+  this->view = newer;
+  this->confirmed.clear();
+  if (newer.coordinator != this->self) {
+    this->coordinates = false;
+    this->allocator.Clear();
+    return;
+  }
+  if (!this->coordinates) {
+    this->coordinates = true;
+    this->allocator.Clear();
+    this->starts = is_first ? now : now + this->takeover;
+  }
+}
+
+void RegionAllocator::NoteConfirmed(const HostName& member,
+                                    std::uint64_t epoch,
+                                    TimePoint sent) {
+  if (epoch == this->view.epoch) {
+    TimePoint& newest = this->confirmed[member];
+    newest = std::max(newest, sent);
+  }
+}
+
+void RegionAllocator::NoteWord(TimePoint newer) {
+  this->word = std::max(this->word, newer);
+}
+
+bool RegionAllocator::MayGrant(TimePoint now) const {
+  if (!this->coordinates || now < this->starts) {
+    return false;
+  }
+  if (now < this->word + this->lease) {
+    return true;
+  }
+  return std::all_of(this->view.members.begin(), this->view.members.end(),
+                     [&](const state::ViewMember& member) {
+                       if (member.host == this->self) {
+                         return true;
+                       }
+                       const auto found = this->confirmed.find(member.host);
+                       return found != this->confirmed.end() &&
+                              now < found->second + this->lease;
+                     });
+}
+
+policy::ChunkGrant RegionAllocator::Grant(
+    const policy::BudgetAllocator::ChunkId& id,
+    const policy::ChunkRequest& request,
+    const state::ControlState& state,
+    TimePoint now) {
+  if (!this->MayGrant(now)) {
+    return {request.chunk, request.workspace, 0, kRetryWithoutAllocator};
+  }
+  const state::RegionShare share =
+      state.ShareOf(request.workspace, this->region);
+  this->allocator.SetShare(request.workspace,
+                           share.rate * this->allocator_percent / kWhole,
+                           share.burst * this->allocator_percent / kWhole, now);
+  return this->allocator.Grant(id, request, now);
+}
+
+void RegionAllocator::Settle(const policy::BudgetAllocator::ChunkId& id,
+                             const policy::ChunkSettled& settled,
+                             TimePoint now) {
+  this->allocator.Settle(id, settled, now);
+}
+
+}  // namespace tamarackwing::control
