--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -88,11 +88,11 @@
   //! Gives a chunk back to the region's allocator.
   ControlEffects SettleChunk(const policy::ChunkSettled& settled,
                              TimePoint now);
-  //! Sets what the region's hosts are told with the next report.
-  void SetRegionStatus(RegionStatus status);
+  //! Adds to what the region's hosts are told with the next report, and sets
+  //! what other regions are told of this one.
+  void SetRegionStatus(RegionStatus status, std::vector<TargetLoad> loads);
   //! Probes a host of another region.
-  ControlEffects Probe(const HostName& host,
-                       std::uint64_t number);
+  ControlEffects Probe(const HostName& host, std::uint64_t number);
   //! Starts to tell others that this host drains.
   void StartDrain();
 
@@ -232,6 +232,7 @@
   std::map<std::string, LogIndex> duties_under_way;
   std::set<KeyDigest> early_withdrawn;
   RegionStatus region_status;
+  std::vector<TargetLoad> region_loads;
   std::map<HostName, std::uint64_t> status_number;
   std::map<HostName, std::map<std::uint64_t, TimePoint>> status_sent;
   std::map<HostName, std::uint64_t> status_heard;
--- a/packages/control/include/tamarackwing/control/feed_buffer.h
+++ b/packages/control/include/tamarackwing/control/feed_buffer.h
@@ -20,9 +20,8 @@
   //! Starts again after a snapshot.
   void Clear();
   //! Entries from `next` on; nothing where they are no longer held.
-  std::optional<std::vector<state::LogEntry>> From(LogIndex next,
-                                                   LogIndex applied,
-                                                   std::size_t most_entries) const;
+  std::optional<std::vector<state::LogEntry>>
+  From(LogIndex next, LogIndex applied, std::size_t most_entries) const;
 
  private:
   std::size_t most;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kBufferedEntries = 8'192;
 constexpr std::size_t kEntriesPerFeed = 512;
+constexpr std::size_t kHundred = 100;
 constexpr milliseconds kProposalResend{500};
 constexpr milliseconds kLedgerResend{200};
 //! Reports without an answer after which another source is tried.
@@ -230,8 +231,19 @@
   return effects;
 }
 
-void ControlNode::SetRegionStatus(RegionStatus status) {
-  this->region_status = std::move(status);
+void ControlNode::SetRegionStatus(RegionStatus status,
+                                  std::vector<TargetLoad> loads) {
+  RegionStatus& next = this->region_status;
+  next.loads = std::move(status.loads);
+  next.served.insert(next.served.end(), status.served.begin(),
+                     status.served.end());
+  for (policy::ServerReport& report : status.servers) {
+    std::erase_if(next.servers, [&](const policy::ServerReport& known) {
+      return known.name == report.name;
+    });
+    next.servers.push_back(std::move(report));
+  }
+  this->region_loads = std::move(loads);
 }
 
 ControlEffects ControlNode::Probe(const HostName& host, std::uint64_t number) {
@@ -272,6 +284,12 @@
   const auto word = this->Word(now);
   snapshot->keys_fresh_until =
       word ? *word + this->options.key_freshness : TimePoint::min();
+  snapshot->changing_shares = this->state.ChangingShares(region);
+  const auto slice = this->state.SliceOf(this->options.self.name);
+  if (slice && *slice < this->options.slices) {
+    snapshot->slice = static_cast<TokenCount>(this->options.slice_percent *
+                                              kHundred / this->options.slices);
+  }
   snapshot->ready = this->ready;
   return snapshot;
 }
@@ -346,7 +364,8 @@
     const auto withdrawn = this->state.Withdrawn();
     outcome = this->state.Apply(entry.index, entry.payload);
     for (const KeyDigest& digest : *this->state.Withdrawn()) {
-      if (withdrawn != this->state.Withdrawn() && !withdrawn->contains(digest)) {
+      if (withdrawn != this->state.Withdrawn() &&
+          !withdrawn->contains(digest)) {
         effects.withdrawn.push_back(digest);
         this->early_withdrawn.erase(digest);
       }
@@ -597,7 +616,7 @@
     ProbeReply reply;
     reply.number = probe->number;
     reply.region = this->options.self.region;
-    reply.loads = this->region_status.loads;
+    reply.loads = this->region_loads;
     effects.sends.push_back({from, std::move(reply)});
   } else if (const auto* probed = std::get_if<ProbeReply>(&message)) {
     effects.probes.push_back({from, *probed});
@@ -634,8 +653,7 @@
   this->AskFeed(now, effects);
   const auto view = this->state.Views().find(this->options.self.region);
   RegionStatus status = this->region_status;
-  status.epoch =
-      view == this->state.Views().end() ? 0 : view->second.epoch;
+  status.epoch = view == this->state.Views().end() ? 0 : view->second.epoch;
   status.draining = this->draining;
   for (const HostName& peer : this->RegionPeers()) {
     status.number = ++this->status_number[peer];
@@ -762,14 +780,15 @@
   }
   const HostName& lost = *silent.begin();
   const std::set<HostName>& voters = this->log.Voters();
-  const bool has_spare_voter = voters.size() > this->options.first_voters.size() &&
-                               !this->options.first_voters.empty();
+  const bool has_spare_voter =
+      voters.size() > this->options.first_voters.size() &&
+      !this->options.first_voters.empty();
   state::LogEffects log_effects;
   if (has_spare_voter) {
     static_cast<void>(this->log.RemoveVoter(lost, now, log_effects));
   } else if (this->log.Joining().IsEmpty()) {
-    const HostName spare = LeaderDuties::PickSpare(this->state, this->watch,
-                                                   voters, lost, now);
+    const HostName spare =
+        LeaderDuties::PickSpare(this->state, this->watch, voters, lost, now);
     if (!spare.IsEmpty()) {
       static_cast<void>(this->log.AddVoter(spare, now, log_effects));
     }
@@ -783,8 +802,7 @@
       applied > this->log.Commit()) {
     return;
   }
-  this->TakeLog(this->log.Compact(applied, this->state.Encode()), now,
-                effects);
+  this->TakeLog(this->log.Compact(applied, this->state.Encode()), now, effects);
 }
 
 void ControlNode::ResendProposals(TimePoint now, ControlEffects& effects) {
@@ -834,10 +852,9 @@
   const bool is_fresh = word && now - *word < this->options.key_freshness &&
                         this->state.Applied() >= this->feed_commit;
   // Cut off from the group, the newest state of the region must do.
-  const bool has_floor = now - this->started >= this->options.floor_wait &&
-                         this->heard_region &&
-                         this->state.Applied() >= this->feed_commit &&
-                         this->state.Applied() > 0;
+  const bool has_floor =
+      now - this->started >= this->options.floor_wait && this->heard_region &&
+      this->state.Applied() >= this->feed_commit && this->state.Applied() > 0;
   if ((is_listed && is_fresh) || has_floor) {
     this->ready = true;
     effects.snapshot_changed = true;
@@ -884,8 +901,7 @@
   }
   for (const state::HostRecord& host : this->options.seeds) {
     const bool is_near = host.region == this->options.self.region;
-    const bool may_feed =
-        !this->ready || (!is_voter && host.name < self);
+    const bool may_feed = !this->ready || (!is_voter && host.name < self);
     if (is_near && may_feed) {
       add(host.name);
     }
--- a/packages/control/src/leader_duties.cc
+++ b/packages/control/src/leader_duties.cc
@@ -27,9 +27,8 @@
 //! Whether the process, or the disk, of that member is the one of the view.
 bool IsSameHolder(const RegionView& view, const HostRecord& host) {
   const ViewMember* member = FindMember(view, host.name);
-  return member != nullptr &&
-         (member->incarnation == host.incarnation ||
-          (member->has_disk && host.has_disk));
+  return member != nullptr && (member->incarnation == host.incarnation ||
+                               (member->has_disk && host.has_disk));
 }
 
 //! The last epoch that may have given permits: the view's own, unless one of
@@ -70,12 +69,11 @@
   if (old.members.size() != members.size()) {
     return false;
   }
-  return std::all_of(members.begin(), members.end(),
-                     [&](const HostRecord& host) {
-                       const ViewMember* member = FindMember(old, host.name);
-                       return member != nullptr &&
-                              member->incarnation == host.incarnation;
-                     });
+  return std::all_of(
+      members.begin(), members.end(), [&](const HostRecord& host) {
+        const ViewMember* member = FindMember(old, host.name);
+        return member != nullptr && member->incarnation == host.incarnation;
+      });
 }
 
 }  // namespace
@@ -164,10 +162,9 @@
     const auto known = state.Hosts().find(record.name);
     const bool is_newer = known == state.Hosts().end() ||
                           known->second.incarnation < record.incarnation;
-    const bool drains =
-        known != state.Hosts().end() && record.draining &&
-        !known->second.draining &&
-        known->second.incarnation == record.incarnation;
+    const bool drains = known != state.Hosts().end() && record.draining &&
+                        !known->second.draining &&
+                        known->second.incarnation == record.incarnation;
     if (is_newer) {
       changes.emplace_back(state::PutHost{record});
     } else if (drains) {
--- a/packages/control/src/ledger_client.cc
+++ b/packages/control/src/ledger_client.cc
@@ -93,12 +93,12 @@
   for (auto asking = this->asks.begin(); asking != this->asks.end();) {
     Asking& entry = asking->second;
     if (now - entry.since >= kAskPatience) {
-      refused.push_back(
-          {entry.ask.id, state::PermitVerdict::kUnavailable, {}});
+      refused.push_back({entry.ask.id, state::PermitVerdict::kUnavailable, {}});
       // It may have been granted on its way: nothing was sent, so it is given
       // back, once or more often.
       this->AddUpdate(entry.region,
-                      {entry.ask.id, entry.ask.operation,
+                      {entry.ask.id,
+                       entry.ask.operation,
                        state::OperationState::kReleased,
                        {}},
                       now);
--- a/packages/control/src/region_allocator.cc
+++ b/packages/control/src/region_allocator.cc
@@ -7,6 +7,7 @@
 
 constexpr std::chrono::milliseconds kRetryWithoutAllocator{300};
 constexpr unsigned kWhole = 100;
+constexpr std::chrono::hours kLongAgo{1};
 
 }  // namespace
 
@@ -16,7 +17,7 @@
       lease(options.view_lease),
       takeover(options.view_lease + options.chunk_life + 2 * options.drift),
       allocator_percent(kWhole - options.slice_percent),
-      allocator(options.chunk_life + options.drift) {}
+      allocator(options.chunk_life + options.drift, TimePoint::max()) {}
 
 void RegionAllocator::SetView(const state::RegionView& newer, TimePoint now) {
   if (newer.epoch <= this->view.epoch) {
@@ -27,13 +28,13 @@
   this->confirmed.clear();
   if (newer.coordinator != this->self) {
     this->coordinates = false;
-    this->allocator.Clear();
     return;
   }
   if (!this->coordinates) {
     this->coordinates = true;
-    this->allocator.Clear();
     this->starts = is_first ? now : now + this->takeover;
+    // Nobody gave out tokens before the first view: its buckets are full.
+    this->allocator.Clear(is_first ? now - kLongAgo : this->starts);
   }
 }
 
--- a/packages/gateway/src/authorizer.cc
+++ b/packages/gateway/src/authorizer.cc
@@ -23,10 +23,10 @@
                                           const KeyDigest& key,
                                           const RegionName& region,
                                           TimePoint now) {
-  if (!snapshot.ready || !snapshot.set) {
+  if (!snapshot.ready) {
     return unexpected(RefusalCode::kNotReady);
   }
-  if (snapshot.withdrawn && snapshot.withdrawn->contains(key)) {
+  if (snapshot.withdrawn->contains(key)) {
     return unexpected(RefusalCode::kKeyWithdrawn);
   }
   const auto found = snapshot.set->keys.find(key);
@@ -47,7 +47,7 @@
 Expected<const state::Route*, RefusalCode> FindRoute(
     const state::Snapshot& snapshot,
     const RouteName& route) {
-  if (!snapshot.ready || !snapshot.set) {
+  if (!snapshot.ready) {
     return unexpected(RefusalCode::kNotReady);
   }
   const auto found = snapshot.set->routes.find(route);
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -127,8 +127,7 @@
                                         const WorkspaceName& name) const {
   std::vector<HostName> near;
   std::vector<HostName> far;
-  const state::Workspace* workspace =
-      snapshot.set ? FindWorkspace(snapshot, name) : nullptr;
+  const state::Workspace* workspace = FindWorkspace(snapshot, name);
   if (workspace == nullptr) {
     return near;
   }
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -128,7 +128,7 @@
         });
     // A key withdrawn between the check and the entry would be missed.
     const auto newest = parts.snapshots.Get();
-    if (newest->withdrawn && newest->withdrawn->contains(this->grant.key)) {
+    if (newest->withdrawn->contains(this->grant.key)) {
       co_return RefuseNotRun(RefusalCode::kKeyWithdrawn);
     }
   }
@@ -252,7 +252,7 @@
       this->call ? this->call->prompt_tokens + this->call->output_tokens
                  : kServiceTokens;
   this->used_tokens = 0;
-  auto handoff = std::make_shared<Handoff<BudgetAnswer>>(this->executor);
+  auto handoff = std::make_shared<http::Handoff<BudgetAnswer>>(this->executor);
   this->interrupt_wait = [handoff] { handoff->Interrupt(); };
   TokenBudget& budget = this->gateway.Parts().budget;
   const WorkspaceName workspace = this->grant.workspace;
@@ -305,7 +305,7 @@
                       : kServiceTokens;
   queued.latest_start = this->deadline - *expected;
   this->queue_id = queued.id;
-  auto handoff = std::make_shared<Handoff<Admission>>(this->executor);
+  auto handoff = std::make_shared<http::Handoff<Admission>>(this->executor);
   this->interrupt_wait = [handoff] { handoff->Interrupt(); };
   AdmissionGate& gate = parts.gate;
   gate.Enter(this->target, std::move(queued),
@@ -583,7 +583,8 @@
 }
 
 http::asio::awaitable<ServedRequest::Outcome> ServedRequest::ServeOperation() {
-  auto done = std::make_shared<Handoff<std::optional<Refusal>>>(this->executor);
+  auto done =
+      std::make_shared<http::Handoff<std::optional<Refusal>>>(this->executor);
   http::asio::co_spawn(this->executor,
                        RunOperation(this->shared_from_this(), done),
                        http::asio::detached);
@@ -610,7 +611,7 @@
 
 http::asio::awaitable<void> ServedRequest::RunOperation(
     std::shared_ptr<ServedRequest> self,
-    std::shared_ptr<Handoff<std::optional<Refusal>>> done) {
+    std::shared_ptr<http::Handoff<std::optional<Refusal>>> done) {
   const Gateway::Presence presence(self->gateway);
   Outcome refusal = co_await self->AskPermit();
   if (!refusal && self->operation_answer.status == 0) {
@@ -624,7 +625,7 @@
   const OperationId operation =
       DigestOperation(this->grant.workspace, this->route->name,
                       *this->request.head.idempotency_key);
-  auto handoff = std::make_shared<Handoff<Permit>>(this->executor);
+  auto handoff = std::make_shared<http::Handoff<Permit>>(this->executor);
   OperationPermits& permits = this->gateway.Parts().permits;
   permits.Ask(region, operation,
               [handoff, &permits, region, operation](Permit permit) {
--- a/packages/gateway/src/served_request.h
+++ b/packages/gateway/src/served_request.h
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "event_splitter.h"
-#include "handoff.h"
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/refusal.h"
 #include "tamarackwing/base/trace_context.h"
@@ -18,6 +17,7 @@
 #include "tamarackwing/gateway/region_hosts.h"
 #include "tamarackwing/gateway/token_budget.h"
 #include "tamarackwing/http/connection.h"
+#include "tamarackwing/http/handoff.h"
 #include "tamarackwing/policy/server_table.h"
 #include "tamarackwing/state/snapshot.h"
 
@@ -82,7 +82,7 @@
   http::asio::awaitable<Outcome> ServeOperation();
   static http::asio::awaitable<void> RunOperation(
       std::shared_ptr<ServedRequest> self,
-      std::shared_ptr<Handoff<std::optional<Refusal>>> done);
+      std::shared_ptr<http::Handoff<std::optional<Refusal>>> done);
   http::asio::awaitable<Outcome> AskPermit();
   http::asio::awaitable<Outcome> SendOperation();
   http::asio::awaitable<Outcome> Forward();
--- /dev/null
+++ b/packages/hosts/src/peer.capnp
@@ -0,0 +1,285 @@
+@0xb4f3c6a27d1e9058;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("tamarackwing::hosts::wire");
+
+# What hosts of tamarackwing tell each other.
+
+interface Entry {
+  # The first capability of a connection: gives a session to who knows the
+  # cluster's secret.
+  hello @0 (host :Text, secret :Text) -> (session :Session);
+}
+
+interface Session {
+  deliver @0 (message :PeerMessage);
+}
+
+struct LogEntry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  kind @2 :UInt8;
+  payload @3 :Data;
+  voters @4 :List(Text);
+}
+
+struct LogSnapshot {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  voters @2 :List(Text);
+  state @3 :Data;
+}
+
+struct VoteRequest {
+  term @0 :UInt64;
+  lastIndex @1 :UInt64;
+  lastTerm @2 :UInt64;
+  isPreVote @3 :Bool;
+}
+
+struct VoteReply {
+  term @0 :UInt64;
+  granted @1 :Bool;
+  isPreVote @2 :Bool;
+}
+
+struct AppendRequest {
+  term @0 :UInt64;
+  previousIndex @1 :UInt64;
+  previousTerm @2 :UInt64;
+  entries @3 :List(LogEntry);
+  commit @4 :UInt64;
+  round @5 :UInt64;
+}
+
+struct AppendReply {
+  term @0 :UInt64;
+  accepted @1 :Bool;
+  match @2 :UInt64;
+  round @3 :UInt64;
+}
+
+struct InstallRequest {
+  term @0 :UInt64;
+  snapshot @1 :LogSnapshot;
+  round @2 :UInt64;
+}
+
+struct AskId {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+}
+
+struct StoredAnswer {
+  status @0 :UInt32;
+  contentType @1 :Text;
+  body @2 :Data;
+}
+
+struct OperationRecord {
+  operation @0 :Text;
+  state @1 :UInt8;
+  holder @2 :AskId;
+  answer @3 :StoredAnswer;
+}
+
+struct LedgerAsk {
+  id @0 :AskId;
+  operation @1 :Text;
+}
+
+struct LedgerPermit {
+  id @0 :AskId;
+  verdict @1 :UInt8;
+  answer @2 :StoredAnswer;
+}
+
+struct LedgerUpdate {
+  id @0 :AskId;
+  operation @1 :Text;
+  state @2 :UInt8;
+  answer @3 :StoredAnswer;
+}
+
+struct LedgerStore {
+  region @0 :Text;
+  epoch @1 :UInt64;
+  sequence @2 :UInt64;
+  record @3 :OperationRecord;
+}
+
+struct LedgerStored {
+  region @0 :Text;
+  epoch @1 :UInt64;
+  sequence @2 :UInt64;
+}
+
+struct LedgerCopy {
+  region @0 :Text;
+  epoch @1 :UInt64;
+  part @2 :UInt32;
+  parts @3 :UInt32;
+  records @4 :List(OperationRecord);
+}
+
+struct LedgerCopied {
+  region @0 :Text;
+  epoch @1 :UInt64;
+  part @2 :UInt32;
+}
+
+struct HostRecord {
+  name @0 :Text;
+  region @1 :Text;
+  dataCentre @2 :Text;
+  callerAddress @3 :Text;
+  callerPort @4 :UInt16;
+  peerAddress @5 :Text;
+  peerPort @6 :UInt16;
+  forwardPort @7 :UInt16;
+  hasDisk @8 :Bool;
+  incarnation @9 :UInt64;
+  draining @10 :Bool;
+}
+
+struct HostStatus {
+  record @0 :HostRecord;
+  applied @1 :UInt64;
+  version @2 :UInt64;
+  syncedEpoch @3 :UInt64;
+  ageMs @4 :Int64;
+}
+
+struct FeedRequest {
+  number @0 :UInt64;
+  next @1 :UInt64;
+  statuses @2 :List(HostStatus);
+}
+
+struct FeedReply {
+  number @0 :UInt64;
+  entries @1 :List(LogEntry);
+  snapshot @2 :LogSnapshot;
+  commit @3 :UInt64;
+  # Negative where there never was word from a leader.
+  wordAgeMs @4 :Int64 = -1;
+  leader @5 :Text;
+}
+
+struct ProposeRequest {
+  number @0 :UInt64;
+  payload @1 :Data;
+}
+
+struct SetFault {
+  code @0 :UInt8;
+  path @1 :Text;
+  line @2 :UInt32;
+  found @3 :Text;
+}
+
+struct ProposeReply {
+  number @0 :UInt64;
+  kind @1 :UInt8;
+  version @2 :UInt64;
+  faults @3 :List(SetFault);
+}
+
+struct TargetLoad {
+  target @0 :Text;
+  slots @1 :UInt32;
+  demand @2 :UInt32;
+}
+
+struct ServedTokens {
+  target @0 :Text;
+  workspace @1 :Text;
+  tokens @2 :Int64;
+}
+
+struct ServerReport {
+  name @0 :Text;
+  region @1 :Text;
+  dataCentre @2 :Text;
+  address @3 :Text;
+  port @4 :UInt16;
+  targets @5 :List(Text);
+  slots @6 :UInt32;
+  running @7 :UInt32;
+  queued @8 :UInt32;
+  prefillRate @9 :Float64;
+  decodeRate @10 :Float64;
+  ageMs @11 :Int64;
+  leaving @12 :Bool;
+}
+
+struct RegionStatus {
+  number @0 :UInt64;
+  echo @1 :UInt64;
+  epoch @2 :UInt64;
+  draining @3 :Bool;
+  loads @4 :List(TargetLoad);
+  served @5 :List(ServedTokens);
+  servers @6 :List(ServerReport);
+}
+
+struct ProbeReply {
+  number @0 :UInt64;
+  region @1 :Text;
+  loads @2 :List(TargetLoad);
+}
+
+struct Chunk {
+  chunk @0 :UInt64;
+  workspace @1 :Text;
+  # Needed, granted or unused, by the message that holds it.
+  tokens @2 :Int64;
+  wanted @3 :Int64;
+  retryAfterMs @4 :Int64;
+}
+
+struct HostProgress {
+  host @0 :Text;
+  version @1 :UInt64;
+  isLive @2 :Bool;
+}
+
+struct StatusReply {
+  number @0 :UInt64;
+  leader @1 :Text;
+  version @2 :UInt64;
+  voters @3 :List(Text);
+  hosts @4 :List(HostProgress);
+}
+
+struct PeerMessage {
+  union {
+    voteRequest @0 :VoteRequest;
+    voteReply @1 :VoteReply;
+    appendRequest @2 :AppendRequest;
+    appendReply @3 :AppendReply;
+    installRequest @4 :InstallRequest;
+    ledgerAsk @5 :LedgerAsk;
+    ledgerPermit @6 :LedgerPermit;
+    ledgerUpdate @7 :LedgerUpdate;
+    ledgerUpdated @8 :AskId;
+    ledgerStore @9 :LedgerStore;
+    ledgerStored @10 :LedgerStored;
+    ledgerCopy @11 :LedgerCopy;
+    ledgerCopied @12 :LedgerCopied;
+    feedRequest @13 :FeedRequest;
+    feedReply @14 :FeedReply;
+    proposeRequest @15 :ProposeRequest;
+    proposeReply @16 :ProposeReply;
+    withdrawalNotice @17 :List(Text);
+    regionStatus @18 :RegionStatus;
+    probeRequest @19 :UInt64;
+    probeReply @20 :ProbeReply;
+    chunkRequest @21 :Chunk;
+    chunkGrant @22 :Chunk;
+    chunkSettled @23 :Chunk;
+    statusRequest @24 :UInt64;
+    statusReply @25 :StatusReply;
+  }
+}
--- /dev/null
+++ b/packages/hosts/src/peer_network.cc
@@ -0,0 +1,369 @@
+#include "tamarackwing/hosts/peer_network.h"
+
+#include <capnp/message.h>
+#include <capnp/rpc-twoparty.h>
+#include <capnp/serialize.h>
+#include <kj/async-io.h>
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "peer.capnp.h"
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/digest.h"
+#include "tamarackwing/base/event.h"
+#include "tamarackwing/hosts/peer_handler.h"
+#include "wire_codec.h"
+
+namespace tamarackwing::hosts {
+namespace {
+
+//! Bounds what one message may make a reader allocate or follow.
+constexpr std::uint64_t kMostWords = 64ULL * 1024 * 1024;
+
+capnp::ReaderOptions BoundedReads() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kMostWords;
+  return options;
+}
+
+kj::Duration ToKj(std::chrono::milliseconds time) {
+  return time.count() * kj::MILLISECONDS;
+}
+
+//! Takes the messages of one host.
+class SessionServer final : public wire::Session::Server {
+ public:
+  SessionServer(HostName from, PeerHandler& handler)
+      : from(std::move(from)), handler(handler) {}
+
+  kj::Promise<void> deliver(DeliverContext context) override {
+    auto message = ReadMessage(context.getParams().getMessage());
+    if (message) {
+      this->handler.HandleMessage(this->from, std::move(*message));
+    }
+    return kj::READY_NOW;
+  }
+
+ private:
+  HostName from;
+  PeerHandler& handler;
+};
+
+//! Gives sessions to hosts that know the secret.
+class EntryServer final : public wire::Entry::Server {
+ public:
+  EntryServer(const std::string& secret, PeerHandler& handler)
+      : secret(secret), handler(handler) {}
+
+  kj::Promise<void> hello(HelloContext context) override {
+    const auto params = context.getParams();
+    const std::string given(params.getSecret().cStr());
+    KJ_REQUIRE(EqualInConstantTime(given, this->secret), "unknown host");
+    context.getResults().setSession(kj::heap<SessionServer>(
+        HostName(params.getHost().cStr()), this->handler));
+    return kj::READY_NOW;
+  }
+
+ private:
+  const std::string& secret;
+  PeerHandler& handler;
+};
+
+//! The server's end of one accepted connection.
+struct Accepted {
+  Accepted(kj::Own<kj::AsyncIoStream> given, wire::Entry::Client entry)
+      : stream(kj::mv(given)),
+        network(*stream, capnp::rpc::twoparty::Side::SERVER, BoundedReads()),
+        rpc(capnp::makeRpcServer(network, kj::mv(entry))) {}
+
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
+//! The client's end of one connection.
+struct Connected {
+  Connected(kj::Own<kj::AsyncIoStream> given,
+            const std::string& self,
+            const std::string& secret)
+      : stream(kj::mv(given)),
+        client(*stream),
+        session(Greet(client, self, secret)) {}
+
+  static wire::Session::Client Greet(capnp::TwoPartyClient& client,
+                                     const std::string& self,
+                                     const std::string& secret) {
+    auto request = client.bootstrap().castAs<wire::Entry>().helloRequest();
+    request.setHost(self.c_str());
+    request.setSecret(secret.c_str());
+    return request.send().getSession();
+  }
+
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyClient client;
+  wire::Session::Client session;
+  std::size_t open_calls = 0;
+};
+
+}  // namespace
+
+struct PeerNetwork::State final : public kj::TaskSet::ErrorHandler {
+  State(NetworkOptions given, PeerHandler& handler)
+      : options(std::move(given)),
+        handler(handler),
+        io(kj::setupAsyncIo()),
+        tasks(*this) {}
+
+  //! One other host.
+  struct Peer {
+    std::string address;
+    std::uint16_t port = 0;
+    kj::Own<Connected> connection;
+    bool connecting = false;
+    TimePoint retry_at;
+    std::deque<control::PeerMessage> waiting;
+    //! Tells answers of an older connection from those of this one.
+    std::uint64_t generation = 0;
+  };
+
+  void taskFailed(kj::Exception&&) override {}
+
+  kj::Promise<void> Accept(kj::Own<kj::ConnectionReceiver> receiver) {
+    auto& listener = *receiver;
+    return listener.accept()
+        .then([this](kj::Own<kj::AsyncIoStream> stream) {
+          auto accepted = kj::heap<Accepted>(
+              kj::mv(stream),
+              kj::heap<EntryServer>(this->options.secret, this->handler));
+          auto ended = accepted->network.onDisconnect();
+          this->tasks.add(ended.attach(kj::mv(accepted)));
+        })
+        .then([this, receiver = kj::mv(receiver)]() mutable {
+          return this->Accept(kj::mv(receiver));
+        });
+  }
+
+  void Connect(const HostName& name, Peer& peer) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (peer.connecting || now < peer.retry_at || peer.address.empty()) {
+      return;
+    }
+    peer.connecting = true;
+    peer.retry_at = now + this->options.reconnect;
+    auto connected = this->io.provider->getNetwork()
+                         .parseAddress(peer.address.c_str(), peer.port)
+                         .then([](kj::Own<kj::NetworkAddress> address) {
+                           auto& target = *address;
+                           return target.connect().attach(kj::mv(address));
+                         });
+    auto timed = this->io.provider->getTimer().timeoutAfter(
+        ToKj(this->options.silence), kj::mv(connected));
+    this->tasks.add(timed.then(
+        [this, name](kj::Own<kj::AsyncIoStream> stream) {
+          this->FinishConnect(name, kj::mv(stream));
+        },
+        [this, name](kj::Exception&&) { this->Drop(name); }));
+  }
+
+  void FinishConnect(const HostName& name, kj::Own<kj::AsyncIoStream> stream) {
+    const auto found = this->peers.find(name);
+    if (found == this->peers.end()) {
+      return;
+    }
+    Peer& peer = found->second;
+    peer.connecting = false;
+    peer.generation += 1;
+    peer.connection = kj::heap<Connected>(
+        kj::mv(stream), this->options.self.Text(), this->options.secret);
+    LogEvent(Event::kPeerConnected, LogLevel::kDebug, {{"peer", name.Text()}});
+    std::deque<control::PeerMessage> waiting;
+    waiting.swap(peer.waiting);
+    for (const control::PeerMessage& message : waiting) {
+      this->Call(name, peer, message);
+    }
+  }
+
+  void Call(const HostName& name,
+            Peer& peer,
+            const control::PeerMessage& message) {
+    if (peer.connection->open_calls >= this->options.waiting) {
+      return;
+    }
+    auto request = peer.connection->session.deliverRequest();
+    WriteMessage(message, request.initMessage());
+    this->sent_bytes.fetch_add(request.totalSize().wordCount *
+                               sizeof(capnp::word));
+    peer.connection->open_calls += 1;
+    const std::uint64_t generation = peer.generation;
+    auto answered = request.send().ignoreResult();
+    auto timed = this->io.provider->getTimer().timeoutAfter(
+        ToKj(this->options.silence), kj::mv(answered));
+    this->tasks.add(timed.then(
+        [this, name, generation]() { this->NoteAnswered(name, generation); },
+        [this, name, generation](kj::Exception&&) {
+          const auto found = this->peers.find(name);
+          if (found != this->peers.end() &&
+              found->second.generation == generation) {
+            this->Drop(name);
+          }
+        }));
+  }
+
+  void NoteAnswered(const HostName& name, std::uint64_t generation) {
+    const auto found = this->peers.find(name);
+    const bool is_current = found != this->peers.end() &&
+                            found->second.generation == generation &&
+                            found->second.connection.get() != nullptr;
+    if (is_current) {
+      found->second.connection->open_calls -= 1;
+    }
+  }
+
+  //! Ends a connection, the silent ones that never close among them.
+  void Drop(const HostName& name) {
+    const auto found = this->peers.find(name);
+    if (found == this->peers.end()) {
+      return;
+    }
+    Peer& peer = found->second;
+    if (peer.connection.get() != nullptr) {
+      LogEvent(Event::kPeerLost, LogLevel::kInfo, {{"peer", name.Text()}});
+      // The call that failed may still be on the stack of this connection.
+      this->tasks.add(kj::evalLater(
+          [old = kj::mv(peer.connection)]() mutable { old = nullptr; }));
+    }
+    peer.connection = nullptr;
+    peer.connecting = false;
+    peer.generation += 1;
+    peer.waiting.clear();
+  }
+
+  kj::Promise<void> RunTasks() {
+    auto paf = kj::newPromiseAndCrossThreadFulfiller<void>();
+    {
+      const std::lock_guard lock(this->mutex);
+      this->wake = kj::mv(paf.fulfiller);
+      if (!this->posted.empty()) {
+        this->wake->fulfill();
+      }
+    }
+    return paf.promise.then([this]() {
+      std::deque<std::function<void()>> due;
+      {
+        const std::lock_guard lock(this->mutex);
+        due.swap(this->posted);
+      }
+      for (const std::function<void()>& task : due) {
+        task();
+      }
+      return this->RunTasks();
+    });
+  }
+
+  kj::Promise<void> RunTicks(std::chrono::milliseconds every,
+                             const std::function<void()>& tick) {
+    return this->io.provider->getTimer()
+        .afterDelay(ToKj(every))
+        .then([this, every, &tick]() -> kj::Promise<void> {
+          tick();
+          if (this->stopping.load()) {
+            return kj::READY_NOW;
+          }
+          return this->RunTicks(every, tick);
+        });
+  }
+
+  NetworkOptions options;
+  PeerHandler& handler;
+  kj::AsyncIoContext io;
+  std::map<HostName, Peer> peers;
+  std::mutex mutex;
+  std::deque<std::function<void()>> posted;
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake;
+  std::atomic<bool> stopping{false};
+  std::atomic<std::uint64_t> sent_bytes{0};
+  kj::TaskSet tasks;
+};
+
+PeerNetwork::PeerNetwork(NetworkOptions options, PeerHandler& handler)
+    : state(std::make_unique<State>(std::move(options), handler)) {}
+
+PeerNetwork::~PeerNetwork() = default;
+
+Expected<void, NetworkError> PeerNetwork::Listen() {
+  State& network = *this->state;
+  try {
+    auto address =
+        network.io.provider->getNetwork()
+            .parseAddress(network.options.address.c_str(), network.options.port)
+            .wait(network.io.waitScope);
+    network.tasks.add(network.Accept(address->listen()));
+  } catch (const kj::Exception&) {
+    return unexpected(NetworkError::kCannotListen);
+  }
+  return {};
+}
+
+void PeerNetwork::SetHosts(const std::vector<state::HostRecord>& hosts) {
+  for (const state::HostRecord& host : hosts) {
+    if (host.name == this->state->options.self) {
+      continue;
+    }
+    State::Peer& peer = this->state->peers[host.name];
+    const bool moved =
+        peer.address != host.peer_address || peer.port != host.peer_port;
+    if (moved) {
+      peer.address = host.peer_address;
+      peer.port = host.peer_port;
+      this->state->Drop(host.name);
+    }
+  }
+}
+
+void PeerNetwork::Send(const HostName& to,
+                       const control::PeerMessage& message) {
+  const auto found = this->state->peers.find(to);
+  if (found == this->state->peers.end()) {
+    return;
+  }
+  State::Peer& peer = found->second;
+  if (peer.connection.get() != nullptr) {
+    this->state->Call(to, peer, message);
+    return;
+  }
+  if (peer.waiting.size() < this->state->options.waiting) {
+    peer.waiting.push_back(message);
+  }
+  this->state->Connect(to, peer);
+}
+
+void PeerNetwork::Run(std::chrono::milliseconds every,
+                      const std::function<void()>& tick) {
+  auto posted =
+      this->state->RunTasks().eagerlyEvaluate([](kj::Exception&& exception) {
+        kj::throwFatalException(kj::mv(exception));
+      });
+  this->state->RunTicks(every, tick).wait(this->state->io.waitScope);
+}
+
+void PeerNetwork::Post(std::function<void()> task) {
+  const std::lock_guard lock(this->state->mutex);
+  this->state->posted.push_back(std::move(task));
+  if (this->state->wake.get() != nullptr) {
+    this->state->wake->fulfill();
+  }
+}
+
+void PeerNetwork::Stop() {
+  this->state->stopping.store(true);
+}
+
+std::uint64_t PeerNetwork::SentBytes() const {
+  return this->state->sent_bytes.load();
+}
+
+}  // namespace tamarackwing::hosts
--- /dev/null
+++ b/packages/hosts/src/wire_codec.cc
@@ -0,0 +1,707 @@
+#include "wire_codec.h"
+
+#include <string>
+#include <utility>
+
+namespace tamarackwing::hosts {
+namespace {
+
+using control::PeerMessage;
+using std::chrono::milliseconds;
+
+capnp::Data::Reader Bytes(const std::string& text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+
+capnp::Text::Reader Chars(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
+
+std::string Text(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+std::string Text(capnp::Data::Reader bytes) {
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+//! Reads an enumerator and notes one that does not exist.
+template <typename Enum>
+Enum ReadEnum(std::uint8_t value, Enum last, bool& valid) {
+  if (value > static_cast<std::uint8_t>(last)) {
+    valid = false;
+    return Enum();
+  }
+  return static_cast<Enum>(value);
+}
+
+template <typename Names, typename Builder>
+void WriteNames(const Names& names, Builder out) {
+  unsigned i = 0;
+  for (const auto& name : names) {
+    out.set(i++, Chars(name.Text()));
+  }
+}
+
+template <typename Id>
+std::vector<Id> ReadNames(capnp::List<capnp::Text>::Reader in) {
+  std::vector<Id> names;
+  for (const auto name : in) {
+    names.emplace_back(Text(name));
+  }
+  return names;
+}
+
+std::set<HostName> ReadHostSet(capnp::List<capnp::Text>::Reader in) {
+  std::set<HostName> names;
+  for (const auto name : in) {
+    names.insert(HostName(Text(name)));
+  }
+  return names;
+}
+
+void Write(const state::LogEntry& entry, wire::LogEntry::Builder out) {
+  out.setIndex(entry.index);
+  out.setTerm(entry.term);
+  out.setKind(static_cast<std::uint8_t>(entry.kind));
+  out.setPayload(Bytes(entry.payload));
+  WriteNames(entry.voters,
+             out.initVoters(static_cast<unsigned>(entry.voters.size())));
+}
+
+state::LogEntry Read(wire::LogEntry::Reader in, bool& valid) {
+  state::LogEntry entry;
+  entry.index = in.getIndex();
+  entry.term = in.getTerm();
+  entry.kind = ReadEnum(in.getKind(), state::EntryKind::kVoters, valid);
+  entry.payload = Text(in.getPayload());
+  entry.voters = ReadHostSet(in.getVoters());
+  return entry;
+}
+
+std::vector<state::LogEntry> ReadEntries(capnp::List<wire::LogEntry>::Reader in,
+                                         bool& valid) {
+  std::vector<state::LogEntry> entries;
+  for (const auto entry : in) {
+    entries.push_back(Read(entry, valid));
+  }
+  return entries;
+}
+
+void Write(const state::LogSnapshot& snapshot, wire::LogSnapshot::Builder out) {
+  out.setIndex(snapshot.index);
+  out.setTerm(snapshot.term);
+  WriteNames(snapshot.voters,
+             out.initVoters(static_cast<unsigned>(snapshot.voters.size())));
+  out.setState(Bytes(snapshot.state));
+}
+
+state::LogSnapshot Read(wire::LogSnapshot::Reader in) {
+  return {in.getIndex(), in.getTerm(), ReadHostSet(in.getVoters()),
+          Text(in.getState())};
+}
+
+void Write(const state::AskId& id, wire::AskId::Builder out) {
+  out.setHost(Chars(id.host.Text()));
+  out.setIncarnation(id.incarnation);
+  out.setNumber(id.number);
+}
+
+state::AskId Read(wire::AskId::Reader in) {
+  return {HostName(Text(in.getHost())), in.getIncarnation(), in.getNumber()};
+}
+
+void Write(const state::StoredAnswer& answer, wire::StoredAnswer::Builder out) {
+  out.setStatus(answer.status);
+  out.setContentType(Chars(answer.content_type));
+  out.setBody(Bytes(answer.body));
+}
+
+state::StoredAnswer Read(wire::StoredAnswer::Reader in) {
+  return {in.getStatus(), Text(in.getContentType()), Text(in.getBody())};
+}
+
+void Write(const state::OperationRecord& record,
+           wire::OperationRecord::Builder out) {
+  out.setOperation(Chars(record.operation.Text()));
+  out.setState(static_cast<std::uint8_t>(record.state));
+  Write(record.holder, out.initHolder());
+  Write(record.answer, out.initAnswer());
+}
+
+state::OperationRecord Read(wire::OperationRecord::Reader in, bool& valid) {
+  state::OperationRecord record;
+  record.operation = OperationId(Text(in.getOperation()));
+  record.state =
+      ReadEnum(in.getState(), state::OperationState::kReleased, valid);
+  record.holder = Read(in.getHolder());
+  record.answer = Read(in.getAnswer());
+  return record;
+}
+
+void Write(const state::HostRecord& host, wire::HostRecord::Builder out) {
+  out.setName(Chars(host.name.Text()));
+  out.setRegion(Chars(host.region.Text()));
+  out.setDataCentre(Chars(host.data_centre.Text()));
+  out.setCallerAddress(Chars(host.caller_address));
+  out.setCallerPort(host.caller_port);
+  out.setPeerAddress(Chars(host.peer_address));
+  out.setPeerPort(host.peer_port);
+  out.setForwardPort(host.forward_port);
+  out.setHasDisk(host.has_disk);
+  out.setIncarnation(host.incarnation);
+  out.setDraining(host.draining);
+}
+
+state::HostRecord Read(wire::HostRecord::Reader in) {
+  state::HostRecord host;
+  host.name = HostName(Text(in.getName()));
+  host.region = RegionName(Text(in.getRegion()));
+  host.data_centre = DataCentreName(Text(in.getDataCentre()));
+  host.caller_address = Text(in.getCallerAddress());
+  host.caller_port = in.getCallerPort();
+  host.peer_address = Text(in.getPeerAddress());
+  host.peer_port = in.getPeerPort();
+  host.forward_port = in.getForwardPort();
+  host.has_disk = in.getHasDisk();
+  host.incarnation = in.getIncarnation();
+  host.draining = in.getDraining();
+  return host;
+}
+
+void Write(const control::HostStatus& status, wire::HostStatus::Builder out) {
+  Write(status.record, out.initRecord());
+  out.setApplied(status.applied);
+  out.setVersion(status.version);
+  out.setSyncedEpoch(status.synced_epoch);
+  out.setAgeMs(status.age.count());
+}
+
+control::HostStatus Read(wire::HostStatus::Reader in) {
+  return {Read(in.getRecord()), in.getApplied(), in.getVersion(),
+          in.getSyncedEpoch(), milliseconds(in.getAgeMs())};
+}
+
+void Write(const config::Fault& fault, wire::SetFault::Builder out) {
+  out.setCode(static_cast<std::uint8_t>(fault.code));
+  out.setPath(Chars(fault.path));
+  out.setLine(fault.line);
+  out.setFound(Chars(fault.found));
+}
+
+config::Fault Read(wire::SetFault::Reader in, bool& valid) {
+  return {ReadEnum(in.getCode(), config::FaultCode::kWrongType, valid),
+          Text(in.getPath()), in.getLine(), Text(in.getFound())};
+}
+
+void Write(const control::TargetLoad& load, wire::TargetLoad::Builder out) {
+  out.setTarget(Chars(load.target));
+  out.setSlots(load.slots);
+  out.setDemand(load.demand);
+}
+
+std::vector<control::TargetLoad> ReadLoads(
+    capnp::List<wire::TargetLoad>::Reader in) {
+  std::vector<control::TargetLoad> loads;
+  for (const auto load : in) {
+    loads.push_back(
+        {Text(load.getTarget()), load.getSlots(), load.getDemand()});
+  }
+  return loads;
+}
+
+void Write(const control::ServedTokens& served,
+           wire::ServedTokens::Builder out) {
+  out.setTarget(Chars(served.target));
+  out.setWorkspace(Chars(served.workspace.Text()));
+  out.setTokens(served.tokens);
+}
+
+void Write(const policy::ServerReport& report,
+           wire::ServerReport::Builder out) {
+  out.setName(Chars(report.name.Text()));
+  out.setRegion(Chars(report.region.Text()));
+  out.setDataCentre(Chars(report.data_centre.Text()));
+  out.setAddress(Chars(report.address));
+  out.setPort(report.port);
+  auto targets = out.initTargets(static_cast<unsigned>(report.targets.size()));
+  for (unsigned i = 0; i < report.targets.size(); ++i) {
+    targets.set(i, Chars(report.targets[i]));
+  }
+  out.setSlots(report.slots);
+  out.setRunning(report.running);
+  out.setQueued(report.queued);
+  out.setPrefillRate(report.prefill_rate);
+  out.setDecodeRate(report.decode_rate);
+  out.setAgeMs(report.age.count());
+  out.setLeaving(report.leaving);
+}
+
+policy::ServerReport Read(wire::ServerReport::Reader in) {
+  policy::ServerReport report;
+  report.name = BackendServerName(Text(in.getName()));
+  report.region = RegionName(Text(in.getRegion()));
+  report.data_centre = DataCentreName(Text(in.getDataCentre()));
+  report.address = Text(in.getAddress());
+  report.port = in.getPort();
+  for (const auto target : in.getTargets()) {
+    report.targets.push_back(Text(target));
+  }
+  report.slots = in.getSlots();
+  report.running = in.getRunning();
+  report.queued = in.getQueued();
+  report.prefill_rate = in.getPrefillRate();
+  report.decode_rate = in.getDecodeRate();
+  report.age = milliseconds(in.getAgeMs());
+  report.leaving = in.getLeaving();
+  return report;
+}
+
+template <typename Item, typename Builder>
+void WriteList(const std::vector<Item>& items, Builder out) {
+  unsigned i = 0;
+  for (const Item& item : items) {
+    Write(item, out[i++]);
+  }
+}
+
+//! Writes the alternative that a message holds.
+class MessageWriter {
+ public:
+  explicit MessageWriter(wire::PeerMessage::Builder out) : out(out) {}
+
+  void operator()(const state::LogMessage& message) {
+    std::visit(*this, message);
+  }
+  void operator()(const state::LedgerMessage& message) {
+    std::visit(*this, message);
+  }
+  void operator()(const state::VoteRequest& value) {
+    auto to = this->out.initVoteRequest();
+    to.setTerm(value.term);
+    to.setLastIndex(value.last_index);
+    to.setLastTerm(value.last_term);
+    to.setIsPreVote(value.is_pre_vote);
+  }
+  void operator()(const state::VoteReply& value) {
+    auto to = this->out.initVoteReply();
+    to.setTerm(value.term);
+    to.setGranted(value.granted);
+    to.setIsPreVote(value.is_pre_vote);
+  }
+  void operator()(const state::AppendRequest& value) {
+    auto to = this->out.initAppendRequest();
+    to.setTerm(value.term);
+    to.setPreviousIndex(value.previous_index);
+    to.setPreviousTerm(value.previous_term);
+    WriteList(value.entries,
+              to.initEntries(static_cast<unsigned>(value.entries.size())));
+    to.setCommit(value.commit);
+    to.setRound(value.round);
+  }
+  void operator()(const state::AppendReply& value) {
+    auto to = this->out.initAppendReply();
+    to.setTerm(value.term);
+    to.setAccepted(value.accepted);
+    to.setMatch(value.match);
+    to.setRound(value.round);
+  }
+  void operator()(const state::InstallRequest& value) {
+    auto to = this->out.initInstallRequest();
+    to.setTerm(value.term);
+    Write(value.snapshot, to.initSnapshot());
+    to.setRound(value.round);
+  }
+  void operator()(const state::LedgerAsk& value) {
+    auto to = this->out.initLedgerAsk();
+    Write(value.id, to.initId());
+    to.setOperation(Chars(value.operation.Text()));
+  }
+  void operator()(const state::LedgerPermit& value) {
+    auto to = this->out.initLedgerPermit();
+    Write(value.id, to.initId());
+    to.setVerdict(static_cast<std::uint8_t>(value.verdict));
+    Write(value.answer, to.initAnswer());
+  }
+  void operator()(const state::LedgerUpdate& value) {
+    auto to = this->out.initLedgerUpdate();
+    Write(value.id, to.initId());
+    to.setOperation(Chars(value.operation.Text()));
+    to.setState(static_cast<std::uint8_t>(value.state));
+    Write(value.answer, to.initAnswer());
+  }
+  void operator()(const state::LedgerUpdated& value) {
+    Write(value.id, this->out.initLedgerUpdated());
+  }
+  void operator()(const state::LedgerStore& value) {
+    auto to = this->out.initLedgerStore();
+    to.setRegion(Chars(value.region.Text()));
+    to.setEpoch(value.epoch);
+    to.setSequence(value.sequence);
+    Write(value.record, to.initRecord());
+  }
+  void operator()(const state::LedgerStored& value) {
+    auto to = this->out.initLedgerStored();
+    to.setRegion(Chars(value.region.Text()));
+    to.setEpoch(value.epoch);
+    to.setSequence(value.sequence);
+  }
+  void operator()(const state::LedgerCopy& value) {
+    auto to = this->out.initLedgerCopy();
+    to.setRegion(Chars(value.region.Text()));
+    to.setEpoch(value.epoch);
+    to.setPart(value.part);
+    to.setParts(value.parts);
+    WriteList(value.records,
+              to.initRecords(static_cast<unsigned>(value.records.size())));
+  }
+  void operator()(const state::LedgerCopied& value) {
+    auto to = this->out.initLedgerCopied();
+    to.setRegion(Chars(value.region.Text()));
+    to.setEpoch(value.epoch);
+    to.setPart(value.part);
+  }
+  void operator()(const control::FeedRequest& value) {
+    auto to = this->out.initFeedRequest();
+    to.setNumber(value.number);
+    to.setNext(value.next);
+    WriteList(value.statuses,
+              to.initStatuses(static_cast<unsigned>(value.statuses.size())));
+  }
+  void operator()(const control::FeedReply& value) {
+    auto to = this->out.initFeedReply();
+    to.setNumber(value.number);
+    WriteList(value.entries,
+              to.initEntries(static_cast<unsigned>(value.entries.size())));
+    if (value.snapshot) {
+      Write(*value.snapshot, to.initSnapshot());
+    }
+    to.setCommit(value.commit);
+    to.setWordAgeMs(value.word_age ? value.word_age->count() : -1);
+    to.setLeader(Chars(value.leader.Text()));
+  }
+  void operator()(const control::ProposeRequest& value) {
+    auto to = this->out.initProposeRequest();
+    to.setNumber(value.number);
+    to.setPayload(Bytes(value.payload));
+  }
+  void operator()(const control::ProposeReply& value) {
+    auto to = this->out.initProposeReply();
+    to.setNumber(value.number);
+    to.setKind(static_cast<std::uint8_t>(value.outcome.kind));
+    to.setVersion(value.outcome.version);
+    const auto& faults = value.outcome.faults;
+    WriteList(faults, to.initFaults(static_cast<unsigned>(faults.size())));
+  }
+  void operator()(const control::WithdrawalNotice& value) {
+    WriteNames(value.digests, this->out.initWithdrawalNotice(
+                                  static_cast<unsigned>(value.digests.size())));
+  }
+  void operator()(const control::RegionStatus& value) {
+    auto to = this->out.initRegionStatus();
+    to.setNumber(value.number);
+    to.setEcho(value.echo);
+    to.setEpoch(value.epoch);
+    to.setDraining(value.draining);
+    WriteList(value.loads,
+              to.initLoads(static_cast<unsigned>(value.loads.size())));
+    WriteList(value.served,
+              to.initServed(static_cast<unsigned>(value.served.size())));
+    WriteList(value.servers,
+              to.initServers(static_cast<unsigned>(value.servers.size())));
+  }
+  void operator()(const control::ProbeRequest& value) {
+    this->out.setProbeRequest(value.number);
+  }
+  void operator()(const control::ProbeReply& value) {
+    auto to = this->out.initProbeReply();
+    to.setNumber(value.number);
+    to.setRegion(Chars(value.region.Text()));
+    WriteList(value.loads,
+              to.initLoads(static_cast<unsigned>(value.loads.size())));
+  }
+  void operator()(const policy::ChunkRequest& value) {
+    auto to = this->out.initChunkRequest();
+    to.setChunk(value.chunk);
+    to.setWorkspace(Chars(value.workspace.Text()));
+    to.setTokens(value.needed);
+    to.setWanted(value.wanted);
+  }
+  void operator()(const policy::ChunkGrant& value) {
+    auto to = this->out.initChunkGrant();
+    to.setChunk(value.chunk);
+    to.setWorkspace(Chars(value.workspace.Text()));
+    to.setTokens(value.tokens);
+    to.setRetryAfterMs(value.retry_after.count());
+  }
+  void operator()(const policy::ChunkSettled& value) {
+    auto to = this->out.initChunkSettled();
+    to.setChunk(value.chunk);
+    to.setWorkspace(Chars(value.workspace.Text()));
+    to.setTokens(value.unused);
+  }
+  void operator()(const control::StatusRequest& value) {
+    this->out.setStatusRequest(value.number);
+  }
+  void operator()(const control::StatusReply& value) {
+    auto to = this->out.initStatusReply();
+    to.setNumber(value.number);
+    to.setLeader(Chars(value.leader.Text()));
+    to.setVersion(value.version);
+    WriteNames(value.voters,
+               to.initVoters(static_cast<unsigned>(value.voters.size())));
+    auto hosts = to.initHosts(static_cast<unsigned>(value.hosts.size()));
+    for (unsigned i = 0; i < value.hosts.size(); ++i) {
+      hosts[i].setHost(Chars(value.hosts[i].host.Text()));
+      hosts[i].setVersion(value.hosts[i].version);
+      hosts[i].setIsLive(value.hosts[i].is_live);
+    }
+  }
+
+ private:
+  wire::PeerMessage::Builder out;
+};
+
+state::LedgerCopy ReadCopy(wire::LedgerCopy::Reader in, bool& valid) {
+  state::LedgerCopy copy;
+  copy.region = RegionName(Text(in.getRegion()));
+  copy.epoch = in.getEpoch();
+  copy.part = in.getPart();
+  copy.parts = in.getParts();
+  for (const auto record : in.getRecords()) {
+    copy.records.push_back(Read(record, valid));
+  }
+  return copy;
+}
+
+control::FeedReply ReadFeedReply(wire::FeedReply::Reader in, bool& valid) {
+  control::FeedReply reply;
+  reply.number = in.getNumber();
+  reply.entries = ReadEntries(in.getEntries(), valid);
+  if (in.hasSnapshot()) {
+    reply.snapshot = Read(in.getSnapshot());
+  }
+  reply.commit = in.getCommit();
+  if (in.getWordAgeMs() >= 0) {
+    reply.word_age = milliseconds(in.getWordAgeMs());
+  }
+  reply.leader = HostName(Text(in.getLeader()));
+  return reply;
+}
+
+control::ProposeReply ReadProposeReply(wire::ProposeReply::Reader in,
+                                       bool& valid) {
+  control::ProposeReply reply;
+  reply.number = in.getNumber();
+  reply.outcome.kind =
+      ReadEnum(in.getKind(), state::ApplyKind::kIgnored, valid);
+  reply.outcome.version = in.getVersion();
+  for (const auto fault : in.getFaults()) {
+    reply.outcome.faults.push_back(Read(fault, valid));
+  }
+  return reply;
+}
+
+control::RegionStatus ReadRegionStatus(wire::RegionStatus::Reader in) {
+  control::RegionStatus status;
+  status.number = in.getNumber();
+  status.echo = in.getEcho();
+  status.epoch = in.getEpoch();
+  status.draining = in.getDraining();
+  status.loads = ReadLoads(in.getLoads());
+  for (const auto served : in.getServed()) {
+    status.served.push_back({Text(served.getTarget()),
+                             WorkspaceName(Text(served.getWorkspace())),
+                             served.getTokens()});
+  }
+  for (const auto server : in.getServers()) {
+    status.servers.push_back(Read(server));
+  }
+  return status;
+}
+
+control::StatusReply ReadStatusReply(wire::StatusReply::Reader in) {
+  control::StatusReply reply;
+  reply.number = in.getNumber();
+  reply.leader = HostName(Text(in.getLeader()));
+  reply.version = in.getVersion();
+  reply.voters = ReadNames<HostName>(in.getVoters());
+  for (const auto host : in.getHosts()) {
+    reply.hosts.push_back(
+        {HostName(Text(host.getHost())), host.getVersion(), host.getIsLive()});
+  }
+  return reply;
+}
+
+PeerMessage ReadLogMessage(wire::PeerMessage::Reader in, bool& valid) {
+  using Wire = wire::PeerMessage;
+  if (in.which() == Wire::VOTE_REQUEST) {
+    const auto from = in.getVoteRequest();
+    return state::LogMessage(
+        state::VoteRequest{from.getTerm(), from.getLastIndex(),
+                           from.getLastTerm(), from.getIsPreVote()});
+  }
+  if (in.which() == Wire::VOTE_REPLY) {
+    const auto from = in.getVoteReply();
+    return state::LogMessage(state::VoteReply{from.getTerm(), from.getGranted(),
+                                              from.getIsPreVote()});
+  }
+  if (in.which() == Wire::APPEND_REQUEST) {
+    const auto from = in.getAppendRequest();
+    return state::LogMessage(state::AppendRequest{
+        from.getTerm(), from.getPreviousIndex(), from.getPreviousTerm(),
+        ReadEntries(from.getEntries(), valid), from.getCommit(),
+        from.getRound()});
+  }
+  if (in.which() == Wire::APPEND_REPLY) {
+    const auto from = in.getAppendReply();
+    return state::LogMessage(state::AppendReply{
+        from.getTerm(), from.getAccepted(), from.getMatch(), from.getRound()});
+  }
+  const auto from = in.getInstallRequest();
+  return state::LogMessage(state::InstallRequest{
+      from.getTerm(), Read(from.getSnapshot()), from.getRound()});
+}
+
+PeerMessage ReadLedgerMessage(wire::PeerMessage::Reader in, bool& valid) {
+  using Wire = wire::PeerMessage;
+  if (in.which() == Wire::LEDGER_ASK) {
+    const auto from = in.getLedgerAsk();
+    return state::LedgerMessage(state::LedgerAsk{
+        Read(from.getId()), OperationId(Text(from.getOperation()))});
+  }
+  if (in.which() == Wire::LEDGER_PERMIT) {
+    const auto from = in.getLedgerPermit();
+    return state::LedgerMessage(state::LedgerPermit{
+        Read(from.getId()),
+        ReadEnum(from.getVerdict(), state::PermitVerdict::kFull, valid),
+        Read(from.getAnswer())});
+  }
+  if (in.which() == Wire::LEDGER_UPDATE) {
+    const auto from = in.getLedgerUpdate();
+    return state::LedgerMessage(state::LedgerUpdate{
+        Read(from.getId()), OperationId(Text(from.getOperation())),
+        ReadEnum(from.getState(), state::OperationState::kReleased, valid),
+        Read(from.getAnswer())});
+  }
+  if (in.which() == Wire::LEDGER_UPDATED) {
+    return state::LedgerMessage(
+        state::LedgerUpdated{Read(in.getLedgerUpdated())});
+  }
+  if (in.which() == Wire::LEDGER_STORE) {
+    const auto from = in.getLedgerStore();
+    return state::LedgerMessage(
+        state::LedgerStore{RegionName(Text(from.getRegion())), from.getEpoch(),
+                           from.getSequence(), Read(from.getRecord(), valid)});
+  }
+  if (in.which() == Wire::LEDGER_STORED) {
+    const auto from = in.getLedgerStored();
+    return state::LedgerMessage(
+        state::LedgerStored{RegionName(Text(from.getRegion())), from.getEpoch(),
+                            from.getSequence()});
+  }
+  if (in.which() == Wire::LEDGER_COPY) {
+    return state::LedgerMessage(ReadCopy(in.getLedgerCopy(), valid));
+  }
+  const auto from = in.getLedgerCopied();
+  return state::LedgerMessage(state::LedgerCopied{
+      RegionName(Text(from.getRegion())), from.getEpoch(), from.getPart()});
+}
+
+PeerMessage ReadChunkMessage(wire::PeerMessage::Reader in) {
+  using Wire = wire::PeerMessage;
+  if (in.which() == Wire::CHUNK_REQUEST) {
+    const auto from = in.getChunkRequest();
+    return policy::ChunkRequest{from.getChunk(),
+                                WorkspaceName(Text(from.getWorkspace())),
+                                from.getTokens(), from.getWanted()};
+  }
+  if (in.which() == Wire::CHUNK_GRANT) {
+    const auto from = in.getChunkGrant();
+    return policy::ChunkGrant{
+        from.getChunk(), WorkspaceName(Text(from.getWorkspace())),
+        from.getTokens(), milliseconds(from.getRetryAfterMs())};
+  }
+  const auto from = in.getChunkSettled();
+  return policy::ChunkSettled{from.getChunk(),
+                              WorkspaceName(Text(from.getWorkspace())),
+                              from.getTokens()};
+}
+
+PeerMessage ReadAny(wire::PeerMessage::Reader in, bool& valid) {
+  using Wire = wire::PeerMessage;
+  switch (in.which()) {
+    case Wire::VOTE_REQUEST:
+    case Wire::VOTE_REPLY:
+    case Wire::APPEND_REQUEST:
+    case Wire::APPEND_REPLY:
+    case Wire::INSTALL_REQUEST:
+      return ReadLogMessage(in, valid);
+    case Wire::LEDGER_ASK:
+    case Wire::LEDGER_PERMIT:
+    case Wire::LEDGER_UPDATE:
+    case Wire::LEDGER_UPDATED:
+    case Wire::LEDGER_STORE:
+    case Wire::LEDGER_STORED:
+    case Wire::LEDGER_COPY:
+    case Wire::LEDGER_COPIED:
+      return ReadLedgerMessage(in, valid);
+    case Wire::FEED_REQUEST: {
+      const auto from = in.getFeedRequest();
+      control::FeedRequest request{from.getNumber(), from.getNext(), {}};
+      for (const auto status : from.getStatuses()) {
+        request.statuses.push_back(Read(status));
+      }
+      return request;
+    }
+    case Wire::FEED_REPLY:
+      return ReadFeedReply(in.getFeedReply(), valid);
+    case Wire::PROPOSE_REQUEST: {
+      const auto from = in.getProposeRequest();
+      return control::ProposeRequest{from.getNumber(), Text(from.getPayload())};
+    }
+    case Wire::PROPOSE_REPLY:
+      return ReadProposeReply(in.getProposeReply(), valid);
+    case Wire::WITHDRAWAL_NOTICE:
+      return control::WithdrawalNotice{
+          ReadNames<KeyDigest>(in.getWithdrawalNotice())};
+    case Wire::REGION_STATUS:
+      return ReadRegionStatus(in.getRegionStatus());
+    case Wire::PROBE_REQUEST:
+      return control::ProbeRequest{in.getProbeRequest()};
+    case Wire::PROBE_REPLY: {
+      const auto from = in.getProbeReply();
+      return control::ProbeReply{from.getNumber(),
+                                 RegionName(Text(from.getRegion())),
+                                 ReadLoads(from.getLoads())};
+    }
+    case Wire::CHUNK_REQUEST:
+    case Wire::CHUNK_GRANT:
+    case Wire::CHUNK_SETTLED:
+      return ReadChunkMessage(in);
+    case Wire::STATUS_REQUEST:
+      return control::StatusRequest{in.getStatusRequest()};
+    case Wire::STATUS_REPLY:
+      return ReadStatusReply(in.getStatusReply());
+  }
+  valid = false;
+  return control::ProbeRequest();
+}
+
+}  // namespace
+
+void WriteMessage(const PeerMessage& message, wire::PeerMessage::Builder out) {
+  MessageWriter writer(out);
+  std::visit(writer, message);
+}
+
+Expected<PeerMessage, WireError> ReadMessage(wire::PeerMessage::Reader in) {
+  bool valid = true;
+  PeerMessage message = ReadAny(in, valid);
+  if (!valid) {
+    return unexpected(WireError::kOutOfRange);
+  }
+  return message;
+}
+
+}  // namespace tamarackwing::hosts
--- a/packages/gateway/src/handoff.h
+++ b/packages/http/include/tamarackwing/http/handoff.h
@@ -8,7 +8,7 @@
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/http/asio.h"
 
-namespace tamarackwing::gateway {
+namespace tamarackwing::http {
 
 //! One value that another thread gives to a waiting coroutine. Either the
 //! coroutine gets the value or the giver is told that it has gone, never both:
@@ -17,8 +17,7 @@
 template <typename T>
 class Handoff : public std::enable_shared_from_this<Handoff<T>> {
  public:
-  explicit Handoff(const http::asio::any_io_executor& executor)
-      : timer(executor) {}
+  explicit Handoff(const asio::any_io_executor& executor) : timer(executor) {}
 
   //! Gives the value; false where the coroutine no longer waits for it.
   bool Set(T given) {
@@ -26,7 +25,7 @@
     if (!this->stage.compare_exchange_strong(expected, Stage::kSet)) {
       return false;
     }
-    http::asio::post(
+    asio::post(
         this->timer.get_executor(),
         [self = this->shared_from_this(), given = std::move(given)]() mutable {
           self->value.emplace(std::move(given));
@@ -42,7 +41,7 @@
   }
 
   //! Waits for the value; nothing at `until` or when interrupted.
-  http::asio::awaitable<std::optional<T>> Wait(TimePoint until) {
+  asio::awaitable<std::optional<T>> Wait(TimePoint until) {
     while (!this->value) {
       const bool over =
           this->interrupted || std::chrono::steady_clock::now() >= until;
@@ -54,7 +53,7 @@
       this->timer.expires_at(over ? TimePoint::max() : until);
       boost::system::error_code ignored;
       co_await this->timer.async_wait(
-          http::asio::redirect_error(http::asio::use_awaitable, ignored));
+          asio::redirect_error(asio::use_awaitable, ignored));
     }
     co_return std::move(this->value);
   }
@@ -62,10 +61,10 @@
  private:
   enum class Stage { kWaiting, kSet, kAbandoned };
 
-  http::asio::steady_timer timer;
+  asio::steady_timer timer;
   std::optional<T> value;
   std::atomic<Stage> stage{Stage::kWaiting};
   bool interrupted = false;
 };
 
-}  // namespace tamarackwing::gateway
+}  // namespace tamarackwing::http
--- a/packages/policy/include/tamarackwing/policy/budget_allocator.h
+++ b/packages/policy/include/tamarackwing/policy/budget_allocator.h
@@ -28,10 +28,11 @@
   };
 
   //! `life` is counted from the answer and must exceed what a holder counts
-  //! from its request, by the clocks' drift.
-  explicit BudgetAllocator(std::chrono::milliseconds life);
+  //! from its request, by the clocks' drift. Buckets fill from `since` on,
+  //! whenever their workspace is first named.
+  BudgetAllocator(std::chrono::milliseconds life, TimePoint since);
 
-  //! Sets a workspace's share; a new one starts with an empty bucket.
+  //! Sets a workspace's share.
   void SetShare(const WorkspaceName& workspace,
                 TokenCount rate,
                 TokenCount burst,
@@ -42,8 +43,8 @@
                    TimePoint now);
   //! Takes a chunk back; what is unused may be given out again.
   void Settle(const ChunkId& id, const ChunkSettled& settled, TimePoint now);
-  //! Forgets all shares: a new allocator starts empty.
-  void Clear();
+  //! Forgets all shares; buckets fill from `since` on.
+  void Clear(TimePoint since);
   //! Tokens given out and neither settled nor expired.
   TokenCount Outstanding(const WorkspaceName& workspace, TimePoint now);
   //! Tokens at hand.
@@ -70,6 +71,7 @@
   static void Rebound(Account& account, TimePoint now);
 
   std::chrono::milliseconds life;
+  TimePoint since;
   std::unordered_map<WorkspaceName, Account> accounts;
 };
 
--- a/packages/policy/src/budget_allocator.cc
+++ b/packages/policy/src/budget_allocator.cc
@@ -12,14 +12,16 @@
 
 }  // namespace
 
-BudgetAllocator::BudgetAllocator(std::chrono::milliseconds life) : life(life) {}
+BudgetAllocator::BudgetAllocator(std::chrono::milliseconds life,
+                                 TimePoint since)
+    : life(life), since(since) {}
 
 void BudgetAllocator::SetShare(const WorkspaceName& workspace,
                                TokenCount rate,
                                TokenCount burst,
                                TimePoint now) {
   const auto [place, is_new] =
-      this->accounts.try_emplace(workspace, rate, burst, now);
+      this->accounts.try_emplace(workspace, rate, burst, this->since);
   Account& account = place->second;
   if (is_new || (account.rate == rate && account.burst == burst)) {
     return;
@@ -81,7 +83,8 @@
   account.bucket.Return(unused);
 }
 
-void BudgetAllocator::Clear() {
+void BudgetAllocator::Clear(TimePoint from) {
+  this->since = from;
   this->accounts.clear();
 }
 
--- a/packages/policy/tests/budget_tests.cc
+++ b/packages/policy/tests/budget_tests.cc
@@ -31,7 +31,7 @@
 
 TEST(BudgetAllocator, TheSameChunkAskedForTwiceIsGivenOnce) {
   ManualClock clock;
-  BudgetAllocator allocator(kGiverLife);
+  BudgetAllocator allocator(kGiverLife, clock.Now());
   allocator.SetShare(kDesk, kRate, kBurst, clock.Now());
   clock.Advance(milliseconds(5'000));
   const BudgetAllocator::ChunkId id{HostName("a"), 1, 1};
@@ -43,7 +43,7 @@
 
 TEST(BudgetAllocator, ARefusalSaysWhenTokensAreAtHand) {
   ManualClock clock;
-  BudgetAllocator allocator(kGiverLife);
+  BudgetAllocator allocator(kGiverLife, clock.Now());
   allocator.SetShare(kDesk, kRate, kBurst, clock.Now());
   const auto grant =
       allocator.Grant({HostName("a"), 1, 1}, {1, kDesk, 50, 50}, clock.Now());
@@ -53,7 +53,7 @@
 
 TEST(BudgetAllocator, AnExpiredChunkMakesRoomFromWhenItEnded) {
   ManualClock clock;
-  BudgetAllocator allocator(kGiverLife);
+  BudgetAllocator allocator(kGiverLife, clock.Now());
   allocator.SetShare(kDesk, kRate, kBurst, clock.Now());
   clock.Advance(milliseconds(5'000));
   const BudgetAllocator::ChunkId id{HostName("a"), 1, 1};
@@ -63,6 +63,14 @@
   EXPECT_EQ(allocator.Level(kDesk, clock.Now()), 500);
 }
 
+TEST(BudgetAllocator, AFirstRequestFindsWhatHasComeInSinceTheStart) {
+  ManualClock clock;
+  BudgetAllocator allocator(kGiverLife, clock.Now());
+  clock.Advance(milliseconds(400));
+  allocator.SetShare(kDesk, kRate, kBurst, clock.Now());
+  EXPECT_EQ(allocator.Level(kDesk, clock.Now()), 400);
+}
+
 TEST(BudgetHolder, WhatARequestDidNotUseCanBeReservedAgain) {
   ManualClock clock;
   BudgetHolder holder(kLife);
@@ -110,7 +118,8 @@
 //! One allocator, some holders, and a net that loses, delays and doubles.
 class BudgetWorld {
  public:
-  explicit BudgetWorld(milliseconds giver_life) : allocator(giver_life) {
+  explicit BudgetWorld(milliseconds giver_life)
+      : allocator(giver_life, clock.Now()) {
     this->allocator.SetShare(kDesk, kRate, kBurst, this->clock.Now());
     for (int i = 0; i < 3; ++i) {
       this->holders.emplace_back(kLife);
@@ -267,7 +276,7 @@
 //! asks for more at once.
 std::vector<Admitted> HoardAndSpend(milliseconds giver_life) {
   ManualClock clock;
-  BudgetAllocator allocator(giver_life);
+  BudgetAllocator allocator(giver_life, clock.Now());
   BudgetHolder holder(kLife);
   std::vector<Admitted> admitted;
   allocator.SetShare(kDesk, kRate, kBurst, clock.Now());
--- a/packages/state/include/tamarackwing/state/control_state.h
+++ b/packages/state/include/tamarackwing/state/control_state.h
@@ -14,6 +14,7 @@
 #include "tamarackwing/state/configuration_set.h"
 #include "tamarackwing/state/control_change.h"
 #include "tamarackwing/state/host_record.h"
+#include "tamarackwing/state/region_share.h"
 #include "tamarackwing/state/region_view.h"
 #include "tamarackwing/state/topology.h"
 
@@ -38,15 +39,6 @@
   config::Faults faults;
 };
 
-//! A region's part of a workspace's budget.
-struct RegionShare {
-  //! Tokens a second.
-  TokenCount rate = 0;
-  TokenCount burst = 0;
-
-  friend bool operator==(const RegionShare&, const RegionShare&) = default;
-};
-
 //! The control state that the agreed log builds: the same on every host that
 //! has applied the same entries. Pure; not thread-safe.
 class ControlState {
@@ -82,6 +74,9 @@
   //! part while hosts may still go by either.
   RegionShare ShareOf(const WorkspaceName& workspace,
                       const RegionName& region) const;
+  //! The shares of workspaces whose change is not yet in force everywhere.
+  std::map<WorkspaceName, RegionShare> ChangingShares(
+      const RegionName& region) const;
   //! The place of a host among the floor slices of its region.
   std::optional<std::size_t> SliceOf(const HostName& host) const;
 
--- a/packages/state/include/tamarackwing/state/snapshot.h
+++ b/packages/state/include/tamarackwing/state/snapshot.h
@@ -8,6 +8,7 @@
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/state/configuration_set.h"
 #include "tamarackwing/state/host_record.h"
+#include "tamarackwing/state/region_share.h"
 
 namespace tamarackwing::state {
 
@@ -16,13 +17,21 @@
 struct Snapshot {
   LogIndex applied = 0;
   SetVersion version = 0;
-  std::shared_ptr<const ConfigurationSet> set;
-  std::shared_ptr<const std::set<KeyDigest>> withdrawn;
+  //! Never null.
+  std::shared_ptr<const ConfigurationSet> set =
+      std::make_shared<const ConfigurationSet>();
+  //! Never null.
+  std::shared_ptr<const std::set<KeyDigest>> withdrawn =
+      std::make_shared<const std::set<KeyDigest>>();
   std::map<HostName, HostRecord> hosts;
   //! Hosts that answered lately.
   std::set<HostName> live;
   //! Until when keys of other home regions may be served.
   TimePoint keys_fresh_until;
+  //! Budget shares of this region that are changing; others follow the set.
+  std::map<WorkspaceName, RegionShare> changing_shares;
+  //! Part of the region's share that this host owns, in ten-thousandths.
+  TokenCount slice = 0;
   //! Whether the host may serve at all.
   bool ready = false;
 };
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -20,16 +20,6 @@
 //! Outcomes of publishes that are kept for resends.
 constexpr std::size_t kMostOutcomes = 4096;
 
-RegionShare ShareIn(const Workspace& workspace, const RegionName& region) {
-  const auto& homes = workspace.home_regions;
-  const auto home = std::find(homes.begin(), homes.end(), region);
-  if (home == homes.end()) {
-    return {};
-  }
-  const auto count = static_cast<TokenCount>(homes.size());
-  return {workspace.rate / count, workspace.burst / count};
-}
-
 RegionShare Least(const RegionShare& a, const RegionShare& b) {
   return {std::min(a.rate, b.rate), std::min(a.burst, b.burst)};
 }
@@ -44,6 +34,16 @@
                                    model_versions,
                                    routes)
 
+RegionShare ShareIn(const Workspace& workspace, const RegionName& region) {
+  const auto& homes = workspace.home_regions;
+  const auto home = std::find(homes.begin(), homes.end(), region);
+  if (home == homes.end()) {
+    return {};
+  }
+  const auto count = static_cast<TokenCount>(homes.size());
+  return {workspace.rate / count, workspace.burst / count};
+}
+
 ControlState::ControlState()
     : set(std::make_shared<const ConfigurationSet>()),
       withdrawn(std::make_shared<const std::set<KeyDigest>>()) {}
@@ -103,6 +103,15 @@
   return share;
 }
 
+std::map<WorkspaceName, RegionShare> ControlState::ChangingShares(
+    const RegionName& region) const {
+  std::map<WorkspaceName, RegionShare> shares;
+  for (const auto& [name, old] : this->old_workspaces) {
+    shares[name] = this->ShareOf(name, region);
+  }
+  return shares;
+}
+
 std::optional<std::size_t> ControlState::SliceOf(const HostName& host) const {
   const auto found = this->slices.find(host);
   if (found == this->slices.end()) {
--- /dev/null
+++ b/programs/tamarackwingd/src/budget_desk.cc
@@ -0,0 +1,212 @@
+#include "budget_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackwing::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+//! A chunk holds so many times what is needed, where there is plenty.
+constexpr TokenCount kChunkFactor = 4;
+//! An allocator that does not answer for so long is not waited for.
+constexpr milliseconds kAllocatorPatience{500};
+constexpr milliseconds kDrift{200};
+const HostName kSelf("self");
+
+}  // namespace
+
+BudgetDesk::BudgetDesk(const Clock& clock,
+                       milliseconds chunk_life,
+                       TokenCount open_rate)
+    : clock(clock),
+      chunk_life(chunk_life),
+      holder(chunk_life),
+      own_slice(chunk_life + kDrift, clock.Now()),
+      open(open_rate, open_rate, clock.Now()) {}
+
+void BudgetDesk::SetLinks(Links given) {
+  this->links = std::move(given);
+}
+
+void BudgetDesk::Reserve(const WorkspaceName& workspace,
+                         TokenCount tokens,
+                         Callback callback) {
+  gateway::BudgetAnswer answer;
+  std::vector<policy::ChunkRequest> requests;
+  {
+    const std::lock_guard lock(this->mutex);
+    bool decided = true;
+    if (workspace.IsEmpty()) {
+      answer = this->ReserveOpen(tokens);
+    } else if (this->waiting.contains(workspace) ||
+               !this->TryReserve(workspace, tokens, answer)) {
+      this->waiting[workspace].push_back({tokens, callback, this->clock.Now()});
+      this->Ask(workspace, requests);
+      decided = false;
+    }
+    if (!decided) {
+      callback = nullptr;
+    }
+  }
+  if (callback) {
+    callback(answer);
+  }
+  for (policy::ChunkRequest& request : requests) {
+    this->links.request(std::move(request));
+  }
+}
+
+void BudgetDesk::Settle(const WorkspaceName& workspace,
+                        std::uint64_t reservation,
+                        TokenCount used) {
+  const std::lock_guard lock(this->mutex);
+  this->holder.Settle(workspace, reservation, used, this->clock.Now());
+}
+
+void BudgetDesk::HandleGrant(const policy::ChunkGrant& grant) {
+  Answers answers;
+  std::vector<policy::ChunkRequest> requests;
+  {
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->asked.find(grant.chunk);
+    if (request == this->asked.end()) {
+      return;
+    }
+    const WorkspaceName workspace = request->second.workspace;
+    this->holder.Add(workspace, grant.chunk, grant.tokens,
+                     policy::ChunkSource::kAllocator, request->second.at,
+                     this->clock.Now());
+    this->asked.erase(request);
+    auto waiters = this->waiting.find(workspace);
+    bool refused = false;
+    while (waiters != this->waiting.end() && !waiters->second.empty()) {
+      Waiter& first = waiters->second.front();
+      gateway::BudgetAnswer answer;
+      if (!this->TryReserve(workspace, first.tokens, answer)) {
+        // One refusal answers the one who asked; the next may need less.
+        if (grant.tokens > 0 || refused) {
+          break;
+        }
+        answer.retry_after = std::max(grant.retry_after, milliseconds(1));
+        refused = true;
+      }
+      answers.emplace_back(std::move(first.callback), answer);
+      waiters->second.pop_front();
+    }
+    if (waiters != this->waiting.end() && waiters->second.empty()) {
+      this->waiting.erase(waiters);
+    } else if (waiters != this->waiting.end()) {
+      this->Ask(workspace, requests);
+    }
+  }
+  for (auto& [callback, answer] : answers) {
+    callback(answer);
+  }
+  for (policy::ChunkRequest& request : requests) {
+    this->links.request(std::move(request));
+  }
+}
+
+void BudgetDesk::Tick() {
+  Answers answers;
+  std::vector<policy::ChunkSettled> settles;
+  {
+    const std::lock_guard lock(this->mutex);
+    const TimePoint now = this->clock.Now();
+    for (auto& [source, settled] : this->holder.TakeSettled(now)) {
+      if (source == policy::ChunkSource::kAllocator) {
+        settles.push_back(std::move(settled));
+      } else {
+        this->own_slice.Settle({kSelf, 0, settled.chunk}, settled, now);
+      }
+    }
+    for (auto& [workspace, waiters] : this->waiting) {
+      while (!waiters.empty() &&
+             now - waiters.front().since > kAllocatorPatience) {
+        gateway::BudgetAnswer answer;
+        answer.retry_after = kAllocatorPatience;
+        answers.emplace_back(std::move(waiters.front().callback), answer);
+        waiters.pop_front();
+      }
+    }
+    std::erase_if(this->waiting,
+                  [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(this->asked, [&](const auto& entry) {
+      return now - entry.second.at > this->chunk_life;
+    });
+  }
+  for (auto& [callback, answer] : answers) {
+    callback(answer);
+  }
+  for (policy::ChunkSettled& settled : settles) {
+    this->links.settle(std::move(settled));
+  }
+}
+
+bool BudgetDesk::TryReserve(const WorkspaceName& workspace,
+                            TokenCount tokens,
+                            gateway::BudgetAnswer& answer) {
+  const TimePoint now = this->clock.Now();
+  auto reservation = this->holder.Reserve(workspace, tokens, now);
+  if (!reservation) {
+    this->FillFromSlice(workspace, tokens);
+    reservation = this->holder.Reserve(workspace, tokens, now);
+  }
+  if (!reservation) {
+    return false;
+  }
+  answer.granted = true;
+  answer.reservation = *reservation;
+  return true;
+}
+
+void BudgetDesk::FillFromSlice(const WorkspaceName& workspace,
+                               TokenCount tokens) {
+  const TimePoint now = this->clock.Now();
+  const auto [rate, burst] = this->links.slice(workspace);
+  this->own_slice.SetShare(workspace, rate, burst, now);
+  const TokenCount missing = tokens - this->holder.Available(workspace, now);
+  const std::uint64_t chunk = this->next_chunk++;
+  const auto grant = this->own_slice.Grant(
+      {kSelf, 0, chunk}, {chunk, workspace, missing, missing}, now);
+  this->holder.Add(workspace, chunk, grant.tokens,
+                   policy::ChunkSource::kOwnSlice, now, now);
+}
+
+void BudgetDesk::Ask(const WorkspaceName& workspace,
+                     std::vector<policy::ChunkRequest>& requests) {
+  const bool is_asked = std::any_of(
+      this->asked.begin(), this->asked.end(),
+      [&](const auto& entry) { return entry.second.workspace == workspace; });
+  if (is_asked) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  TokenCount total = 0;
+  for (const Waiter& waiter : this->waiting[workspace]) {
+    total += waiter.tokens;
+  }
+  const TokenCount at_hand = this->holder.Available(workspace, now);
+  const TokenCount needed = std::max<TokenCount>(
+      1, this->waiting[workspace].front().tokens - at_hand);
+  const std::uint64_t chunk = this->next_chunk++;
+  this->asked[chunk] = {workspace, now};
+  requests.push_back({chunk, workspace, needed,
+                      std::max(needed, total * kChunkFactor - at_hand)});
+}
+
+gateway::BudgetAnswer BudgetDesk::ReserveOpen(TokenCount tokens) {
+  const TimePoint now = this->clock.Now();
+  gateway::BudgetAnswer answer;
+  answer.retry_after = this->open.TimeUntil(tokens, now);
+  answer.granted = this->open.Level(now) >= tokens;
+  if (answer.granted) {
+    this->open.Take(tokens, now);
+    answer.reservation = 1;
+  }
+  return answer;
+}
+
+}  // namespace tamarackwing::daemon
--- /dev/null
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -0,0 +1,569 @@
+#include "control_thread.h"
+
+#include <time.h>
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+#include "disk_thread.h"
+#include "tamarackwing/base/event.h"
+#include "tamarackwing/policy/slot_share.h"
+
+namespace tamarackwing::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{20};
+constexpr milliseconds kShareEvery{100};
+//! The freshness of keys runs on even when nothing changes.
+constexpr milliseconds kSnapshotEvery{200};
+constexpr std::chrono::seconds kOrderPatience{9};
+
+std::chrono::microseconds ThreadTime() {
+  timespec time{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+gateway::PermitKind ToPermitKind(state::PermitVerdict verdict) {
+  switch (verdict) {
+    case state::PermitVerdict::kGranted:
+      return gateway::PermitKind::kGranted;
+    case state::PermitVerdict::kInProgress:
+      return gateway::PermitKind::kInProgress;
+    case state::PermitVerdict::kAnswered:
+      return gateway::PermitKind::kAnswered;
+    case state::PermitVerdict::kUnknown:
+      return gateway::PermitKind::kUnknown;
+    case state::PermitVerdict::kUnavailable:
+      return gateway::PermitKind::kUnavailable;
+    case state::PermitVerdict::kFull:
+      return gateway::PermitKind::kFull;
+  }
+  return gateway::PermitKind::kUnavailable;
+}
+
+std::string TargetOf(const state::Route& route) {
+  return route.kind == state::RouteKind::kModel ? route.model_version.Text()
+                                                : route.name.Text();
+}
+
+}  // namespace
+
+ControlThread::ControlThread(const Settings& settings,
+                             ControlParts parts,
+                             state::Disk* disk,
+                             bool founds_log)
+    : settings(settings),
+      parts(parts),
+      disk(disk),
+      founds_log(founds_log),
+      random(std::hash<std::string>{}(settings.gateway.host.Text()) ^
+             NewIncarnation()) {
+  this->LinkBudget();
+}
+
+ControlThread::~ControlThread() {
+  this->Stop();
+}
+
+Expected<void, ControlError> ControlThread::Start() {
+  auto recovered = this->Recover();
+  if (!recovered) {
+    return unexpected(recovered.error());
+  }
+  std::promise<bool> started;
+  auto result = started.get_future();
+  this->thread = std::thread(
+      [this, recovered = std::move(*recovered), &started]() mutable {
+        this->Run(std::move(recovered),
+                  [&started](bool listens) { started.set_value(listens); });
+      });
+  if (!result.get()) {
+    this->thread.join();
+    return unexpected(ControlError::kCannotListen);
+  }
+  return {};
+}
+
+void ControlThread::StartDrain() {
+  this->network->Post([this] { this->node->StartDrain(); });
+}
+
+std::chrono::microseconds ControlThread::ProcessorTime() const {
+  return std::chrono::microseconds(this->processor_us.load());
+}
+
+std::uint64_t ControlThread::SentBytes() const {
+  return this->network ? this->network->SentBytes() : 0;
+}
+
+void ControlThread::Stop() {
+  if (this->thread.joinable()) {
+    this->network->Stop();
+    this->thread.join();
+  }
+}
+
+void ControlThread::Ask(const RegionName& region,
+                        const OperationId& operation,
+                        OperationPermits::Callback callback) {
+  this->network->Post(
+      [this, region, operation, callback = std::move(callback)]() mutable {
+        control::ControlEffects effects;
+        const std::uint64_t number = this->node->AskPermit(
+            region, operation, this->parts.clock.Now(), effects);
+        this->permits[number] = std::move(callback);
+        this->Carry(std::move(effects));
+      });
+}
+
+void ControlThread::Release(const RegionName& region,
+                            const OperationId& operation) {
+  this->End(region, operation, state::OperationState::kReleased, {});
+}
+
+void ControlThread::Answer(const RegionName& region,
+                           const OperationId& operation,
+                           const gateway::OperationAnswer& answer) {
+  this->End(region, operation, state::OperationState::kAnswered,
+            {answer.status, answer.content_type, answer.body});
+}
+
+void ControlThread::Lose(const RegionName& region,
+                         const OperationId& operation) {
+  this->End(region, operation, state::OperationState::kUnknown, {});
+}
+
+void ControlThread::End(const RegionName& region,
+                        const OperationId& operation,
+                        state::OperationState outcome,
+                        state::StoredAnswer answer) {
+  this->network->Post(
+      [this, region, operation, outcome, answer = std::move(answer)] {
+        this->Carry(this->node->EndOperation(region, operation, outcome, answer,
+                                             this->parts.clock.Now()));
+      });
+}
+
+void ControlThread::Change(state::ControlChange change,
+                           ChangeCallback callback) {
+  this->network->Post([this, change = std::move(change),
+                       callback = std::move(callback)]() mutable {
+    control::ControlEffects effects;
+    const TimePoint now = this->parts.clock.Now();
+    const std::uint64_t number = this->node->Propose(change, now, effects);
+    this->changes[number] = {std::move(callback), now};
+    this->Carry(std::move(effects));
+  });
+}
+
+void ControlThread::Check(state::PublishSet publish, ChangeCallback callback) {
+  this->network->Post(
+      [this, publish = std::move(publish), callback = std::move(callback)] {
+        callback({this->node->State().Check(publish)});
+      });
+}
+
+void ControlThread::Withdraw(KeyDigest digest) {
+  this->network->Post([this, digest = std::move(digest)] {
+    this->Carry(this->node->Withdraw(digest, this->parts.clock.Now()));
+  });
+}
+
+void ControlThread::Status(StatusCallback callback) {
+  this->network->Post([this, callback = std::move(callback)]() mutable {
+    control::ControlEffects effects;
+    const TimePoint now = this->parts.clock.Now();
+    const auto number = this->node->AskStatus(now, effects);
+    if (!number) {
+      callback(std::nullopt);
+      return;
+    }
+    this->statuses[*number] = {std::move(callback), now};
+    this->Carry(std::move(effects));
+  });
+}
+
+std::shared_ptr<const state::Snapshot> ControlThread::Snapshot() {
+  return this->parts.snapshots.Get();
+}
+
+void ControlThread::HandleMessage(const HostName& from,
+                                  control::PeerMessage message) {
+  this->Carry(this->node->Receive(from, message, this->parts.clock.Now()));
+}
+
+Expected<control::RecoveredControl, ControlError> ControlThread::Recover() {
+  control::RecoveredControl recovered;
+  if (this->disk == nullptr) {
+    return recovered;
+  }
+  const auto to_error = [](const state::JournalError& error) {
+    LogEvent(Event::kJournalDamaged, LogLevel::kError,
+             {{"offset", std::to_string(error.offset)}});
+    return error.code == state::JournalErrorCode::kDamaged
+               ? ControlError::kJournalDamaged
+               : ControlError::kDiskFailed;
+  };
+  this->store = std::make_unique<state::LogStore>(*this->disk);
+  auto log = this->store->Recover();
+  if (!log) {
+    return unexpected(to_error(log.error()));
+  }
+  state::Journal journal(*this->disk, kLedgerJournal);
+  const auto records = journal.Recover();
+  if (!records) {
+    return unexpected(to_error(records.error()));
+  }
+  auto ledger = state::DecodeLedger(*records);
+  if (!ledger) {
+    return unexpected(ControlError::kJournalDamaged);
+  }
+  if (!records->empty()) {
+    const state::LedgerBatch whole{0, true, ledger->synced_epoch,
+                                   ledger->records};
+    const auto rewritten = journal.Rewrite({state::EncodeLedgerBatch(whole)});
+    if (!rewritten) {
+      return unexpected(to_error(rewritten.error()));
+    }
+  }
+  LogEvent(Event::kJournalRecovered, LogLevel::kInfo,
+           {{"entries", std::to_string(log->entries.size())},
+            {"operations", std::to_string(ledger->records.size())}});
+  recovered.log = std::move(*log);
+  recovered.ledger = std::move(*ledger);
+  return recovered;
+}
+
+void ControlThread::Run(control::RecoveredControl recovered,
+                        const std::function<void(bool)>& started) {
+  const control::ControlOptions options = this->MakeOptions();
+  hosts::NetworkOptions network_options;
+  network_options.self = options.self.name;
+  network_options.address = options.self.peer_address;
+  network_options.port = options.self.peer_port;
+  network_options.secret = this->settings.gateway.cluster_secret;
+  hosts::PeerHandler& handler = *this;
+  this->network =
+      std::make_unique<hosts::PeerNetwork>(network_options, handler);
+  this->node = std::make_unique<control::ControlNode>(
+      options, std::move(recovered), this->random, this->parts.clock.Now());
+  if (this->disk != nullptr) {
+    DiskThread::Callbacks callbacks;
+    callbacks.log_written = [this](std::uint64_t ticket) {
+      this->network->Post([this, ticket] {
+        this->Carry(this->node->LogPersisted(ticket, this->parts.clock.Now()));
+      });
+    };
+    callbacks.ledger_written = [this](std::uint64_t ticket) {
+      this->network->Post([this, ticket] {
+        this->Carry(
+            this->node->LedgerPersisted(ticket, this->parts.clock.Now()));
+      });
+    };
+    callbacks.failed = [this](state::JournalError error) {
+      LogEvent(Event::kJournalDamaged, LogLevel::kError,
+               {{"code", std::to_string(static_cast<int>(error.code))}});
+      this->failed.store(true);
+    };
+    this->disk_thread = std::make_unique<DiskThread>(*this->disk, *this->store,
+                                                     std::move(callbacks));
+  }
+  this->network->SetHosts(this->settings.hosts);
+  const bool listens = this->network->Listen().has_value();
+  started(listens);
+  if (listens) {
+    this->network->Run(kTick, [this] { this->Tick(); });
+  }
+  this->disk_thread.reset();
+  // Nobody is left to answer those who wait; the loop ends on its own thread.
+  this->permits.clear();
+  this->network.reset();
+}
+
+void ControlThread::Tick() {
+  this->Carry(this->node->Tick(this->parts.clock.Now()));
+  const TimePoint now = this->parts.clock.Now();
+  this->parts.servers.Expire();
+  this->parts.gate.Expire(now);
+  this->parts.budget.Tick();
+  if (now >= this->share_at) {
+    this->share_at = now + kShareEvery;
+    this->ShareSlots();
+  }
+  if (now >= this->probe_at) {
+    this->probe_at = now + this->node->Options().probe;
+    this->ProbeRegions();
+  }
+  if (now >= this->snapshot_at) {
+    this->PublishSnapshot();
+  }
+  this->EndWaits();
+  this->quiet.store(this->node->IsQuiet());
+  this->processor_us.store(ThreadTime().count());
+}
+
+void ControlThread::Carry(control::ControlEffects effects) {
+  for (state::LogBatch& batch : effects.log_batches) {
+    this->disk_thread->Write(std::move(batch));
+  }
+  for (state::LedgerBatch& batch : effects.ledger_batches) {
+    this->disk_thread->Write(std::move(batch));
+  }
+  // Traffic must know of a withdrawal before the requests that ran end.
+  if (effects.snapshot_changed) {
+    this->PublishSnapshot();
+  }
+  for (const KeyDigest& digest : effects.withdrawn) {
+    const std::size_t ended =
+        this->parts.active.CancelKey(digest, RefusalCode::kKeyWithdrawn);
+    LogEvent(Event::kKeyWithdrawn, LogLevel::kInfo,
+             {{"key", digest.Text()}, {"ended", std::to_string(ended)}});
+  }
+  for (const control::PeerSend& send : effects.sends) {
+    this->network->Send(send.to, send.message);
+  }
+  for (const state::LedgerPermit& permit : effects.permits) {
+    const auto waiting = this->permits.find(permit.id.number);
+    if (waiting != this->permits.end()) {
+      const auto callback = std::move(waiting->second);
+      this->permits.erase(waiting);
+      callback({ToPermitKind(permit.verdict),
+                {permit.answer.status, permit.answer.content_type,
+                 permit.answer.body}});
+    }
+  }
+  for (const policy::ChunkGrant& grant : effects.grants) {
+    this->parts.budget.HandleGrant(grant);
+  }
+  for (control::ChangeDone& done : effects.changes) {
+    const auto waiting = this->changes.find(done.number);
+    if (waiting != this->changes.end()) {
+      const auto callback = std::move(waiting->second.callback);
+      this->changes.erase(waiting);
+      callback({std::move(done.outcome)});
+    }
+  }
+  for (control::StatusReply& reply : effects.statuses) {
+    const auto waiting = this->statuses.find(reply.number);
+    if (waiting != this->statuses.end()) {
+      const auto callback = std::move(waiting->second.callback);
+      this->statuses.erase(waiting);
+      callback(std::move(reply));
+    }
+  }
+  for (const control::RegionNews& news : effects.news) {
+    this->CarryRegionNews(news);
+  }
+  for (const control::ProbeNews& news : effects.probes) {
+    this->CarryProbe(news);
+  }
+}
+
+void ControlThread::CarryRegionNews(const control::RegionNews& news) {
+  this->region_heard[news.from] = this->parts.clock.Now();
+  for (const policy::ServerReport& report : news.status.servers) {
+    this->parts.servers.TakeRelayed(report);
+  }
+  const auto snapshot = this->parts.snapshots.Get();
+  for (const control::ServedTokens& tokens : news.status.served) {
+    const auto workspace = snapshot->set->workspaces.find(tokens.workspace);
+    const std::uint32_t weight = workspace == snapshot->set->workspaces.end()
+                                     ? 1
+                                     : workspace->second.weight;
+    this->parts.gate.NoteServedElsewhere(tokens.target, tokens.workspace,
+                                         weight, tokens.tokens);
+  }
+  this->region_statuses[news.from] = news.status;
+}
+
+void ControlThread::CarryProbe(const control::ProbeNews& news) {
+  const auto sent = this->probe_sent.find(news.reply.number);
+  const auto& hosts = this->node->State().Hosts();
+  const auto host = hosts.find(news.from);
+  if (sent == this->probe_sent.end() || host == hosts.end()) {
+    return;
+  }
+  this->parts.regions.Note(host->second, news.reply,
+                           this->parts.clock.Now() - sent->second);
+  this->probe_sent.erase(sent);
+}
+
+void ControlThread::ShareSlots() {
+  const auto snapshot = this->parts.snapshots.Get();
+  const TimePoint now = this->parts.clock.Now();
+  const HostName& self = this->settings.gateway.host;
+  const auto own_demand = this->parts.gate.Demand();
+  control::RegionStatus status;
+  std::vector<control::TargetLoad> region_loads;
+  std::set<std::string> targets;
+  for (const auto& [name, route] : snapshot->set->routes) {
+    targets.insert(TargetOf(route));
+  }
+  for (const std::string& target : targets) {
+    std::map<HostName, std::uint32_t> demand;
+    const auto own = own_demand.find(target);
+    demand[self] = own == own_demand.end() ? 0 : own->second;
+    std::uint32_t total = demand[self];
+    for (const auto& [host, heard] : this->region_statuses) {
+      // A host that falls silent gives its part back.
+      if (now - this->region_heard[host] > this->settings.times.host_lost ||
+          heard.draining) {
+        continue;
+      }
+      demand[host] = 0;
+      for (const control::TargetLoad& load : heard.loads) {
+        if (load.target == target) {
+          demand[host] = load.demand;
+          total += load.demand;
+        }
+      }
+    }
+    const std::uint32_t slots = this->parts.servers.Slots(target);
+    const std::uint32_t part = policy::ShareSlots(slots, demand).at(self);
+    this->parts.gate.SetSlots(target, slots == 0 ? 0 : part);
+    status.loads.push_back({target, slots, demand[self]});
+    region_loads.push_back({target, slots, total});
+  }
+  for (const auto& [target, tokens] : this->parts.gate.TakeServed()) {
+    for (const auto& [workspace, count] : tokens) {
+      status.served.push_back({target, workspace, count});
+    }
+  }
+  status.servers = std::exchange(this->announced, {});
+  this->node->SetRegionStatus(std::move(status), std::move(region_loads));
+}
+
+void ControlThread::ProbeRegions() {
+  std::map<RegionName, std::vector<HostName>> by_region;
+  for (const auto& [region, live] : this->node->State().Live()) {
+    if (region != this->settings.gateway.region && !live.empty()) {
+      by_region[region].assign(live.begin(), live.end());
+    }
+  }
+  for (const auto& [region, live] : by_region) {
+    const HostName& host = live[this->random.Below(live.size())];
+    const std::uint64_t number = this->next_probe++;
+    this->probe_sent[number] = this->parts.clock.Now();
+    this->Carry(this->node->Probe(host, number));
+  }
+  while (this->probe_sent.size() > 4 * by_region.size() + 4) {
+    this->probe_sent.erase(this->probe_sent.begin());
+  }
+}
+
+void ControlThread::PublishSnapshot() {
+  const TimePoint now = this->parts.clock.Now();
+  this->snapshot_at = now + kSnapshotEvery;
+  auto snapshot = this->node->MakeSnapshot(now);
+  const auto self = snapshot->hosts.find(this->settings.gateway.host);
+  if (self != snapshot->hosts.end() && self->second.draining) {
+    this->told_to_drain.store(true);
+  }
+  std::vector<state::HostRecord> records;
+  for (const auto& [name, host] : snapshot->hosts) {
+    records.push_back(host);
+  }
+  this->network->SetHosts(records);
+  this->parts.snapshots.Set(std::move(snapshot));
+}
+
+void ControlThread::EndWaits() {
+  const TimePoint now = this->parts.clock.Now();
+  std::erase_if(this->changes, [&](auto& entry) {
+    if (now - entry.second.since < kOrderPatience) {
+      return false;
+    }
+    this->node->GiveUp(entry.first);
+    entry.second.callback({});
+    return true;
+  });
+  std::erase_if(this->statuses, [&](auto& entry) {
+    if (now - entry.second.since < std::chrono::seconds(2)) {
+      return false;
+    }
+    entry.second.callback(std::nullopt);
+    return true;
+  });
+}
+
+void ControlThread::LinkBudget() {
+  BudgetDesk::Links links;
+  links.request = [this](policy::ChunkRequest request) {
+    this->network->Post([this, request = std::move(request)] {
+      this->Carry(this->node->RequestChunk(request, this->parts.clock.Now()));
+    });
+  };
+  links.settle = [this](policy::ChunkSettled settled) {
+    this->network->Post([this, settled = std::move(settled)] {
+      this->Carry(this->node->SettleChunk(settled, this->parts.clock.Now()));
+    });
+  };
+  links.slice = [this](const WorkspaceName& name) {
+    constexpr TokenCount kWhole = 10'000;
+    const auto snapshot = this->parts.snapshots.Get();
+    const auto changing = snapshot->changing_shares.find(name);
+    state::RegionShare share;
+    if (changing != snapshot->changing_shares.end()) {
+      share = changing->second;
+    } else {
+      const auto workspace = snapshot->set->workspaces.find(name);
+      if (workspace != snapshot->set->workspaces.end()) {
+        share =
+            state::ShareIn(workspace->second, this->settings.gateway.region);
+      }
+    }
+    return std::pair(share.rate * snapshot->slice / kWhole,
+                     share.burst * snapshot->slice / kWhole);
+  };
+  this->parts.budget.SetLinks(std::move(links));
+  this->parts.servers.SetOnAnnounced([this](
+                                         const policy::ServerReport& report) {
+    this->network->Post([this, report] {
+      std::erase_if(this->announced, [&](const policy::ServerReport& known) {
+        return known.name == report.name;
+      });
+      this->announced.push_back(report);
+    });
+  });
+}
+
+control::ControlOptions ControlThread::MakeOptions() const {
+  control::ControlOptions options;
+  for (const state::HostRecord& host : this->settings.hosts) {
+    if (host.name == this->settings.gateway.host) {
+      options.self = host;
+    }
+  }
+  options.self.incarnation = NewIncarnation();
+  options.self.has_disk = this->disk != nullptr;
+  options.seeds = this->settings.hosts;
+  if (this->founds_log || this->disk == nullptr) {
+    options.first_voters.insert(this->settings.voters.begin(),
+                                this->settings.voters.end());
+  }
+  const ControlTimes& times = this->settings.times;
+  options.log.heartbeat = times.heartbeat;
+  options.log.election = times.election;
+  options.log.drift = times.election / 10;
+  options.report = times.heartbeat;
+  options.host_lost = times.host_lost;
+  options.key_freshness = times.key_freshness;
+  options.floor_wait = times.host_lost;
+  options.chunk_life = times.chunk_life;
+  return options;
+}
+
+}  // namespace tamarackwing::daemon
--- /dev/null
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "budget_desk.h"
+#include "region_table.h"
+#include "settings.h"
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/expected.h"
+#include "tamarackwing/base/random_source.h"
+#include "tamarackwing/control/control_effects.h"
+#include "tamarackwing/control/control_node.h"
+#include "tamarackwing/gateway/active_requests.h"
+#include "tamarackwing/gateway/admission_gate.h"
+#include "tamarackwing/gateway/operation_permits.h"
+#include "tamarackwing/gateway/server_directory.h"
+#include "tamarackwing/gateway/snapshot_holder.h"
+#include "tamarackwing/hosts/peer_handler.h"
+#include "tamarackwing/hosts/peer_network.h"
+#include "tamarackwing/operators/operator_service.h"
+#include "tamarackwing/state/disk.h"
+#include "tamarackwing/state/log_store.h"
+
+namespace tamarackwing::daemon {
+
+class DiskThread;
+
+//! Why the control thread could not start.
+enum class ControlError { kCannotListen, kJournalDamaged, kDiskFailed };
+
+//! What the control thread serves; everything outlives it.
+struct ControlParts {
+  const Clock& clock;
+  gateway::SnapshotHolder& snapshots;
+  gateway::ServerDirectory& servers;
+  gateway::AdmissionGate& gate;
+  gateway::ActiveRequests& active;
+  BudgetDesk& budget;
+  RegionTable& regions;
+};
+
+//! The one thread of control state: it runs the control node, carries out its
+//! effects, and answers traffic and operators.
+//! Thread safety: the overridden methods from any thread; the rest from the
+//! thread that made it.
+class ControlThread final : public gateway::OperationPermits,
+                            public operators::OperatorService,
+                            private hosts::PeerHandler {
+ public:
+  //! `disk` is null on a host without one, and outlives the thread.
+  ControlThread(const Settings& settings,
+                ControlParts parts,
+                state::Disk* disk,
+                bool founds_log);
+  ~ControlThread() override;
+
+  //! Recovers from the disk, listens and runs.
+  Expected<void, ControlError> Start();
+  //! Tells the others that this host drains.
+  void StartDrain();
+  //! Whether what the host had to hand over has been taken.
+  bool IsQuiet() const { return this->quiet.load(); }
+  //! Whether the disk has failed: the host must stop.
+  bool HasFailed() const { return this->failed.load(); }
+  //! Whether the agreed state says that this host drains.
+  bool IsToldToDrain() const { return this->told_to_drain.load(); }
+  //! Processor time that control has used.
+  std::chrono::microseconds ProcessorTime() const;
+  //! Bytes sent to other hosts.
+  std::uint64_t SentBytes() const;
+  //! Stops the thread; the disk is left in order.
+  void Stop();
+
+  void Ask(const RegionName& region,
+           const OperationId& operation,
+           OperationPermits::Callback callback) override;
+  void Release(const RegionName& region, const OperationId& operation) override;
+  void Answer(const RegionName& region,
+              const OperationId& operation,
+              const gateway::OperationAnswer& answer) override;
+  void Lose(const RegionName& region, const OperationId& operation) override;
+
+  void Change(state::ControlChange change, ChangeCallback callback) override;
+  void Check(state::PublishSet publish, ChangeCallback callback) override;
+  void Withdraw(KeyDigest digest) override;
+  void Status(StatusCallback callback) override;
+  std::shared_ptr<const state::Snapshot> Snapshot() override;
+
+ private:
+  struct Changing {
+    ChangeCallback callback;
+    TimePoint since;
+  };
+  struct AskingStatus {
+    StatusCallback callback;
+    TimePoint since;
+  };
+
+  void HandleMessage(const HostName& from,
+                     control::PeerMessage message) override;
+  Expected<control::RecoveredControl, ControlError> Recover();
+  void Run(control::RecoveredControl recovered,
+           const std::function<void(bool)>& started);
+  void Tick();
+  void Carry(control::ControlEffects effects);
+  void CarryRegionNews(const control::RegionNews& news);
+  void CarryProbe(const control::ProbeNews& news);
+  void ShareSlots();
+  void ProbeRegions();
+  void PublishSnapshot();
+  void EndWaits();
+  void End(const RegionName& region,
+           const OperationId& operation,
+           state::OperationState outcome,
+           state::StoredAnswer answer);
+  void LinkBudget();
+  control::ControlOptions MakeOptions() const;
+
+  const Settings& settings;
+  ControlParts parts;
+  state::Disk* disk;
+  bool founds_log;
+  SeededRandom random;
+  std::unique_ptr<state::LogStore> store;
+  std::unique_ptr<control::ControlNode> node;
+  std::unique_ptr<DiskThread> disk_thread;
+  std::unique_ptr<hosts::PeerNetwork> network;
+  std::thread thread;
+  std::atomic<bool> quiet{false};
+  std::atomic<bool> failed{false};
+  std::atomic<bool> told_to_drain{false};
+  std::atomic<std::int64_t> processor_us{0};
+
+  std::map<std::uint64_t, OperationPermits::Callback> permits;
+  std::map<std::uint64_t, Changing> changes;
+  std::map<std::uint64_t, AskingStatus> statuses;
+  std::map<HostName, control::RegionStatus> region_statuses;
+  std::map<HostName, TimePoint> region_heard;
+  std::vector<policy::ServerReport> announced;
+  std::uint64_t next_probe = 1;
+  std::map<std::uint64_t, TimePoint> probe_sent;
+  TimePoint probe_at;
+  TimePoint share_at;
+  TimePoint snapshot_at;
+};
+
+}  // namespace tamarackwing::daemon
--- a/programs/tamarackwingd/src/daemon.h
+++ b/programs/tamarackwingd/src/daemon.h
@@ -1,31 +1,54 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
-#include <string>
+#include <string_view>
 
 #include "settings.h"
 #include "tamarackwing/base/expected.h"
-#include "tamarackwing/state/configuration_set.h"
+#include "tamarackwing/operators/operator_service.h"
 
 namespace tamarackwing::daemon {
 
 //! Why a host could not start.
-enum class StartError { kCallersListener, kBackendServersListener };
+enum class StartError {
+  kBackendServersListener,
+  kCallersListener,
+  kDiskFailed,
+  kForwardListener,
+  kJournalDamaged,
+  kOperatorsListener,
+  kPeersListener,
+};
+
+//! The error's name, such as `journal_damaged`. Thread safety: reentrant.
+std::string_view StartErrorName(StartError error);
+
+//! How a host's life goes on.
+enum class DaemonState { kServing, kDiskFailed };
 
 //! One host: its listeners, its traffic threads and its control thread.
 //! Thread safety: one thread at a time.
 class Daemon {
  public:
-  explicit Daemon(Settings settings);
+  //! `founds_log` is set at the first start of a cluster, and on no other: a
+  //! voter that finds no log without it has lost its disk.
+  Daemon(Settings settings, bool founds_log);
   //! Stops at once what still runs.
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
-  //! Opens the listeners.
+  //! Recovers, joins the others and opens the listeners.
   Expected<void, StartError> Start();
-  //! Puts a set in force on this host alone.
-  void Apply(state::ConfigurationSet set);
+  //! What operators can do here. Thread safety: as for OperatorService.
+  operators::OperatorService& Operators();
+  //! Whether the host can go on.
+  DaemonState State() const;
+  //! Processor time that control has used so far.
+  std::chrono::microseconds ControlTime() const;
+  //! Bytes that control has sent to other hosts.
+  std::uint64_t ControlBytes() const;
   //! Refuses new requests, waits for the open ones and returns whether all
   //! ended within the drain limit.
   bool Drain();
--- /dev/null
+++ b/programs/tamarackwingd/src/disk_thread.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <variant>
+
+#include "tamarackwing/state/agreed_log.h"
+#include "tamarackwing/state/disk.h"
+#include "tamarackwing/state/journal.h"
+#include "tamarackwing/state/log_store.h"
+#include "tamarackwing/state/operation_ledger.h"
+
+namespace tamarackwing::daemon {
+
+//! Writes batches in their order, away from the control thread, which never
+//! waits for a disk. Thread safety: every method is callable from any thread.
+class DiskThread {
+ public:
+  //! What is told once a batch is on disk; called on the disk's thread.
+  struct Callbacks {
+    std::function<void(std::uint64_t)> log_written;
+    std::function<void(std::uint64_t)> ledger_written;
+    //! The disk has failed: nothing that follows is written.
+    std::function<void(state::JournalError)> failed;
+  };
+
+  //! Preconditions: `disk` and `store` outlive the thread; `store` has
+  //! recovered.
+  DiskThread(state::Disk& disk, state::LogStore& store, Callbacks callbacks);
+  //! Writes what is waiting and ends.
+  ~DiskThread();
+  DiskThread(const DiskThread&) = delete;
+  DiskThread& operator=(const DiskThread&) = delete;
+
+  void Write(state::LogBatch batch);
+  void Write(state::LedgerBatch batch);
+
+ private:
+  using Batch = std::variant<state::LogBatch, state::LedgerBatch>;
+
+  void Run();
+  bool WriteAll(const std::deque<Batch>& batches);
+
+  state::LogStore& store;
+  state::Journal ledger;
+  Callbacks callbacks;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<Batch> waiting;
+  bool stopping = false;
+  std::thread thread;
+};
+
+//! The name of the ledger's journal.
+inline constexpr const char* kLedgerJournal = "ledger.journal";
+
+}  // namespace tamarackwing::daemon
--- a/programs/tamarackwingd/src/main.cc
+++ b/programs/tamarackwingd/src/main.cc
@@ -2,22 +2,26 @@
 #include <pthread.h>
 
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include "daemon.h"
-#include "tamarackwing/state/set_parser.h"
 
 DEFINE_string(settings, "", "path of the host's settings (TOML)");
 DEFINE_bool(check, false, "check the settings and exit");
-DEFINE_string(set, "", "path of a configuration set for a host alone");
+DEFINE_bool(found_log,
+            false,
+            "first start of a cluster: a voter without a log founds it");
 
 namespace {
 
 constexpr int kBadSettings = 2;
 constexpr int kCannotStart = 3;
 constexpr int kRequestsCut = 4;
+constexpr int kDiskFailed = 5;
+constexpr long kPollNanoseconds = 100'000'000;
 
 std::string ReadFile(const std::string& path) {
   const std::ifstream file(path);
@@ -64,20 +68,21 @@
   }
   const sigset_t signals = BlockStopSignals();
   tamarackwing::OpenLog(settings->log_level);
-  tamarackwing::daemon::Daemon daemon(*settings);
-  if (!daemon.Start()) {
-    std::cerr << "a listener's address is in use or not of this machine\n";
+  tamarackwing::daemon::Daemon daemon(*settings, FLAGS_found_log);
+  const auto started = daemon.Start();
+  if (!started) {
+    std::cerr << "cannot start: "
+              << tamarackwing::daemon::StartErrorName(started.error()) << "\n";
     return kCannotStart;
   }
-  if (!FLAGS_set.empty()) {
-    const auto set = tamarackwing::state::ParseSet(ReadFile(FLAGS_set));
-    if (!set) {
-      PrintFaults(FLAGS_set, set.error());
-      return kBadSettings;
+  while (true) {
+    const timespec poll{0, kPollNanoseconds};
+    if (sigtimedwait(&signals, nullptr, &poll) > 0) {
+      return daemon.Drain() ? 0 : kRequestsCut;
+    }
+    if (daemon.State() == tamarackwing::daemon::DaemonState::kDiskFailed) {
+      std::cerr << "cannot go on: disk_failed\n";
+      return kDiskFailed;
     }
-    daemon.Apply(*set);
   }
-  int received = 0;
-  sigwait(&signals, &received);
-  return daemon.Drain() ? 0 : kRequestsCut;
 }
--- /dev/null
+++ b/programs/tamarackwingd/src/region_table.cc
@@ -0,0 +1,58 @@
+#include "region_table.h"
+
+#include <algorithm>
+
+namespace tamarackwing::daemon {
+namespace {
+
+//! What a probe said counts for so long.
+constexpr std::chrono::seconds kProbeLife{5};
+//! What one more waiting request a slot is taken to cost.
+constexpr std::chrono::milliseconds kTurn{1'000};
+
+}  // namespace
+
+RegionTable::RegionTable(const Clock& clock) : clock(clock) {}
+
+void RegionTable::Note(const state::HostRecord& host,
+                       const control::ProbeReply& reply,
+                       Duration round_trip) {
+  const std::lock_guard lock(this->mutex);
+  Region& region = this->regions[reply.region];
+  region.host = host;
+  region.round_trip = round_trip;
+  region.at = this->clock.Now();
+  region.loads.clear();
+  for (const control::TargetLoad& load : reply.loads) {
+    region.loads[load.target] = load;
+  }
+}
+
+std::vector<gateway::ForwardTarget> RegionTable::Candidates(
+    const std::string& target) {
+  std::vector<gateway::ForwardTarget> candidates;
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [name, region] : this->regions) {
+    const auto load = region.loads.find(target);
+    const bool is_recent = this->clock.Now() - region.at < kProbeLife;
+    if (!is_recent || load == region.loads.end() || load->second.slots == 0) {
+      continue;
+    }
+    const std::uint32_t slots = load->second.slots;
+    const std::uint32_t turns = (load->second.demand + 1) / slots;
+    gateway::ForwardTarget candidate;
+    candidate.host = region.host.name;
+    candidate.region = name;
+    candidate.endpoint = {region.host.peer_address, region.host.forward_port};
+    candidate.expected = region.round_trip + kTurn * turns;
+    candidates.push_back(std::move(candidate));
+  }
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const gateway::ForwardTarget& a, const gateway::ForwardTarget& b) {
+        return a.expected < b.expected;
+      });
+  return candidates;
+}
+
+}  // namespace tamarackwing::daemon
--- /dev/null
+++ b/programs/tamarackwingd/src/region_table.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/control/peer_message.h"
+#include "tamarackwing/gateway/region_hosts.h"
+#include "tamarackwing/state/host_record.h"
+
+namespace tamarackwing::daemon {
+
+//! How other regions stand, from probes of their hosts.
+//! Thread safety: every method is callable from any thread.
+class RegionTable final : public gateway::RegionHosts {
+ public:
+  //! Precondition: `clock` outlives the table.
+  explicit RegionTable(const Clock& clock);
+
+  //! Takes a probe's answer and the time it took both ways.
+  void Note(const state::HostRecord& host,
+            const control::ProbeReply& reply,
+            Duration round_trip);
+  std::vector<gateway::ForwardTarget> Candidates(
+      const std::string& target) override;
+
+ private:
+  struct Region {
+    state::HostRecord host;
+    std::map<std::string, control::TargetLoad> loads;
+    Duration round_trip{};
+    TimePoint at;
+  };
+
+  const Clock& clock;
+  std::mutex mutex;
+  std::map<RegionName, Region> regions;
+};
+
+}  // namespace tamarackwing::daemon
--- a/tests/request_path_tests.cc
+++ b/tests/request_path_tests.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include "tamarackwing/base/digest.h"
 #include "tamarackwing/state/set_parser.h"
 
 #include "test_host.h"
@@ -17,9 +18,9 @@
     auto set = state::ParseSet(ExampleSet());
     ASSERT_TRUE(set.has_value());
     this->settings.servers.ramp = std::chrono::milliseconds(0);
-    this->host = std::make_unique<daemon::Daemon>(this->settings);
+    this->host = std::make_unique<daemon::Daemon>(this->settings, true);
     ASSERT_TRUE(this->host->Start().has_value());
-    this->host->Apply(*set);
+    ASSERT_TRUE(PublishFirst(*this->host, *set));
     this->engine = this->StartServer("engine", {"drafter@3"});
     this->service = this->StartServer("service", {"booking", "gauge"});
     ASSERT_TRUE(WaitFor([&] {
@@ -62,7 +63,8 @@
   }
 
   http::IoThreads threads{2};
-  daemon::Settings settings = AloneSettings(kPort);
+  TemporaryFolder folder;
+  daemon::Settings settings = AloneSettings(kPort, this->folder.Path());
   std::unique_ptr<daemon::Daemon> host;
   std::unique_ptr<fakes::FakeServer> engine;
   std::unique_ptr<fakes::FakeServer> service;
@@ -139,6 +141,52 @@
   EXPECT_TRUE(WaitFor([&] { return this->engine->Cancelled() > 0; }));
 }
 
+TEST_F(RequestPath, AResentBookingGetsTheFirstAnswerAndRunsOnce) {
+  const CallResult first =
+      this->Send(ServiceRequest("desk-key", "booking", "two-domes"));
+  const CallResult second =
+      this->Send(ServiceRequest("desk-key", "booking", "two-domes"));
+  EXPECT_EQ(first.status, 200U);
+  EXPECT_EQ(second.status, 200U);
+  EXPECT_EQ(first.body, second.body);
+  EXPECT_EQ(this->service->Runs().at("two-domes"), 1U);
+}
+
+TEST_F(RequestPath, ABookingWithoutAnIdempotencyKeyIsRefused) {
+  const CallResult result =
+      this->Send(ServiceRequest("desk-key", "booking", ""));
+  EXPECT_EQ(result.status, 400U);
+  EXPECT_NE(result.body.find("idempotency_key_missing"), std::string::npos);
+}
+
+TEST_F(RequestPath, ABookingWhoseServerGoesSilentIsNotSaidNotToHaveRun) {
+  fakes::FakeBehaviour behaviour = this->service->Behaviour();
+  behaviour.silent = true;
+  this->service->SetBehaviour(behaviour);
+  http::Request request = ServiceRequest("desk-key", "booking", "one-dome");
+  request.head.headers.Add("Request-Timeout", "300");
+  const CallResult result = this->Send(std::move(request));
+  EXPECT_EQ(result.status, 504U);
+  EXPECT_NE(result.body.find("\"ran\":\"unknown\""), std::string::npos);
+  const CallResult again =
+      this->Send(ServiceRequest("desk-key", "booking", "one-dome"));
+  EXPECT_EQ(again.status, 409U);
+  EXPECT_NE(again.body.find("\"ran\":\"unknown\""), std::string::npos);
+}
+
+TEST_F(RequestPath, AWithdrawnKeyEndsItsOpenStreamAndItsNewRequests) {
+  auto open = std::async(std::launch::async, [&] {
+    return this->Send(ModelRequest("desk-key", 2'000, true));
+  });
+  const std::uint32_t before = this->engine->Started();
+  ASSERT_TRUE(WaitFor([&] { return this->engine->Started() > before; }));
+  this->host->Operators().Withdraw(DigestKey("desk-key"));
+  const CallResult cut = open.get();
+  EXPECT_FALSE(cut.whole);
+  EXPECT_EQ(this->Send(ModelRequest("desk-key", 1, false)).status, 401U);
+  EXPECT_TRUE(WaitFor([&] { return this->engine->Cancelled() > 0; }));
+}
+
 TEST_F(RequestPath, AStopUnderLoadCutsNoOpenStream) {
   auto open = std::async(std::launch::async, [&] {
     return this->Send(ModelRequest("desk-key", 200, true));
--- a/tests/test_host.cc
+++ b/tests/test_host.cc
@@ -1,5 +1,7 @@
 #include "test_host.h"
 
+#include <cstdlib>
+#include <filesystem>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -66,11 +68,9 @@
 
 }  // namespace
 
-std::string ExampleSet() {
-  return R"(
-[[residency_rules]]
-name = "oman"
-regions = ["muscat", "sohar", "salalah"]
+std::string ExampleSet(const std::string& regions) {
+  return "[[residency_rules]]\nname = \"oman\"\nregions = [" + regions +
+         R"(]
 [[workspaces]]
 name = "desk"
 rate = 100000
@@ -111,8 +111,39 @@
          KeyTable("crew-key", "crew");
 }
 
-daemon::Settings AloneSettings(std::uint16_t first_port) {
+TemporaryFolder::TemporaryFolder() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "tamarackwing-XXXXXX").string();
+  this->path = ::mkdtemp(pattern.data());
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code ignored;
+  std::filesystem::remove_all(this->path, ignored);
+}
+
+bool PublishFirst(daemon::Daemon& host, const state::ConfigurationSet& set) {
+  state::PublishSet publish;
+  publish.delta = state::DiffSets({}, set);
+  int tries = 0;
+  // Until the regions' hosts have joined, a set that names them is rejected.
+  return WaitFor([&] {
+    publish.id = PublishId("first-" + std::to_string(tries++));
+    std::promise<bool> applied;
+    host.Operators().Change(publish, [&](operators::OrderResult result) {
+      applied.set_value(result.outcome &&
+                        result.outcome->kind == state::ApplyKind::kApplied);
+    });
+    return applied.get_future().get();
+  });
+}
+
+daemon::Settings AloneSettings(std::uint16_t first_port,
+                               const std::string& data_folder) {
   daemon::Settings settings;
+  settings.data_folder = data_folder;
+  settings.times.heartbeat = std::chrono::milliseconds(50);
+  settings.times.election = std::chrono::milliseconds(200);
   settings.gateway.host = HostName("muscat-1");
   settings.gateway.region = RegionName("muscat");
   settings.gateway.data_centre = DataCentreName("muscat-a");
--- a/tests/test_host.h
+++ b/tests/test_host.h
@@ -13,10 +13,28 @@
 
 //! The example set of the tests: keys `desk-key` and `crew-key`, routes
 //! `drafting` (a model), `booking` (not idempotent) and `gauge` (idempotent).
-std::string ExampleSet();
+//! `regions` lists where data may be, in quotes and with commas.
+std::string ExampleSet(const std::string& regions = "\"muscat\"");
+
+//! A folder that goes with the test.
+class TemporaryFolder {
+ public:
+  TemporaryFolder();
+  ~TemporaryFolder();
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+  const std::string& Path() const { return this->path; }
+
+ private:
+  std::string path;
+};
 
 //! Settings of a host alone on 127.0.0.1, its ports from `first_port` on.
-daemon::Settings AloneSettings(std::uint16_t first_port);
+daemon::Settings AloneSettings(std::uint16_t first_port,
+                               const std::string& data_folder);
+
+//! Publishes a set on a cluster that has none; whether it was applied.
+bool PublishFirst(daemon::Daemon& host, const state::ConfigurationSet& set);
 
 //! An answer read to its end, or to where it was cut.
 struct CallResult {
