--- /dev/null
+++ b/programs/tamarackwing/src/operator_client.cc
@@ -0,0 +1,58 @@
+#include "operator_client.h"
+
+#include <charconv>
+#include <utility>
+
+#include "tamarackwing/http/connection.h"
+
+namespace tamarackwing::cli {
+namespace {
+
+constexpr std::chrono::seconds kPatience{15};
+constexpr std::size_t kMostBytes = 256 * 1024 * 1024;
+
+}  // namespace
+
+OperatorClient::OperatorClient(http::Endpoint endpoint, std::string token)
+    : endpoint(std::move(endpoint)), token(std::move(token)) {}
+
+std::optional<http::Response> OperatorClient::Call(const std::string& method,
+                                                   const std::string& target,
+                                                   http::Headers headers,
+                                                   std::string body) {
+  http::Request request;
+  request.head.method = method;
+  request.head.target = target;
+  request.head.headers = std::move(headers);
+  request.head.headers.Add("Host", this->endpoint.address);
+  request.head.headers.Add("Authorization", "Bearer " + this->token);
+  request.body = std::move(body);
+  http::asio::io_context& context = *this->threads.All().front();
+  auto answer = http::asio::co_spawn(
+      context,
+      http::Fetch(context, this->endpoint, std::move(request),
+                  std::chrono::steady_clock::now() + kPatience, kMostBytes),
+      http::asio::use_future);
+  auto response = answer.get();
+  if (!response) {
+    return std::nullopt;
+  }
+  return std::move(*response);
+}
+
+std::optional<http::Endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return std::nullopt;
+  }
+  http::Endpoint endpoint{text.substr(0, colon), 0};
+  const char* begin = text.data() + colon + 1;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(begin, end, endpoint.port);
+  if (error != std::errc() || stop != end || endpoint.port == 0) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+}  // namespace tamarackwing::cli
--- a/tests/fakes/fake_server.cc
+++ b/tests/fakes/fake_server.cc
@@ -43,16 +43,19 @@
 //! Holds one slot of the server for as long as it lives.
 class FakeServer::Slot {
  public:
-  explicit Slot(FakeServer& server) : server(server) {}
+  explicit Slot(FakeServer& server)
+      : server(server), since(std::chrono::steady_clock::now()) {}
   ~Slot() {
     const std::lock_guard lock(this->server.mutex);
     this->server.running -= 1;
+    this->server.busy += std::chrono::steady_clock::now() - this->since;
   }
   Slot(const Slot&) = delete;
   Slot& operator=(const Slot&) = delete;
 
  private:
   FakeServer& server;
+  TimePoint since;
 };
 
 FakeServer::FakeServer(http::IoThreads& threads,
@@ -116,7 +119,7 @@
                                                http::ResponseWriter& writer) {
   const std::string& target = request.head.target;
   if (target == "/fake/runs") {
-    co_await writer.Send(Json(200, this->Runs()));
+    co_await writer.Send(this->Counts());
     co_return;
   }
   if (target == "/fake/behaviour") {
@@ -354,6 +357,13 @@
   }
 }
 
+http::Response FakeServer::Counts() const {
+  const std::lock_guard lock(this->mutex);
+  const auto busy =
+      std::chrono::duration_cast<std::chrono::milliseconds>(this->busy);
+  return Json(200, {{"runs", this->runs}, {"busy_ms", busy.count()}});
+}
+
 http::Response FakeServer::TakeOrder(const http::Request& request) {
   const json order = json::parse(request.body, nullptr, false);
   const std::uint64_t number =
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -104,6 +104,7 @@
   http::asio::awaitable<void> Pause(Duration time);
   http::asio::awaitable<void> Announce();
   http::asio::awaitable<void> SendCacheEvent(std::uint64_t prefix);
+  http::Response Counts() const;
   http::Response TakeOrder(const http::Request& request);
   http::Response SetBehaviourFrom(const http::Request& request);
   std::string Report() const;
@@ -119,6 +120,8 @@
   mutable std::mutex mutex;
   FakeBehaviour behaviour;
   std::uint32_t running = 0;
+  //! Slot time used.
+  Duration busy{};
   std::uint32_t queued = 0;
   std::uint32_t started = 0;
   std::uint32_t cancelled = 0;
