--- /dev/null
+++ b/benchmarks/decision_benchmark.cc
@@ -0,0 +1,104 @@
+//! The microsecond figures: routing, budgets, queueing, directory order.
+
+#include <benchmark/benchmark.h>
+
+#include "tamarackwing/base/random_source.h"
+#include "tamarackwing/policy.h"
+
+namespace tamarackwing::policy {
+namespace {
+
+ServerReport Report(int number) {
+  ServerReport report;
+  report.name = BackendServerName("server-" + std::to_string(number));
+  report.region = RegionName("muscat");
+  report.data_centre = DataCentreName(number % 2 == 0 ? "a" : "b");
+  report.targets = {"drafter@3"};
+  report.slots = 8;
+  report.running = static_cast<std::uint32_t>(number % 7);
+  report.prefill_rate = 5'000;
+  report.decode_rate = 50;
+  return report;
+}
+
+void RoutingDecision(benchmark::State& state) {
+  ManualClock clock;
+  SeededRandom random(1);
+  ServerTable table{ServerTableLimits()};
+  for (int i = 0; i < state.range(0); ++i) {
+    table.Announce(Report(i), clock.Now());
+  }
+  ServerQuery query;
+  query.target = "drafter@3";
+  query.prompt_tokens = 1'000;
+  query.output_tokens = 100;
+  query.prefix = 17;
+  query.data_centre = DataCentreName("a");
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(table.Pick(query, clock.Now(), random));
+  }
+}
+BENCHMARK(RoutingDecision)->Arg(18)->Arg(69)->Arg(1'100);
+
+void BudgetDecisionWithAChunkAtHand(benchmark::State& state) {
+  ManualClock clock;
+  BudgetHolder holder(std::chrono::hours(1));
+  const WorkspaceName desk("order-desk");
+  holder.Add(desk, 1, TokenCount{1} << 60, ChunkSource::kAllocator,
+             clock.Now(), clock.Now());
+  for (auto _ : state) {
+    const auto reservation = holder.Reserve(desk, 10, clock.Now());
+    holder.Settle(desk, *reservation, 10, clock.Now());
+  }
+}
+BENCHMARK(BudgetDecisionWithAChunkAtHand);
+
+void AllocatorGrant(benchmark::State& state) {
+  ManualClock clock;
+  BudgetAllocator allocator(std::chrono::seconds(2), clock.Now());
+  std::vector<WorkspaceName> names;
+  for (int i = 0; i < state.range(0); ++i) {
+    names.emplace_back("workspace-" + std::to_string(i));
+    allocator.SetShare(names.back(), 1'000'000, 10'000'000, clock.Now());
+  }
+  clock.Advance(std::chrono::hours(1));
+  std::uint64_t chunk = 0;
+  const HostName holder("a");
+  for (auto _ : state) {
+    const WorkspaceName& name = names[chunk % names.size()];
+    ++chunk;
+    allocator.Grant({holder, 1, chunk}, {chunk, name, 10, 10}, clock.Now());
+    allocator.Settle({holder, 1, chunk}, {chunk, name, 0}, clock.Now());
+  }
+}
+BENCHMARK(AllocatorGrant)->Arg(5)->Arg(45'000);
+
+void FairQueuePushAndPop(benchmark::State& state) {
+  FairQueue queue(1 << 20);
+  std::uint64_t id = 0;
+  for (int i = 0; i < state.range(0); ++i) {
+    queue.Push({++id, WorkspaceName(std::to_string(i)), 1, 10,
+                TimePoint::max()});
+  }
+  for (auto _ : state) {
+    auto request = queue.Pop();
+    request->id = ++id;
+    queue.Push(std::move(*request));
+  }
+}
+BENCHMARK(FairQueuePushAndPop)->Arg(5)->Arg(100)->Arg(1'000);
+
+void DirectoryOrder(benchmark::State& state) {
+  std::vector<HostName> hosts;
+  for (int i = 0; i < state.range(0); ++i) {
+    hosts.emplace_back("host-" + std::to_string(i));
+  }
+  const WorkspaceName desk("order-desk");
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(OrderHosts(desk, hosts));
+  }
+}
+BENCHMARK(DirectoryOrder)->Arg(8)->Arg(23);
+
+}  // namespace
+}  // namespace tamarackwing::policy
