Bound what control costs a host as regions and hosts grow

Change: a shared host table, duties at half a report's pace, at most four probes a round, reports spread where a region has more than eight peers, a tick of 50 ms.

--- a/packages/base/include/tamarackwing/base/metrics.h
+++ b/packages/base/include/tamarackwing/base/metrics.h
@@ -20,6 +20,8 @@
 
   //! Adds to a counter. Precondition: `name` is a valid metric name.
   void Count(const std::string& name, std::uint64_t by = 1);
+  //! Sets a gauge. Precondition: `name` is a valid metric name.
+  void Set(const std::string& name, double value);
   //! Records one latency. Precondition: `name` is a valid metric name.
   void Record(const std::string& name, std::chrono::nanoseconds latency);
   //! All metrics in the Prometheus text format.
@@ -29,6 +31,7 @@
   struct Distribution;
   mutable std::mutex mutex;
   std::map<std::string, std::uint64_t> counters;
+  std::map<std::string, double> gauges;
   std::map<std::string, std::unique_ptr<Distribution>> distributions;
 };
 
--- a/packages/base/src/metrics.cc
+++ b/packages/base/src/metrics.cc
@@ -35,6 +35,11 @@
   this->counters[name] += by;
 }
 
+void Metrics::Set(const std::string& name, double value) {
+  const std::lock_guard lock(this->mutex);
+  this->gauges[name] = value;
+}
+
 void Metrics::Record(const std::string& name,
                      std::chrono::nanoseconds latency) {
   const std::lock_guard lock(this->mutex);
@@ -51,6 +56,9 @@
   for (const auto& [name, value] : this->counters) {
     out << name << ' ' << value << '\n';
   }
+  for (const auto& [name, value] : this->gauges) {
+    out << name << ' ' << value << '\n';
+  }
   for (const auto& [name, distribution] : this->distributions) {
     const LatencyAccumulator& seconds = distribution->seconds;
     for (const double quantile : kQuantiles) {
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -184,6 +184,7 @@
                            ControlEffects& effects);
 
   void Report(TimePoint now, ControlEffects& effects);
+  void ReportToRegion(TimePoint now, ControlEffects& effects);
   void AskFeed(TimePoint now, ControlEffects& effects);
   void PushFeed(TimePoint now, ControlEffects& effects);
   FeedReply MakeFeed(LogIndex next, TimePoint now);
@@ -215,6 +216,8 @@
   bool draining = false;
   TimePoint started;
   TimePoint report_at;
+  TimePoint region_report_at;
+  TimePoint duties_at;
   std::size_t source = 0;
   std::uint64_t feed_number = 0;
   std::map<std::uint64_t, TimePoint> feed_sent;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kBufferedEntries = 8'192;
 constexpr std::size_t kEntriesPerFeed = 512;
 constexpr std::size_t kHundred = 100;
+//! Peers of a region to whom a host reports at the full pace.
+constexpr std::size_t kPeersPerReport = 8;
 constexpr milliseconds kProposalResend{500};
 constexpr milliseconds kLedgerResend{200};
 //! Reports without an answer after which another source is tried.
@@ -81,7 +83,8 @@
     this->Report(now, effects);
   }
   this->ResendProposals(now, effects);
-  if (this->log.IsLeader()) {
+  if (this->log.IsLeader() && now >= this->duties_at) {
+    this->duties_at = now + this->options.report / 2;
     this->DoLeaderDuties(now, effects);
   }
   this->was_leader = this->log.IsLeader();
@@ -268,7 +271,7 @@
     all->insert(this->early_withdrawn.begin(), this->early_withdrawn.end());
     snapshot->withdrawn = std::move(all);
   }
-  snapshot->hosts = this->state.Hosts();
+  snapshot->hosts = this->state.HostTable();
   for (const auto& [region, hosts] : this->state.Live()) {
     snapshot->live.insert(hosts.begin(), hosts.end());
   }
@@ -651,11 +654,33 @@
 void ControlNode::Report(TimePoint now, ControlEffects& effects) {
   this->watch.NoteStatus(this->OwnStatus(), now);
   this->AskFeed(now, effects);
+  if (now >= this->region_report_at) {
+    this->ReportToRegion(now, effects);
+  }
+  std::erase_if(this->subscribers, [&](const auto& entry) {
+    return now - entry.second.heard > this->options.host_lost;
+  });
+  if (!this->early_withdrawn.empty() && !this->Leader().IsEmpty()) {
+    // Withdrawals are final, so to propose one twice does no harm.
+    if (this->proposals.empty()) {
+      this->Propose(state::WithdrawKeys{{this->early_withdrawn.begin(),
+                                         this->early_withdrawn.end()}},
+                    now, effects);
+    }
+  }
+}
+
+void ControlNode::ReportToRegion(TimePoint now, ControlEffects& effects) {
+  const std::vector<HostName> peers = this->RegionPeers();
+  // What a host sends to its region stays the same however many are in it.
+  const auto crowd = std::max<std::size_t>(1, peers.size() / kPeersPerReport);
+  this->region_report_at =
+      now + this->options.report * static_cast<std::int64_t>(crowd);
   const auto view = this->state.Views().find(this->options.self.region);
   RegionStatus status = this->region_status;
   status.epoch = view == this->state.Views().end() ? 0 : view->second.epoch;
   status.draining = this->draining;
-  for (const HostName& peer : this->RegionPeers()) {
+  for (const HostName& peer : peers) {
     status.number = ++this->status_number[peer];
     status.echo = this->status_heard[peer];
     auto& sent = this->status_sent[peer];
@@ -668,17 +693,6 @@
   // Served tokens and announcements are news; loads are told again.
   this->region_status.servers.clear();
   this->region_status.served.clear();
-  std::erase_if(this->subscribers, [&](const auto& entry) {
-    return now - entry.second.heard > this->options.host_lost;
-  });
-  if (!this->early_withdrawn.empty() && !this->Leader().IsEmpty()) {
-    // Withdrawals are final, so to propose one twice does no harm.
-    if (this->proposals.empty()) {
-      this->Propose(state::WithdrawKeys{{this->early_withdrawn.begin(),
-                                         this->early_withdrawn.end()}},
-                    now, effects);
-    }
-  }
 }
 
 void ControlNode::AskFeed(TimePoint now, ControlEffects& effects) {
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -132,7 +132,7 @@
     return near;
   }
   const auto rule = snapshot.set->residency_rules.find(workspace->residency);
-  for (const auto& [host, record] : snapshot.hosts) {
+  for (const auto& [host, record] : *snapshot.hosts) {
     const bool permitted = rule != snapshot.set->residency_rules.end() &&
                            IsIn(rule->second.regions, record.region);
     if (!permitted || record.draining || !snapshot.live.contains(host)) {
@@ -170,7 +170,7 @@
   body["ttl_ms"] = this->settings.directory_time_to_live.count();
   body["hosts"] = nlohmann::json::array();
   for (const HostName& host : this->HostsFor(*snapshot, grant->workspace)) {
-    const state::HostRecord& record = snapshot->hosts.at(host);
+    const state::HostRecord& record = snapshot->hosts->at(host);
     body["hosts"].push_back({{"name", host.Text()},
                              {"region", record.region.Text()},
                              {"address", record.caller_address},
--- a/packages/operators/src/operator_listener.cc
+++ b/packages/operators/src/operator_listener.cc
@@ -230,7 +230,7 @@
   const std::string order =
       slash == std::string::npos ? "" : rest.substr(slash + 1);
   const auto snapshot = this->service.Snapshot();
-  if (!snapshot->hosts.contains(host)) {
+  if (!snapshot->hosts->contains(host)) {
     co_return Refuse(kNotFound, "unknown_host");
   }
   state::ControlChange change;
--- a/packages/state/include/tamarackwing/state/control_state.h
+++ b/packages/state/include/tamarackwing/state/control_state.h
@@ -60,7 +60,12 @@
   const std::shared_ptr<const std::set<KeyDigest>>& Withdrawn() const {
     return this->withdrawn;
   }
-  const std::map<HostName, HostRecord>& Hosts() const { return this->hosts; }
+  const std::map<HostName, HostRecord>& Hosts() const { return *this->hosts; }
+  //! The same, shared: a new table whenever a host changes.
+  const std::shared_ptr<const std::map<HostName, HostRecord>>& HostTable()
+      const {
+    return this->hosts;
+  }
   const std::map<RegionName, RegionView>& Views() const { return this->views; }
   //! The hosts of each region that answered the leader.
   const std::map<RegionName, std::set<HostName>>& Live() const {
@@ -117,7 +122,7 @@
   bool topology_changed = true;
   std::shared_ptr<const ConfigurationSet> set;
   std::shared_ptr<const std::set<KeyDigest>> withdrawn;
-  std::map<HostName, HostRecord> hosts;
+  std::shared_ptr<const std::map<HostName, HostRecord>> hosts;
   std::map<HostName, std::size_t> slices;
   std::map<RegionName, RegionView> views;
   std::map<RegionName, std::set<HostName>> live;
--- a/packages/state/include/tamarackwing/state/snapshot.h
+++ b/packages/state/include/tamarackwing/state/snapshot.h
@@ -23,7 +23,9 @@
   //! Never null.
   std::shared_ptr<const std::set<KeyDigest>> withdrawn =
       std::make_shared<const std::set<KeyDigest>>();
-  std::map<HostName, HostRecord> hosts;
+  //! Never null; the same one until a host changes.
+  std::shared_ptr<const std::map<HostName, HostRecord>> hosts =
+      std::make_shared<const std::map<HostName, HostRecord>>();
   //! Hosts that answered lately.
   std::set<HostName> live;
   //! Until when keys of other home regions may be served.
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -46,7 +46,8 @@
 
 ControlState::ControlState()
     : set(std::make_shared<const ConfigurationSet>()),
-      withdrawn(std::make_shared<const std::set<KeyDigest>>()) {}
+      withdrawn(std::make_shared<const std::set<KeyDigest>>()),
+      hosts(std::make_shared<const std::map<HostName, HostRecord>>()) {}
 
 ApplyOutcome ControlState::Apply(LogIndex index, std::string_view payload) {
   this->applied = index;
@@ -175,15 +176,15 @@
 
 ApplyOutcome ControlState::ApplyChange(LogIndex, const PutHost& change) {
   const HostRecord& host = change.host;
-  const auto known = this->hosts.find(host.name);
-  if (known != this->hosts.end() &&
+  const auto known = this->hosts->find(host.name);
+  if (known != this->hosts->end() &&
       known->second.incarnation > host.incarnation) {
     return {};
   }
-  if (known == this->hosts.end()) {
+  if (known == this->hosts->end()) {
     std::set<std::size_t> taken;
     for (const auto& [name, slice] : this->slices) {
-      if (this->hosts.at(name).region == host.region) {
+      if (this->hosts->at(name).region == host.region) {
         taken.insert(slice);
       }
     }
@@ -193,24 +194,29 @@
     }
     this->slices[host.name] = free;
   }
-  this->hosts[host.name] = host;
+  auto changed = std::make_shared<std::map<HostName, HostRecord>>(*this->hosts);
+  (*changed)[host.name] = host;
+  this->hosts = std::move(changed);
   this->topology_changed = true;
   return this->Applied(this->version);
 }
 
 ApplyOutcome ControlState::ApplyChange(LogIndex, const RemoveHost& change) {
-  this->hosts.erase(change.host);
+  auto fewer = std::make_shared<std::map<HostName, HostRecord>>(*this->hosts);
+  fewer->erase(change.host);
+  this->hosts = std::move(fewer);
   this->slices.erase(change.host);
   this->topology_changed = true;
   return this->Applied(this->version);
 }
 
 ApplyOutcome ControlState::ApplyChange(LogIndex, const DrainHost& change) {
-  const auto host = this->hosts.find(change.host);
-  if (host == this->hosts.end()) {
+  if (!this->hosts->contains(change.host)) {
     return {};
   }
-  host->second.draining = change.draining;
+  auto changed = std::make_shared<std::map<HostName, HostRecord>>(*this->hosts);
+  changed->at(change.host).draining = change.draining;
+  this->hosts = std::move(changed);
   return this->Applied(this->version);
 }
 
@@ -272,7 +278,7 @@
 
 Topology ControlState::CurrentTopology() const {
   Topology topology;
-  for (const auto& [name, host] : this->hosts) {
+  for (const auto& [name, host] : *this->hosts) {
     topology.regions.insert(host.region);
     if (host.has_disk) {
       topology.disk_regions.insert(host.region);
@@ -288,7 +294,7 @@
   document["confirmed"] = this->confirmed;
   document["set"] = *this->set;
   document["withdrawn"] = *this->withdrawn;
-  document["hosts"] = this->hosts;
+  document["hosts"] = *this->hosts;
   document["slices"] = this->slices;
   document["views"] = this->views;
   document["live"] = this->live;
@@ -324,7 +330,8 @@
         document.at("set").get<ConfigurationSet>());
     state.withdrawn = std::make_shared<const std::set<KeyDigest>>(
         document.at("withdrawn").get<std::set<KeyDigest>>());
-    document.at("hosts").get_to(state.hosts);
+    state.hosts = std::make_shared<const std::map<HostName, HostRecord>>(
+        document.at("hosts").get<std::map<HostName, HostRecord>>());
     document.at("slices").get_to(state.slices);
     document.at("views").get_to(state.views);
     document.at("live").get_to(state.live);
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -15,7 +15,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{20};
+constexpr milliseconds kTick{50};
+//! Regions probed in one round; the others have their turn in the next.
+constexpr std::size_t kProbesPerRound = 4;
 constexpr milliseconds kShareEvery{100};
 //! The freshness of keys runs on even when nothing changes.
 constexpr milliseconds kSnapshotEvery{200};
@@ -101,14 +103,6 @@
   this->network->Post([this] { this->node->StartDrain(); });
 }
 
-std::chrono::microseconds ControlThread::ProcessorTime() const {
-  return std::chrono::microseconds(this->processor_us.load());
-}
-
-std::uint64_t ControlThread::SentBytes() const {
-  return this->network ? this->network->SentBytes() : 0;
-}
-
 void ControlThread::Stop() {
   if (this->thread.joinable()) {
     this->network->Stop();
@@ -312,7 +306,6 @@
   }
   this->EndWaits();
   this->quiet.store(this->node->IsQuiet());
-  this->processor_us.store(ThreadTime().count());
 }
 
 void ControlThread::Carry(control::ControlEffects effects) {
@@ -453,7 +446,14 @@
       by_region[region].assign(live.begin(), live.end());
     }
   }
+  // However many regions there are, a round costs the same.
+  std::vector<RegionName> turn;
   for (const auto& [region, live] : by_region) {
+    turn.push_back(region);
+  }
+  const std::size_t probes = std::min(turn.size(), kProbesPerRound);
+  for (std::size_t i = 0; i < probes; ++i) {
+    const auto& live = by_region.at(turn[this->next_region++ % turn.size()]);
     const HostName& host = live[this->random.Below(live.size())];
     const std::uint64_t number = this->next_probe++;
     this->probe_sent[number] = this->parts.clock.Now();
@@ -468,16 +468,41 @@
   const TimePoint now = this->parts.clock.Now();
   this->snapshot_at = now + kSnapshotEvery;
   auto snapshot = this->node->MakeSnapshot(now);
-  const auto self = snapshot->hosts.find(this->settings.gateway.host);
-  if (self != snapshot->hosts.end() && self->second.draining) {
+  if (snapshot->hosts != this->known_hosts) {
+    this->known_hosts = snapshot->hosts;
+    this->TakeHosts(*snapshot->hosts);
+  }
+  this->parts.snapshots.Set(std::move(snapshot));
+  this->PublishMetrics();
+}
+
+void ControlThread::TakeHosts(
+    const std::map<HostName, state::HostRecord>& hosts) {
+  const auto self = hosts.find(this->settings.gateway.host);
+  if (self != hosts.end() && self->second.draining) {
     this->told_to_drain.store(true);
   }
   std::vector<state::HostRecord> records;
-  for (const auto& [name, host] : snapshot->hosts) {
+  for (const auto& [name, host] : hosts) {
     records.push_back(host);
   }
   this->network->SetHosts(records);
-  this->parts.snapshots.Set(std::move(snapshot));
+}
+
+void ControlThread::PublishMetrics() {
+  Metrics& metrics = this->parts.metrics;
+  const state::ControlState& state = this->node->State();
+  metrics.Set("tamarackwing_control_processor_seconds",
+              std::chrono::duration<double>(ThreadTime()).count());
+  metrics.Set("tamarackwing_control_sent_bytes",
+              static_cast<double>(this->network->SentBytes()));
+  metrics.Set("tamarackwing_set_version",
+              static_cast<double>(state.Version()));
+  metrics.Set("tamarackwing_applied_index",
+              static_cast<double>(state.Applied()));
+  metrics.Set("tamarackwing_is_leader", this->node->IsLeader() ? 1 : 0);
+  metrics.Set("tamarackwing_ledger_operations",
+              static_cast<double>(this->node->Ledger().Size()));
 }
 
 void ControlThread::EndWaits() {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -12,6 +12,7 @@
 #include "settings.h"
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/expected.h"
+#include "tamarackwing/base/metrics.h"
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/control/control_effects.h"
 #include "tamarackwing/control/control_node.h"
@@ -36,6 +37,7 @@
 //! What the control thread serves; everything outlives it.
 struct ControlParts {
   const Clock& clock;
+  Metrics& metrics;
   gateway::SnapshotHolder& snapshots;
   gateway::ServerDirectory& servers;
   gateway::AdmissionGate& gate;
@@ -69,10 +71,6 @@
   bool HasFailed() const { return this->failed.load(); }
   //! Whether the agreed state says that this host drains.
   bool IsToldToDrain() const { return this->told_to_drain.load(); }
-  //! Processor time that control has used.
-  std::chrono::microseconds ProcessorTime() const;
-  //! Bytes sent to other hosts.
-  std::uint64_t SentBytes() const;
   //! Stops the thread; the disk is left in order.
   void Stop();
 
@@ -113,6 +111,8 @@
   void ShareSlots();
   void ProbeRegions();
   void PublishSnapshot();
+  void PublishMetrics();
+  void TakeHosts(const std::map<HostName, state::HostRecord>& hosts);
   void EndWaits();
   void End(const RegionName& region,
            const OperationId& operation,
@@ -134,7 +134,6 @@
   std::atomic<bool> quiet{false};
   std::atomic<bool> failed{false};
   std::atomic<bool> told_to_drain{false};
-  std::atomic<std::int64_t> processor_us{0};
 
   std::map<std::uint64_t, OperationPermits::Callback> permits;
   std::map<std::uint64_t, Changing> changes;
@@ -143,10 +142,12 @@
   std::map<HostName, TimePoint> region_heard;
   std::vector<policy::ServerReport> announced;
   std::uint64_t next_probe = 1;
+  std::size_t next_region = 0;
   std::map<std::uint64_t, TimePoint> probe_sent;
   TimePoint probe_at;
   TimePoint share_at;
   TimePoint snapshot_at;
+  std::shared_ptr<const std::map<HostName, state::HostRecord>> known_hosts;
 };
 
 }  // namespace tamarackwing::daemon
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -71,7 +71,8 @@
         budget(clock, settings.times.chunk_life, settings.open_rate),
         regions(clock),
         control(settings,
-                {clock, snapshots, servers, gate, active, budget, regions},
+                {clock, metrics, snapshots, servers, gate, active, budget,
+                 regions},
                 disk.get(),
                 founds_log),
         gateway({threads, clock, metrics, spans, snapshots, servers, gate,
@@ -171,14 +172,6 @@
                                           : DaemonState::kServing;
 }
 
-std::chrono::microseconds Daemon::ControlTime() const {
-  return this->parts->control.ProcessorTime();
-}
-
-std::uint64_t Daemon::ControlBytes() const {
-  return this->parts->control.SentBytes();
-}
-
 bool Daemon::Drain() {
   Parts& parts = *this->parts;
   LogEvent(Event::kDrainStarted, LogLevel::kInfo,
--- a/programs/tamarackwingd/src/daemon.h
+++ b/programs/tamarackwingd/src/daemon.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <chrono>
 #include <memory>
 #include <string_view>
 
@@ -45,10 +44,6 @@
   operators::OperatorService& Operators();
   //! Whether the host can go on.
   DaemonState State() const;
-  //! Processor time that control has used so far.
-  std::chrono::microseconds ControlTime() const;
-  //! Bytes that control has sent to other hosts.
-  std::uint64_t ControlBytes() const;
   //! Refuses new requests, waits for the open ones and returns whether all
   //! ended within the drain limit.
   bool Drain();
