--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -44,6 +44,8 @@
   std::size_t slices = 8;
   //! Entries after which the log is compacted.
   std::size_t compact_after = 4'096;
+  //! Bytes of payload after which it is.
+  std::size_t compact_after_bytes = 4 * 1024 * 1024;
   //! Hosts that keep a region's ledger.
   std::size_t view_members = 3;
 };
--- a/packages/control/include/tamarackwing/control/feed_buffer.h
+++ b/packages/control/include/tamarackwing/control/feed_buffer.h
@@ -12,8 +12,9 @@
 //! thread-safe.
 class FeedBuffer {
  public:
+  //! Holds up to `most` entries and about `most_bytes` of payload.
   //! Precondition: `most` is positive.
-  explicit FeedBuffer(std::size_t most);
+  FeedBuffer(std::size_t most, std::size_t most_bytes);
 
   //! Adds the next entry. Precondition: entries come in order.
   void Add(const state::LogEntry& entry);
@@ -25,6 +26,8 @@
 
  private:
   std::size_t most;
+  std::size_t most_bytes;
+  std::size_t bytes = 0;
   std::deque<state::LogEntry> entries;
 };
 
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kBufferedEntries = 8'192;
+constexpr std::size_t kBufferedBytes = 4 * 1024 * 1024;
 constexpr std::size_t kEntriesPerFeed = 512;
 constexpr std::size_t kHundred = 100;
 //! Peers of a region to whom a host reports at the full pace.
@@ -50,7 +51,7 @@
       allocator(options),
       watch(options.host_lost),
       duties(options),
-      buffer(kBufferedEntries),
+      buffer(kBufferedEntries, kBufferedBytes),
       started(now),
       report_at(now),
       feed_answered(now) {
@@ -812,8 +813,10 @@
 
 void ControlNode::CompactLog(ControlEffects& effects, TimePoint now) {
   const LogIndex applied = this->state.Applied();
-  if (applied < this->log.SnapshotIndex() + this->options.compact_after ||
-      applied > this->log.Commit()) {
+  const bool is_long =
+      applied >= this->log.SnapshotIndex() + this->options.compact_after ||
+      this->log.PayloadBytes() >= this->options.compact_after_bytes;
+  if (!is_long || applied > this->log.Commit()) {
     return;
   }
   this->TakeLog(this->log.Compact(applied, this->state.Encode()), now, effects);
--- a/packages/control/src/feed_buffer.cc
+++ b/packages/control/src/feed_buffer.cc
@@ -2,17 +2,23 @@
 
 namespace tamarackwing::control {
 
-FeedBuffer::FeedBuffer(std::size_t most) : most(most) {}
+FeedBuffer::FeedBuffer(std::size_t most, std::size_t most_bytes)
+    : most(most), most_bytes(most_bytes) {}
 
 void FeedBuffer::Add(const state::LogEntry& entry) {
   this->entries.push_back(entry);
-  if (this->entries.size() > this->most) {
+  this->bytes += entry.payload.size();
+  // The newest entry stays: it is about to be passed on.
+  while (this->entries.size() > 1 && (this->entries.size() > this->most ||
+                                      this->bytes > this->most_bytes)) {
+    this->bytes -= this->entries.front().payload.size();
     this->entries.pop_front();
   }
 }
 
 void FeedBuffer::Clear() {
   this->entries.clear();
+  this->bytes = 0;
 }
 
 std::optional<std::vector<state::LogEntry>> FeedBuffer::From(
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -122,6 +122,8 @@
   LogIndex Commit() const { return this->commit; }
   LogIndex LastIndex() const;
   LogIndex SnapshotIndex() const { return this->snapshot.index; }
+  //! Bytes of payload behind the snapshot.
+  std::size_t PayloadBytes() const;
   const std::set<HostName>& Voters() const { return this->voters; }
   bool IsVoter() const { return this->voters.contains(this->self); }
   //! Voters that have not answered the leader since `time`.
--- a/packages/state/include/tamarackwing/state/log_store.h
+++ b/packages/state/include/tamarackwing/state/log_store.h
@@ -24,10 +24,11 @@
  private:
   Expected<void, JournalError> WriteSnapshot(const LogBatch& batch);
 
+  //! Reads what follows the snapshot in `log`.
+  Expected<void, JournalError> ReadJournal(RecoveredLog& log);
+
   Disk& disk;
   Journal journal;
-  //! What the disk holds, so that the journal can be rewritten.
-  RecoveredLog held;
 };
 
 }  // namespace tamarackwing::state
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -210,6 +210,14 @@
                                : this->entries.back().index;
 }
 
+std::size_t AgreedLog::PayloadBytes() const {
+  std::size_t bytes = 0;
+  for (const LogEntry& entry : this->entries) {
+    bytes += entry.payload.size();
+  }
+  return bytes;
+}
+
 std::set<HostName> AgreedLog::SilentSince(TimePoint time) const {
   std::set<HostName> silent;
   for (const HostName& host : this->voters) {
--- a/packages/state/src/log_store.cc
+++ b/packages/state/src/log_store.cc
@@ -113,68 +113,80 @@
 LogStore::LogStore(Disk& disk) : disk(disk), journal(disk, kJournalName) {}
 
 Expected<RecoveredLog, JournalError> LogStore::Recover() {
-  this->held = RecoveredLog();
+  RecoveredLog log;
   Journal snapshots(this->disk, kSnapshotName);
   const auto snapshot = snapshots.Recover();
-  const auto records = this->journal.Recover();
   if (!snapshot) {
     return unexpected(snapshot.error());
   }
-  if (!records) {
-    return unexpected(records.error());
-  }
   try {
     if (!snapshot->empty()) {
       const json document = json::from_cbor(snapshot->front());
-      LogSnapshot& found = this->held.snapshot;
+      LogSnapshot& found = log.snapshot;
       document.at("index").get_to(found.index);
       document.at("term").get_to(found.term);
       document.at("voters").get_to(found.voters);
       found.state = Text(document.at("state"));
     }
-    for (const std::string& record : *records) {
-      ApplyBatch(DecodeBatch(json::from_cbor(record)), this->held);
-    }
   } catch (const json::exception&) {
     return unexpected(Damaged());
   }
-  LogIndex next = this->held.snapshot.index + 1;
-  for (const LogEntry& entry : this->held.entries) {
-    if (entry.index != next++) {
-      return unexpected(Damaged());
-    }
+  const auto read = this->ReadJournal(log);
+  if (!read) {
+    return unexpected(read.error());
   }
-  return this->held;
+  return log;
 }
 
 Expected<void, JournalError> LogStore::Write(const LogBatch& batch) {
   if (batch.snapshot) {
     return this->WriteSnapshot(batch);
   }
-  ApplyBatch(batch, this->held);
   return this->journal.Append({EncodeBatch(batch)});
 }
 
 Expected<void, JournalError> LogStore::WriteSnapshot(const LogBatch& batch) {
   Journal snapshots(this->disk, kSnapshotName);
-  auto written = snapshots.Rewrite({EncodeSnapshot(*batch.snapshot)});
+  const auto written = snapshots.Rewrite({EncodeSnapshot(*batch.snapshot)});
   if (!written) {
     return written;
   }
-  this->held.snapshot = *batch.snapshot;
-  std::erase_if(this->held.entries, [&](const LogEntry& entry) {
-    return entry.index <= batch.snapshot->index;
-  });
+  // What follows the snapshot is read back: the store keeps no second log.
+  RecoveredLog log;
+  log.snapshot.index = batch.snapshot->index;
+  const auto read = this->ReadJournal(log);
+  if (!read) {
+    return read;
+  }
   LogBatch rest = batch;
   rest.snapshot.reset();
-  ApplyBatch(rest, this->held);
+  ApplyBatch(rest, log);
   LogBatch whole;
-  whole.vote = this->held.vote;
-  whole.entries = this->held.entries;
-  whole.commit = this->held.commit;
-  // The store needs the entries, not the state: it is on the disk.
-  this->held.snapshot.state.clear();
+  whole.vote = log.vote;
+  whole.entries = std::move(log.entries);
+  whole.commit = log.commit;
   return this->journal.Rewrite({EncodeBatch(whole)});
 }
 
+Expected<void, JournalError> LogStore::ReadJournal(RecoveredLog& log) {
+  const auto records = this->journal.Recover();
+  if (!records) {
+    return unexpected(records.error());
+  }
+  try {
+    for (const std::string& record : *records) {
+      ApplyBatch(DecodeBatch(json::from_cbor(record)), log);
+    }
+  } catch (const json::exception&) {
+    return unexpected(Damaged());
+  }
+  LogIndex next = log.snapshot.index + 1;
+  for (const LogEntry& entry : log.entries) {
+    if (entry.index != next++) {
+      return unexpected(Damaged());
+    }
+  }
+  return {};
+}
+
 }  // namespace tamarackwing::state
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -1,5 +1,6 @@
 #include "control_thread.h"
 
+#include <malloc.h>
 #include <time.h>
 
 #include <algorithm>
@@ -38,6 +39,15 @@
           .count());
 }
 
+//! A large change leaves the allocator with far more than is in use, which it
+//! would keep for good.
+void ReturnFreeMemory() {
+  constexpr std::size_t kMostFree = 16 * 1024 * 1024;
+  if (::mallinfo2().fordblks > kMostFree) {
+    ::malloc_trim(0);
+  }
+}
+
 gateway::PermitKind ToPermitKind(state::PermitVerdict verdict) {
   switch (verdict) {
     case state::PermitVerdict::kGranted:
@@ -474,6 +484,7 @@
   }
   this->parts.snapshots.Set(std::move(snapshot));
   this->PublishMetrics();
+  ReturnFreeMemory();
 }
 
 void ControlThread::TakeHosts(
@@ -496,8 +507,7 @@
               std::chrono::duration<double>(ThreadTime()).count());
   metrics.Set("tamarackwing_control_sent_bytes",
               static_cast<double>(this->network->SentBytes()));
-  metrics.Set("tamarackwing_set_version",
-              static_cast<double>(state.Version()));
+  metrics.Set("tamarackwing_set_version", static_cast<double>(state.Version()));
   metrics.Set("tamarackwing_applied_index",
               static_cast<double>(state.Applied()));
   metrics.Set("tamarackwing_is_leader", this->node->IsLeader() ? 1 : 0);
