--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -36,7 +36,7 @@
 }  // namespace
 
 void OpenLog(LogLevel level) {
-  static const log4cplus::Initializer initializer;
+  static const log4cplus::Initializer kInitializer;
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
--- a/packages/base/tests/base_tests.cc
+++ b/packages/base/tests/base_tests.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <sstream>
+
 #include "tamarackwing/base.h"
 
 namespace tamarackwing {
@@ -33,6 +36,28 @@
             "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+TEST(Event, TheCatalogueAndTheCodeNameTheSameEvents) {
+  const std::ifstream file(TAMARACKWING_EVENTS_PAGE);
+  std::ostringstream text;
+  text << file.rdbuf();
+  const std::string page = text.str();
+  constexpr int kFirst = 1'000;
+  constexpr int kLast = 6'000;
+  std::size_t named = 0;
+  for (int number = kFirst; number < kLast; ++number) {
+    const std::string row = "| " + std::to_string(number) + " | ";
+    const std::string_view name = EventName(static_cast<Event>(number));
+    const bool is_listed = page.find(row) != std::string::npos;
+    EXPECT_EQ(is_listed, name != "unknown") << number;
+    if (is_listed) {
+      EXPECT_NE(page.find(row + std::string(name) + " |"), std::string::npos)
+          << number;
+      named += 1;
+    }
+  }
+  EXPECT_GT(named, 20U);
+}
+
 TEST(Refusal, EveryRefusalHasANameAndAnErrorStatus) {
   for (int i = 0; i <= static_cast<int>(RefusalCode::kUnknownRoute); ++i) {
     const auto code = static_cast<RefusalCode>(i);
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -141,6 +141,10 @@
   void InstallSnapshot(const state::LogSnapshot& snapshot,
                        TimePoint now,
                        ControlEffects& effects);
+  void LogHostChanges(
+      const std::map<HostName, state::HostRecord>& hosts,
+      const std::map<RegionName, std::set<HostName>>& live) const;
+  void TakeView(TimePoint now, ControlEffects& effects);
   void AfterApply(TimePoint now, ControlEffects& effects);
   void FinishProposals(const state::LogEntry& entry,
                        const state::ApplyOutcome& outcome,
--- a/packages/control/include/tamarackwing/control/region_allocator.h
+++ b/packages/control/include/tamarackwing/control/region_allocator.h
@@ -20,8 +20,9 @@
  public:
   explicit RegionAllocator(const ControlOptions& options);
 
-  //! Takes a view from the agreed log.
-  void SetView(const state::RegionView& view, TimePoint now);
+  //! Takes a view from the agreed log; true where this host begins to
+  //! coordinate with it.
+  bool SetView(const state::RegionView& view, TimePoint now);
   //! A member went by this epoch when `sent` was sent to it.
   void NoteConfirmed(const HostName& member,
                      std::uint64_t epoch,
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -88,6 +88,10 @@
     this->duties_at = now + this->options.report / 2;
     this->DoLeaderDuties(now, effects);
   }
+  if (this->was_leader && !this->log.IsLeader()) {
+    LogEvent(Event::kSteppedDown, LogLevel::kWarning,
+             {{"host", this->options.self.name.Text()}});
+  }
   this->was_leader = this->log.IsLeader();
   this->UpdateReady(now, effects);
   return effects;
@@ -365,6 +369,8 @@
   state::ApplyOutcome outcome;
   if (entry.kind == state::EntryKind::kChange) {
     const SetVersion before = this->state.Version();
+    const auto hosts = this->state.HostTable();
+    const auto live = this->state.Live();
     const auto withdrawn = this->state.Withdrawn();
     outcome = this->state.Apply(entry.index, entry.payload);
     for (const KeyDigest& digest : *this->state.Withdrawn()) {
@@ -374,6 +380,7 @@
         this->early_withdrawn.erase(digest);
       }
     }
+    this->LogHostChanges(*hosts, live);
     if (this->state.Version() != before) {
       LogEvent(Event::kSetApplied, LogLevel::kInfo,
                {{"host", this->options.self.name.Text()},
@@ -384,12 +391,42 @@
   }
   this->buffer.Add(entry);
   this->FinishProposals(entry, outcome, effects);
+  this->TakeView(now, effects);
+  effects.snapshot_changed = true;
+}
+
+void ControlNode::LogHostChanges(
+    const std::map<HostName, state::HostRecord>& hosts,
+    const std::map<RegionName, std::set<HostName>>& live) const {
+  for (const auto& [name, host] : this->state.Hosts()) {
+    const auto known = hosts.find(name);
+    if (known == hosts.end() || known->second.incarnation != host.incarnation) {
+      LogEvent(Event::kHostJoined, LogLevel::kInfo, {{"joined", name.Text()}});
+    }
+  }
+  for (const auto& [region, before] : live) {
+    for (const HostName& host : before) {
+      if (!this->state.Live().at(region).contains(host)) {
+        LogEvent(Event::kHostLost, LogLevel::kWarning, {{"lost", host.Text()}});
+      }
+    }
+  }
+}
+
+void ControlNode::TakeView(TimePoint now, ControlEffects& effects) {
   const auto view = this->state.Views().find(this->options.self.region);
-  if (view != this->state.Views().end()) {
-    this->allocator.SetView(view->second, now);
-    this->TakeLedger(this->ledger.SetView(view->second, now), now, effects);
+  if (view == this->state.Views().end() ||
+      view->second.epoch <= this->ledger.View().epoch) {
+    return;
   }
-  effects.snapshot_changed = true;
+  LogEvent(Event::kLedgerViewChanged, LogLevel::kInfo,
+           {{"epoch", std::to_string(view->second.epoch)},
+            {"coordinator", view->second.coordinator.Text()}});
+  if (this->allocator.SetView(view->second, now)) {
+    LogEvent(Event::kAllocatorStarted, LogLevel::kInfo,
+             {{"host", this->options.self.name.Text()}});
+  }
+  this->TakeLedger(this->ledger.SetView(view->second, now), now, effects);
 }
 
 void ControlNode::InstallSnapshot(const state::LogSnapshot& snapshot,
@@ -416,11 +453,7 @@
 }
 
 void ControlNode::AfterApply(TimePoint now, ControlEffects& effects) {
-  const auto view = this->state.Views().find(this->options.self.region);
-  if (view != this->state.Views().end()) {
-    this->allocator.SetView(view->second, now);
-    this->TakeLedger(this->ledger.SetView(view->second, now), now, effects);
-  }
+  this->TakeView(now, effects);
   this->PushFeed(now, effects);
 }
 
--- a/packages/control/src/region_allocator.cc
+++ b/packages/control/src/region_allocator.cc
@@ -19,23 +19,25 @@
       allocator_percent(kWhole - options.slice_percent),
       allocator(options.chunk_life + options.drift, TimePoint::max()) {}
 
-void RegionAllocator::SetView(const state::RegionView& newer, TimePoint now) {
+bool RegionAllocator::SetView(const state::RegionView& newer, TimePoint now) {
   if (newer.epoch <= this->view.epoch) {
-    return;
+    return false;
   }
   const bool is_first = newer.epoch == 1;
   this->view = newer;
   this->confirmed.clear();
   if (newer.coordinator != this->self) {
     this->coordinates = false;
-    return;
+    return false;
   }
-  if (!this->coordinates) {
-    this->coordinates = true;
-    this->starts = is_first ? now : now + this->takeover;
-    // Nobody gave out tokens before the first view: its buckets are full.
-    this->allocator.Clear(is_first ? now - kLongAgo : this->starts);
+  if (this->coordinates) {
+    return false;
   }
+  this->coordinates = true;
+  this->starts = is_first ? now : now + this->takeover;
+  // Nobody gave out tokens before the first view: its buckets are full.
+  this->allocator.Clear(is_first ? now - kLongAgo : this->starts);
+  return true;
 }
 
 void RegionAllocator::NoteConfirmed(const HostName& member,
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -88,6 +88,9 @@
   }
   if (refusal && !this->caller_gone) {
     if (this->writer.HasStarted()) {
+      LogEvent(Event::kStreamEnded, LogLevel::kInfo,
+               {{"code", std::string(RefusalName(refusal->code))},
+                {"trace", this->trace.trace_id}});
       co_await this->writer.WritePiece(callers::MakeRefusalEvent(*refusal));
       this->writer.Abort();
     } else {
--- /dev/null
+++ b/packages/gateway/tests/event_splitter_tests.cc
@@ -0,0 +1,38 @@
+#include "event_splitter.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace tamarackwing::gateway {
+namespace {
+
+TEST(EventSplitter, AnEventIsHeldUntilItIsWhole) {
+  EventSplitter splitter;
+  EXPECT_EQ(splitter.Add("data: a\n"), "");
+  EXPECT_EQ(splitter.Add("\ndata: b"), "data: a\n\n");
+  EXPECT_EQ(splitter.Events(), 1U);
+  splitter.DropRest();
+  EXPECT_EQ(splitter.TakeRest(), "");
+}
+
+RC_GTEST_PROP(EventSplitter, AnyCutOfAStreamGivesTheSameEvents, ()) {
+  std::string stream;
+  const int events = *rc::gen::inRange(0, 10);
+  for (int i = 0; i < events; ++i) {
+    stream += "data: " + std::to_string(i) + "\n\n";
+  }
+  EventSplitter splitter;
+  std::string out;
+  std::size_t at = 0;
+  while (at < stream.size()) {
+    const auto length = static_cast<std::size_t>(*rc::gen::inRange(1, 9));
+    out += splitter.Add(std::string_view(stream).substr(at, length));
+    at += length;
+  }
+  RC_ASSERT(out == stream);
+  RC_ASSERT(splitter.Events() == static_cast<std::uint64_t>(events));
+}
+
+}  // namespace
+}  // namespace tamarackwing::gateway
--- a/programs/tamarackwingd/src/main.cc
+++ b/programs/tamarackwingd/src/main.cc
@@ -60,6 +60,10 @@
   const auto settings =
       tamarackwing::daemon::ParseSettings(ReadFile(FLAGS_settings));
   if (!settings) {
+    tamarackwing::OpenLog(tamarackwing::LogLevel::kInfo);
+    tamarackwing::LogEvent(
+        tamarackwing::Event::kSettingsRejected, tamarackwing::LogLevel::kError,
+        {{"faults", std::to_string(settings.error().size())}});
     PrintFaults(FLAGS_settings, settings.error());
     return kBadSettings;
   }
