Test three hosts together; split the request by its parts

Change: tests of forwarding, residency, withdrawal and restart over three regions; a silent stream resumed; the request in four sources; one MakeChange. Ruled out: a count read after its stream was started (a race of the tests, found by the new ones) is now read before.

--- /dev/null
+++ b/packages/gateway/src/served_forward.cc
@@ -0,0 +1,105 @@
+//! The part of a request that another region serves.
+
+#include <utility>
+
+#include "served_request.h"
+#include "tamarackwing/gateway/forward_headers.h"
+#include "tamarackwing/http/response_writer.h"
+#include "upstream.h"
+
+namespace tamarackwing::gateway {
+namespace {
+
+using http::ConnectionError;
+
+}  // namespace
+
+bool ServedRequest::ShouldForward() {
+  if (this->forwarded || !this->route->idempotent) {
+    return false;
+  }
+  const GatewayParts& parts = this->gateway.Parts();
+  const auto expected = parts.servers.Expect(this->Query());
+  const TimePoint now = parts.clock.Now();
+  const Duration service = expected.value_or(Duration::zero());
+  const Duration wait =
+      parts.gate.EstimateWait(this->target, this->grant.workspace);
+  const bool local_in_time = expected && now + wait + service <= this->deadline;
+  this->PickForwardTarget();
+  if (!this->forward_target) {
+    return false;
+  }
+  const Duration far_wait = this->forward_target->expected;
+  const bool far_in_time = now + far_wait + service <= this->deadline;
+  if (!local_in_time) {
+    return far_in_time;
+  }
+  // The service costs the same there; only the wait and the way can differ.
+  const auto margin = this->gateway.Settings().spill_margin_percent;
+  const Duration queue = parts.gate.EstimateQueue(this->target);
+  return far_in_time && far_wait + service * margin / 100 < queue;
+}
+
+void ServedRequest::PickForwardTarget() {
+  for (ForwardTarget& candidate :
+       this->gateway.Parts().regions.Candidates(this->target)) {
+    if (MayRunIn(*this->snapshot, this->grant.workspace, *this->route,
+                 candidate.region)) {
+      this->forward_target = std::move(candidate);
+      return;
+    }
+  }
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::Forward() {
+  const GatewayParts& parts = this->gateway.Parts();
+  parts.metrics.Count("tamarackwing_forwarded_total");
+  const http::Endpoint endpoint = this->forward_target->endpoint;
+  this->peer = this->forward_target->host.Text();
+  policy::ServerChoice choice;
+  choice.address = endpoint.address;
+  choice.port = endpoint.port;
+  choice.expected = this->forward_target->expected;
+  backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
+  auto acquired = co_await pool.Acquire(endpoint, this->deadline, false);
+  if (!acquired) {
+    co_return RefuseNotRun(RefusalCode::kNoBackendServer);
+  }
+  backend_servers::PooledConnection connection = std::move(*acquired);
+  this->current_connection = connection.connection.get();
+  http::Request forward = this->BackendRequest(endpoint);
+  if (this->route->kind == state::RouteKind::kService) {
+    forward.head.target =
+        "/services/" + this->route->name.Text() + this->request.head.path;
+  }
+  ForwardHeaders headers;
+  headers.secret = this->gateway.Settings().cluster_secret;
+  headers.workspace = this->grant.workspace;
+  headers.key = this->grant.key;
+  headers.origin = this->gateway.Settings().host;
+  AddForwardHeaders(headers, forward.head.headers);
+  const auto sent =
+      co_await connection.connection->Send(std::move(forward), this->deadline);
+  Expected<http::ResponseHead, ConnectionError> head =
+      unexpected(ConnectionError::kSendFailed);
+  if (sent) {
+    head = co_await connection.connection->ReadHead(this->deadline);
+  }
+  if (!head) {
+    this->current_connection = nullptr;
+    co_return this->UpstreamRefusal(head.error());
+  }
+  TryOutcome outcome;
+  if (ContentType(*head).starts_with(kEventStream)) {
+    outcome = co_await this->PassStream(choice, *connection.connection,
+                                        std::move(*head));
+  } else {
+    outcome =
+        co_await this->PassWhole(*connection.connection, std::move(*head));
+  }
+  this->current_connection = nullptr;
+  pool.Release(endpoint, std::move(connection));
+  co_return outcome.refusal;
+}
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/served_operation.cc
@@ -0,0 +1,162 @@
+//! The part of a request that runs an operation at most once.
+
+#include <utility>
+
+#include "served_request.h"
+#include "tamarackwing/base/digest.h"
+#include "tamarackwing/http/response_writer.h"
+#include "upstream.h"
+
+namespace tamarackwing::gateway {
+namespace {
+
+constexpr std::size_t kStoredAnswerBytes = 16 * 1024;
+
+}  // namespace
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::ServeOperation() {
+  auto done =
+      std::make_shared<http::Handoff<std::optional<Refusal>>>(this->executor);
+  http::asio::co_spawn(this->executor,
+                       RunOperation(this->shared_from_this(), done),
+                       http::asio::detached);
+  this->interrupt_wait = [done] { done->Interrupt(); };
+  const auto result = co_await done->Wait(this->deadline);
+  this->interrupt_wait = nullptr;
+  this->used_tokens = kServiceTokens;
+  // Without its caller the operation goes on, so that its answer is kept.
+  if (!result) {
+    const RefusalCode reason =
+        this->cancelled.value_or(RefusalCode::kDeadlinePassed);
+    co_return this->sent_operation ? RefuseOutcomeUnknown(reason)
+                                   : RefuseNotRun(reason);
+  }
+  if (*result) {
+    co_return **result;
+  }
+  http::Response response = http::MakeResponse(
+      this->operation_answer.status, this->operation_answer.content_type,
+      this->operation_answer.body);
+  co_await this->writer.Send(std::move(response));
+  co_return std::nullopt;
+}
+
+http::asio::awaitable<void> ServedRequest::RunOperation(
+    std::shared_ptr<ServedRequest> self,
+    std::shared_ptr<http::Handoff<std::optional<Refusal>>> done) {
+  const Gateway::Presence presence(self->gateway);
+  Outcome refusal = co_await self->AskPermit();
+  if (!refusal && self->operation_answer.status == 0) {
+    refusal = co_await self->SendOperation();
+  }
+  done->Set(refusal);
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::AskPermit() {
+  const RegionName& region = this->route->home_regions.front();
+  const OperationId operation =
+      DigestOperation(this->grant.workspace, this->route->name,
+                      *this->request.head.idempotency_key);
+  auto handoff = std::make_shared<http::Handoff<Permit>>(this->executor);
+  OperationPermits& permits = this->gateway.Parts().permits;
+  permits.Ask(region, operation,
+              [handoff, &permits, region, operation](Permit permit) {
+                const bool granted = permit.kind == PermitKind::kGranted;
+                if (!handoff->Set(std::move(permit)) && granted) {
+                  permits.Release(region, operation);
+                }
+              });
+  auto permit = co_await handoff->Wait(this->deadline);
+  if (!permit) {
+    co_return RefuseNotRun(RefusalCode::kLedgerUnavailable);
+  }
+  switch (permit->kind) {
+    case PermitKind::kGranted:
+      co_return std::nullopt;
+    case PermitKind::kAnswered:
+      this->operation_answer = std::move(permit->answer);
+      co_return std::nullopt;
+    case PermitKind::kInProgress:
+      co_return RefuseOutcomeUnknown(RefusalCode::kOperationInProgress);
+    case PermitKind::kUnknown:
+      co_return RefuseOutcomeUnknown(RefusalCode::kOutcomeUnknown);
+    case PermitKind::kFull:
+      co_return RefuseNotRun(RefusalCode::kLedgerFull);
+    case PermitKind::kUnavailable:
+      break;
+  }
+  co_return RefuseNotRun(RefusalCode::kLedgerUnavailable);
+}
+
+http::asio::awaitable<ServedRequest::Outcome> ServedRequest::SendOperation() {
+  const GatewayParts& parts = this->gateway.Parts();
+  const RegionName& region = this->route->home_regions.front();
+  const OperationId operation =
+      DigestOperation(this->grant.workspace, this->route->name,
+                      *this->request.head.idempotency_key);
+  RefusalCode reason = RefusalCode::kNoBackendServer;
+  for (int attempt = 0; attempt < kMostTries; ++attempt) {
+    const bool late = parts.clock.Now() >= this->deadline;
+    if (late || this->cancelled) {
+      reason = this->cancelled.value_or(RefusalCode::kDeadlinePassed);
+      break;
+    }
+    const auto choice = parts.servers.Take(this->Query());
+    if (!choice) {
+      break;
+    }
+    this->peer = choice->name.Text();
+    const http::Endpoint endpoint = EndpointOf(*choice);
+    auto acquired = co_await this->gateway.PoolOf(this->executor)
+                        .Acquire(endpoint, this->deadline, true);
+    // Only now may bytes leave: whoever gave up meanwhile sends nothing.
+    const bool given_up =
+        this->cancelled || parts.clock.Now() >= this->deadline;
+    if (!acquired || given_up) {
+      parts.servers.Finish(choice->name, !acquired);
+      this->tried.insert(choice->name);
+      reason = RefusalCode::kBackendServerFailed;
+      continue;
+    }
+    this->sent_operation = true;
+    const TimePoint until =
+        this->deadline + this->gateway.Settings().operation_grace;
+    http::Connection& connection = *acquired->connection;
+    bool whole = false;
+    auto sent = co_await connection.Send(this->BackendRequest(endpoint), until);
+    if (sent) {
+      auto head = co_await connection.ReadHead(until);
+      OperationAnswer answer;
+      while (head) {
+        auto piece = co_await connection.ReadPiece(until);
+        if (!piece || answer.body.size() + piece->size() >
+                          this->gateway.Settings().answer_bytes) {
+          break;
+        }
+        if (piece->empty()) {
+          answer.status = head->status;
+          answer.content_type = ContentType(*head);
+          whole = true;
+          break;
+        }
+        answer.body += *piece;
+      }
+      this->operation_answer = std::move(answer);
+    }
+    parts.servers.Finish(choice->name, !whole);
+    if (!whole) {
+      parts.permits.Lose(region, operation);
+      co_return RefuseOutcomeUnknown(RefusalCode::kBackendServerFailed);
+    }
+    OperationAnswer stored = this->operation_answer;
+    if (stored.body.size() > kStoredAnswerBytes) {
+      stored.body.clear();
+    }
+    parts.permits.Answer(region, operation, stored);
+    co_return std::nullopt;
+  }
+  parts.permits.Release(region, operation);
+  co_return RefuseNotRun(reason);
+}
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/upstream.cc
@@ -0,0 +1,25 @@
+#include "upstream.h"
+
+namespace tamarackwing::gateway {
+
+http::Endpoint EndpointOf(const policy::ServerChoice& choice) {
+  return {choice.address, choice.port};
+}
+
+std::string ContentType(const http::ResponseHead& head) {
+  return std::string(
+      head.headers.Find("Content-Type").value_or("application/json"));
+}
+
+http::ResponseHead PassedHead(const http::ResponseHead& head) {
+  http::ResponseHead passed;
+  passed.status = head.status;
+  passed.headers.Add("Content-Type", ContentType(head));
+  return passed;
+}
+
+std::string Authority(const http::Endpoint& endpoint) {
+  return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+}  // namespace tamarackwing::gateway
--- a/packages/operators/include/tamarackwing/operators/operator_listener.h
+++ b/packages/operators/include/tamarackwing/operators/operator_listener.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "tamarackwing/http/handler.h"
+#include "tamarackwing/state/control_change.h"
 
 namespace tamarackwing::operators {
 
@@ -24,6 +25,8 @@
  private:
   http::asio::awaitable<http::Response> Answer(http::Request request);
   http::asio::awaitable<http::Response> Publish(http::Request request);
+  http::asio::awaitable<http::Response> MakeChange(state::ControlChange change,
+                                                   bool only_check);
   http::asio::awaitable<http::Response> GrantKey(http::Request request);
   http::Response WithdrawKey(const http::Request& request);
   http::asio::awaitable<http::Response> ChangeHost(http::Request request);
--- a/packages/operators/src/operator_listener.cc
+++ b/packages/operators/src/operator_listener.cc
@@ -167,15 +167,21 @@
   if (snapshot->version < publish.base) {
     co_return Refuse(kUnavailable, "behind_base_version");
   }
+  co_return co_await this->MakeChange(std::move(publish), is_check);
+}
+
+http::asio::awaitable<http::Response> OperatorListener::MakeChange(
+    state::ControlChange change,
+    bool only_check) {
   auto executor = co_await http::asio::this_coro::executor;
   auto handoff = std::make_shared<http::Handoff<OrderResult>>(executor);
   const auto done = [handoff](OrderResult result) {
     handoff->Set(std::move(result));
   };
-  if (is_check) {
-    this->service.Check(std::move(publish), done);
+  if (only_check) {
+    this->service.Check(std::get<state::PublishSet>(std::move(change)), done);
   } else {
-    this->service.Change(std::move(publish), done);
+    this->service.Change(std::move(change), done);
   }
   const auto result =
       co_await handoff->Wait(std::chrono::steady_clock::now() + kOrderPatience);
@@ -201,14 +207,7 @@
   if (grant.id.IsEmpty() || grant.key.digest.IsEmpty()) {
     co_return Refuse(kBadRequest, "field_missing");
   }
-  auto executor = co_await http::asio::this_coro::executor;
-  auto handoff = std::make_shared<http::Handoff<OrderResult>>(executor);
-  this->service.Change(std::move(grant), [handoff](OrderResult result) {
-    handoff->Set(std::move(result));
-  });
-  const auto result =
-      co_await handoff->Wait(std::chrono::steady_clock::now() + kOrderPatience);
-  co_return Outcome(result.value_or(OrderResult()));
+  co_return co_await this->MakeChange(std::move(grant), false);
 }
 
 http::Response OperatorListener::WithdrawKey(const http::Request& request) {
@@ -241,14 +240,7 @@
   } else {
     co_return Refuse(kNotFound, "not_found");
   }
-  auto executor = co_await http::asio::this_coro::executor;
-  auto handoff = std::make_shared<http::Handoff<OrderResult>>(executor);
-  this->service.Change(std::move(change), [handoff](OrderResult result) {
-    handoff->Set(std::move(result));
-  });
-  const auto result =
-      co_await handoff->Wait(std::chrono::steady_clock::now() + kOrderPatience);
-  co_return Outcome(result.value_or(OrderResult()));
+  co_return co_await this->MakeChange(std::move(change), false);
 }
 
 http::asio::awaitable<http::Response> OperatorListener::Status() {
--- /dev/null
+++ b/tests/cluster_tests.cc
@@ -0,0 +1,134 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <future>
+
+#include "tamarackwing/base/digest.h"
+#include "tamarackwing/state/set_parser.h"
+#include "test_host.h"
+
+namespace tamarackwing::tests {
+namespace {
+
+constexpr std::uint16_t kPort = 21'100;
+
+//! Three hosts of three regions, with Cap'n Proto between them, and a plain
+//! service and a model engine in Muscat.
+class Cluster : public testing::Test {
+ protected:
+  void SetUp() override {
+    for (std::size_t i = 0; i < 3; ++i) {
+      this->Start(i, true);
+    }
+    auto set = state::ParseSet(ExampleSet(R"("muscat", "sohar")"));
+    ASSERT_TRUE(set.has_value());
+    ASSERT_TRUE(PublishFirst(*this->hosts[1], *set));
+    this->service = this->StartServer("service", {"booking", "gauge"});
+    this->engine = this->StartServer("engine", {"drafter@3"});
+    ASSERT_TRUE(WaitFor([&] {
+      return this->Send(0, ServiceRequest("desk-key", "gauge", "")).status ==
+             200;
+    }));
+    ASSERT_TRUE(WaitFor([&] {
+      return this->Send(0, ModelRequest("desk-key", 1, false)).status == 200;
+    }));
+  }
+
+  void TearDown() override {
+    for (auto& host : this->hosts) {
+      host.reset();
+    }
+    this->threads.Stop();
+  }
+
+  void Start(std::size_t index, bool founds) {
+    daemon::Settings settings =
+        ClusterSettings(index, kPort, this->folders[index].Path());
+    settings.servers.ramp = std::chrono::milliseconds(0);
+    this->hosts[index] = std::make_unique<daemon::Daemon>(settings, founds);
+    const auto started = this->hosts[index]->Start();
+    ASSERT_TRUE(started.has_value());
+  }
+
+  std::unique_ptr<fakes::FakeServer> StartServer(
+      const std::string& name,
+      std::vector<std::string> targets) {
+    const daemon::Settings settings =
+        ClusterSettings(0, kPort, this->folders[0].Path());
+    fakes::FakeIdentity identity{name,
+                                 "muscat",
+                                 "muscat-a",
+                                 std::move(targets),
+                                 {settings.backend_servers}};
+    fakes::FakeBehaviour behaviour;
+    behaviour.report_lag = std::chrono::milliseconds(10);
+    behaviour.announce_every = std::chrono::milliseconds(100);
+    auto server =
+        std::make_unique<fakes::FakeServer>(this->threads, identity, behaviour);
+    EXPECT_NE(server->Start({"127.0.0.1", 0}), 0);
+    return server;
+  }
+
+  CallResult Send(std::size_t host, http::Request request) {
+    const daemon::Settings settings =
+        ClusterSettings(host, kPort, this->folders[host].Path());
+    return Call(this->threads, settings.callers, std::move(request));
+  }
+
+  http::IoThreads threads{2};
+  std::array<TemporaryFolder, 3> folders;
+  std::array<std::unique_ptr<daemon::Daemon>, 3> hosts;
+  std::unique_ptr<fakes::FakeServer> service;
+  std::unique_ptr<fakes::FakeServer> engine;
+};
+
+TEST_F(Cluster, AStreamIsServedByAnotherRegionThatHasTheServers) {
+  ASSERT_TRUE(WaitFor([&] {
+    return this->Send(1, ModelRequest("desk-key", 1, false)).status == 200;
+  }));
+  const CallResult result = this->Send(1, ModelRequest("desk-key", 10, true));
+  EXPECT_TRUE(result.whole);
+  EXPECT_NE(result.body.find("\"t9 \""), std::string::npos);
+  EXPECT_EQ(this->engine->Seen().find("desk-key"), std::string::npos);
+  EXPECT_EQ(this->engine->Seen().find("Cluster-Secret"), std::string::npos);
+}
+
+TEST_F(Cluster, DataDoesNotGoThroughARegionThatIsNotPermitted) {
+  const std::uint32_t before = this->engine->Started();
+  const CallResult result = this->Send(2, ModelRequest("desk-key", 1, false));
+  EXPECT_EQ(result.status, 403U);
+  EXPECT_NE(result.body.find("residency"), std::string::npos);
+  EXPECT_EQ(this->engine->Started(), before);
+}
+
+TEST_F(Cluster, AWithdrawalAtOneHostEndsAStreamAtAnother) {
+  const std::uint32_t before = this->engine->Started();
+  auto open = std::async(std::launch::async, [&] {
+    return this->Send(0, ModelRequest("desk-key", 2'000, true));
+  });
+  ASSERT_TRUE(WaitFor([&] { return this->engine->Started() > before; }));
+  this->hosts[2]->Operators().Withdraw(DigestKey("desk-key"));
+  EXPECT_FALSE(open.get().whole);
+}
+
+TEST_F(Cluster, BookingsAndSetsSurviveTheRestartOfEveryHost) {
+  const CallResult first =
+      this->Send(0, ServiceRequest("desk-key", "booking", "two-domes"));
+  ASSERT_EQ(first.status, 200U);
+  for (std::size_t i = 0; i < 3; ++i) {
+    this->hosts[i].reset();
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    this->Start(i, false);
+  }
+  CallResult again;
+  ASSERT_TRUE(WaitFor([&] {
+    again = this->Send(0, ServiceRequest("desk-key", "booking", "two-domes"));
+    return again.status == 200;
+  }));
+  EXPECT_EQ(again.body, first.body);
+  EXPECT_EQ(this->service->Runs().at("two-domes"), 1U);
+}
+
+}  // namespace
+}  // namespace tamarackwing::tests
--- a/tests/request_path_tests.cc
+++ b/tests/request_path_tests.cc
@@ -17,6 +17,7 @@
   void SetUp() override {
     auto set = state::ParseSet(ExampleSet());
     ASSERT_TRUE(set.has_value());
+    this->settings.gateway.stream_silence = std::chrono::milliseconds(300);
     this->settings.servers.ramp = std::chrono::milliseconds(0);
     this->host = std::make_unique<daemon::Daemon>(this->settings, true);
     ASSERT_TRUE(this->host->Start().has_value());
@@ -124,6 +125,15 @@
   EXPECT_EQ(result.body.find("\"t6 \""), result.body.rfind("\"t6 \""));
 }
 
+TEST_F(RequestPath, AStreamThatFallsSilentIsResumedOnANewConnection) {
+  fakes::FakeBehaviour behaviour = this->engine->Behaviour();
+  behaviour.silent_after = 5;
+  this->engine->SetBehaviour(behaviour);
+  const CallResult result = this->Send(ModelRequest("desk-key", 20, true));
+  EXPECT_TRUE(result.whole);
+  EXPECT_EQ(CountTokens(result.body), 20U);
+}
+
 TEST_F(RequestPath, ACallerThatGoesAwayCancelsTheStream) {
   http::asio::co_spawn(
       *this->threads.All().front(),
@@ -175,10 +185,10 @@
 }
 
 TEST_F(RequestPath, AWithdrawnKeyEndsItsOpenStreamAndItsNewRequests) {
+  const std::uint32_t before = this->engine->Started();
   auto open = std::async(std::launch::async, [&] {
     return this->Send(ModelRequest("desk-key", 2'000, true));
   });
-  const std::uint32_t before = this->engine->Started();
   ASSERT_TRUE(WaitFor([&] { return this->engine->Started() > before; }));
   this->host->Operators().Withdraw(DigestKey("desk-key"));
   const CallResult cut = open.get();
@@ -188,10 +198,10 @@
 }
 
 TEST_F(RequestPath, AStopUnderLoadCutsNoOpenStream) {
+  const std::uint32_t before = this->engine->Started();
   auto open = std::async(std::launch::async, [&] {
     return this->Send(ModelRequest("desk-key", 200, true));
   });
-  const std::uint32_t before = this->engine->Started();
   ASSERT_TRUE(WaitFor([&] { return this->engine->Started() > before; }));
   EXPECT_TRUE(this->host->Drain());
   const CallResult result = open.get();
--- a/tests/test_host.cc
+++ b/tests/test_host.cc
@@ -1,5 +1,6 @@
 #include "test_host.h"
 
+#include <array>
 #include <cstdlib>
 #include <filesystem>
 #include <future>
@@ -75,8 +76,9 @@
 name = "desk"
 rate = 100000
 burst = 200000
-home_regions = ["muscat"]
 residency = "oman"
+home_regions = [)" +
+         regions + R"(]
 [[workspaces]]
 name = "crew"
 rate = 10
@@ -168,6 +170,36 @@
   return settings;
 }
 
+daemon::Settings ClusterSettings(std::size_t index,
+                                 std::uint16_t first_port,
+                                 const std::string& data_folder) {
+  constexpr std::array kRegions = {"muscat", "sohar", "salalah"};
+  constexpr std::uint16_t kPortsPerHost = 10;
+  daemon::Settings settings;
+  std::vector<state::HostRecord> hosts;
+  std::vector<HostName> voters;
+  for (std::size_t i = 0; i < kRegions.size(); ++i) {
+    const auto port =
+        static_cast<std::uint16_t>(first_port + i * kPortsPerHost);
+    daemon::Settings one = AloneSettings(port, data_folder);
+    state::HostRecord& host = one.hosts.front();
+    host.name = HostName(std::string(kRegions[i]) + "-1");
+    host.region = RegionName(kRegions[i]);
+    host.data_centre = DataCentreName(std::string(kRegions[i]) + "-a");
+    hosts.push_back(host);
+    voters.push_back(host.name);
+    if (i == index) {
+      settings = one;
+      settings.gateway.host = host.name;
+      settings.gateway.region = host.region;
+      settings.gateway.data_centre = host.data_centre;
+    }
+  }
+  settings.hosts = std::move(hosts);
+  settings.voters = std::move(voters);
+  return settings;
+}
+
 CallResult Call(http::IoThreads& threads,
                 const http::Endpoint& endpoint,
                 http::Request request) {
--- a/tests/test_host.h
+++ b/tests/test_host.h
@@ -33,6 +33,12 @@
 daemon::Settings AloneSettings(std::uint16_t first_port,
                                const std::string& data_folder);
 
+//! Settings of host `index` of three in the regions muscat, sohar and salalah,
+//! all voters, their ports from `first_port` on.
+daemon::Settings ClusterSettings(std::size_t index,
+                                 std::uint16_t first_port,
+                                 const std::string& data_folder);
+
 //! Publishes a set on a cluster that has none; whether it was applied.
 bool PublishFirst(daemon::Daemon& host, const state::ConfigurationSet& set);
 
