--- a/packages/state/tests/operation_ledger_tests.cc
+++ b/packages/state/tests/operation_ledger_tests.cc
@@ -84,7 +84,7 @@
 }
 
 const std::vector<Fault>& Faults() {
-  static const std::vector<Fault> faults = {
+  static const std::vector<Fault> kFaults = {
       {"none", [](LedgerWorld&) {}},
       {"coordinator lost",
        [](LedgerWorld& world) {
@@ -146,7 +146,7 @@
          }
        }},
   };
-  return faults;
+  return kFaults;
 }
 
 //! Takes an operation up to a step.
