Let a host that operators drain refuse new requests

Cause: the last read found that nothing asked whether the agreed state told the host to drain: others left it out of the directory, but it went on serving. Change: the daemon's poll starts the drain; a test orders it and sees the refusal.

--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -167,7 +167,10 @@
   return this->parts->control;
 }
 
-DaemonState Daemon::State() const {
+DaemonState Daemon::Poll() {
+  if (this->parts->control.IsToldToDrain()) {
+    this->parts->gateway.StartDrain();
+  }
   return this->parts->control.HasFailed() ? DaemonState::kDiskFailed
                                           : DaemonState::kServing;
 }
--- a/programs/tamarackwingd/src/daemon.h
+++ b/programs/tamarackwingd/src/daemon.h
@@ -42,8 +42,9 @@
   Expected<void, StartError> Start();
   //! What operators can do here. Thread safety: as for OperatorService.
   operators::OperatorService& Operators();
-  //! Whether the host can go on.
-  DaemonState State() const;
+  //! Does what control asks of the host, such as to drain, and says whether it
+  //! can go on. To be called a few times a second.
+  DaemonState Poll();
   //! Refuses new requests, waits for the open ones and returns whether all
   //! ended within the drain limit.
   bool Drain();
--- a/programs/tamarackwingd/src/main.cc
+++ b/programs/tamarackwingd/src/main.cc
@@ -84,7 +84,7 @@
     if (sigtimedwait(&signals, nullptr, &poll) > 0) {
       return daemon.Drain() ? 0 : kRequestsCut;
     }
-    if (daemon.State() == tamarackwing::daemon::DaemonState::kDiskFailed) {
+    if (daemon.Poll() == tamarackwing::daemon::DaemonState::kDiskFailed) {
       std::cerr << "cannot go on: disk_failed\n";
       return kDiskFailed;
     }
--- a/tests/request_path_tests.cc
+++ b/tests/request_path_tests.cc
@@ -209,6 +209,17 @@
   EXPECT_EQ(CountTokens(result.body), 200U);
 }
 
+TEST_F(RequestPath, AHostThatOperatorsDrainRefusesNewRequests) {
+  this->host->Operators().Change(
+      state::DrainHost{this->settings.gateway.host, true},
+      [](operators::OrderResult) {});
+  EXPECT_TRUE(WaitFor([&] {
+    this->host->Poll();
+    const CallResult result = this->Send(ModelRequest("desk-key", 1, false));
+    return result.body.find("draining") != std::string::npos;
+  }));
+}
+
 TEST_F(RequestPath, BytesThatAreNoRequestAreRefusedAndTheHostLivesOn) {
   const std::string head =
       "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
