Say once what stood twice in the log and in a request

Taking up a leader stood twice in the agreed log, the tokens of a request three times, the digest of an operation was computed twice a request; two methods had no caller. Change: AcceptLeader, RequestedTokens, the digest kept; the two methods are gone. Behaviour stays as it is; no test was touched.

--- a/packages/control/include/tamarackwing/control/host_watch.h
+++ b/packages/control/include/tamarackwing/control/host_watch.h
@@ -28,8 +28,6 @@
   const HostStatus* StatusOf(const HostName& host) const;
   //! Recent statuses, with their ages.
   std::vector<HostStatus> Recent(TimePoint now) const;
-  //! Forgets a host.
-  void Forget(const HostName& host);
 
  private:
   struct Known {
--- a/packages/control/src/host_watch.cc
+++ b/packages/control/src/host_watch.cc
@@ -47,9 +47,4 @@
   return recent;
 }
 
-void HostWatch::Forget(const HostName& host) {
-  this->heard.erase(host);
-  this->statuses.erase(host);
-}
-
 }  // namespace tamarackwing::control
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -16,8 +16,6 @@
   std::uint64_t Events() const { return this->events; }
   //! Forgets the bytes of an event that is not whole.
   void DropRest();
-  //! Whether bytes of an event that is not whole are held.
-  bool HasRest() const { return !this->rest.empty(); }
   //! The bytes held.
   std::string TakeRest();
 
--- a/packages/gateway/src/served_operation.cc
+++ b/packages/gateway/src/served_operation.cc
@@ -54,9 +54,9 @@
 
 http::asio::awaitable<ServedRequest::Outcome> ServedRequest::AskPermit() {
   const RegionName& region = this->route->home_regions.front();
-  const OperationId operation =
-      DigestOperation(this->grant.workspace, this->route->name,
-                      *this->request.head.idempotency_key);
+  this->operation = DigestOperation(this->grant.workspace, this->route->name,
+                                    *this->request.head.idempotency_key);
+  const OperationId& operation = this->operation;
   auto handoff = std::make_shared<http::Handoff<Permit>>(this->executor);
   OperationPermits& permits = this->gateway.Parts().permits;
   permits.Ask(region, operation,
@@ -91,9 +91,7 @@
 http::asio::awaitable<ServedRequest::Outcome> ServedRequest::SendOperation() {
   const GatewayParts& parts = this->gateway.Parts();
   const RegionName& region = this->route->home_regions.front();
-  const OperationId operation =
-      DigestOperation(this->grant.workspace, this->route->name,
-                      *this->request.head.idempotency_key);
+  const OperationId& operation = this->operation;
   RefusalCode reason = RefusalCode::kNoBackendServer;
   for (int attempt = 0; attempt < kMostTries; ++attempt) {
     const bool late = parts.clock.Now() >= this->deadline;
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -225,9 +225,7 @@
 }
 
 http::asio::awaitable<ServedRequest::Outcome> ServedRequest::ReserveTokens() {
-  const TokenCount tokens =
-      this->call ? this->call->prompt_tokens + this->call->output_tokens
-                 : kServiceTokens;
+  const TokenCount tokens = this->RequestedTokens();
   this->used_tokens = 0;
   auto handoff = std::make_shared<http::Handoff<BudgetAnswer>>(this->executor);
   this->interrupt_wait = [handoff] { handoff->Interrupt(); };
@@ -278,9 +276,7 @@
   queued.id = this->gateway.NextRequest();
   queued.workspace = this->grant.workspace;
   queued.weight = this->grant.weight;
-  queued.tokens = this->call
-                      ? this->call->prompt_tokens + this->call->output_tokens
-                      : kServiceTokens;
+  queued.tokens = this->RequestedTokens();
   queued.latest_start = this->deadline - *expected;
   this->queue_id = queued.id;
   auto handoff = std::make_shared<http::Handoff<Admission>>(this->executor);
@@ -444,9 +440,7 @@
     }
     response.body += *piece;
   }
-  const TokenCount reserved =
-      this->call ? this->call->prompt_tokens + this->call->output_tokens
-                 : kServiceTokens;
+  const TokenCount reserved = this->RequestedTokens();
   this->used_tokens = UsedTokens(response.body, reserved);
   co_await this->writer.Send(std::move(response));
   co_return TryOutcome{};
@@ -465,6 +459,11 @@
                                          : RefuseOutcomeUnknown(code);
 }
 
+TokenCount ServedRequest::RequestedTokens() const {
+  return this->call ? this->call->prompt_tokens + this->call->output_tokens
+                    : kServiceTokens;
+}
+
 policy::ServerQuery ServedRequest::Query() const {
   policy::ServerQuery query;
   query.target = this->target;
--- a/packages/gateway/src/served_request.h
+++ b/packages/gateway/src/served_request.h
@@ -89,6 +89,8 @@
   bool ShouldForward();
   void PickForwardTarget();
   Refusal UpstreamRefusal(http::ConnectionError error) const;
+  //! Prompt tokens and the most output tokens.
+  TokenCount RequestedTokens() const;
   policy::ServerQuery Query() const;
   http::Request BackendRequest(const http::Endpoint& endpoint) const;
   std::chrono::milliseconds TimeLeft() const;
@@ -123,6 +125,7 @@
   std::set<BackendServerName> tried;
   std::optional<ForwardTarget> forward_target;
   EventSplitter events;
+  OperationId operation;
   OperationAnswer operation_answer;
 
   std::optional<RefusalCode> cancelled;
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -171,6 +171,13 @@
                        const VoteReply& reply,
                        TimePoint now,
                        LogEffects& effects);
+  //! Refuses who leads an older term; notes a new term in `batch`.
+  bool AcceptLeader(const HostName& from,
+                    Term term,
+                    std::uint64_t its_round,
+                    TimePoint now,
+                    LogBatch& batch,
+                    LogEffects& effects);
   void HandleAppend(const HostName& from,
                     const AppendRequest& request,
                     TimePoint now,
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -419,19 +419,32 @@
   }
 }
 
-void AgreedLog::HandleAppend(const HostName& from,
-                             const AppendRequest& request,
+bool AgreedLog::AcceptLeader(const HostName& from,
+                             Term term,
+                             std::uint64_t its_round,
                              TimePoint now,
+                             LogBatch& batch,
                              LogEffects& effects) {
-  if (request.term < this->vote.term) {
+  if (term < this->vote.term) {
     effects.sends.push_back(
-        {from, AppendReply{this->vote.term, false, 0, request.round}});
-    return;
+        {from, AppendReply{this->vote.term, false, 0, its_round}});
+    return false;
   }
-  LogBatch batch;
-  if (this->FollowLeader(request.term, from, now)) {
+  if (this->FollowLeader(term, from, now)) {
     batch.vote = this->vote;
   }
+  return true;
+}
+
+void AgreedLog::HandleAppend(const HostName& from,
+                             const AppendRequest& request,
+                             TimePoint now,
+                             LogEffects& effects) {
+  LogBatch batch;
+  if (!this->AcceptLeader(from, request.term, request.round, now, batch,
+                          effects)) {
+    return;
+  }
   const bool has_previous =
       request.previous_index <= this->snapshot.index ||
       (request.previous_index <= this->LastIndex() &&
@@ -540,14 +553,10 @@
                               const InstallRequest& request,
                               TimePoint now,
                               LogEffects& effects) {
-  if (request.term < this->vote.term) {
-    effects.sends.push_back(
-        {from, AppendReply{this->vote.term, false, 0, request.round}});
-    return;
-  }
   LogBatch batch;
-  if (this->FollowLeader(request.term, from, now)) {
-    batch.vote = this->vote;
+  if (!this->AcceptLeader(from, request.term, request.round, now, batch,
+                          effects)) {
+    return;
   }
   const LogSnapshot& newer = request.snapshot;
   std::uint64_t ticket = this->next_ticket - 1;
