--- a/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
+++ b/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
@@ -20,6 +20,12 @@
   std::chrono::milliseconds connect_timeout{2'000};
 };
 
+//! Never reuses a connection.
+inline constexpr std::chrono::milliseconds kFresh{0};
+//! Reuses a connection however long it was idle, within the pool's limits.
+inline constexpr std::chrono::milliseconds kAnyIdle =
+    std::chrono::milliseconds::max();
+
 //! A connection that a request holds.
 struct PooledConnection {
   std::unique_ptr<http::Connection> connection;
@@ -33,10 +39,13 @@
  public:
   ConnectionPool(http::asio::io_context& context, PoolLimits limits);
 
-  //! Gives an idle connection, or opens one. `fresh` never reuses.
+  //! Gives a connection that has been idle for less than `most_idle`, or opens
+  //! one; zero never reuses.
   //! Errors: as for http::Connection::Connect.
   http::asio::awaitable<Expected<PooledConnection, http::ConnectionError>>
-  Acquire(http::Endpoint endpoint, TimePoint deadline, bool fresh);
+  Acquire(http::Endpoint endpoint,
+          TimePoint deadline,
+          std::chrono::milliseconds most_idle);
   //! Takes a connection back where its last answer was whole.
   void Release(const http::Endpoint& endpoint, PooledConnection connection);
 
@@ -44,6 +53,8 @@
   struct Idle {
     std::unique_ptr<http::Connection> connection;
     TimePoint since;
+    //! The server may close it after this.
+    Duration most_idle{};
   };
 
   http::asio::io_context& context;
--- a/packages/backend_servers/src/connection_pool.cc
+++ b/packages/backend_servers/src/connection_pool.cc
@@ -12,14 +12,22 @@
 http::asio::awaitable<Expected<PooledConnection, http::ConnectionError>>
 ConnectionPool::Acquire(http::Endpoint endpoint,
                         TimePoint deadline,
-                        bool fresh) {
+                        std::chrono::milliseconds most_idle) {
   const TimePoint now = std::chrono::steady_clock::now();
   std::deque<Idle>& connections = this->idle[endpoint];
-  while (!fresh && !connections.empty()) {
+  while (most_idle.count() > 0 && !connections.empty()) {
     Idle candidate = std::move(connections.back());
     connections.pop_back();
-    const bool young = now - candidate.since < this->limits.oldest;
-    if (young && !candidate.connection->IsPeerClosed()) {
+    const Duration idle = now - candidate.since;
+    if (idle >= candidate.most_idle) {
+      continue;
+    }
+    if (most_idle != kAnyIdle && idle >= most_idle) {
+      // Still good for who is less particular.
+      connections.push_back(std::move(candidate));
+      break;
+    }
+    if (candidate.connection->IsQuiet()) {
       co_return PooledConnection{std::move(candidate.connection), true};
     }
   }
@@ -40,8 +48,14 @@
       connections.size() >= this->limits.idle_per_server) {
     return;
   }
-  connections.push_back(
-      {std::move(connection.connection), std::chrono::steady_clock::now()});
+  const auto kept_alive = connection.connection->KeptAliveFor();
+  Idle entry;
+  entry.most_idle = std::min<Duration>(
+      this->limits.oldest,
+      kept_alive ? Duration(*kept_alive) / 2 : this->limits.oldest);
+  entry.connection = std::move(connection.connection);
+  entry.since = std::chrono::steady_clock::now();
+  connections.push_back(std::move(entry));
 }
 
 }  // namespace tamarackwing::backend_servers
--- a/packages/base/include/tamarackwing/base/clock.h
+++ b/packages/base/include/tamarackwing/base/clock.h
@@ -22,6 +22,13 @@
   TimePoint Now() const override;
 };
 
+//! The host's time since its boot, which also runs while the host is suspended.
+//! Its moments are not those of SteadyClock: never compare the two.
+class BootClock final : public Clock {
+ public:
+  TimePoint Now() const override;
+};
+
 //! A clock that a test or a bench moves by hand. Not thread-safe.
 class ManualClock final : public Clock {
  public:
--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -12,6 +12,7 @@
   kHostStopped = 1002,
   kDrainStarted = 1003,
   kSettingsRejected = 1004,
+  kSettingsReloaded = 1005,
   kBackendServerAnnounced = 2001,
   kBackendServerLeft = 2002,
   kBackendServerLeaseExpired = 2003,
@@ -30,6 +31,10 @@
   kAllocatorStarted = 4002,
   kRequestRefused = 5001,
   kStreamEnded = 5002,
+  kTryEnded = 5003,
+  kRequestEnded = 5004,
+  kReportRejected = 5101,
+  kOrderTaken = 5102,
 };
 
 //! One named value of an event.
@@ -45,6 +50,9 @@
 //! once, before other threads log.
 void OpenLog(LogLevel level);
 
+//! Changes how much is written. Thread safety: callable from any thread.
+void SetLogLevel(LogLevel level);
+
 //! Writes one event. Thread safety: callable from any thread.
 void LogEvent(Event event,
               LogLevel level,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -45,6 +45,10 @@
   EventLogger().setLogLevel(ToLibraryLevel(level));
 }
 
+void SetLogLevel(LogLevel level) {
+  EventLogger().setLogLevel(ToLibraryLevel(level));
+}
+
 void LogEvent(Event event,
               LogLevel level,
               std::initializer_list<EventField> fields) {
@@ -73,6 +77,8 @@
       return "drain_started";
     case Event::kSettingsRejected:
       return "settings_rejected";
+    case Event::kSettingsReloaded:
+      return "settings_reloaded";
     case Event::kBackendServerAnnounced:
       return "backend_server_announced";
     case Event::kBackendServerLeft:
@@ -109,6 +115,14 @@
       return "request_refused";
     case Event::kStreamEnded:
       return "stream_ended";
+    case Event::kTryEnded:
+      return "try_ended";
+    case Event::kRequestEnded:
+      return "request_ended";
+    case Event::kReportRejected:
+      return "report_rejected";
+    case Event::kOrderTaken:
+      return "order_taken";
   }
   return "unknown";
 }
--- a/packages/config/include/tamarackwing/config/table_reader.h
+++ b/packages/config/include/tamarackwing/config/table_reader.h
@@ -20,6 +20,8 @@
   //! Preconditions: `table` and `faults` outlive the reader.
   TableReader(const toml::table& table, std::string path, Faults& faults);
 
+  //! Whether the table has a field, of whatever type.
+  bool Has(std::string_view field) const;
   //! A text; empty where it is missing or wrong.
   std::string Text(std::string_view field, bool required);
   //! A whole number in a range; `otherwise` where it is missing or wrong.
--- a/packages/config/src/table_reader.cc
+++ b/packages/config/src/table_reader.cc
@@ -11,6 +11,10 @@
                          Faults& faults)
     : table(&table), path(std::move(path)), faults(&faults) {}
 
+bool TableReader::Has(std::string_view field) const {
+  return this->table->contains(field);
+}
+
 std::string TableReader::Text(std::string_view field, bool required) {
   const toml::node* node = this->Find(field, required);
   if (node == nullptr) {
--- a/packages/control/include/tamarackwing/control/control_effects.h
+++ b/packages/control/include/tamarackwing/control/control_effects.h
@@ -36,10 +36,13 @@
   std::vector<ChangeDone> changes;
   std::vector<state::LedgerPermit> permits;
   std::vector<policy::ChunkGrant> grants;
+  std::vector<policy::RateGrant> rate_grants;
   std::vector<KeyDigest> withdrawn;
   std::vector<RegionNews> news;
   std::vector<StatusReply> statuses;
   std::vector<ProbeNews> probes;
+  //! Reports of backend servers of this region.
+  std::vector<policy::ServerReport> servers;
   //! Whether traffic needs a new snapshot.
   bool snapshot_changed = false;
 };
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -18,6 +18,7 @@
 #include "tamarackwing/control/ledger_client.h"
 #include "tamarackwing/control/peer_message.h"
 #include "tamarackwing/control/region_allocator.h"
+#include "tamarackwing/control/server_relay.h"
 #include "tamarackwing/state/agreed_log.h"
 #include "tamarackwing/state/control_state.h"
 #include "tamarackwing/state/operation_ledger.h"
@@ -93,6 +94,12 @@
   void SetRegionStatus(RegionStatus status, std::vector<TargetLoad> loads);
   //! Probes a host of another region.
   ControlEffects Probe(const HostName& host, std::uint64_t number);
+  //! Takes a backend server's report on its way to the entry hosts of its
+  //! region.
+  ControlEffects RelayServer(const policy::ServerReport& report, TimePoint now);
+  //! Asks the leader for this host's parts of the workspaces' rates; the answer
+  //! stands in ControlEffects::rate_grants.
+  ControlEffects ReportRates(const policy::RateReport& report);
   //! Starts to tell others that this host drains.
   void StartDrain();
 
@@ -182,6 +189,10 @@
                    const PeerMessage& message,
                    TimePoint now,
                    ControlEffects& effects);
+  void HandleRates(const HostName& from,
+                   const policy::RateReport& report,
+                   TimePoint now,
+                   ControlEffects& effects);
   void HandleStatusRequest(const HostName& from,
                            const StatusRequest& request,
                            TimePoint now,
@@ -191,9 +202,10 @@
   void ReportToRegion(TimePoint now, ControlEffects& effects);
   void AskFeed(TimePoint now, ControlEffects& effects);
   void PushFeed(TimePoint now, ControlEffects& effects);
+  void SendServerNews(TimePoint now, ControlEffects& effects);
   FeedReply MakeFeed(LogIndex next, TimePoint now);
   void DoLeaderDuties(TimePoint now, ControlEffects& effects);
-  void ReplaceVoters(TimePoint now, ControlEffects& effects);
+  void ChangeVoters(TimePoint now, ControlEffects& effects);
   void CompactLog(ControlEffects& effects, TimePoint now);
   void ResendProposals(TimePoint now, ControlEffects& effects);
   void ProposeHere(Proposal& proposal, TimePoint now, ControlEffects& effects);
@@ -214,6 +226,8 @@
   HostWatch watch;
   LeaderDuties duties;
   FeedBuffer buffer;
+  ServerRelay relay;
+  policy::RateLeases rates;
 
   bool was_leader = false;
   bool ready = false;
@@ -222,6 +236,7 @@
   TimePoint report_at;
   TimePoint region_report_at;
   TimePoint duties_at;
+  TimePoint relay_at;
   std::size_t source = 0;
   std::uint64_t feed_number = 0;
   std::map<std::uint64_t, TimePoint> feed_sent;
--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <vector>
 
+#include "tamarackwing/policy/rate_leases.h"
 #include "tamarackwing/state/agreed_log.h"
 #include "tamarackwing/state/host_record.h"
 #include "tamarackwing/state/operation_ledger.h"
@@ -18,6 +19,9 @@
   std::vector<state::HostRecord> seeds;
   //! The founding voters; empty on a host that lost its disk.
   std::set<HostName> first_voters;
+  //! Hosts with disks are admitted as voters up to this number; zero keeps the
+  //! number of the founding ones.
+  std::size_t voters = 0;
   state::LogOptions log;
   state::LedgerOptions ledger;
   //! How often hosts report to their source and to their region.
@@ -36,6 +40,7 @@
   std::chrono::milliseconds chunk_life{2'000};
   //! How long a coordinator's right to give out tokens lasts without word.
   std::chrono::milliseconds view_lease{2'000};
+  policy::RateLeaseOptions rates;
   //! What clocks may differ over the longest of these times.
   std::chrono::milliseconds drift{200};
   //! Part of each region's share that its hosts own outright, in percent.
@@ -46,6 +51,11 @@
   std::size_t compact_after = 4'096;
   //! Bytes of payload after which it is.
   std::size_t compact_after_bytes = 4 * 1024 * 1024;
+  //! How often reports of backend servers go to the entry hosts.
+  std::chrono::milliseconds relay{100};
+  //! How long, and how often, it is told again that a server leaves.
+  std::chrono::milliseconds leaving_told{4'000};
+  std::chrono::milliseconds leaving_again{500};
   //! Hosts that keep a region's ledger.
   std::size_t view_members = 3;
 };
--- a/packages/control/include/tamarackwing/control/leader_duties.h
+++ b/packages/control/include/tamarackwing/control/leader_duties.h
@@ -24,12 +24,6 @@
   std::vector<state::ControlChange> Due(const state::ControlState& state,
                                         const HostWatch& watch,
                                         TimePoint now);
-  //! A live host with a disk to take a lost voter's place; empty for none.
-  static HostName PickSpare(const state::ControlState& state,
-                            const HostWatch& watch,
-                            const std::set<HostName>& voters,
-                            const HostName& lost,
-                            TimePoint now);
 
  private:
   void AddHosts(const state::ControlState& state,
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -10,6 +10,7 @@
 
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/policy/budget_messages.h"
+#include "tamarackwing/policy/rate_messages.h"
 #include "tamarackwing/policy/server_report.h"
 #include "tamarackwing/state/control_state.h"
 #include "tamarackwing/state/host_record.h"
@@ -129,6 +130,12 @@
   std::vector<HostProgress> hosts;
 };
 
+//! Reports of backend servers that came to a host with control state, for the
+//! entry hosts of the servers' region.
+struct ServerNews {
+  std::vector<policy::ServerReport> reports;
+};
+
 //! Everything that hosts tell each other.
 using PeerMessage = std::variant<state::LogMessage,
                                  state::LedgerMessage,
@@ -144,7 +151,10 @@
                                  policy::ChunkGrant,
                                  policy::ChunkSettled,
                                  StatusRequest,
-                                 StatusReply>;
+                                 StatusReply,
+                                 ServerNews,
+                                 policy::RateReport,
+                                 policy::RateGrant>;
 
 //! A message and where it goes.
 struct PeerSend {
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -5,6 +5,7 @@
 
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/base/random_source.h"
+#include "tamarackwing/control/membership_duties.h"
 
 namespace tamarackwing::control {
 namespace {
@@ -52,6 +53,8 @@
       watch(options.host_lost),
       duties(options),
       buffer(kBufferedEntries, kBufferedBytes),
+      relay(options),
+      rates(options.rates),
       started(now),
       report_at(now),
       feed_answered(now) {
@@ -84,6 +87,9 @@
     this->Report(now, effects);
   }
   this->ResendProposals(now, effects);
+  if (now >= this->relay_at) {
+    this->SendServerNews(now, effects);
+  }
   if (this->log.IsLeader() && now >= this->duties_at) {
     this->duties_at = now + this->options.report / 2;
     this->DoLeaderDuties(now, effects);
@@ -125,6 +131,12 @@
     this->HandleStatusRequest(from, *asked, now, effects);
   } else if (const auto* answer = std::get_if<StatusReply>(&message)) {
     effects.statuses.push_back(*answer);
+  } else if (const auto* servers = std::get_if<ServerNews>(&message)) {
+    effects.servers = servers->reports;
+  } else if (const auto* demands = std::get_if<policy::RateReport>(&message)) {
+    this->HandleRates(from, *demands, now, effects);
+  } else if (const auto* rates = std::get_if<policy::RateGrant>(&message)) {
+    effects.rate_grants.push_back(*rates);
   } else {
     this->HandleChunk(from, message, now, effects);
   }
@@ -260,6 +272,52 @@
   return effects;
 }
 
+ControlEffects ControlNode::RelayServer(const policy::ServerReport& report,
+                                        TimePoint now) {
+  ControlEffects effects;
+  if (this->relay.Take(report, now)) {
+    this->SendServerNews(now, effects);
+  }
+  return effects;
+}
+
+ControlEffects ControlNode::ReportRates(const policy::RateReport& report) {
+  ControlEffects effects;
+  if (!this->Leader().IsEmpty() && !this->log.IsLeader()) {
+    effects.sends.push_back({this->Leader(), report});
+  }
+  return effects;
+}
+
+void ControlNode::HandleRates(const HostName& from,
+                              const policy::RateReport& report,
+                              TimePoint now,
+                              ControlEffects& effects) {
+  if (!this->log.HasLease(now)) {
+    return;
+  }
+  for (const policy::RateDemand& demand : report.demands) {
+    const auto workspace = this->state.Set()->workspaces.find(demand.workspace);
+    const bool is_known = workspace != this->state.Set()->workspaces.end();
+    this->rates.SetRate(demand.workspace,
+                        is_known ? workspace->second.rate : 0);
+  }
+  effects.sends.push_back({from, this->rates.Grant(from, report, now)});
+}
+
+void ControlNode::SendServerNews(TimePoint now, ControlEffects& effects) {
+  this->relay_at = now + this->options.relay;
+  for (const auto& [region, reports] : this->relay.Due(now)) {
+    for (const auto& [name, host] : this->state.Hosts()) {
+      const bool is_entry = host.caller_port != 0;
+      const bool is_there = region.IsEmpty() || host.region == region;
+      if (is_entry && is_there && name != this->options.self.name) {
+        effects.sends.push_back({name, ServerNews{reports}});
+      }
+    }
+  }
+}
+
 void ControlNode::StartDrain() {
   this->draining = true;
 }
@@ -270,6 +328,10 @@
   snapshot->applied = this->state.Applied();
   snapshot->version = this->state.Version();
   snapshot->set = this->state.Set();
+  snapshot->set_number = this->state.SetNumber();
+  snapshot->paths = this->state.Paths();
+  snapshot->document = this->state.Document();
+  snapshot->closed_data_centres = this->state.ClosedDataCentres();
   snapshot->withdrawn = this->state.Withdrawn();
   if (!this->early_withdrawn.empty()) {
     auto all = std::make_shared<std::set<KeyDigest>>(*this->state.Withdrawn());
@@ -290,6 +352,7 @@
   }
   snapshot->live.insert(this->options.self.name);
   const auto word = this->Word(now);
+  snapshot->word = word.value_or(TimePoint());
   snapshot->keys_fresh_until =
       word ? *word + this->options.key_freshness : TimePoint::min();
   snapshot->changing_shares = this->state.ChangingShares(region);
@@ -339,6 +402,7 @@
   if (this->log.IsLeader() && !this->was_leader) {
     this->was_leader = true;
     this->duties.StartTerm(now);
+    this->rates.StartTerm(now);
     this->duties_under_way.clear();
     this->forwarded.clear();
     this->forwarded_open.clear();
@@ -818,28 +882,21 @@
   std::erase_if(this->duties_under_way, [&](const auto& entry) {
     return entry.second <= this->state.Applied();
   });
-  this->ReplaceVoters(now, effects);
+  this->ChangeVoters(now, effects);
 }
 
-void ControlNode::ReplaceVoters(TimePoint now, ControlEffects& effects) {
-  const auto silent = this->log.SilentSince(now - this->options.voter_lost);
-  if (silent.empty()) {
-    return;
-  }
-  const HostName& lost = *silent.begin();
-  const std::set<HostName>& voters = this->log.Voters();
-  const bool has_spare_voter =
-      voters.size() > this->options.first_voters.size() &&
-      !this->options.first_voters.empty();
+void ControlNode::ChangeVoters(TimePoint now, ControlEffects& effects) {
+  VoterPlanInput input;
+  input.voters = this->log.Voters();
+  input.silent = this->log.SilentSince(now - this->options.voter_lost);
+  input.target = this->options.voters != 0 ? this->options.voters
+                                           : this->options.first_voters.size();
+  const VoterPlan plan = PlanVoters(input, this->state, this->watch, now);
   state::LogEffects log_effects;
-  if (has_spare_voter) {
-    static_cast<void>(this->log.RemoveVoter(lost, now, log_effects));
-  } else if (this->log.Joining().IsEmpty()) {
-    const HostName spare =
-        LeaderDuties::PickSpare(this->state, this->watch, voters, lost, now);
-    if (!spare.IsEmpty()) {
-      static_cast<void>(this->log.AddVoter(spare, now, log_effects));
-    }
+  if (!plan.remove.IsEmpty()) {
+    static_cast<void>(this->log.RemoveVoter(plan.remove, now, log_effects));
+  } else if (!plan.add.IsEmpty() && this->log.Joining().IsEmpty()) {
+    static_cast<void>(this->log.AddVoter(plan.add, now, log_effects));
   }
   this->TakeLog(std::move(log_effects), now, effects);
 }
@@ -922,60 +979,32 @@
 }
 
 std::vector<HostName> ControlNode::Sources() const {
-  const HostName& self = this->options.self.name;
-  std::set<HostName> voters = this->log.Voters();
-  if (voters.empty()) {
-    for (const state::HostRecord& host : this->options.seeds) {
-      if (host.has_disk) {
-        voters.insert(host.name);
-      }
-    }
-  }
-  std::vector<HostName> sources;
-  const auto add = [&](const HostName& host) {
-    const bool is_there =
-        std::find(sources.begin(), sources.end(), host) != sources.end();
-    if (host != self && !host.IsEmpty() && !is_there) {
-      sources.push_back(host);
-    }
-  };
-  const bool is_voter = voters.contains(self);
-  if (is_voter) {
-    add(this->log.Leader());
-  }
-  for (const state::HostRecord& host : this->options.seeds) {
-    const bool is_near = host.region == this->options.self.region;
-    if (is_near && !is_voter && voters.contains(host.name)) {
-      add(host.name);
-    }
-  }
-  for (const state::HostRecord& host : this->options.seeds) {
-    const bool is_near = host.region == this->options.self.region;
-    const bool may_feed = !this->ready || (!is_voter && host.name < self);
-    if (is_near && may_feed) {
-      add(host.name);
-    }
-  }
-  add(this->Leader());
-  for (const HostName& voter : voters) {
-    add(voter);
+  SourceInput input;
+  input.self = this->options.self;
+  input.is_voter = this->log.IsVoter();
+  input.ready = this->ready;
+  input.leader = this->Leader();
+  input.voters = this->log.Voters();
+  input.hosts = this->options.seeds;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    std::erase_if(input.hosts, [&](const state::HostRecord& seed) {
+      return seed.name == name;
+    });
+    input.hosts.push_back(host);
   }
-  return sources;
+  return PlanSources(input);
 }
 
 std::optional<TimePoint> ControlNode::Word(TimePoint now) const {
   if (this->log.HasLease(now)) {
     return now;
   }
-  TimePoint word = this->feed_word;
-  const bool follows = !this->log.IsLeader() && !this->log.Leader().IsEmpty();
-  if (follows && this->log.IsVoter()) {
-    word = std::max(word, this->log.LeaderWord());
-  }
-  if (word == TimePoint()) {
+  // Only an answer to this host's own question proves anything of the time: an
+  // append may have waited in a socket while this host was suspended.
+  if (this->feed_word == TimePoint()) {
     return std::nullopt;
   }
-  return word;
+  return this->feed_word;
 }
 
 bool ControlNode::IsAlive(const state::AskId& id) const {
--- a/packages/control/src/leader_duties.cc
+++ b/packages/control/src/leader_duties.cc
@@ -128,31 +128,6 @@
   return changes;
 }
 
-HostName LeaderDuties::PickSpare(const state::ControlState& state,
-                                 const HostWatch& watch,
-                                 const std::set<HostName>& voters,
-                                 const HostName& lost,
-                                 TimePoint now) {
-  const auto lost_host = state.Hosts().find(lost);
-  HostName spare;
-  for (const auto& [name, host] : state.Hosts()) {
-    const bool fits = host.has_disk && !host.draining &&
-                      !voters.contains(name) && watch.IsLive(name, now);
-    if (!fits) {
-      continue;
-    }
-    const bool is_near = lost_host != state.Hosts().end() &&
-                         lost_host->second.region == host.region;
-    if (is_near) {
-      return name;
-    }
-    if (spare.IsEmpty()) {
-      spare = name;
-    }
-  }
-  return spare;
-}
-
 void LeaderDuties::AddHosts(const state::ControlState& state,
                             const HostWatch& watch,
                             TimePoint now,
--- /dev/null
+++ b/packages/control/src/membership_duties.cc
@@ -0,0 +1,105 @@
+#include "tamarackwing/control/membership_duties.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace tamarackwing::control {
+namespace {
+
+//! The live host with a disk whose region, and then data centre, has the
+//! fewest voters that answer.
+HostName PickNewVoter(const VoterPlanInput& input,
+                      const state::ControlState& state,
+                      const HostWatch& watch,
+                      TimePoint now) {
+  std::map<RegionName, int> in_region;
+  std::map<DataCentreName, int> in_data_centre;
+  for (const HostName& voter : input.voters) {
+    const auto host = state.Hosts().find(voter);
+    if (host != state.Hosts().end() && !input.silent.contains(voter)) {
+      in_region[host->second.region] += 1;
+      in_data_centre[host->second.data_centre] += 1;
+    }
+  }
+  HostName best;
+  std::tuple<int, int> least;
+  for (const auto& [name, host] : state.Hosts()) {
+    const bool fits = host.has_disk && !host.draining &&
+                      !input.voters.contains(name) && watch.IsLive(name, now);
+    if (!fits) {
+      continue;
+    }
+    const std::tuple crowd{in_region[host.region],
+                           in_data_centre[host.data_centre]};
+    if (best.IsEmpty() || crowd < least) {
+      best = name;
+      least = crowd;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+VoterPlan PlanVoters(const VoterPlanInput& input,
+                     const state::ControlState& state,
+                     const HostWatch& watch,
+                     TimePoint now) {
+  VoterPlan plan;
+  if (input.target == 0) {
+    return plan;
+  }
+  if (!input.silent.empty() && input.voters.size() > input.target) {
+    plan.remove = *input.silent.begin();
+    return plan;
+  }
+  if (input.voters.size() < input.target + input.silent.size()) {
+    plan.add = PickNewVoter(input, state, watch, now);
+  }
+  return plan;
+}
+
+std::vector<HostName> PlanSources(const SourceInput& input) {
+  std::set<HostName> voters = input.voters;
+  if (voters.empty()) {
+    for (const state::HostRecord& host : input.hosts) {
+      if (host.has_disk) {
+        voters.insert(host.name);
+      }
+    }
+  }
+  std::vector<HostName> sources;
+  const auto add = [&](const HostName& host) {
+    const bool is_there =
+        std::find(sources.begin(), sources.end(), host) != sources.end();
+    if (host != input.self.name && !host.IsEmpty() && !is_there) {
+      sources.push_back(host);
+    }
+  };
+  const bool is_voter = voters.contains(input.self.name);
+  if (is_voter) {
+    add(input.leader);
+  }
+  for (const state::HostRecord& host : input.hosts) {
+    const bool is_near = host.region == input.self.region;
+    if (is_near && !is_voter && voters.contains(host.name)) {
+      add(host.name);
+    }
+  }
+  for (const state::HostRecord& host : input.hosts) {
+    const bool is_near = host.region == input.self.region;
+    const bool may_feed =
+        !input.ready || (!is_voter && host.name < input.self.name);
+    if (is_near && may_feed) {
+      add(host.name);
+    }
+  }
+  add(input.leader);
+  for (const HostName& voter : voters) {
+    add(voter);
+  }
+  return sources;
+}
+
+}  // namespace tamarackwing::control
--- a/packages/gateway/include/tamarackwing/gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway.h
@@ -7,5 +7,7 @@
 #include "tamarackwing/gateway/authorizer.h"
 #include "tamarackwing/gateway/gateway.h"
 #include "tamarackwing/gateway/gateway_settings.h"
+#include "tamarackwing/gateway/path_gateway.h"
+#include "tamarackwing/gateway/path_protocol.h"
 #include "tamarackwing/gateway/server_directory.h"
 #include "tamarackwing/gateway/snapshot_holder.h"
--- a/packages/gateway/include/tamarackwing/gateway/gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway/gateway.h
@@ -29,7 +29,10 @@
 //! What a gateway works with; everything outlives it.
 struct GatewayParts {
   http::IoThreads& threads;
+  //! The clock of timeouts.
   const Clock& clock;
+  //! The clock by which the snapshot's word is aged.
+  const Clock& word_clock;
   Metrics& metrics;
   SpanSink& spans;
   SnapshotHolder& snapshots;
--- /dev/null
+++ b/packages/gateway/include/tamarackwing/gateway/path_gateway.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "tamarackwing/backend_servers/connection_pool.h"
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/metrics.h"
+#include "tamarackwing/base/span.h"
+#include "tamarackwing/gateway/gateway_settings.h"
+#include "tamarackwing/gateway/path_call.h"
+#include "tamarackwing/gateway/path_protocol.h"
+#include "tamarackwing/gateway/server_directory.h"
+#include "tamarackwing/gateway/snapshot_holder.h"
+#include "tamarackwing/http/asio.h"
+#include "tamarackwing/http/response_writer.h"
+
+namespace tamarackwing::http {
+class IoThreads;
+}
+
+namespace tamarackwing::gateway {
+
+class RegionHosts;
+class TokenBudget;
+
+//! What a path gateway works with; everything outlives it.
+struct PathGatewayParts {
+  http::IoThreads& threads;
+  //! The clock of timeouts.
+  const Clock& clock;
+  //! The clock by which the snapshot's word is aged.
+  const Clock& word_clock;
+  Metrics& metrics;
+  SpanSink& spans;
+  SnapshotHolder& snapshots;
+  ServerDirectory& servers;
+  TokenBudget& budget;
+  RegionHosts& regions;
+  const PathProtocol& protocol;
+};
+
+//! Serves path calls: finds the route, checks the key, the workspace's budget
+//! and the residency, and sends the call to a server of this region or, once,
+//! to a host of another. Thread safety: called from every traffic thread.
+class PathGateway {
+ public:
+  //! Counts a call as under way for as long as it lives.
+  class Presence {
+   public:
+    explicit Presence(PathGateway& gateway) : gateway(gateway) {
+      this->gateway.under_way.fetch_add(1);
+    }
+    ~Presence() { this->gateway.under_way.fetch_sub(1); }
+    Presence(const Presence&) = delete;
+    Presence& operator=(const Presence&) = delete;
+
+   private:
+    PathGateway& gateway;
+  };
+
+  PathGateway(PathGatewayParts parts, GatewaySettings settings);
+  ~PathGateway();
+
+  //! Serves a call of a caller.
+  http::asio::awaitable<void> Serve(PathCall call,
+                                    http::ResponseWriter& writer);
+  //! Serves a call that another host has forwarded; it is not forwarded again.
+  http::asio::awaitable<void> ServeForwarded(PathCall call,
+                                             ForwardedCall origin,
+                                             http::ResponseWriter& writer);
+
+  //! Whether callers may be sent here: a set is in force and this host does not
+  //! drain. Thread safety: from any thread.
+  bool IsReady() const;
+  //! Says that this host is about to stop. Thread safety: from any thread.
+  void StartDrain() { this->draining.store(true); }
+  bool IsDraining() const { return this->draining.load(); }
+  //! Calls under way. Thread safety: from any thread.
+  std::size_t UnderWay() const { return this->under_way.load(); }
+
+  const PathGatewayParts& Parts() const { return this->parts; }
+  const GatewaySettings& Settings() const { return this->settings; }
+  //! The pool of the calling traffic thread's context.
+  backend_servers::ConnectionPool& PoolOf(
+      const http::asio::any_io_executor& executor);
+  //! A different number for each call. Thread safety: from any thread.
+  std::uint64_t NextNumber() { return this->next_number.fetch_add(1); }
+
+ private:
+  PathGatewayParts parts;
+  GatewaySettings settings;
+  std::atomic<bool> draining{false};
+  std::atomic<std::size_t> under_way{0};
+  std::atomic<std::uint64_t> next_number{1};
+  std::map<http::asio::execution_context*,
+           std::unique_ptr<backend_servers::ConnectionPool>>
+      pools;
+};
+
+}  // namespace tamarackwing::gateway
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -34,6 +35,9 @@
   void NoteCacheEvents(const backend_servers::CacheEvents& events) override;
   //! Takes an announcement that another host of the region passed on.
   void TakeRelayed(const policy::ServerReport& report);
+  //! Sets the retry budget of each target: a part of its requests, and a
+  //! reserve. Precondition: `percent` is at most 100.
+  void SetRetryLimits(std::uint32_t percent, std::uint32_t reserve);
   //! Chooses a server; counts it as sent.
   std::optional<policy::ServerChoice> Take(const policy::ServerQuery& query);
   //! The expected time of the best server, without taking it.
@@ -42,10 +46,17 @@
   void Finish(const BackendServerName& name, bool failed);
   //! Notes that a server now holds a prefix.
   void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
-  //! Notes a first try for the retry budget.
-  void NoteRequest();
-  //! Takes one retry; false where the budget is spent.
-  bool TryRetry();
+  //! Notes that a request had its first output.
+  void NoteFirstOutput(const BackendServerName& name, TokenCount prompt_tokens);
+  //! Notes the parts of a prompt that a server has read.
+  void NoteParts(const BackendServerName& name,
+                 const std::vector<policy::PrefixPart>& parts);
+  //! Notes a first try for the retry budget of a target.
+  void NoteRequest(const std::string& target);
+  //! Takes one retry; false where the budget of the target is spent.
+  bool TryRetry(const std::string& target);
+  //! Requests that this host has at the servers of a target.
+  std::uint32_t OwnRunning(const std::string& target);
   //! Drops expired leases.
   void Expire();
   //! Usable slots of a target.
@@ -55,12 +66,15 @@
 
  private:
   void Take(const policy::ServerReport& report);
+  policy::RetryBudget& RetriesOf(const std::string& target);
 
   RegionName region;
   const Clock& clock;
   std::mutex mutex;
   policy::ServerTable table;
-  policy::RetryBudget retries;
+  std::uint32_t retry_percent;
+  std::uint32_t retry_reserve;
+  std::map<std::string, policy::RetryBudget> retries;
   SeededRandom random;
   OnAnnounced on_announced;
 };
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -60,7 +60,7 @@
   if (head.key) {
     const auto checked =
         AuthorizeKey(*snapshot, DigestKey(*head.key), this->settings.region,
-                     this->parts.clock.Now());
+                     this->parts.word_clock.Now());
     if (!checked) {
       return RefuseNotRun(checked.error());
     }
@@ -160,7 +160,7 @@
   }
   const auto grant =
       AuthorizeKey(*snapshot, DigestKey(*head.key), this->settings.region,
-                   this->parts.clock.Now());
+                   this->parts.word_clock.Now());
   if (!grant) {
     co_await writer.Send(
         callers::MakeRefusalResponse(RefuseNotRun(grant.error())));
--- /dev/null
+++ b/packages/gateway/src/path_gateway.cc
@@ -0,0 +1,53 @@
+#include "tamarackwing/gateway/path_gateway.h"
+
+#include <utility>
+
+#include "path_request.h"
+#include "tamarackwing/http/io_threads.h"
+
+namespace tamarackwing::gateway {
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+PathGateway::PathGateway(PathGatewayParts parts, GatewaySettings settings)
+    : parts(parts), settings(std::move(settings)) {
+  for (const auto& context : this->parts.threads.All()) {
+    this->pools[context.get()] =
+        std::make_unique<backend_servers::ConnectionPool>(*context,
+                                                          this->settings.pool);
+  }
+}
+
+PathGateway::~PathGateway() = default;
+
+http::asio::awaitable<void> PathGateway::Serve(PathCall call,
+                                               http::ResponseWriter& writer) {
+  auto executor = co_await http::asio::this_coro::executor;
+  auto request = std::make_shared<PathRequest>(
+      *this, std::move(call), std::nullopt, writer, std::move(executor));
+  co_await request->Run();
+}
+
+http::asio::awaitable<void> PathGateway::ServeForwarded(
+    PathCall call,
+    ForwardedCall origin,
+    http::ResponseWriter& writer) {
+  auto executor = co_await http::asio::this_coro::executor;
+  auto request = std::make_shared<PathRequest>(
+      *this, std::move(call), std::move(origin), writer, std::move(executor));
+  co_await request->Run();
+}
+
+bool PathGateway::IsReady() const {
+  const auto snapshot = this->parts.snapshots.Get();
+  return !this->IsDraining() && snapshot->ready && snapshot->set_number != 0;
+}
+
+backend_servers::ConnectionPool& PathGateway::PoolOf(
+    const http::asio::any_io_executor& executor) {
+  return *this->pools.at(&executor.context());
+}
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/path_request.cc
@@ -0,0 +1,457 @@
+#include "path_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "refused_header.h"
+#include "tamarackwing/base/event.h"
+#include "tamarackwing/base/random_source.h"
+#include "tamarackwing/gateway/token_budget.h"
+#include "tamarackwing/http/handoff.h"
+#include "tamarackwing/policy/rendezvous.h"
+#include "upstream.h"
+
+namespace tamarackwing::gateway {
+namespace {
+
+using policy::NextStep;
+using policy::TryEnd;
+using std::chrono::milliseconds;
+
+//! Shared parts of a prompt of this size and more are worth gathering: to read
+//! them again costs more than a step of a full engine.
+constexpr TokenCount kGatheredTokens = 1'024;
+//! A refusal for want of a server asks its caller to wait at least so long: a
+//! server that left renews or is replaced in about this time.
+constexpr milliseconds kServerWait{400};
+constexpr std::uint32_t kPerKilosecond = 1'000;
+
+milliseconds CeilMs(Duration time) {
+  return std::chrono::ceil<milliseconds>(time);
+}
+
+std::string_view EndName(TryEnd end) {
+  switch (end) {
+    case TryEnd::kNotSent:
+      return "not_sent";
+    case TryEnd::kNotRun:
+      return "not_run";
+    case TryEnd::kLost:
+      return "lost";
+    case TryEnd::kFailed:
+      return "failed";
+    case TryEnd::kServed:
+      return "served";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+PathRequest::PathRequest(PathGateway& gateway,
+                         PathCall call,
+                         std::optional<ForwardedCall> forwarded,
+                         http::ResponseWriter& writer,
+                         http::asio::any_io_executor executor)
+    : gateway(gateway),
+      call(std::move(call)),
+      forwarded(std::move(forwarded)),
+      writer(writer),
+      executor(std::move(executor)) {}
+
+PathRequest::~PathRequest() = default;
+
+http::asio::awaitable<void> PathRequest::Run() {
+  const PathGateway::Presence presence(this->gateway);
+  const PathGatewayParts& parts = this->gateway.Parts();
+  this->started = parts.clock.Now();
+  this->started_at = std::chrono::system_clock::now();
+  this->snapshot = parts.snapshots.Get();
+  this->last_event = this->call.last_event;
+  const std::weak_ptr<PathRequest> weak = this->weak_from_this();
+  this->writer.OnPeerGone([weak] {
+    const auto self = weak.lock();
+    if (self) {
+      self->caller_gone = true;
+      if (self->current_connection != nullptr) {
+        self->current_connection->Cancel();
+      }
+    }
+  });
+  Outcome refusal = co_await this->Serve();
+  if (refusal && !this->caller_gone) {
+    if (this->writer.HasStarted()) {
+      // A stream that was cut must not look whole.
+      this->writer.Abort();
+    } else {
+      http::Response response = parts.protocol.EncodeRefusal(*refusal);
+      if (this->forwarded) {
+        AddRefusedHeader(*refusal, response.head.headers);
+      }
+      co_await this->writer.Send(std::move(response));
+    }
+  }
+  this->Finish(refusal);
+}
+
+http::asio::awaitable<PathRequest::Outcome> PathRequest::Serve() {
+  Outcome refusal = this->FindRoute();
+  if (!refusal) {
+    refusal = this->Authorize();
+  }
+  if (refusal) {
+    co_return refusal;
+  }
+  this->ChooseService();
+  if (!this->forwarded) {
+    refusal = co_await this->ReserveTokens();
+    if (refusal) {
+      co_return refusal;
+    }
+  }
+  this->plan.emplace(policy::TryRules{this->IsRepeatable(), this->route->most_tries});
+  refusal = co_await this->TryAll();
+  if (this->reservation != 0) {
+    this->gateway.Parts().budget.Settle(
+        this->grant.workspace, this->reservation,
+        this->plan->MayHaveRun() ? this->tokens : 0);
+  }
+  co_return refusal;
+}
+
+PathRequest::Outcome PathRequest::FindRoute() {
+  const PathGatewayParts& parts = this->gateway.Parts();
+  if (!this->snapshot->ready || this->snapshot->set_number == 0) {
+    return RefuseNotRun(RefusalCode::kNotReady, kServerWait);
+  }
+  this->route = this->snapshot->paths->Find(this->call.authority,
+                                            PathOf(this->call.target));
+  if (this->route == nullptr) {
+    // Only who knows the newest set can say that there is no such route.
+    const bool is_fresh =
+        parts.word_clock.Now() <= this->snapshot->keys_fresh_until;
+    return is_fresh ? RefuseNotRun(RefusalCode::kUnknownRoute)
+                    : RefuseNotRun(RefusalCode::kNotReady, kServerWait);
+  }
+  milliseconds patience = this->route->timeout;
+  if (this->call.patience) {
+    patience = std::min(patience, *this->call.patience);
+  }
+  this->deadline = this->started + patience;
+  return std::nullopt;
+}
+
+PathRequest::Outcome PathRequest::Authorize() {
+  const PathGatewayParts& parts = this->gateway.Parts();
+  const TimePoint now = parts.word_clock.Now();
+  if (this->route->open) {
+    return std::nullopt;
+  }
+  if (this->forwarded) {
+    this->call.key = this->forwarded->key;
+  }
+  if (!this->call.key) {
+    return RefuseNotRun(RefusalCode::kKeyInvalid);
+  }
+  if (now > this->snapshot->keys_fresh_until) {
+    return RefuseNotRun(RefusalCode::kKeyNotFresh, kServerWait);
+  }
+  auto checked = AuthorizeKey(*this->snapshot, *this->call.key,
+                              this->gateway.Settings().region, now);
+  if (!checked) {
+    return RefuseNotRun(checked.error());
+  }
+  this->grant = std::move(*checked);
+  return std::nullopt;
+}
+
+void PathRequest::ChooseService() {
+  std::uint64_t total = 0;
+  for (const state::ServiceShare& share : this->route->services) {
+    total += share.weight;
+  }
+  // The same call goes to the same service on every host.
+  std::uint64_t point = policy::RendezvousKey(this->call.id) % total;
+  for (const state::ServiceShare& share : this->route->services) {
+    if (point < share.weight) {
+      this->service = share.service.Text();
+      return;
+    }
+    point -= share.weight;
+  }
+}
+
+bool PathRequest::MayRunIn(const RegionName& region) const {
+  const state::ConfigurationSet& set = *this->snapshot->set;
+  const auto allows = [&](const state::ResidencyRuleName& name) {
+    const auto rule = set.residency_rules.find(name);
+    return rule != set.residency_rules.end() &&
+           std::find(rule->second.regions.begin(), rule->second.regions.end(),
+                     region) != rule->second.regions.end();
+  };
+  if (!allows(this->route->residency)) {
+    return false;
+  }
+  if (this->grant.workspace.IsEmpty()) {
+    return true;
+  }
+  const auto workspace = set.workspaces.find(this->grant.workspace);
+  return workspace != set.workspaces.end() &&
+         allows(workspace->second.residency);
+}
+
+http::asio::awaitable<PathRequest::Outcome> PathRequest::ReserveTokens() {
+  const auto workspace =
+      this->snapshot->set->workspaces.find(this->grant.workspace);
+  if (workspace == this->snapshot->set->workspaces.end() ||
+      workspace->second.rate == 0) {
+    co_return std::nullopt;
+  }
+  this->tokens = this->call.prompt ? this->call.prompt->prompt_tokens +
+                                         this->call.prompt->output_tokens
+                                   : workspace->second.plain_tokens;
+  const auto handoff =
+      std::make_shared<http::Handoff<BudgetAnswer>>(this->executor);
+  this->gateway.Parts().budget.Reserve(
+      this->grant.workspace, this->tokens,
+      [handoff](BudgetAnswer answer) { handoff->Set(answer); });
+  const auto answer = co_await handoff->Wait(this->deadline);
+  if (!answer || !answer->granted) {
+    co_return RefuseNotRun(RefusalCode::kOverBudget,
+                           answer ? answer->retry_after : kServerWait);
+  }
+  this->reservation = answer->reservation;
+  co_return std::nullopt;
+}
+
+http::asio::awaitable<PathRequest::Outcome> PathRequest::TryAll() {
+  ServerDirectory& servers = this->gateway.Parts().servers;
+  servers.NoteRequest(this->service);
+  while (true) {
+    if (this->caller_gone) {
+      co_return this->StopRefusal(RefusalCode::kDeadlinePassed);
+    }
+    if (this->IsOver()) {
+      co_return this->StopRefusal(RefusalCode::kDeadlinePassed);
+    }
+    const bool is_again = this->plan->Sends() > 0;
+    const auto target = this->PickTarget();
+    const bool may_send =
+        target && (!is_again || servers.TryRetry(this->service));
+    TryEnd end = TryEnd::kNotSent;
+    if (may_send) {
+      end = co_await this->Try(*target);
+      this->NoteRead(*target);
+      this->LogTry(*target, end);
+    }
+    if (target && !may_send) {
+      this->NoteRead(*target);
+    }
+    if (target && target->server) {
+      const bool failed = may_send && (end == TryEnd::kNotSent || end == TryEnd::kLost) &&
+                          !this->caller_gone;
+      servers.Finish(target->server->name, failed);
+    }
+    if (!may_send) {
+      if (this->answer) {
+        co_await this->writer.Send(std::move(*this->answer));
+        co_return std::nullopt;
+      }
+      co_return this->StopRefusal(RefusalCode::kNoBackendServer);
+    }
+    const NextStep step = this->plan->Next(end);
+    switch (step) {
+      case NextStep::kTryAnother:
+        break;
+      case NextStep::kPassOn:
+        if (this->answer) {
+          co_await this->writer.Send(std::move(*this->answer));
+        }
+        co_return std::nullopt;
+      case NextStep::kRefuse:
+      case NextStep::kGiveUp:
+        co_return this->StopRefusal(RefusalCode::kBackendServerFailed);
+    }
+  }
+}
+
+std::optional<PathRequest::Target> PathRequest::PickTarget() {
+  Target target;
+  if (this->MayRunIn(this->gateway.Settings().region)) {
+    target.server = this->gateway.Parts().servers.Take(this->Query());
+    if (target.server) {
+      target.endpoint = EndpointOf(*target.server);
+      this->tried.insert(target.server->name);
+      this->unread = this->call.prompt ? this->call.prompt->prompt_tokens : 0;
+      return target;
+    }
+  }
+  if (!this->forwarded) {
+    target.host = this->PickHost();
+  }
+  if (!target.host) {
+    return std::nullopt;
+  }
+  target.endpoint = target.host->endpoint;
+  this->tried_hosts.insert(target.host->host);
+  return target;
+}
+
+std::optional<ForwardTarget> PathRequest::PickHost() {
+  const PathGatewayParts& parts = this->gateway.Parts();
+  for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
+    if (this->MayRunIn(candidate.region) &&
+        !this->tried_hosts.contains(candidate.host)) {
+      return candidate;
+    }
+  }
+  // No word of the regions' load yet: any live entry host that may run it.
+  std::vector<ForwardTarget> others;
+  for (const auto& [name, host] : *this->snapshot->hosts) {
+    const bool fits = host.caller_port != 0 && !host.draining &&
+                      host.region != this->gateway.Settings().region &&
+                      this->snapshot->live.contains(name) &&
+                      !this->tried_hosts.contains(name) &&
+                      this->MayRunIn(host.region);
+    if (fits) {
+      others.push_back({name,
+                        host.region,
+                        {host.peer_address, host.forward_port},
+                        Duration::zero()});
+    }
+  }
+  if (others.empty()) {
+    return std::nullopt;
+  }
+  return others[this->gateway.NextNumber() % others.size()];
+}
+
+policy::ServerQuery PathRequest::Query() const {
+  policy::ServerQuery query;
+  query.target = this->service;
+  query.data_centre = this->gateway.Settings().data_centre;
+  query.tried = this->tried;
+  query.closed = &this->snapshot->closed_data_centres;
+  if (this->call.prompt) {
+    const PromptShape& prompt = *this->call.prompt;
+    query.prompt_tokens = prompt.prompt_tokens;
+    query.output_tokens = prompt.output_tokens;
+    query.parts = prompt.parts;
+    TokenCount shared = 0;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+      shared += prompt.parts[i].tokens;
+    }
+    if (shared >= kGatheredTokens) {
+      query.affinity = prompt.parts[prompt.parts.size() - 2].digest;
+    }
+  }
+  const auto service =
+      this->snapshot->set->services.find(state::ServiceName(this->service));
+  if (service != this->snapshot->set->services.end() &&
+      service->second.warmup_per_kilosecond > 0) {
+    const std::uint32_t rate = service->second.warmup_per_kilosecond;
+    query.cold_allowance = [this, rate](const BackendServerName& server) {
+      return this->ColdAllowance(server, rate);
+    };
+  }
+  return query;
+}
+
+std::uint32_t PathRequest::ColdAllowance(const BackendServerName& server,
+                                         std::uint32_t per_kilosecond) const {
+  const GatewaySettings& settings = this->gateway.Settings();
+  std::vector<HostName> hosts;
+  for (const auto& [name, host] : *this->snapshot->hosts) {
+    if (host.region == settings.region && host.caller_port != 0 &&
+        this->snapshot->live.contains(name)) {
+      hosts.push_back(name);
+    }
+  }
+  // One request a second from each of as many hosts as the server bears.
+  const std::size_t owners =
+      std::max<std::size_t>(1, per_kilosecond / kPerKilosecond);
+  return policy::IsAmongOwners(policy::RendezvousKey(server.Text()),
+                               settings.host, hosts, owners)
+             ? 1
+             : 0;
+}
+
+bool PathRequest::IsRepeatable() const {
+  return this->route->kind == state::PathKind::kIdempotent ||
+         (this->route->kind == state::PathKind::kStream &&
+          this->route->resumable);
+}
+
+bool PathRequest::IsOver() const {
+  return this->gateway.Parts().clock.Now() >= this->deadline;
+}
+
+milliseconds PathRequest::TimeLeft() const {
+  const Duration left = this->deadline - this->gateway.Parts().clock.Now();
+  return std::max(milliseconds(0), std::chrono::floor<milliseconds>(left));
+}
+
+Refusal PathRequest::StopRefusal(RefusalCode code) const {
+  const bool may_have_run =
+      this->plan->Stop() == NextStep::kGiveUp || this->writer.HasStarted();
+  if (may_have_run) {
+    return RefuseOutcomeUnknown(code);
+  }
+  return RefuseNotRun(code, std::max(this->retry_after, kServerWait));
+}
+
+void PathRequest::NoteRead(const Target& target) {
+  if (target.server && this->unread > 0) {
+    this->gateway.Parts().servers.NoteFirstOutput(target.server->name,
+                                                  this->unread);
+  }
+  this->unread = 0;
+}
+
+void PathRequest::LogTry(const Target& target, TryEnd end) const {
+  if (end == TryEnd::kServed) {
+    return;
+  }
+  LogEvent(Event::kTryEnded, LogLevel::kInfo,
+           {{"request", this->call.id},
+            {"service", this->service},
+            {"peer", this->peer},
+            {"forwarded", target.host ? "yes" : "no"},
+            {"end", std::string(EndName(end))},
+            {"left_ms", std::to_string(this->TimeLeft().count())}});
+}
+
+void PathRequest::Finish(const Outcome& refusal) {
+  const PathGatewayParts& parts = this->gateway.Parts();
+  std::string outcome =
+      refusal ? std::string(RefusalName(refusal->code)) : "served";
+  if (this->caller_gone) {
+    outcome = "caller_gone";
+  }
+  const Duration took = parts.clock.Now() - this->started;
+  parts.metrics.Count("tamarackwing_path_calls_total{outcome=\"" + outcome +
+                      "\"}");
+  parts.metrics.Record("tamarackwing_path_call_seconds", took);
+  const std::size_t sends = this->plan ? this->plan->Sends() : 0;
+  LogEvent(Event::kRequestEnded, LogLevel::kInfo,
+           {{"request", this->call.id},
+            {"outcome", outcome},
+            {"ran", refusal && refusal->ran == Ran::kNo ? "no" : "maybe"},
+            {"route", this->route == nullptr ? "" : this->route->name.Text()},
+            {"workspace", this->grant.workspace.Text()},
+            {"set", std::to_string(this->snapshot->set_number)},
+            {"peer", this->peer},
+            {"sends", std::to_string(sends)},
+            {"ms", std::to_string(CeilMs(took).count())}});
+  Span span;
+  span.context = this->trace;
+  span.name = this->forwarded ? "serve forwarded path" : "serve path";
+  span.start = this->started_at;
+  span.end = std::chrono::system_clock::now();
+  span.workspace = this->grant.workspace.Text();
+  span.peer = this->peer;
+  span.outcome = std::move(outcome);
+  parts.spans.Write(span);
+}
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/path_request.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "event_splitter.h"
+#include "tamarackwing/backend_servers/connection_pool.h"
+#include "tamarackwing/base/trace_context.h"
+#include "tamarackwing/gateway/authorizer.h"
+#include "tamarackwing/gateway/path_gateway.h"
+#include "tamarackwing/gateway/region_hosts.h"
+#include "tamarackwing/policy/try_plan.h"
+
+namespace tamarackwing::gateway {
+
+//! One path call from its head to its answer.
+//! Thread safety: only from its traffic thread.
+class PathRequest : public std::enable_shared_from_this<PathRequest> {
+ public:
+  PathRequest(PathGateway& gateway,
+              PathCall call,
+              std::optional<ForwardedCall> forwarded,
+              http::ResponseWriter& writer,
+              http::asio::any_io_executor executor);
+  ~PathRequest();
+
+  //! Serves the call: an answer or a refusal goes to the writer.
+  http::asio::awaitable<void> Run();
+
+ private:
+  using Outcome = std::optional<Refusal>;
+  //! Where one try goes: a server of this region, or a host of another.
+  struct Target {
+    std::optional<policy::ServerChoice> server;
+    std::optional<ForwardTarget> host;
+    http::Endpoint endpoint;
+  };
+
+  http::asio::awaitable<Outcome> Serve();
+  Outcome FindRoute();
+  Outcome Authorize();
+  void ChooseService();
+  bool MayRunIn(const RegionName& region) const;
+  http::asio::awaitable<Outcome> ReserveTokens();
+  http::asio::awaitable<Outcome> TryAll();
+  std::optional<Target> PickTarget();
+  std::optional<ForwardTarget> PickHost();
+  policy::ServerQuery Query() const;
+  std::uint32_t ColdAllowance(const BackendServerName& server,
+                              std::uint32_t per_kilosecond) const;
+
+  http::asio::awaitable<policy::TryEnd> Try(const Target& target);
+  http::asio::awaitable<policy::TryEnd> ReadAnswer(
+      const Target& target,
+      http::Connection& connection);
+  http::asio::awaitable<policy::TryEnd> KeepWhole(http::Connection& connection,
+                                                  http::ResponseHead head);
+  http::asio::awaitable<policy::TryEnd> PassStream(
+      http::Connection& connection,
+      const http::ResponseHead& head);
+  http::asio::awaitable<bool> WriteEvents(const http::ResponseHead& head,
+                                          const std::string& events);
+  http::Request MakeSend(const Target& target) const;
+  //! When the first byte of an answer is given up.
+  TimePoint FirstByteDeadline() const;
+
+  bool IsRepeatable() const;
+  bool IsOver() const;
+  std::chrono::milliseconds TimeLeft() const;
+  Refusal StopRefusal(RefusalCode code) const;
+  void Finish(const Outcome& refusal);
+  //! Says that the server has read the prompt, or will not.
+  void NoteRead(const Target& target);
+  void LogTry(const Target& target, policy::TryEnd end) const;
+
+  PathGateway& gateway;
+  PathCall call;
+  std::optional<ForwardedCall> forwarded;
+  http::ResponseWriter& writer;
+  http::asio::any_io_executor executor;
+
+  std::shared_ptr<const state::Snapshot> snapshot;
+  const state::PathRoute* route = nullptr;
+  std::string service;
+  Grant grant;
+  TokenCount tokens = 0;
+  std::uint64_t reservation = 0;
+  TimePoint started;
+  std::chrono::system_clock::time_point started_at;
+  TimePoint deadline;
+  TraceContext trace;
+
+  std::optional<policy::TryPlan> plan;
+  std::set<BackendServerName> tried;
+  std::set<HostName> tried_hosts;
+  std::chrono::milliseconds retry_after{0};
+  //! The last whole answer of a server, kept until it is known to go on.
+  std::optional<http::Response> answer;
+  EventSplitter events;
+  std::optional<std::uint64_t> last_event;
+  std::string peer;
+  //! Prompt tokens of the try under way that its server has yet to read.
+  TokenCount unread = 0;
+
+  bool caller_gone = false;
+  http::Connection* current_connection = nullptr;
+};
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/path_try.cc
@@ -0,0 +1,232 @@
+//! The part of a path call that sends it once and reads the answer.
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "path_request.h"
+#include "refused_header.h"
+#include "tamarackwing/gateway/forward_headers.h"
+#include "tamarackwing/callers/caller_head.h"
+
+namespace tamarackwing::gateway {
+namespace {
+
+using policy::TryEnd;
+using std::chrono::milliseconds;
+
+constexpr unsigned kServerError = 500;
+constexpr unsigned kBadRequest = 400;
+//! A request that may run once goes on a connection that was used just now, or
+//! on a new one: a server closes idle connections after whole seconds.
+constexpr milliseconds kSureIdle{1'000};
+//! The least that a silent server is given before a repeatable request is tried
+//! elsewhere.
+constexpr milliseconds kLeastPatience{600};
+//! Events may stop for so many times the route's longest pause.
+constexpr int kMostGaps = 5;
+constexpr milliseconds kLeastGap{2'000};
+
+//! The number on the last line `id:` of whole events.
+std::optional<std::uint64_t> LastEventId(std::string_view events) {
+  constexpr std::string_view kField = "id:";
+  std::size_t line = events.size();
+  while (line > 0) {
+    const std::size_t break_before = events.rfind('\n', line - 1);
+    const std::size_t start =
+        break_before == std::string_view::npos ? 0 : break_before + 1;
+    std::string_view text = events.substr(start, line - start);
+    if (text.starts_with(kField)) {
+      text.remove_prefix(kField.size());
+      while (text.starts_with(' ')) {
+        text.remove_prefix(1);
+      }
+      std::uint64_t id = 0;
+      const auto read =
+          std::from_chars(text.data(), text.data() + text.size(), id);
+      if (read.ec == std::errc()) {
+        return id;
+      }
+    }
+    if (break_before == std::string_view::npos) {
+      break;
+    }
+    line = break_before;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+http::Request PathRequest::MakeSend(const Target& target) const {
+  PathSend send;
+  send.left = this->TimeLeft();
+  send.last_event = this->last_event;
+  if (target.server) {
+    send.server = target.server->name;
+    send.workspace = this->grant.workspace;
+  }
+  http::Request request =
+      this->gateway.Parts().protocol.EncodeSend(this->call, send);
+  if (target.host) {
+    ForwardHeaders headers;
+    headers.secret = this->gateway.Settings().cluster_secret;
+    headers.workspace = this->grant.workspace;
+    headers.key = this->grant.key;
+    headers.origin = this->gateway.Settings().host;
+    AddForwardHeaders(headers, request.head.headers);
+    request.head.headers.Add(callers::kHopHeader,
+                             this->gateway.Settings().host.Text());
+  }
+  return request;
+}
+
+TimePoint PathRequest::FirstByteDeadline() const {
+  if (!this->IsRepeatable()) {
+    return this->deadline;
+  }
+  const TimePoint now = this->gateway.Parts().clock.Now();
+  const milliseconds patience =
+      std::max(kLeastPatience, this->route->target_latency);
+  return std::min(this->deadline, now + patience);
+}
+
+http::asio::awaitable<TryEnd> PathRequest::Try(const Target& target) {
+  this->peer = target.server ? target.server->name.Text()
+                             : target.host->host.Text();
+  backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
+  const milliseconds most_idle =
+      this->IsRepeatable() ? backend_servers::kAnyIdle : kSureIdle;
+  auto acquired =
+      co_await pool.Acquire(target.endpoint, this->deadline, most_idle);
+  if (!acquired || this->caller_gone) {
+    co_return TryEnd::kNotSent;
+  }
+  backend_servers::PooledConnection connection = std::move(*acquired);
+  this->current_connection = connection.connection.get();
+  const auto sent = co_await connection.connection->Send(
+      this->MakeSend(target), this->deadline);
+  TryEnd end = TryEnd::kLost;
+  if (sent) {
+    end = co_await this->ReadAnswer(target, *connection.connection);
+  }
+  this->current_connection = nullptr;
+  if (end == TryEnd::kLost) {
+    // A server drops what it runs when its connection closes.
+    connection.connection->Cancel();
+  } else {
+    pool.Release(target.endpoint, std::move(connection));
+  }
+  co_return end;
+}
+
+http::asio::awaitable<TryEnd> PathRequest::ReadAnswer(
+    const Target& target,
+    http::Connection& connection) {
+  const PathGatewayParts& parts = this->gateway.Parts();
+  auto head = co_await connection.ReadHead(this->FirstByteDeadline());
+  this->NoteRead(target);
+  if (!head) {
+    co_return TryEnd::kLost;
+  }
+  if (target.host) {
+    const auto refused = ReadRefusedHeader(head->headers);
+    if (refused) {
+      this->retry_after = refused->retry_after;
+      co_return refused->ran == Ran::kNo ? TryEnd::kNotRun : TryEnd::kLost;
+    }
+  }
+  PathAnswer read = parts.protocol.ReadAnswer(this->call, *head);
+  if (!read.is_for_call && !read.not_run && !read.other_server) {
+    // What came belongs to another request, or to none.
+    co_return TryEnd::kLost;
+  }
+  if (read.not_run || read.other_server) {
+    const TryEnd end =
+        co_await this->KeepWhole(connection, std::move(read.passed));
+    this->answer.reset();
+    static_cast<void>(end);
+    co_return TryEnd::kNotRun;
+  }
+  if (target.server && this->call.prompt) {
+    parts.servers.NoteParts(target.server->name, this->call.prompt->parts);
+  }
+  if (read.is_stream && read.passed.status < kBadRequest) {
+    co_return co_await this->PassStream(connection, read.passed);
+  }
+  co_return co_await this->KeepWhole(connection, std::move(read.passed));
+}
+
+http::asio::awaitable<TryEnd> PathRequest::KeepWhole(
+    http::Connection& connection,
+    http::ResponseHead head) {
+  http::Response response;
+  response.head = std::move(head);
+  while (true) {
+    auto piece = co_await connection.ReadPiece(this->deadline);
+    const std::size_t most = this->gateway.Settings().answer_bytes;
+    if (!piece || response.body.size() + piece->size() > most) {
+      co_return TryEnd::kLost;
+    }
+    if (piece->empty()) {
+      break;
+    }
+    response.body += *piece;
+  }
+  const bool failed = response.head.status >= kServerError;
+  if (!this->writer.HasStarted()) {
+    this->answer = std::move(response);
+  }
+  co_return failed ? TryEnd::kFailed : TryEnd::kServed;
+}
+
+http::asio::awaitable<TryEnd> PathRequest::PassStream(
+    http::Connection& connection,
+    const http::ResponseHead& head) {
+  const milliseconds gap =
+      std::max(kLeastGap, kMostGaps * this->route->target_gap);
+  this->events.DropRest();
+  while (true) {
+    const TimePoint now = this->gateway.Parts().clock.Now();
+    auto piece =
+        co_await connection.ReadPiece(std::min(this->deadline, now + gap));
+    if (!piece) {
+      co_return TryEnd::kLost;
+    }
+    const bool is_end = piece->empty();
+    const std::string whole =
+        is_end ? this->events.TakeRest() : this->events.Add(*piece);
+    if (!whole.empty() || is_end) {
+      if (!co_await this->WriteEvents(head, whole)) {
+        this->caller_gone = true;
+        co_return TryEnd::kLost;
+      }
+    }
+    if (is_end) {
+      co_await this->writer.FinishStream();
+      co_return TryEnd::kServed;
+    }
+  }
+}
+
+http::asio::awaitable<bool> PathRequest::WriteEvents(
+    const http::ResponseHead& head,
+    const std::string& events) {
+  // The head waits for the first event: until then another server may answer.
+  if (!this->writer.HasStarted() && !co_await this->writer.StartStream(head)) {
+    co_return false;
+  }
+  if (events.empty()) {
+    co_return true;
+  }
+  if (!co_await this->writer.WritePiece(events)) {
+    co_return false;
+  }
+  const auto id = LastEventId(events);
+  if (id) {
+    this->last_event = id;
+  }
+  co_return true;
+}
+
+}  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/refused_header.cc
@@ -0,0 +1,39 @@
+#include "refused_header.h"
+
+#include <charconv>
+#include <string>
+
+namespace tamarackwing::gateway {
+namespace {
+
+constexpr const char* kRefusedHeader = "Tamarackwing-Refused";
+constexpr const char* kRetryHeader = "Tamarackwing-Retry-After-Ms";
+constexpr std::string_view kNotRun = "not-run";
+constexpr std::string_view kUnknown = "unknown";
+
+}  // namespace
+
+void AddRefusedHeader(const Refusal& refusal, http::Headers& headers) {
+  headers.Add(kRefusedHeader,
+              std::string(refusal.ran == Ran::kNo ? kNotRun : kUnknown));
+  headers.Add(kRetryHeader, std::to_string(refusal.retry_after.count()));
+}
+
+std::optional<Refusal> ReadRefusedHeader(const http::Headers& headers) {
+  const auto mark = headers.Find(kRefusedHeader);
+  if (!mark) {
+    return std::nullopt;
+  }
+  Refusal refusal;
+  refusal.code = RefusalCode::kNoBackendServer;
+  refusal.ran = *mark == kNotRun ? Ran::kNo : Ran::kUnknown;
+  const std::string_view wait = headers.Find(kRetryHeader).value_or("");
+  std::int64_t ms = 0;
+  const auto read = std::from_chars(wait.data(), wait.data() + wait.size(), ms);
+  if (read.ec == std::errc() && ms > 0) {
+    refusal.retry_after = std::chrono::milliseconds(ms);
+  }
+  return refusal;
+}
+
+}  // namespace tamarackwing::gateway
--- a/packages/gateway/src/served_forward.cc
+++ b/packages/gateway/src/served_forward.cc
@@ -61,7 +61,8 @@
   choice.port = endpoint.port;
   choice.expected = this->forward_target->expected;
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
-  auto acquired = co_await pool.Acquire(endpoint, this->deadline, false);
+  auto acquired = co_await pool.Acquire(endpoint, this->deadline,
+                                     backend_servers::kAnyIdle);
   if (!acquired) {
     co_return RefuseNotRun(RefusalCode::kNoBackendServer);
   }
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -172,7 +172,7 @@
   if (this->forwarded) {
     const auto checked =
         AuthorizeKey(*this->snapshot, this->forwarded->key,
-                     this->gateway.Settings().region, parts.clock.Now());
+                     this->gateway.Settings().region, parts.word_clock.Now());
     if (this->forwarded->key.IsEmpty() && this->route->open) {
       return std::nullopt;
     }
@@ -193,7 +193,7 @@
   }
   const auto checked =
       AuthorizeKey(*this->snapshot, DigestKey(*this->request.head.key),
-                   this->gateway.Settings().region, parts.clock.Now());
+                   this->gateway.Settings().region, parts.word_clock.Now());
   if (!checked) {
     return RefuseNotRun(checked.error());
   }
@@ -320,11 +320,11 @@
 
 http::asio::awaitable<ServedRequest::Outcome> ServedRequest::ServeIdempotent() {
   const GatewayParts& parts = this->gateway.Parts();
-  parts.servers.NoteRequest();
+  parts.servers.NoteRequest(this->target);
   Refusal last = RefuseNotRun(RefusalCode::kNoBackendServer);
   bool fresh = false;
   for (int attempt = 0; attempt < kMostTries; ++attempt) {
-    if (attempt > 0 && !parts.servers.TryRetry()) {
+    if (attempt > 0 && !parts.servers.TryRetry(this->target)) {
       break;
     }
     const auto choice = parts.servers.Take(this->Query());
@@ -354,7 +354,9 @@
     bool fresh) {
   const http::Endpoint endpoint = EndpointOf(choice);
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
-  auto acquired = co_await pool.Acquire(endpoint, this->deadline, fresh);
+  auto acquired = co_await pool.Acquire(
+      endpoint, this->deadline,
+      fresh ? backend_servers::kFresh : backend_servers::kAnyIdle);
   if (!acquired) {
     co_return TryOutcome{TryResult::kTryAnother,
                          this->UpstreamRefusal(acquired.error())};
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -19,7 +19,8 @@
     : region(std::move(region)),
       clock(clock),
       table(limits),
-      retries(kRetryPercent, kRetryReserve),
+      retry_percent(kRetryPercent),
+      retry_reserve(kRetryReserve),
       random(seed) {}
 
 void ServerDirectory::SetOnAnnounced(OnAnnounced callback) {
@@ -46,7 +47,7 @@
 }
 
 void ServerDirectory::TakeRelayed(const policy::ServerReport& report) {
-  if (report.region == this->region) {
+  if (report.region.IsEmpty() || report.region == this->region) {
     this->Take(report);
   }
 }
@@ -57,7 +58,7 @@
   const TimePoint now = this->clock.Now();
   auto choice = this->table.Pick(query, now, this->random);
   if (choice) {
-    this->table.NoteSent(choice->name, now);
+    this->table.NoteSent(choice->name, query.prompt_tokens, now);
   }
   return choice;
 }
@@ -87,14 +88,50 @@
   this->table.NotePrefix(name, prefix);
 }
 
-void ServerDirectory::NoteRequest() {
+void ServerDirectory::NoteFirstOutput(const BackendServerName& name,
+                                      TokenCount prompt_tokens) {
   const std::lock_guard lock(this->mutex);
-  this->retries.NoteRequest();
+  this->table.NoteFirstOutput(name, prompt_tokens);
 }
 
-bool ServerDirectory::TryRetry() {
+void ServerDirectory::NoteParts(
+    const BackendServerName& name,
+    const std::vector<policy::PrefixPart>& parts) {
   const std::lock_guard lock(this->mutex);
-  return this->retries.TryRetry();
+  for (const policy::PrefixPart& part : parts) {
+    this->table.NotePrefix(name, part.digest);
+  }
+}
+
+void ServerDirectory::SetRetryLimits(std::uint32_t percent,
+                                     std::uint32_t reserve) {
+  const std::lock_guard lock(this->mutex);
+  if (percent != this->retry_percent || reserve != this->retry_reserve) {
+    this->retry_percent = percent;
+    this->retry_reserve = reserve;
+    this->retries.clear();
+  }
+}
+
+void ServerDirectory::NoteRequest(const std::string& target) {
+  const std::lock_guard lock(this->mutex);
+  this->RetriesOf(target).NoteRequest();
+}
+
+bool ServerDirectory::TryRetry(const std::string& target) {
+  const std::lock_guard lock(this->mutex);
+  return this->RetriesOf(target).TryRetry();
+}
+
+policy::RetryBudget& ServerDirectory::RetriesOf(const std::string& target) {
+  return this->retries
+      .try_emplace(target, this->retry_percent, this->retry_reserve)
+      .first->second;
+}
+
+std::uint32_t ServerDirectory::OwnRunning(const std::string& target) {
+  const std::lock_guard lock(this->mutex);
+  return this->table.OwnRunning(target);
 }
 
 void ServerDirectory::Expire() {
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -212,6 +212,9 @@
   decodeRate @10 :Float64;
   ageMs @11 :Int64;
   leaving @12 :Bool;
+  startedMs @13 :Int64;
+  sequence @14 :UInt64;
+  coldMs @15 :Int64;
 }
 
 struct RegionStatus {
@@ -253,6 +256,28 @@
   hosts @4 :List(HostProgress);
 }
 
+struct RateDemand {
+  workspace @0 :Text;
+  demand @1 :Int64;
+  held @2 :Int64;
+}
+
+struct RateReport {
+  number @0 :UInt64;
+  holds @1 :UInt64;
+  demands @2 :List(RateDemand);
+}
+
+struct RateShare {
+  workspace @0 :Text;
+  share @1 :Int64;
+}
+
+struct RateGrant {
+  number @0 :UInt64;
+  shares @1 :List(RateShare);
+}
+
 struct PeerMessage {
   union {
     voteRequest @0 :VoteRequest;
@@ -281,5 +306,8 @@
     chunkSettled @23 :Chunk;
     statusRequest @24 :UInt64;
     statusReply @25 :StatusReply;
+    serverNews @26 :List(ServerReport);
+    rateReport @27 :RateReport;
+    rateGrant @28 :RateGrant;
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -10,10 +10,10 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -57,6 +57,10 @@
 CAPNP_DECLARE_SCHEMA(a40b44560d9320af);
 CAPNP_DECLARE_SCHEMA(dca475e2f5e15253);
 CAPNP_DECLARE_SCHEMA(a40492e39665d6aa);
+CAPNP_DECLARE_SCHEMA(c6f2cc3b9c4e0e36);
+CAPNP_DECLARE_SCHEMA(cb4e76993b91987f);
+CAPNP_DECLARE_SCHEMA(a21119767f86ed6f);
+CAPNP_DECLARE_SCHEMA(99ebd178d0b2a472);
 CAPNP_DECLARE_SCHEMA(e83335c9258f671c);
 
 }  // namespace schemas
@@ -77,14 +81,12 @@
   struct HelloParams;
   struct HelloResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(b0ce3f0a970f3991)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Entry::HelloParams {
@@ -96,11 +98,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b985cfd1a38bff07, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -113,11 +113,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9f00c010c0d70172, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -132,14 +130,12 @@
   struct DeliverParams;
   struct DeliverResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(f14c25494e253f56)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Session::DeliverParams {
@@ -151,11 +147,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c6c3fb894e9d1329, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -168,11 +162,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e2b3a2d6da38b9f4, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -185,11 +177,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d4d6a289e41d281b, 3, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -202,11 +192,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f7e956784f810200, 2, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -219,11 +207,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e718016e73339b2b, 4, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -236,11 +222,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(90fb400f084ee633, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -253,11 +237,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ad59469ff706e7fe, 5, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -270,11 +252,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b07291414bd50abd, 4, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -287,11 +267,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c3be2e47b37bc9d1, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -304,11 +282,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cc40ee8a830693af, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -321,11 +297,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bc5faee5f1c950ff, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -338,11 +312,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e94e94efc6a0165e, 1, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -355,11 +327,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(eb60f77a1ba07f61, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -372,11 +342,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(92160f453799522d, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -389,11 +357,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ff80d2364041fb0a, 1, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -406,11 +372,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fe748bf3cad123e8, 2, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -423,11 +387,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9182efe2fee28a53, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -440,11 +402,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(abad0d1c2fdb2d49, 2, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -457,11 +417,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f332c13b222634a2, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -474,11 +432,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ec0e0ccbb31b2593, 2, 5)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -491,11 +447,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a8428ee6ef6a2593, 4, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -508,11 +462,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c877b138ca0d8079, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -525,11 +477,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c9694bfe4d0b5f23, 3, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -542,11 +492,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8f40efe273e85055, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -559,11 +507,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f006573370636aa3, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -576,11 +522,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8f36956ff03630a1, 3, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -593,11 +537,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b7ae59bd2aba1f58, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -610,11 +552,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(dee867c786d48ef7, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -626,12 +566,10 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2d61d35340614e9, 5, 5)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(c2d61d35340614e9, 8, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -644,11 +582,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b46a10f79bb2e486, 4, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -661,11 +597,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b04129bc28fb0554, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -678,11 +612,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a40b44560d9320af, 4, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -695,11 +627,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(dca475e2f5e15253, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -712,11 +642,69 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a40492e39665d6aa, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateDemand {
+  RateDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c6f2cc3b9c4e0e36, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateReport {
+  RateReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb4e76993b91987f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateShare {
+  RateShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a21119767f86ed6f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateGrant {
+  RateGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99ebd178d0b2a472, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -726,7 +714,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     VOTE_REQUEST,
     VOTE_REPLY,
     APPEND_REQUEST,
@@ -753,33 +741,33 @@
     CHUNK_SETTLED,
     STATUS_REQUEST,
     STATUS_REPLY,
+    SERVER_NEWS,
+    RATE_REPORT,
+    RATE_GRANT,
   };
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e83335c9258f671c, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 #if !CAPNP_LITE
-class Entry::Client : public virtual ::capnp::Capability::Client {
- public:
+class Entry::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef Entry Calls;
   typedef Entry Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -787,47 +775,46 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::tamarackwing::hosts::wire::Entry::HelloParams,
-                   ::tamarackwing::hosts::wire::Entry::HelloResults>
-  helloRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::tamarackwing::hosts::wire::Entry::HelloParams,  ::tamarackwing::hosts::wire::Entry::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class Entry::Server : public virtual ::capnp::Capability::Server {
- public:
+class Entry::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef Entry Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
       override;
 
- protected:
-  typedef ::tamarackwing::hosts::wire::Entry::HelloParams HelloParams;
-  typedef ::tamarackwing::hosts::wire::Entry::HelloResults HelloResults;
+protected:
+  typedef  ::tamarackwing::hosts::wire::Entry::HelloParams HelloParams;
+  typedef  ::tamarackwing::hosts::wire::Entry::HelloResults HelloResults;
   typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
   virtual ::kj::Promise<void> hello(HelloContext context);
 
-  inline ::tamarackwing::hosts::wire::Entry::Client thisCap() {
+  inline  ::tamarackwing::hosts::wire::Entry::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::tamarackwing::hosts::wire::Entry>();
+        .template castAs< ::tamarackwing::hosts::wire::Entry>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Entry::HelloParams::Reader {
- public:
+public:
   typedef HelloParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -840,12 +827,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::capnp::Text::Reader getHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
   inline bool hasSecret() const;
-  inline ::capnp::Text::Reader getSecret() const;
+  inline  ::capnp::Text::Reader getSecret() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -858,40 +845,36 @@
 };
 
 class Entry::HelloParams::Builder {
- public:
+public:
   typedef HelloParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::capnp::Text::Builder getHost();
-  inline void setHost(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
   inline bool hasSecret();
-  inline ::capnp::Text::Builder getSecret();
-  inline void setSecret(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initSecret(unsigned int size);
-  inline void adoptSecret(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownSecret();
+  inline  ::capnp::Text::Builder getSecret();
+  inline void setSecret( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSecret(unsigned int size);
+  inline void adoptSecret(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSecret();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -902,14 +885,14 @@
 
 #if !CAPNP_LITE
 class Entry::HelloParams::Pipeline {
- public:
+public:
   typedef HelloParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -918,11 +901,11 @@
 #endif  // !CAPNP_LITE
 
 class Entry::HelloResults::Reader {
- public:
+public:
   typedef HelloResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -936,10 +919,10 @@
 
   inline bool hasSession() const;
 #if !CAPNP_LITE
-  inline ::tamarackwing::hosts::wire::Session::Client getSession() const;
+  inline  ::tamarackwing::hosts::wire::Session::Client getSession() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -952,36 +935,31 @@
 };
 
 class Entry::HelloResults::Builder {
- public:
+public:
   typedef HelloResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasSession();
 #if !CAPNP_LITE
-  inline ::tamarackwing::hosts::wire::Session::Client getSession();
-  inline void setSession(::tamarackwing::hosts::wire::Session::Client&& value);
-  inline void setSession(::tamarackwing::hosts::wire::Session::Client& value);
-  inline void adoptSession(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::Session>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::Session> disownSession();
+  inline  ::tamarackwing::hosts::wire::Session::Client getSession();
+  inline void setSession( ::tamarackwing::hosts::wire::Session::Client&& value);
+  inline void setSession( ::tamarackwing::hosts::wire::Session::Client& value);
+  inline void adoptSession(::capnp::Orphan< ::tamarackwing::hosts::wire::Session>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Session> disownSession();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -992,16 +970,15 @@
 
 #if !CAPNP_LITE
 class Entry::HelloResults::Pipeline {
- public:
+public:
   typedef HelloResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::Session::Client getSession();
-
- private:
+  inline  ::tamarackwing::hosts::wire::Session::Client getSession();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1010,18 +987,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Session::Client : public virtual ::capnp::Capability::Client {
- public:
+class Session::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef Session Calls;
   typedef Session Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1029,47 +1005,46 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::tamarackwing::hosts::wire::Session::DeliverParams,
-                   ::tamarackwing::hosts::wire::Session::DeliverResults>
-  deliverRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::tamarackwing::hosts::wire::Session::DeliverParams,  ::tamarackwing::hosts::wire::Session::DeliverResults> deliverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class Session::Server : public virtual ::capnp::Capability::Server {
- public:
+class Session::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef Session Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
       override;
 
- protected:
-  typedef ::tamarackwing::hosts::wire::Session::DeliverParams DeliverParams;
-  typedef ::tamarackwing::hosts::wire::Session::DeliverResults DeliverResults;
+protected:
+  typedef  ::tamarackwing::hosts::wire::Session::DeliverParams DeliverParams;
+  typedef  ::tamarackwing::hosts::wire::Session::DeliverResults DeliverResults;
   typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
   virtual ::kj::Promise<void> deliver(DeliverContext context);
 
-  inline ::tamarackwing::hosts::wire::Session::Client thisCap() {
+  inline  ::tamarackwing::hosts::wire::Session::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::tamarackwing::hosts::wire::Session>();
+        .template castAs< ::tamarackwing::hosts::wire::Session>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Session::DeliverParams::Reader {
- public:
+public:
   typedef DeliverParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1082,9 +1057,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMessage() const;
-  inline ::tamarackwing::hosts::wire::PeerMessage::Reader getMessage() const;
+  inline  ::tamarackwing::hosts::wire::PeerMessage::Reader getMessage() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1097,36 +1072,29 @@
 };
 
 class Session::DeliverParams::Builder {
- public:
+public:
   typedef DeliverParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasMessage();
-  inline ::tamarackwing::hosts::wire::PeerMessage::Builder getMessage();
-  inline void setMessage(
-      ::tamarackwing::hosts::wire::PeerMessage::Reader value);
-  inline ::tamarackwing::hosts::wire::PeerMessage::Builder initMessage();
-  inline void adoptMessage(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::PeerMessage>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::PeerMessage>
-  disownMessage();
-
- private:
+  inline  ::tamarackwing::hosts::wire::PeerMessage::Builder getMessage();
+  inline void setMessage( ::tamarackwing::hosts::wire::PeerMessage::Reader value);
+  inline  ::tamarackwing::hosts::wire::PeerMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::tamarackwing::hosts::wire::PeerMessage>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::PeerMessage> disownMessage();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1137,16 +1105,15 @@
 
 #if !CAPNP_LITE
 class Session::DeliverParams::Pipeline {
- public:
+public:
   typedef DeliverParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::PeerMessage::Pipeline getMessage();
-
- private:
+  inline  ::tamarackwing::hosts::wire::PeerMessage::Pipeline getMessage();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1155,11 +1122,11 @@
 #endif  // !CAPNP_LITE
 
 class Session::DeliverResults::Reader {
- public:
+public:
   typedef DeliverResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1171,7 +1138,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1184,26 +1151,22 @@
 };
 
 class Session::DeliverResults::Builder {
- public:
+public:
   typedef DeliverResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1214,14 +1177,14 @@
 
 #if !CAPNP_LITE
 class Session::DeliverResults::Pipeline {
- public:
+public:
   typedef DeliverResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1230,11 +1193,11 @@
 #endif  // !CAPNP_LITE
 
 class LogEntry::Reader {
- public:
+public:
   typedef LogEntry Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1246,20 +1209,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getIndex() const;
+  inline  ::uint64_t getIndex() const;
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
-  inline ::uint8_t getKind() const;
+  inline  ::uint8_t getKind() const;
 
   inline bool hasPayload() const;
-  inline ::capnp::Data::Reader getPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
 
   inline bool hasVoters() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getVoters()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVoters() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1272,55 +1234,46 @@
 };
 
 class LogEntry::Builder {
- public:
+public:
   typedef LogEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getIndex();
-  inline void setIndex(::uint64_t value);
+  inline  ::uint64_t getIndex();
+  inline void setIndex( ::uint64_t value);
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
-  inline ::uint8_t getKind();
-  inline void setKind(::uint8_t value);
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
 
   inline bool hasPayload();
-  inline ::capnp::Data::Builder getPayload();
-  inline void setPayload(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
   inline bool hasVoters();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getVoters();
-  inline void setVoters(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setVoters(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initVoters(
-      unsigned int size);
-  inline void adoptVoters(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownVoters();
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVoters();
+  inline void setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVoters(unsigned int size);
+  inline void adoptVoters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVoters();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1331,14 +1284,14 @@
 
 #if !CAPNP_LITE
 class LogEntry::Pipeline {
- public:
+public:
   typedef LogEntry Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1347,11 +1300,11 @@
 #endif  // !CAPNP_LITE
 
 class LogSnapshot::Reader {
- public:
+public:
   typedef LogSnapshot Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1363,18 +1316,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getIndex() const;
+  inline  ::uint64_t getIndex() const;
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
   inline bool hasVoters() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getVoters()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVoters() const;
 
   inline bool hasState() const;
-  inline ::capnp::Data::Reader getState() const;
+  inline  ::capnp::Data::Reader getState() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1387,52 +1339,43 @@
 };
 
 class LogSnapshot::Builder {
- public:
+public:
   typedef LogSnapshot Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getIndex();
-  inline void setIndex(::uint64_t value);
+  inline  ::uint64_t getIndex();
+  inline void setIndex( ::uint64_t value);
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
   inline bool hasVoters();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getVoters();
-  inline void setVoters(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setVoters(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initVoters(
-      unsigned int size);
-  inline void adoptVoters(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownVoters();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVoters();
+  inline void setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVoters(unsigned int size);
+  inline void adoptVoters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVoters();
 
   inline bool hasState();
-  inline ::capnp::Data::Builder getState();
-  inline void setState(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initState(unsigned int size);
-  inline void adoptState(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownState();
+  inline  ::capnp::Data::Builder getState();
+  inline void setState( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initState(unsigned int size);
+  inline void adoptState(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownState();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1443,14 +1386,14 @@
 
 #if !CAPNP_LITE
 class LogSnapshot::Pipeline {
- public:
+public:
   typedef LogSnapshot Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1459,11 +1402,11 @@
 #endif  // !CAPNP_LITE
 
 class VoteRequest::Reader {
- public:
+public:
   typedef VoteRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1475,15 +1418,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
-  inline ::uint64_t getLastIndex() const;
+  inline  ::uint64_t getLastIndex() const;
 
-  inline ::uint64_t getLastTerm() const;
+  inline  ::uint64_t getLastTerm() const;
 
   inline bool getIsPreVote() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1496,38 +1439,34 @@
 };
 
 class VoteRequest::Builder {
- public:
+public:
   typedef VoteRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
-  inline ::uint64_t getLastIndex();
-  inline void setLastIndex(::uint64_t value);
+  inline  ::uint64_t getLastIndex();
+  inline void setLastIndex( ::uint64_t value);
 
-  inline ::uint64_t getLastTerm();
-  inline void setLastTerm(::uint64_t value);
+  inline  ::uint64_t getLastTerm();
+  inline void setLastTerm( ::uint64_t value);
 
   inline bool getIsPreVote();
   inline void setIsPreVote(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1538,14 +1477,14 @@
 
 #if !CAPNP_LITE
 class VoteRequest::Pipeline {
- public:
+public:
   typedef VoteRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1554,11 +1493,11 @@
 #endif  // !CAPNP_LITE
 
 class VoteReply::Reader {
- public:
+public:
   typedef VoteReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1570,13 +1509,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
   inline bool getGranted() const;
 
   inline bool getIsPreVote() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1589,27 +1528,23 @@
 };
 
 class VoteReply::Builder {
- public:
+public:
   typedef VoteReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
   inline bool getGranted();
   inline void setGranted(bool value);
@@ -1617,7 +1552,7 @@
   inline bool getIsPreVote();
   inline void setIsPreVote(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1628,14 +1563,14 @@
 
 #if !CAPNP_LITE
 class VoteReply::Pipeline {
- public:
+public:
   typedef VoteReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1644,11 +1579,11 @@
 #endif  // !CAPNP_LITE
 
 class AppendRequest::Reader {
- public:
+public:
   typedef AppendRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1660,22 +1595,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
-  inline ::uint64_t getPreviousIndex() const;
+  inline  ::uint64_t getPreviousIndex() const;
 
-  inline ::uint64_t getPreviousTerm() const;
+  inline  ::uint64_t getPreviousTerm() const;
 
   inline bool hasEntries() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                       ::capnp::Kind::STRUCT>::Reader
-  getEntries() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
-  inline ::uint64_t getCommit() const;
+  inline  ::uint64_t getCommit() const;
 
-  inline ::uint64_t getRound() const;
+  inline  ::uint64_t getRound() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1688,57 +1621,44 @@
 };
 
 class AppendRequest::Builder {
- public:
+public:
   typedef AppendRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
-  inline ::uint64_t getPreviousIndex();
-  inline void setPreviousIndex(::uint64_t value);
+  inline  ::uint64_t getPreviousIndex();
+  inline void setPreviousIndex( ::uint64_t value);
 
-  inline ::uint64_t getPreviousTerm();
-  inline void setPreviousTerm(::uint64_t value);
+  inline  ::uint64_t getPreviousTerm();
+  inline void setPreviousTerm( ::uint64_t value);
 
   inline bool hasEntries();
-  inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  getEntries();
-  inline void setEntries(::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  initEntries(unsigned int size);
-  inline void adoptEntries(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                       ::capnp::Kind::STRUCT>>
-  disownEntries();
-
-  inline ::uint64_t getCommit();
-  inline void setCommit(::uint64_t value);
-
-  inline ::uint64_t getRound();
-  inline void setRound(::uint64_t value);
-
- private:
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline  ::uint64_t getCommit();
+  inline void setCommit( ::uint64_t value);
+
+  inline  ::uint64_t getRound();
+  inline void setRound( ::uint64_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1749,14 +1669,14 @@
 
 #if !CAPNP_LITE
 class AppendRequest::Pipeline {
- public:
+public:
   typedef AppendRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1765,11 +1685,11 @@
 #endif  // !CAPNP_LITE
 
 class AppendReply::Reader {
- public:
+public:
   typedef AppendReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1781,15 +1701,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
   inline bool getAccepted() const;
 
-  inline ::uint64_t getMatch() const;
+  inline  ::uint64_t getMatch() const;
 
-  inline ::uint64_t getRound() const;
+  inline  ::uint64_t getRound() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1802,38 +1722,34 @@
 };
 
 class AppendReply::Builder {
- public:
+public:
   typedef AppendReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
   inline bool getAccepted();
   inline void setAccepted(bool value);
 
-  inline ::uint64_t getMatch();
-  inline void setMatch(::uint64_t value);
+  inline  ::uint64_t getMatch();
+  inline void setMatch( ::uint64_t value);
 
-  inline ::uint64_t getRound();
-  inline void setRound(::uint64_t value);
+  inline  ::uint64_t getRound();
+  inline void setRound( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1844,14 +1760,14 @@
 
 #if !CAPNP_LITE
 class AppendReply::Pipeline {
- public:
+public:
   typedef AppendReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1860,11 +1776,11 @@
 #endif  // !CAPNP_LITE
 
 class InstallRequest::Reader {
- public:
+public:
   typedef InstallRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1876,14 +1792,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
   inline bool hasSnapshot() const;
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Reader getSnapshot() const;
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Reader getSnapshot() const;
 
-  inline ::uint64_t getRound() const;
+  inline  ::uint64_t getRound() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1896,42 +1812,35 @@
 };
 
 class InstallRequest::Builder {
- public:
+public:
   typedef InstallRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
   inline bool hasSnapshot();
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Builder getSnapshot();
-  inline void setSnapshot(
-      ::tamarackwing::hosts::wire::LogSnapshot::Reader value);
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Builder initSnapshot();
-  inline void adoptSnapshot(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>
-  disownSnapshot();
-
-  inline ::uint64_t getRound();
-  inline void setRound(::uint64_t value);
-
- private:
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder getSnapshot();
+  inline void setSnapshot( ::tamarackwing::hosts::wire::LogSnapshot::Reader value);
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder initSnapshot();
+  inline void adoptSnapshot(::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot> disownSnapshot();
+
+  inline  ::uint64_t getRound();
+  inline void setRound( ::uint64_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1942,16 +1851,15 @@
 
 #if !CAPNP_LITE
 class InstallRequest::Pipeline {
- public:
+public:
   typedef InstallRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Pipeline getSnapshot();
-
- private:
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Pipeline getSnapshot();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1960,11 +1868,11 @@
 #endif  // !CAPNP_LITE
 
 class AskId::Reader {
- public:
+public:
   typedef AskId Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1977,13 +1885,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::capnp::Text::Reader getHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1996,39 +1904,35 @@
 };
 
 class AskId::Builder {
- public:
+public:
   typedef AskId Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::capnp::Text::Builder getHost();
-  inline void setHost(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2039,14 +1943,14 @@
 
 #if !CAPNP_LITE
 class AskId::Pipeline {
- public:
+public:
   typedef AskId Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2055,11 +1959,11 @@
 #endif  // !CAPNP_LITE
 
 class StoredAnswer::Reader {
- public:
+public:
   typedef StoredAnswer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2071,15 +1975,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getStatus() const;
+  inline  ::uint32_t getStatus() const;
 
   inline bool hasContentType() const;
-  inline ::capnp::Text::Reader getContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2092,43 +1996,39 @@
 };
 
 class StoredAnswer::Builder {
- public:
+public:
   typedef StoredAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getStatus();
-  inline void setStatus(::uint32_t value);
+  inline  ::uint32_t getStatus();
+  inline void setStatus( ::uint32_t value);
 
   inline bool hasContentType();
-  inline ::capnp::Text::Builder getContentType();
-  inline void setContentType(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2139,14 +2039,14 @@
 
 #if !CAPNP_LITE
 class StoredAnswer::Pipeline {
- public:
+public:
   typedef StoredAnswer Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2155,11 +2055,11 @@
 #endif  // !CAPNP_LITE
 
 class OperationRecord::Reader {
- public:
+public:
   typedef OperationRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2172,17 +2072,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasOperation() const;
-  inline ::capnp::Text::Reader getOperation() const;
+  inline  ::capnp::Text::Reader getOperation() const;
 
-  inline ::uint8_t getState() const;
+  inline  ::uint8_t getState() const;
 
   inline bool hasHolder() const;
-  inline ::tamarackwing::hosts::wire::AskId::Reader getHolder() const;
+  inline  ::tamarackwing::hosts::wire::AskId::Reader getHolder() const;
 
   inline bool hasAnswer() const;
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Reader getAnswer() const;
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Reader getAnswer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2195,54 +2095,46 @@
 };
 
 class OperationRecord::Builder {
- public:
+public:
   typedef OperationRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasOperation();
-  inline ::capnp::Text::Builder getOperation();
-  inline void setOperation(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOperation(unsigned int size);
-  inline void adoptOperation(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOperation();
+  inline  ::capnp::Text::Builder getOperation();
+  inline void setOperation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperation(unsigned int size);
+  inline void adoptOperation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperation();
 
-  inline ::uint8_t getState();
-  inline void setState(::uint8_t value);
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
 
   inline bool hasHolder();
-  inline ::tamarackwing::hosts::wire::AskId::Builder getHolder();
-  inline void setHolder(::tamarackwing::hosts::wire::AskId::Reader value);
-  inline ::tamarackwing::hosts::wire::AskId::Builder initHolder();
-  inline void adoptHolder(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId> disownHolder();
+  inline  ::tamarackwing::hosts::wire::AskId::Builder getHolder();
+  inline void setHolder( ::tamarackwing::hosts::wire::AskId::Reader value);
+  inline  ::tamarackwing::hosts::wire::AskId::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> disownHolder();
 
   inline bool hasAnswer();
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Builder getAnswer();
-  inline void setAnswer(
-      ::tamarackwing::hosts::wire::StoredAnswer::Reader value);
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Builder initAnswer();
-  inline void adoptAnswer(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>
-  disownAnswer();
-
- private:
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder getAnswer();
+  inline void setAnswer( ::tamarackwing::hosts::wire::StoredAnswer::Reader value);
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer> disownAnswer();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2253,17 +2145,16 @@
 
 #if !CAPNP_LITE
 class OperationRecord::Pipeline {
- public:
+public:
   typedef OperationRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::AskId::Pipeline getHolder();
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Pipeline getAnswer();
-
- private:
+  inline  ::tamarackwing::hosts::wire::AskId::Pipeline getHolder();
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline getAnswer();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2272,11 +2163,11 @@
 #endif  // !CAPNP_LITE
 
 class LedgerAsk::Reader {
- public:
+public:
   typedef LedgerAsk Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2289,12 +2180,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline ::tamarackwing::hosts::wire::AskId::Reader getId() const;
+  inline  ::tamarackwing::hosts::wire::AskId::Reader getId() const;
 
   inline bool hasOperation() const;
-  inline ::capnp::Text::Reader getOperation() const;
+  inline  ::capnp::Text::Reader getOperation() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2307,41 +2198,36 @@
 };
 
 class LedgerAsk::Builder {
- public:
+public:
   typedef LedgerAsk Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline ::tamarackwing::hosts::wire::AskId::Builder getId();
-  inline void setId(::tamarackwing::hosts::wire::AskId::Reader value);
-  inline ::tamarackwing::hosts::wire::AskId::Builder initId();
-  inline void adoptId(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId> disownId();
+  inline  ::tamarackwing::hosts::wire::AskId::Builder getId();
+  inline void setId( ::tamarackwing::hosts::wire::AskId::Reader value);
+  inline  ::tamarackwing::hosts::wire::AskId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> disownId();
 
   inline bool hasOperation();
-  inline ::capnp::Text::Builder getOperation();
-  inline void setOperation(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOperation(unsigned int size);
-  inline void adoptOperation(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOperation();
+  inline  ::capnp::Text::Builder getOperation();
+  inline void setOperation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperation(unsigned int size);
+  inline void adoptOperation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperation();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2352,16 +2238,15 @@
 
 #if !CAPNP_LITE
 class LedgerAsk::Pipeline {
- public:
+public:
   typedef LedgerAsk Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::AskId::Pipeline getId();
-
- private:
+  inline  ::tamarackwing::hosts::wire::AskId::Pipeline getId();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2370,11 +2255,11 @@
 #endif  // !CAPNP_LITE
 
 class LedgerPermit::Reader {
- public:
+public:
   typedef LedgerPermit Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2387,14 +2272,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline ::tamarackwing::hosts::wire::AskId::Reader getId() const;
+  inline  ::tamarackwing::hosts::wire::AskId::Reader getId() const;
 
-  inline ::uint8_t getVerdict() const;
+  inline  ::uint8_t getVerdict() const;
 
   inline bool hasAnswer() const;
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Reader getAnswer() const;
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Reader getAnswer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2407,47 +2292,39 @@
 };
 
 class LedgerPermit::Builder {
- public:
+public:
   typedef LedgerPermit Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline ::tamarackwing::hosts::wire::AskId::Builder getId();
-  inline void setId(::tamarackwing::hosts::wire::AskId::Reader value);
-  inline ::tamarackwing::hosts::wire::AskId::Builder initId();
-  inline void adoptId(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId> disownId();
+  inline  ::tamarackwing::hosts::wire::AskId::Builder getId();
+  inline void setId( ::tamarackwing::hosts::wire::AskId::Reader value);
+  inline  ::tamarackwing::hosts::wire::AskId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> disownId();
 
-  inline ::uint8_t getVerdict();
-  inline void setVerdict(::uint8_t value);
+  inline  ::uint8_t getVerdict();
+  inline void setVerdict( ::uint8_t value);
 
   inline bool hasAnswer();
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Builder getAnswer();
-  inline void setAnswer(
-      ::tamarackwing::hosts::wire::StoredAnswer::Reader value);
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Builder initAnswer();
-  inline void adoptAnswer(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>
-  disownAnswer();
-
- private:
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder getAnswer();
+  inline void setAnswer( ::tamarackwing::hosts::wire::StoredAnswer::Reader value);
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer> disownAnswer();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2458,17 +2335,16 @@
 
 #if !CAPNP_LITE
 class LedgerPermit::Pipeline {
- public:
+public:
   typedef LedgerPermit Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::AskId::Pipeline getId();
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Pipeline getAnswer();
-
- private:
+  inline  ::tamarackwing::hosts::wire::AskId::Pipeline getId();
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline getAnswer();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2477,11 +2353,11 @@
 #endif  // !CAPNP_LITE
 
 class LedgerUpdate::Reader {
- public:
+public:
   typedef LedgerUpdate Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2494,17 +2370,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline ::tamarackwing::hosts::wire::AskId::Reader getId() const;
+  inline  ::tamarackwing::hosts::wire::AskId::Reader getId() const;
 
   inline bool hasOperation() const;
-  inline ::capnp::Text::Reader getOperation() const;
+  inline  ::capnp::Text::Reader getOperation() const;
 
-  inline ::uint8_t getState() const;
+  inline  ::uint8_t getState() const;
 
   inline bool hasAnswer() const;
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Reader getAnswer() const;
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Reader getAnswer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2517,54 +2393,46 @@
 };
 
 class LedgerUpdate::Builder {
- public:
+public:
   typedef LedgerUpdate Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline ::tamarackwing::hosts::wire::AskId::Builder getId();
-  inline void setId(::tamarackwing::hosts::wire::AskId::Reader value);
-  inline ::tamarackwing::hosts::wire::AskId::Builder initId();
-  inline void adoptId(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId> disownId();
+  inline  ::tamarackwing::hosts::wire::AskId::Builder getId();
+  inline void setId( ::tamarackwing::hosts::wire::AskId::Reader value);
+  inline  ::tamarackwing::hosts::wire::AskId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> disownId();
 
   inline bool hasOperation();
-  inline ::capnp::Text::Builder getOperation();
-  inline void setOperation(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOperation(unsigned int size);
-  inline void adoptOperation(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOperation();
+  inline  ::capnp::Text::Builder getOperation();
+  inline void setOperation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperation(unsigned int size);
+  inline void adoptOperation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperation();
 
-  inline ::uint8_t getState();
-  inline void setState(::uint8_t value);
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
 
   inline bool hasAnswer();
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Builder getAnswer();
-  inline void setAnswer(
-      ::tamarackwing::hosts::wire::StoredAnswer::Reader value);
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Builder initAnswer();
-  inline void adoptAnswer(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>
-  disownAnswer();
-
- private:
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder getAnswer();
+  inline void setAnswer( ::tamarackwing::hosts::wire::StoredAnswer::Reader value);
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer> disownAnswer();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2575,17 +2443,16 @@
 
 #if !CAPNP_LITE
 class LedgerUpdate::Pipeline {
- public:
+public:
   typedef LedgerUpdate Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::AskId::Pipeline getId();
-  inline ::tamarackwing::hosts::wire::StoredAnswer::Pipeline getAnswer();
-
- private:
+  inline  ::tamarackwing::hosts::wire::AskId::Pipeline getId();
+  inline  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline getAnswer();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2594,11 +2461,11 @@
 #endif  // !CAPNP_LITE
 
 class LedgerStore::Reader {
- public:
+public:
   typedef LedgerStore Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2611,16 +2478,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline ::uint64_t getEpoch() const;
+  inline  ::uint64_t getEpoch() const;
 
-  inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
   inline bool hasRecord() const;
-  inline ::tamarackwing::hosts::wire::OperationRecord::Reader getRecord() const;
+  inline  ::tamarackwing::hosts::wire::OperationRecord::Reader getRecord() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2633,49 +2500,42 @@
 };
 
 class LedgerStore::Builder {
- public:
+public:
   typedef LedgerStore Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline ::uint64_t getEpoch();
-  inline void setEpoch(::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline ::uint64_t getSequence();
-  inline void setSequence(::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
   inline bool hasRecord();
-  inline ::tamarackwing::hosts::wire::OperationRecord::Builder getRecord();
-  inline void setRecord(
-      ::tamarackwing::hosts::wire::OperationRecord::Reader value);
-  inline ::tamarackwing::hosts::wire::OperationRecord::Builder initRecord();
-  inline void adoptRecord(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::OperationRecord>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::OperationRecord>
-  disownRecord();
-
- private:
+  inline  ::tamarackwing::hosts::wire::OperationRecord::Builder getRecord();
+  inline void setRecord( ::tamarackwing::hosts::wire::OperationRecord::Reader value);
+  inline  ::tamarackwing::hosts::wire::OperationRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::tamarackwing::hosts::wire::OperationRecord>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::OperationRecord> disownRecord();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2686,16 +2546,15 @@
 
 #if !CAPNP_LITE
 class LedgerStore::Pipeline {
- public:
+public:
   typedef LedgerStore Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::OperationRecord::Pipeline getRecord();
-
- private:
+  inline  ::tamarackwing::hosts::wire::OperationRecord::Pipeline getRecord();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2704,11 +2563,11 @@
 #endif  // !CAPNP_LITE
 
 class LedgerStored::Reader {
- public:
+public:
   typedef LedgerStored Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2721,13 +2580,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline ::uint64_t getEpoch() const;
+  inline  ::uint64_t getEpoch() const;
 
-  inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2740,39 +2599,35 @@
 };
 
 class LedgerStored::Builder {
- public:
+public:
   typedef LedgerStored Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline ::uint64_t getEpoch();
-  inline void setEpoch(::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline ::uint64_t getSequence();
-  inline void setSequence(::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2783,14 +2638,14 @@
 
 #if !CAPNP_LITE
 class LedgerStored::Pipeline {
- public:
+public:
   typedef LedgerStored Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2799,11 +2654,11 @@
 #endif  // !CAPNP_LITE
 
 class LedgerCopy::Reader {
- public:
+public:
   typedef LedgerCopy Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2816,20 +2671,18 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline ::uint64_t getEpoch() const;
+  inline  ::uint64_t getEpoch() const;
 
-  inline ::uint32_t getPart() const;
+  inline  ::uint32_t getPart() const;
 
-  inline ::uint32_t getParts() const;
+  inline  ::uint32_t getParts() const;
 
   inline bool hasRecords() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getRecords() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2842,61 +2695,45 @@
 };
 
 class LedgerCopy::Builder {
- public:
+public:
   typedef LedgerCopy Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline ::uint64_t getEpoch();
-  inline void setEpoch(::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline ::uint32_t getPart();
-  inline void setPart(::uint32_t value);
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
 
-  inline ::uint32_t getParts();
-  inline void setParts(::uint32_t value);
+  inline  ::uint32_t getParts();
+  inline void setParts( ::uint32_t value);
 
   inline bool hasRecords();
-  inline ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getRecords();
-  inline void setRecords(
-      ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                    ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initRecords(unsigned int size);
-  inline void adoptRecords(
-      ::capnp::Orphan<
-          ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                        ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                    ::capnp::Kind::STRUCT>>
-  disownRecords();
-
- private:
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2907,14 +2744,14 @@
 
 #if !CAPNP_LITE
 class LedgerCopy::Pipeline {
- public:
+public:
   typedef LedgerCopy Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2923,11 +2760,11 @@
 #endif  // !CAPNP_LITE
 
 class LedgerCopied::Reader {
- public:
+public:
   typedef LedgerCopied Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2940,13 +2777,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline ::uint64_t getEpoch() const;
+  inline  ::uint64_t getEpoch() const;
 
-  inline ::uint32_t getPart() const;
+  inline  ::uint32_t getPart() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2959,39 +2796,35 @@
 };
 
 class LedgerCopied::Builder {
- public:
+public:
   typedef LedgerCopied Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline ::uint64_t getEpoch();
-  inline void setEpoch(::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline ::uint32_t getPart();
-  inline void setPart(::uint32_t value);
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3002,14 +2835,14 @@
 
 #if !CAPNP_LITE
 class LedgerCopied::Pipeline {
- public:
+public:
   typedef LedgerCopied Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3018,11 +2851,11 @@
 #endif  // !CAPNP_LITE
 
 class HostRecord::Reader {
- public:
+public:
   typedef HostRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3035,33 +2868,33 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline ::capnp::Text::Reader getName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
   inline bool hasDataCentre() const;
-  inline ::capnp::Text::Reader getDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
   inline bool hasCallerAddress() const;
-  inline ::capnp::Text::Reader getCallerAddress() const;
+  inline  ::capnp::Text::Reader getCallerAddress() const;
 
-  inline ::uint16_t getCallerPort() const;
+  inline  ::uint16_t getCallerPort() const;
 
   inline bool hasPeerAddress() const;
-  inline ::capnp::Text::Reader getPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
 
-  inline ::uint16_t getPeerPort() const;
+  inline  ::uint16_t getPeerPort() const;
 
-  inline ::uint16_t getForwardPort() const;
+  inline  ::uint16_t getForwardPort() const;
 
   inline bool getHasDisk() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool getDraining() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3074,79 +2907,75 @@
 };
 
 class HostRecord::Builder {
- public:
+public:
   typedef HostRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline ::capnp::Text::Builder getName();
-  inline void setName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
   inline bool hasDataCentre();
-  inline ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
   inline bool hasCallerAddress();
-  inline ::capnp::Text::Builder getCallerAddress();
-  inline void setCallerAddress(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initCallerAddress(unsigned int size);
-  inline void adoptCallerAddress(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownCallerAddress();
+  inline  ::capnp::Text::Builder getCallerAddress();
+  inline void setCallerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerAddress(unsigned int size);
+  inline void adoptCallerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerAddress();
 
-  inline ::uint16_t getCallerPort();
-  inline void setCallerPort(::uint16_t value);
+  inline  ::uint16_t getCallerPort();
+  inline void setCallerPort( ::uint16_t value);
 
   inline bool hasPeerAddress();
-  inline ::capnp::Text::Builder getPeerAddress();
-  inline void setPeerAddress(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPeerAddress(unsigned int size);
-  inline void adoptPeerAddress(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
 
-  inline ::uint16_t getPeerPort();
-  inline void setPeerPort(::uint16_t value);
+  inline  ::uint16_t getPeerPort();
+  inline void setPeerPort( ::uint16_t value);
 
-  inline ::uint16_t getForwardPort();
-  inline void setForwardPort(::uint16_t value);
+  inline  ::uint16_t getForwardPort();
+  inline void setForwardPort( ::uint16_t value);
 
   inline bool getHasDisk();
   inline void setHasDisk(bool value);
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool getDraining();
   inline void setDraining(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3157,14 +2986,14 @@
 
 #if !CAPNP_LITE
 class HostRecord::Pipeline {
- public:
+public:
   typedef HostRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3173,11 +3002,11 @@
 #endif  // !CAPNP_LITE
 
 class HostStatus::Reader {
- public:
+public:
   typedef HostStatus Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3190,17 +3019,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRecord() const;
-  inline ::tamarackwing::hosts::wire::HostRecord::Reader getRecord() const;
+  inline  ::tamarackwing::hosts::wire::HostRecord::Reader getRecord() const;
 
-  inline ::uint64_t getApplied() const;
+  inline  ::uint64_t getApplied() const;
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
-  inline ::uint64_t getSyncedEpoch() const;
+  inline  ::uint64_t getSyncedEpoch() const;
 
-  inline ::int64_t getAgeMs() const;
+  inline  ::int64_t getAgeMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3213,47 +3042,41 @@
 };
 
 class HostStatus::Builder {
- public:
+public:
   typedef HostStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRecord();
-  inline ::tamarackwing::hosts::wire::HostRecord::Builder getRecord();
-  inline void setRecord(::tamarackwing::hosts::wire::HostRecord::Reader value);
-  inline ::tamarackwing::hosts::wire::HostRecord::Builder initRecord();
-  inline void adoptRecord(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::HostRecord>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::HostRecord>
-  disownRecord();
+  inline  ::tamarackwing::hosts::wire::HostRecord::Builder getRecord();
+  inline void setRecord( ::tamarackwing::hosts::wire::HostRecord::Reader value);
+  inline  ::tamarackwing::hosts::wire::HostRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::tamarackwing::hosts::wire::HostRecord>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::HostRecord> disownRecord();
 
-  inline ::uint64_t getApplied();
-  inline void setApplied(::uint64_t value);
+  inline  ::uint64_t getApplied();
+  inline void setApplied( ::uint64_t value);
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-  inline ::uint64_t getSyncedEpoch();
-  inline void setSyncedEpoch(::uint64_t value);
+  inline  ::uint64_t getSyncedEpoch();
+  inline void setSyncedEpoch( ::uint64_t value);
 
-  inline ::int64_t getAgeMs();
-  inline void setAgeMs(::int64_t value);
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3264,16 +3087,15 @@
 
 #if !CAPNP_LITE
 class HostStatus::Pipeline {
- public:
+public:
   typedef HostStatus Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::HostRecord::Pipeline getRecord();
-
- private:
+  inline  ::tamarackwing::hosts::wire::HostRecord::Pipeline getRecord();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3282,11 +3104,11 @@
 #endif  // !CAPNP_LITE
 
 class FeedRequest::Reader {
- public:
+public:
   typedef FeedRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3298,16 +3120,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::uint64_t getNext() const;
+  inline  ::uint64_t getNext() const;
 
   inline bool hasStatuses() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                       ::capnp::Kind::STRUCT>::Reader
-  getStatuses() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Reader getStatuses() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3320,48 +3140,35 @@
 };
 
 class FeedRequest::Builder {
- public:
+public:
   typedef FeedRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::uint64_t getNext();
-  inline void setNext(::uint64_t value);
+  inline  ::uint64_t getNext();
+  inline void setNext( ::uint64_t value);
 
   inline bool hasStatuses();
-  inline ::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                       ::capnp::Kind::STRUCT>::Builder
-  getStatuses();
-  inline void setStatuses(::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                                        ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                       ::capnp::Kind::STRUCT>::Builder
-  initStatuses(unsigned int size);
-  inline void adoptStatuses(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                                       ::capnp::Kind::STRUCT>>
-  disownStatuses();
-
- private:
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Builder getStatuses();
+  inline void setStatuses( ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Builder initStatuses(unsigned int size);
+  inline void adoptStatuses(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>> disownStatuses();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3372,14 +3179,14 @@
 
 #if !CAPNP_LITE
 class FeedRequest::Pipeline {
- public:
+public:
   typedef FeedRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3388,11 +3195,11 @@
 #endif  // !CAPNP_LITE
 
 class FeedReply::Reader {
- public:
+public:
   typedef FeedReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
