@@ -3404,24 +3211,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasEntries() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                       ::capnp::Kind::STRUCT>::Reader
-  getEntries() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
   inline bool hasSnapshot() const;
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Reader getSnapshot() const;
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Reader getSnapshot() const;
 
-  inline ::uint64_t getCommit() const;
+  inline  ::uint64_t getCommit() const;
 
-  inline ::int64_t getWordAgeMs() const;
+  inline  ::int64_t getWordAgeMs() const;
 
   inline bool hasLeader() const;
-  inline ::capnp::Text::Reader getLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3434,68 +3239,52 @@
 };
 
 class FeedReply::Builder {
- public:
+public:
   typedef FeedReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasEntries();
-  inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  getEntries();
-  inline void setEntries(::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  initEntries(unsigned int size);
-  inline void adoptEntries(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                       ::capnp::Kind::STRUCT>>
-  disownEntries();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>> disownEntries();
 
   inline bool hasSnapshot();
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Builder getSnapshot();
-  inline void setSnapshot(
-      ::tamarackwing::hosts::wire::LogSnapshot::Reader value);
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Builder initSnapshot();
-  inline void adoptSnapshot(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>
-  disownSnapshot();
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder getSnapshot();
+  inline void setSnapshot( ::tamarackwing::hosts::wire::LogSnapshot::Reader value);
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder initSnapshot();
+  inline void adoptSnapshot(::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot> disownSnapshot();
 
-  inline ::uint64_t getCommit();
-  inline void setCommit(::uint64_t value);
+  inline  ::uint64_t getCommit();
+  inline void setCommit( ::uint64_t value);
 
-  inline ::int64_t getWordAgeMs();
-  inline void setWordAgeMs(::int64_t value);
+  inline  ::int64_t getWordAgeMs();
+  inline void setWordAgeMs( ::int64_t value);
 
   inline bool hasLeader();
-  inline ::capnp::Text::Builder getLeader();
-  inline void setLeader(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initLeader(unsigned int size);
-  inline void adoptLeader(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3506,16 +3295,15 @@
 
 #if !CAPNP_LITE
 class FeedReply::Pipeline {
- public:
+public:
   typedef FeedReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::tamarackwing::hosts::wire::LogSnapshot::Pipeline getSnapshot();
-
- private:
+  inline  ::tamarackwing::hosts::wire::LogSnapshot::Pipeline getSnapshot();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3524,11 +3312,11 @@
 #endif  // !CAPNP_LITE
 
 class ProposeRequest::Reader {
- public:
+public:
   typedef ProposeRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3540,12 +3328,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasPayload() const;
-  inline ::capnp::Data::Reader getPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3558,36 +3346,32 @@
 };
 
 class ProposeRequest::Builder {
- public:
+public:
   typedef ProposeRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasPayload();
-  inline ::capnp::Data::Builder getPayload();
-  inline void setPayload(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3598,14 +3382,14 @@
 
 #if !CAPNP_LITE
 class ProposeRequest::Pipeline {
- public:
+public:
   typedef ProposeRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3614,11 +3398,11 @@
 #endif  // !CAPNP_LITE
 
 class SetFault::Reader {
- public:
+public:
   typedef SetFault Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3630,17 +3414,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint8_t getCode() const;
+  inline  ::uint8_t getCode() const;
 
   inline bool hasPath() const;
-  inline ::capnp::Text::Reader getPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
 
-  inline ::uint32_t getLine() const;
+  inline  ::uint32_t getLine() const;
 
   inline bool hasFound() const;
-  inline ::capnp::Text::Reader getFound() const;
+  inline  ::capnp::Text::Reader getFound() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3653,46 +3437,42 @@
 };
 
 class SetFault::Builder {
- public:
+public:
   typedef SetFault Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint8_t getCode();
-  inline void setCode(::uint8_t value);
+  inline  ::uint8_t getCode();
+  inline void setCode( ::uint8_t value);
 
   inline bool hasPath();
-  inline ::capnp::Text::Builder getPath();
-  inline void setPath(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
 
-  inline ::uint32_t getLine();
-  inline void setLine(::uint32_t value);
+  inline  ::uint32_t getLine();
+  inline void setLine( ::uint32_t value);
 
   inline bool hasFound();
-  inline ::capnp::Text::Builder getFound();
-  inline void setFound(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initFound(unsigned int size);
-  inline void adoptFound(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownFound();
+  inline  ::capnp::Text::Builder getFound();
+  inline void setFound( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFound(unsigned int size);
+  inline void adoptFound(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFound();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3703,14 +3483,14 @@
 
 #if !CAPNP_LITE
 class SetFault::Pipeline {
- public:
+public:
   typedef SetFault Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3719,11 +3499,11 @@
 #endif  // !CAPNP_LITE
 
 class ProposeReply::Reader {
- public:
+public:
   typedef ProposeReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3735,18 +3515,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::uint8_t getKind() const;
+  inline  ::uint8_t getKind() const;
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
   inline bool hasFaults() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                       ::capnp::Kind::STRUCT>::Reader
-  getFaults() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader getFaults() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3759,51 +3537,38 @@
 };
 
 class ProposeReply::Builder {
- public:
+public:
   typedef ProposeReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::uint8_t getKind();
-  inline void setKind(::uint8_t value);
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
   inline bool hasFaults();
-  inline ::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                       ::capnp::Kind::STRUCT>::Builder
-  getFaults();
-  inline void setFaults(::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                       ::capnp::Kind::STRUCT>::Builder
-  initFaults(unsigned int size);
-  inline void adoptFaults(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                                       ::capnp::Kind::STRUCT>>
-  disownFaults();
-
- private:
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder getFaults();
+  inline void setFaults( ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder initFaults(unsigned int size);
+  inline void adoptFaults(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>> disownFaults();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3814,14 +3579,14 @@
 
 #if !CAPNP_LITE
 class ProposeReply::Pipeline {
- public:
+public:
   typedef ProposeReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3830,11 +3595,11 @@
 #endif  // !CAPNP_LITE
 
 class TargetLoad::Reader {
- public:
+public:
   typedef TargetLoad Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3847,13 +3612,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasTarget() const;
-  inline ::capnp::Text::Reader getTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-  inline ::uint32_t getSlots() const;
+  inline  ::uint32_t getSlots() const;
 
-  inline ::uint32_t getDemand() const;
+  inline  ::uint32_t getDemand() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3866,39 +3631,35 @@
 };
 
 class TargetLoad::Builder {
- public:
+public:
   typedef TargetLoad Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasTarget();
-  inline ::capnp::Text::Builder getTarget();
-  inline void setTarget(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline ::uint32_t getSlots();
-  inline void setSlots(::uint32_t value);
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
 
-  inline ::uint32_t getDemand();
-  inline void setDemand(::uint32_t value);
+  inline  ::uint32_t getDemand();
+  inline void setDemand( ::uint32_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3909,14 +3670,14 @@
 
 #if !CAPNP_LITE
 class TargetLoad::Pipeline {
- public:
+public:
   typedef TargetLoad Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3925,11 +3686,11 @@
 #endif  // !CAPNP_LITE
 
 class ServedTokens::Reader {
- public:
+public:
   typedef ServedTokens Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3942,14 +3703,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasTarget() const;
-  inline ::capnp::Text::Reader getTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
   inline bool hasWorkspace() const;
-  inline ::capnp::Text::Reader getWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
 
-  inline ::int64_t getTokens() const;
+  inline  ::int64_t getTokens() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3962,43 +3723,39 @@
 };
 
 class ServedTokens::Builder {
- public:
+public:
   typedef ServedTokens Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasTarget();
-  inline ::capnp::Text::Builder getTarget();
-  inline void setTarget(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
   inline bool hasWorkspace();
-  inline ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
 
-  inline ::int64_t getTokens();
-  inline void setTokens(::int64_t value);
+  inline  ::int64_t getTokens();
+  inline void setTokens( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4009,14 +3766,14 @@
 
 #if !CAPNP_LITE
 class ServedTokens::Pipeline {
- public:
+public:
   typedef ServedTokens Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4025,11 +3782,11 @@
 #endif  // !CAPNP_LITE
 
 class ServerReport::Reader {
- public:
+public:
   typedef ServerReport Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -4042,38 +3799,43 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline ::capnp::Text::Reader getName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
   inline bool hasDataCentre() const;
-  inline ::capnp::Text::Reader getDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
   inline bool hasAddress() const;
-  inline ::capnp::Text::Reader getAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline ::uint16_t getPort() const;
+  inline  ::uint16_t getPort() const;
 
   inline bool hasTargets() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getTargets()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTargets() const;
 
-  inline ::uint32_t getSlots() const;
+  inline  ::uint32_t getSlots() const;
 
-  inline ::uint32_t getRunning() const;
+  inline  ::uint32_t getRunning() const;
 
-  inline ::uint32_t getQueued() const;
+  inline  ::uint32_t getQueued() const;
 
   inline double getPrefillRate() const;
 
   inline double getDecodeRate() const;
 
-  inline ::int64_t getAgeMs() const;
+  inline  ::int64_t getAgeMs() const;
 
   inline bool getLeaving() const;
 
- private:
+  inline  ::int64_t getStartedMs() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::int64_t getColdMs() const;
+
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4086,78 +3848,68 @@
 };
 
 class ServerReport::Builder {
- public:
+public:
   typedef ServerReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline ::capnp::Text::Builder getName();
-  inline void setName(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
   inline bool hasDataCentre();
-  inline ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
   inline bool hasAddress();
-  inline ::capnp::Text::Builder getAddress();
-  inline void setAddress(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline ::uint16_t getPort();
-  inline void setPort(::uint16_t value);
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
 
   inline bool hasTargets();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getTargets();
-  inline void setTargets(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setTargets(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initTargets(
-      unsigned int size);
-  inline void adoptTargets(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownTargets();
-
-  inline ::uint32_t getSlots();
-  inline void setSlots(::uint32_t value);
-
-  inline ::uint32_t getRunning();
-  inline void setRunning(::uint32_t value);
-
-  inline ::uint32_t getQueued();
-  inline void setQueued(::uint32_t value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTargets();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
 
   inline double getPrefillRate();
   inline void setPrefillRate(double value);
@@ -4165,13 +3917,22 @@
   inline double getDecodeRate();
   inline void setDecodeRate(double value);
 
-  inline ::int64_t getAgeMs();
-  inline void setAgeMs(::int64_t value);
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
 
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
- private:
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::int64_t getColdMs();
+  inline void setColdMs( ::int64_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4182,14 +3943,14 @@
 
 #if !CAPNP_LITE
 class ServerReport::Pipeline {
- public:
+public:
   typedef ServerReport Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4198,11 +3959,11 @@
 #endif  // !CAPNP_LITE
 
 class RegionStatus::Reader {
- public:
+public:
   typedef RegionStatus Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -4214,30 +3975,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::uint64_t getEcho() const;
+  inline  ::uint64_t getEcho() const;
 
-  inline ::uint64_t getEpoch() const;
+  inline  ::uint64_t getEpoch() const;
 
   inline bool getDraining() const;
 
   inline bool hasLoads() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLoads() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
   inline bool hasServed() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                       ::capnp::Kind::STRUCT>::Reader
-  getServed() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader getServed() const;
 
   inline bool hasServers() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                       ::capnp::Kind::STRUCT>::Reader
-  getServers() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader getServers() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4250,89 +4005,55 @@
 };
 
 class RegionStatus::Builder {
- public:
+public:
   typedef RegionStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::uint64_t getEcho();
-  inline void setEcho(::uint64_t value);
+  inline  ::uint64_t getEcho();
+  inline void setEcho( ::uint64_t value);
 
-  inline ::uint64_t getEpoch();
-  inline void setEpoch(::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
   inline bool getDraining();
   inline void setDraining(bool value);
 
   inline bool hasLoads();
-  inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLoads();
-  inline void setLoads(::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLoads(unsigned int size);
-  inline void adoptLoads(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                       ::capnp::Kind::STRUCT>>
-  disownLoads();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
   inline bool hasServed();
-  inline ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                       ::capnp::Kind::STRUCT>::Builder
-  getServed();
-  inline void setServed(::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                       ::capnp::Kind::STRUCT>::Builder
-  initServed(unsigned int size);
-  inline void adoptServed(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                    ::capnp::Kind::STRUCT>>
-  disownServed();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder getServed();
+  inline void setServed( ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder initServed(unsigned int size);
+  inline void adoptServed(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>> disownServed();
 
   inline bool hasServers();
-  inline ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                       ::capnp::Kind::STRUCT>::Builder
-  getServers();
-  inline void setServers(
-      ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                    ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                       ::capnp::Kind::STRUCT>::Builder
-  initServers(unsigned int size);
-  inline void adoptServers(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                    ::capnp::Kind::STRUCT>>
-  disownServers();
-
- private:
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> disownServers();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4343,14 +4064,14 @@
 
 #if !CAPNP_LITE
 class RegionStatus::Pipeline {
- public:
+public:
   typedef RegionStatus Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4359,11 +4080,11 @@
 #endif  // !CAPNP_LITE
 
 class ProbeReply::Reader {
- public:
+public:
   typedef ProbeReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -4375,17 +4096,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
   inline bool hasLoads() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLoads() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4398,52 +4117,39 @@
 };
 
 class ProbeReply::Builder {
- public:
+public:
   typedef ProbeReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
   inline bool hasLoads();
-  inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLoads();
-  inline void setLoads(::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLoads(unsigned int size);
-  inline void adoptLoads(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                       ::capnp::Kind::STRUCT>>
-  disownLoads();
-
- private:
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4454,14 +4160,14 @@
 
 #if !CAPNP_LITE
 class ProbeReply::Pipeline {
- public:
+public:
   typedef ProbeReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4470,11 +4176,11 @@
 #endif  // !CAPNP_LITE
 
 class Chunk::Reader {
- public:
+public:
   typedef Chunk Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -4486,18 +4192,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getChunk() const;
+  inline  ::uint64_t getChunk() const;
 
   inline bool hasWorkspace() const;
-  inline ::capnp::Text::Reader getWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
 
-  inline ::int64_t getTokens() const;
+  inline  ::int64_t getTokens() const;
 
-  inline ::int64_t getWanted() const;
+  inline  ::int64_t getWanted() const;
 
-  inline ::int64_t getRetryAfterMs() const;
+  inline  ::int64_t getRetryAfterMs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4510,45 +4216,41 @@
 };
 
 class Chunk::Builder {
- public:
+public:
   typedef Chunk Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getChunk();
-  inline void setChunk(::uint64_t value);
+  inline  ::uint64_t getChunk();
+  inline void setChunk( ::uint64_t value);
 
   inline bool hasWorkspace();
-  inline ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
 
-  inline ::int64_t getTokens();
-  inline void setTokens(::int64_t value);
+  inline  ::int64_t getTokens();
+  inline void setTokens( ::int64_t value);
 
-  inline ::int64_t getWanted();
-  inline void setWanted(::int64_t value);
+  inline  ::int64_t getWanted();
+  inline void setWanted( ::int64_t value);
 
-  inline ::int64_t getRetryAfterMs();
-  inline void setRetryAfterMs(::int64_t value);
+  inline  ::int64_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4559,14 +4261,14 @@
 
 #if !CAPNP_LITE
 class Chunk::Pipeline {
- public:
+public:
   typedef Chunk Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4575,11 +4277,11 @@
 #endif  // !CAPNP_LITE
 
 class HostProgress::Reader {
- public:
+public:
   typedef HostProgress Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -4592,13 +4294,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::capnp::Text::Reader getHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
   inline bool getIsLive() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4611,39 +4313,35 @@
 };
 
 class HostProgress::Builder {
- public:
+public:
   typedef HostProgress Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::capnp::Text::Builder getHost();
-  inline void setHost(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
   inline bool getIsLive();
   inline void setIsLive(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4654,14 +4352,14 @@
 
 #if !CAPNP_LITE
 class HostProgress::Pipeline {
- public:
+public:
   typedef HostProgress Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4670,11 +4368,11 @@
 #endif  // !CAPNP_LITE
 
 class StatusReply::Reader {
- public:
+public:
   typedef StatusReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -4686,23 +4384,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasLeader() const;
-  inline ::capnp::Text::Reader getLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
   inline bool hasVoters() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getVoters()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVoters() const;
 
   inline bool hasHosts() const;
-  inline ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHosts() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4715,69 +4410,50 @@
 };
 
 class StatusReply::Builder {
- public:
+public:
   typedef StatusReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasLeader();
-  inline ::capnp::Text::Builder getLeader();
-  inline void setLeader(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initLeader(unsigned int size);
-  inline void adoptLeader(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
   inline bool hasVoters();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getVoters();
-  inline void setVoters(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setVoters(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initVoters(
-      unsigned int size);
-  inline void adoptVoters(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownVoters();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVoters();
+  inline void setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVoters(unsigned int size);
+  inline void adoptVoters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVoters();
 
   inline bool hasHosts();
-  inline ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHosts();
-  inline void setHosts(::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHosts(unsigned int size);
-  inline void adoptHosts(
-      ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                    ::capnp::Kind::STRUCT>>
-  disownHosts();
-
- private:
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder getHosts();
+  inline void setHosts( ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder initHosts(unsigned int size);
+  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>> disownHosts();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4788,14 +4464,368 @@
 
 #if !CAPNP_LITE
 class StatusReply::Pipeline {
- public:
+public:
   typedef StatusReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateDemand::Reader {
+public:
+  typedef RateDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::int64_t getDemand() const;
+
+  inline  ::int64_t getHeld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateDemand::Builder {
+public:
+  typedef RateDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::int64_t getDemand();
+  inline void setDemand( ::int64_t value);
+
+  inline  ::int64_t getHeld();
+  inline void setHeld( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateDemand::Pipeline {
+public:
+  typedef RateDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateReport::Reader {
+public:
+  typedef RateReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getHolds() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateReport::Builder {
+public:
+  typedef RateReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getHolds();
+  inline void setHolds( ::uint64_t value);
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>> disownDemands();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateReport::Pipeline {
+public:
+  typedef RateReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateShare::Reader {
+public:
+  typedef RateShare Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::int64_t getShare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateShare::Builder {
+public:
+  typedef RateShare Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::int64_t getShare();
+  inline void setShare( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateShare::Pipeline {
+public:
+  typedef RateShare Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateGrant::Reader {
+public:
+  typedef RateGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasShares() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateGrant::Builder {
+public:
+  typedef RateGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasShares();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder getShares();
+  inline void setShares( ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
+  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>> disownShares();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateGrant::Pipeline {
+public:
+  typedef RateGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -4804,11 +4834,11 @@
 #endif  // !CAPNP_LITE
 
 class PeerMessage::Reader {
- public:
+public:
   typedef PeerMessage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -4823,122 +4853,119 @@
   inline Which which() const;
   inline bool isVoteRequest() const;
   inline bool hasVoteRequest() const;
-  inline ::tamarackwing::hosts::wire::VoteRequest::Reader getVoteRequest()
-      const;
+  inline  ::tamarackwing::hosts::wire::VoteRequest::Reader getVoteRequest() const;
 
   inline bool isVoteReply() const;
   inline bool hasVoteReply() const;
-  inline ::tamarackwing::hosts::wire::VoteReply::Reader getVoteReply() const;
+  inline  ::tamarackwing::hosts::wire::VoteReply::Reader getVoteReply() const;
 
   inline bool isAppendRequest() const;
   inline bool hasAppendRequest() const;
-  inline ::tamarackwing::hosts::wire::AppendRequest::Reader getAppendRequest()
-      const;
+  inline  ::tamarackwing::hosts::wire::AppendRequest::Reader getAppendRequest() const;
 
   inline bool isAppendReply() const;
   inline bool hasAppendReply() const;
-  inline ::tamarackwing::hosts::wire::AppendReply::Reader getAppendReply()
-      const;
+  inline  ::tamarackwing::hosts::wire::AppendReply::Reader getAppendReply() const;
 
   inline bool isInstallRequest() const;
   inline bool hasInstallRequest() const;
-  inline ::tamarackwing::hosts::wire::InstallRequest::Reader getInstallRequest()
-      const;
+  inline  ::tamarackwing::hosts::wire::InstallRequest::Reader getInstallRequest() const;
 
   inline bool isLedgerAsk() const;
   inline bool hasLedgerAsk() const;
-  inline ::tamarackwing::hosts::wire::LedgerAsk::Reader getLedgerAsk() const;
+  inline  ::tamarackwing::hosts::wire::LedgerAsk::Reader getLedgerAsk() const;
 
   inline bool isLedgerPermit() const;
   inline bool hasLedgerPermit() const;
-  inline ::tamarackwing::hosts::wire::LedgerPermit::Reader getLedgerPermit()
-      const;
+  inline  ::tamarackwing::hosts::wire::LedgerPermit::Reader getLedgerPermit() const;
 
   inline bool isLedgerUpdate() const;
   inline bool hasLedgerUpdate() const;
-  inline ::tamarackwing::hosts::wire::LedgerUpdate::Reader getLedgerUpdate()
-      const;
+  inline  ::tamarackwing::hosts::wire::LedgerUpdate::Reader getLedgerUpdate() const;
 
   inline bool isLedgerUpdated() const;
   inline bool hasLedgerUpdated() const;
-  inline ::tamarackwing::hosts::wire::AskId::Reader getLedgerUpdated() const;
+  inline  ::tamarackwing::hosts::wire::AskId::Reader getLedgerUpdated() const;
 
   inline bool isLedgerStore() const;
   inline bool hasLedgerStore() const;
-  inline ::tamarackwing::hosts::wire::LedgerStore::Reader getLedgerStore()
-      const;
+  inline  ::tamarackwing::hosts::wire::LedgerStore::Reader getLedgerStore() const;
 
   inline bool isLedgerStored() const;
   inline bool hasLedgerStored() const;
-  inline ::tamarackwing::hosts::wire::LedgerStored::Reader getLedgerStored()
-      const;
+  inline  ::tamarackwing::hosts::wire::LedgerStored::Reader getLedgerStored() const;
 
   inline bool isLedgerCopy() const;
   inline bool hasLedgerCopy() const;
-  inline ::tamarackwing::hosts::wire::LedgerCopy::Reader getLedgerCopy() const;
+  inline  ::tamarackwing::hosts::wire::LedgerCopy::Reader getLedgerCopy() const;
 
   inline bool isLedgerCopied() const;
   inline bool hasLedgerCopied() const;
-  inline ::tamarackwing::hosts::wire::LedgerCopied::Reader getLedgerCopied()
-      const;
+  inline  ::tamarackwing::hosts::wire::LedgerCopied::Reader getLedgerCopied() const;
 
   inline bool isFeedRequest() const;
   inline bool hasFeedRequest() const;
-  inline ::tamarackwing::hosts::wire::FeedRequest::Reader getFeedRequest()
-      const;
+  inline  ::tamarackwing::hosts::wire::FeedRequest::Reader getFeedRequest() const;
 
   inline bool isFeedReply() const;
   inline bool hasFeedReply() const;
-  inline ::tamarackwing::hosts::wire::FeedReply::Reader getFeedReply() const;
+  inline  ::tamarackwing::hosts::wire::FeedReply::Reader getFeedReply() const;
 
   inline bool isProposeRequest() const;
   inline bool hasProposeRequest() const;
-  inline ::tamarackwing::hosts::wire::ProposeRequest::Reader getProposeRequest()
-      const;
+  inline  ::tamarackwing::hosts::wire::ProposeRequest::Reader getProposeRequest() const;
 
   inline bool isProposeReply() const;
   inline bool hasProposeReply() const;
-  inline ::tamarackwing::hosts::wire::ProposeReply::Reader getProposeReply()
-      const;
+  inline  ::tamarackwing::hosts::wire::ProposeReply::Reader getProposeReply() const;
 
   inline bool isWithdrawalNotice() const;
   inline bool hasWithdrawalNotice() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getWithdrawalNotice() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWithdrawalNotice() const;
 
   inline bool isRegionStatus() const;
   inline bool hasRegionStatus() const;
-  inline ::tamarackwing::hosts::wire::RegionStatus::Reader getRegionStatus()
-      const;
+  inline  ::tamarackwing::hosts::wire::RegionStatus::Reader getRegionStatus() const;
 
   inline bool isProbeRequest() const;
-  inline ::uint64_t getProbeRequest() const;
+  inline  ::uint64_t getProbeRequest() const;
 
   inline bool isProbeReply() const;
   inline bool hasProbeReply() const;
-  inline ::tamarackwing::hosts::wire::ProbeReply::Reader getProbeReply() const;
+  inline  ::tamarackwing::hosts::wire::ProbeReply::Reader getProbeReply() const;
 
   inline bool isChunkRequest() const;
   inline bool hasChunkRequest() const;
-  inline ::tamarackwing::hosts::wire::Chunk::Reader getChunkRequest() const;
+  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkRequest() const;
 
   inline bool isChunkGrant() const;
   inline bool hasChunkGrant() const;
-  inline ::tamarackwing::hosts::wire::Chunk::Reader getChunkGrant() const;
+  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkGrant() const;
 
   inline bool isChunkSettled() const;
   inline bool hasChunkSettled() const;
-  inline ::tamarackwing::hosts::wire::Chunk::Reader getChunkSettled() const;
+  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkSettled() const;
 
   inline bool isStatusRequest() const;
-  inline ::uint64_t getStatusRequest() const;
+  inline  ::uint64_t getStatusRequest() const;
 
   inline bool isStatusReply() const;
   inline bool hasStatusReply() const;
-  inline ::tamarackwing::hosts::wire::StatusReply::Reader getStatusReply()
-      const;
+  inline  ::tamarackwing::hosts::wire::StatusReply::Reader getStatusReply() const;
+
+  inline bool isServerNews() const;
+  inline bool hasServerNews() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader getServerNews() const;
+
+  inline bool isRateReport() const;
+  inline bool hasRateReport() const;
+  inline  ::tamarackwing::hosts::wire::RateReport::Reader getRateReport() const;
+
+  inline bool isRateGrant() const;
+  inline bool hasRateGrant() const;
+  inline  ::tamarackwing::hosts::wire::RateGrant::Reader getRateGrant() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -4951,305 +4978,248 @@
 };
 
 class PeerMessage::Builder {
- public:
+public:
   typedef PeerMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isVoteRequest();
   inline bool hasVoteRequest();
-  inline ::tamarackwing::hosts::wire::VoteRequest::Builder getVoteRequest();
-  inline void setVoteRequest(
-      ::tamarackwing::hosts::wire::VoteRequest::Reader value);
-  inline ::tamarackwing::hosts::wire::VoteRequest::Builder initVoteRequest();
-  inline void adoptVoteRequest(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::VoteRequest>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::VoteRequest>
-  disownVoteRequest();
+  inline  ::tamarackwing::hosts::wire::VoteRequest::Builder getVoteRequest();
+  inline void setVoteRequest( ::tamarackwing::hosts::wire::VoteRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::VoteRequest::Builder initVoteRequest();
+  inline void adoptVoteRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest> disownVoteRequest();
 
   inline bool isVoteReply();
   inline bool hasVoteReply();
-  inline ::tamarackwing::hosts::wire::VoteReply::Builder getVoteReply();
-  inline void setVoteReply(
-      ::tamarackwing::hosts::wire::VoteReply::Reader value);
-  inline ::tamarackwing::hosts::wire::VoteReply::Builder initVoteReply();
-  inline void adoptVoteReply(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::VoteReply>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::VoteReply>
-  disownVoteReply();
+  inline  ::tamarackwing::hosts::wire::VoteReply::Builder getVoteReply();
+  inline void setVoteReply( ::tamarackwing::hosts::wire::VoteReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::VoteReply::Builder initVoteReply();
+  inline void adoptVoteReply(::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply> disownVoteReply();
 
   inline bool isAppendRequest();
   inline bool hasAppendRequest();
-  inline ::tamarackwing::hosts::wire::AppendRequest::Builder getAppendRequest();
-  inline void setAppendRequest(
-      ::tamarackwing::hosts::wire::AppendRequest::Reader value);
-  inline ::tamarackwing::hosts::wire::AppendRequest::Builder
-  initAppendRequest();
-  inline void adoptAppendRequest(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::AppendRequest>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::AppendRequest>
-  disownAppendRequest();
+  inline  ::tamarackwing::hosts::wire::AppendRequest::Builder getAppendRequest();
+  inline void setAppendRequest( ::tamarackwing::hosts::wire::AppendRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::AppendRequest::Builder initAppendRequest();
+  inline void adoptAppendRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest> disownAppendRequest();
 
   inline bool isAppendReply();
   inline bool hasAppendReply();
-  inline ::tamarackwing::hosts::wire::AppendReply::Builder getAppendReply();
-  inline void setAppendReply(
-      ::tamarackwing::hosts::wire::AppendReply::Reader value);
-  inline ::tamarackwing::hosts::wire::AppendReply::Builder initAppendReply();
-  inline void adoptAppendReply(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::AppendReply>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::AppendReply>
-  disownAppendReply();
+  inline  ::tamarackwing::hosts::wire::AppendReply::Builder getAppendReply();
+  inline void setAppendReply( ::tamarackwing::hosts::wire::AppendReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::AppendReply::Builder initAppendReply();
+  inline void adoptAppendReply(::capnp::Orphan< ::tamarackwing::hosts::wire::AppendReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendReply> disownAppendReply();
 
   inline bool isInstallRequest();
   inline bool hasInstallRequest();
-  inline ::tamarackwing::hosts::wire::InstallRequest::Builder
-  getInstallRequest();
-  inline void setInstallRequest(
-      ::tamarackwing::hosts::wire::InstallRequest::Reader value);
-  inline ::tamarackwing::hosts::wire::InstallRequest::Builder
-  initInstallRequest();
-  inline void adoptInstallRequest(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::InstallRequest>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::InstallRequest>
-  disownInstallRequest();
+  inline  ::tamarackwing::hosts::wire::InstallRequest::Builder getInstallRequest();
+  inline void setInstallRequest( ::tamarackwing::hosts::wire::InstallRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::InstallRequest::Builder initInstallRequest();
+  inline void adoptInstallRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::InstallRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::InstallRequest> disownInstallRequest();
 
   inline bool isLedgerAsk();
   inline bool hasLedgerAsk();
-  inline ::tamarackwing::hosts::wire::LedgerAsk::Builder getLedgerAsk();
-  inline void setLedgerAsk(
-      ::tamarackwing::hosts::wire::LedgerAsk::Reader value);
-  inline ::tamarackwing::hosts::wire::LedgerAsk::Builder initLedgerAsk();
-  inline void adoptLedgerAsk(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerAsk>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerAsk>
-  disownLedgerAsk();
+  inline  ::tamarackwing::hosts::wire::LedgerAsk::Builder getLedgerAsk();
+  inline void setLedgerAsk( ::tamarackwing::hosts::wire::LedgerAsk::Reader value);
+  inline  ::tamarackwing::hosts::wire::LedgerAsk::Builder initLedgerAsk();
+  inline void adoptLedgerAsk(::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerAsk>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerAsk> disownLedgerAsk();
 
   inline bool isLedgerPermit();
   inline bool hasLedgerPermit();
-  inline ::tamarackwing::hosts::wire::LedgerPermit::Builder getLedgerPermit();
-  inline void setLedgerPermit(
-      ::tamarackwing::hosts::wire::LedgerPermit::Reader value);
-  inline ::tamarackwing::hosts::wire::LedgerPermit::Builder initLedgerPermit();
-  inline void adoptLedgerPermit(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerPermit>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerPermit>
-  disownLedgerPermit();
+  inline  ::tamarackwing::hosts::wire::LedgerPermit::Builder getLedgerPermit();
+  inline void setLedgerPermit( ::tamarackwing::hosts::wire::LedgerPermit::Reader value);
+  inline  ::tamarackwing::hosts::wire::LedgerPermit::Builder initLedgerPermit();
+  inline void adoptLedgerPermit(::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerPermit>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerPermit> disownLedgerPermit();
 
   inline bool isLedgerUpdate();
   inline bool hasLedgerUpdate();
-  inline ::tamarackwing::hosts::wire::LedgerUpdate::Builder getLedgerUpdate();
-  inline void setLedgerUpdate(
-      ::tamarackwing::hosts::wire::LedgerUpdate::Reader value);
-  inline ::tamarackwing::hosts::wire::LedgerUpdate::Builder initLedgerUpdate();
-  inline void adoptLedgerUpdate(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerUpdate>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerUpdate>
-  disownLedgerUpdate();
+  inline  ::tamarackwing::hosts::wire::LedgerUpdate::Builder getLedgerUpdate();
+  inline void setLedgerUpdate( ::tamarackwing::hosts::wire::LedgerUpdate::Reader value);
+  inline  ::tamarackwing::hosts::wire::LedgerUpdate::Builder initLedgerUpdate();
+  inline void adoptLedgerUpdate(::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerUpdate>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerUpdate> disownLedgerUpdate();
 
   inline bool isLedgerUpdated();
   inline bool hasLedgerUpdated();
-  inline ::tamarackwing::hosts::wire::AskId::Builder getLedgerUpdated();
-  inline void setLedgerUpdated(
-      ::tamarackwing::hosts::wire::AskId::Reader value);
-  inline ::tamarackwing::hosts::wire::AskId::Builder initLedgerUpdated();
-  inline void adoptLedgerUpdated(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>
-  disownLedgerUpdated();
+  inline  ::tamarackwing::hosts::wire::AskId::Builder getLedgerUpdated();
+  inline void setLedgerUpdated( ::tamarackwing::hosts::wire::AskId::Reader value);
+  inline  ::tamarackwing::hosts::wire::AskId::Builder initLedgerUpdated();
+  inline void adoptLedgerUpdated(::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> disownLedgerUpdated();
 
   inline bool isLedgerStore();
   inline bool hasLedgerStore();
-  inline ::tamarackwing::hosts::wire::LedgerStore::Builder getLedgerStore();
-  inline void setLedgerStore(
-      ::tamarackwing::hosts::wire::LedgerStore::Reader value);
-  inline ::tamarackwing::hosts::wire::LedgerStore::Builder initLedgerStore();
-  inline void adoptLedgerStore(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStore>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStore>
-  disownLedgerStore();
+  inline  ::tamarackwing::hosts::wire::LedgerStore::Builder getLedgerStore();
+  inline void setLedgerStore( ::tamarackwing::hosts::wire::LedgerStore::Reader value);
+  inline  ::tamarackwing::hosts::wire::LedgerStore::Builder initLedgerStore();
+  inline void adoptLedgerStore(::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStore>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStore> disownLedgerStore();
 
   inline bool isLedgerStored();
   inline bool hasLedgerStored();
-  inline ::tamarackwing::hosts::wire::LedgerStored::Builder getLedgerStored();
-  inline void setLedgerStored(
-      ::tamarackwing::hosts::wire::LedgerStored::Reader value);
-  inline ::tamarackwing::hosts::wire::LedgerStored::Builder initLedgerStored();
-  inline void adoptLedgerStored(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStored>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStored>
-  disownLedgerStored();
+  inline  ::tamarackwing::hosts::wire::LedgerStored::Builder getLedgerStored();
+  inline void setLedgerStored( ::tamarackwing::hosts::wire::LedgerStored::Reader value);
+  inline  ::tamarackwing::hosts::wire::LedgerStored::Builder initLedgerStored();
+  inline void adoptLedgerStored(::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStored>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStored> disownLedgerStored();
 
   inline bool isLedgerCopy();
   inline bool hasLedgerCopy();
-  inline ::tamarackwing::hosts::wire::LedgerCopy::Builder getLedgerCopy();
-  inline void setLedgerCopy(
-      ::tamarackwing::hosts::wire::LedgerCopy::Reader value);
-  inline ::tamarackwing::hosts::wire::LedgerCopy::Builder initLedgerCopy();
-  inline void adoptLedgerCopy(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopy>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopy>
-  disownLedgerCopy();
+  inline  ::tamarackwing::hosts::wire::LedgerCopy::Builder getLedgerCopy();
+  inline void setLedgerCopy( ::tamarackwing::hosts::wire::LedgerCopy::Reader value);
+  inline  ::tamarackwing::hosts::wire::LedgerCopy::Builder initLedgerCopy();
+  inline void adoptLedgerCopy(::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopy>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopy> disownLedgerCopy();
 
   inline bool isLedgerCopied();
   inline bool hasLedgerCopied();
-  inline ::tamarackwing::hosts::wire::LedgerCopied::Builder getLedgerCopied();
-  inline void setLedgerCopied(
-      ::tamarackwing::hosts::wire::LedgerCopied::Reader value);
-  inline ::tamarackwing::hosts::wire::LedgerCopied::Builder initLedgerCopied();
-  inline void adoptLedgerCopied(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopied>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopied>
-  disownLedgerCopied();
+  inline  ::tamarackwing::hosts::wire::LedgerCopied::Builder getLedgerCopied();
+  inline void setLedgerCopied( ::tamarackwing::hosts::wire::LedgerCopied::Reader value);
+  inline  ::tamarackwing::hosts::wire::LedgerCopied::Builder initLedgerCopied();
+  inline void adoptLedgerCopied(::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopied>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopied> disownLedgerCopied();
 
   inline bool isFeedRequest();
   inline bool hasFeedRequest();
-  inline ::tamarackwing::hosts::wire::FeedRequest::Builder getFeedRequest();
-  inline void setFeedRequest(
-      ::tamarackwing::hosts::wire::FeedRequest::Reader value);
-  inline ::tamarackwing::hosts::wire::FeedRequest::Builder initFeedRequest();
-  inline void adoptFeedRequest(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::FeedRequest>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::FeedRequest>
-  disownFeedRequest();
+  inline  ::tamarackwing::hosts::wire::FeedRequest::Builder getFeedRequest();
+  inline void setFeedRequest( ::tamarackwing::hosts::wire::FeedRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::FeedRequest::Builder initFeedRequest();
+  inline void adoptFeedRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::FeedRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::FeedRequest> disownFeedRequest();
 
   inline bool isFeedReply();
   inline bool hasFeedReply();
-  inline ::tamarackwing::hosts::wire::FeedReply::Builder getFeedReply();
-  inline void setFeedReply(
-      ::tamarackwing::hosts::wire::FeedReply::Reader value);
-  inline ::tamarackwing::hosts::wire::FeedReply::Builder initFeedReply();
-  inline void adoptFeedReply(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::FeedReply>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::FeedReply>
-  disownFeedReply();
+  inline  ::tamarackwing::hosts::wire::FeedReply::Builder getFeedReply();
+  inline void setFeedReply( ::tamarackwing::hosts::wire::FeedReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::FeedReply::Builder initFeedReply();
+  inline void adoptFeedReply(::capnp::Orphan< ::tamarackwing::hosts::wire::FeedReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::FeedReply> disownFeedReply();
 
   inline bool isProposeRequest();
   inline bool hasProposeRequest();
-  inline ::tamarackwing::hosts::wire::ProposeRequest::Builder
-  getProposeRequest();
-  inline void setProposeRequest(
-      ::tamarackwing::hosts::wire::ProposeRequest::Reader value);
-  inline ::tamarackwing::hosts::wire::ProposeRequest::Builder
-  initProposeRequest();
-  inline void adoptProposeRequest(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeRequest>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeRequest>
-  disownProposeRequest();
+  inline  ::tamarackwing::hosts::wire::ProposeRequest::Builder getProposeRequest();
+  inline void setProposeRequest( ::tamarackwing::hosts::wire::ProposeRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::ProposeRequest::Builder initProposeRequest();
+  inline void adoptProposeRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeRequest> disownProposeRequest();
 
   inline bool isProposeReply();
   inline bool hasProposeReply();
-  inline ::tamarackwing::hosts::wire::ProposeReply::Builder getProposeReply();
-  inline void setProposeReply(
-      ::tamarackwing::hosts::wire::ProposeReply::Reader value);
-  inline ::tamarackwing::hosts::wire::ProposeReply::Builder initProposeReply();
-  inline void adoptProposeReply(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeReply>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeReply>
-  disownProposeReply();
+  inline  ::tamarackwing::hosts::wire::ProposeReply::Builder getProposeReply();
+  inline void setProposeReply( ::tamarackwing::hosts::wire::ProposeReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::ProposeReply::Builder initProposeReply();
+  inline void adoptProposeReply(::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeReply> disownProposeReply();
 
   inline bool isWithdrawalNotice();
   inline bool hasWithdrawalNotice();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getWithdrawalNotice();
-  inline void setWithdrawalNotice(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setWithdrawalNotice(
-      ::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initWithdrawalNotice(unsigned int size);
-  inline void adoptWithdrawalNotice(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownWithdrawalNotice();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWithdrawalNotice();
+  inline void setWithdrawalNotice( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setWithdrawalNotice(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWithdrawalNotice(unsigned int size);
+  inline void adoptWithdrawalNotice(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWithdrawalNotice();
 
   inline bool isRegionStatus();
   inline bool hasRegionStatus();
-  inline ::tamarackwing::hosts::wire::RegionStatus::Builder getRegionStatus();
-  inline void setRegionStatus(
-      ::tamarackwing::hosts::wire::RegionStatus::Reader value);
-  inline ::tamarackwing::hosts::wire::RegionStatus::Builder initRegionStatus();
-  inline void adoptRegionStatus(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::RegionStatus>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::RegionStatus>
-  disownRegionStatus();
+  inline  ::tamarackwing::hosts::wire::RegionStatus::Builder getRegionStatus();
+  inline void setRegionStatus( ::tamarackwing::hosts::wire::RegionStatus::Reader value);
+  inline  ::tamarackwing::hosts::wire::RegionStatus::Builder initRegionStatus();
+  inline void adoptRegionStatus(::capnp::Orphan< ::tamarackwing::hosts::wire::RegionStatus>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RegionStatus> disownRegionStatus();
 
   inline bool isProbeRequest();
-  inline ::uint64_t getProbeRequest();
-  inline void setProbeRequest(::uint64_t value);
+  inline  ::uint64_t getProbeRequest();
+  inline void setProbeRequest( ::uint64_t value);
 
   inline bool isProbeReply();
   inline bool hasProbeReply();
-  inline ::tamarackwing::hosts::wire::ProbeReply::Builder getProbeReply();
-  inline void setProbeReply(
-      ::tamarackwing::hosts::wire::ProbeReply::Reader value);
-  inline ::tamarackwing::hosts::wire::ProbeReply::Builder initProbeReply();
-  inline void adoptProbeReply(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::ProbeReply>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::ProbeReply>
-  disownProbeReply();
+  inline  ::tamarackwing::hosts::wire::ProbeReply::Builder getProbeReply();
+  inline void setProbeReply( ::tamarackwing::hosts::wire::ProbeReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::ProbeReply::Builder initProbeReply();
+  inline void adoptProbeReply(::capnp::Orphan< ::tamarackwing::hosts::wire::ProbeReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ProbeReply> disownProbeReply();
 
   inline bool isChunkRequest();
   inline bool hasChunkRequest();
-  inline ::tamarackwing::hosts::wire::Chunk::Builder getChunkRequest();
-  inline void setChunkRequest(::tamarackwing::hosts::wire::Chunk::Reader value);
-  inline ::tamarackwing::hosts::wire::Chunk::Builder initChunkRequest();
-  inline void adoptChunkRequest(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>
-  disownChunkRequest();
+  inline  ::tamarackwing::hosts::wire::Chunk::Builder getChunkRequest();
+  inline void setChunkRequest( ::tamarackwing::hosts::wire::Chunk::Reader value);
+  inline  ::tamarackwing::hosts::wire::Chunk::Builder initChunkRequest();
+  inline void adoptChunkRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk> disownChunkRequest();
 
   inline bool isChunkGrant();
   inline bool hasChunkGrant();
-  inline ::tamarackwing::hosts::wire::Chunk::Builder getChunkGrant();
-  inline void setChunkGrant(::tamarackwing::hosts::wire::Chunk::Reader value);
-  inline ::tamarackwing::hosts::wire::Chunk::Builder initChunkGrant();
-  inline void adoptChunkGrant(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk> disownChunkGrant();
+  inline  ::tamarackwing::hosts::wire::Chunk::Builder getChunkGrant();
+  inline void setChunkGrant( ::tamarackwing::hosts::wire::Chunk::Reader value);
+  inline  ::tamarackwing::hosts::wire::Chunk::Builder initChunkGrant();
+  inline void adoptChunkGrant(::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk> disownChunkGrant();
 
   inline bool isChunkSettled();
   inline bool hasChunkSettled();
-  inline ::tamarackwing::hosts::wire::Chunk::Builder getChunkSettled();
-  inline void setChunkSettled(::tamarackwing::hosts::wire::Chunk::Reader value);
-  inline ::tamarackwing::hosts::wire::Chunk::Builder initChunkSettled();
-  inline void adoptChunkSettled(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>
-  disownChunkSettled();
+  inline  ::tamarackwing::hosts::wire::Chunk::Builder getChunkSettled();
+  inline void setChunkSettled( ::tamarackwing::hosts::wire::Chunk::Reader value);
+  inline  ::tamarackwing::hosts::wire::Chunk::Builder initChunkSettled();
+  inline void adoptChunkSettled(::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk> disownChunkSettled();
 
   inline bool isStatusRequest();
-  inline ::uint64_t getStatusRequest();
-  inline void setStatusRequest(::uint64_t value);
+  inline  ::uint64_t getStatusRequest();
+  inline void setStatusRequest( ::uint64_t value);
 
   inline bool isStatusReply();
   inline bool hasStatusReply();
-  inline ::tamarackwing::hosts::wire::StatusReply::Builder getStatusReply();
-  inline void setStatusReply(
-      ::tamarackwing::hosts::wire::StatusReply::Reader value);
-  inline ::tamarackwing::hosts::wire::StatusReply::Builder initStatusReply();
-  inline void adoptStatusReply(
-      ::capnp::Orphan<::tamarackwing::hosts::wire::StatusReply>&& value);
-  inline ::capnp::Orphan<::tamarackwing::hosts::wire::StatusReply>
-  disownStatusReply();
-
- private:
+  inline  ::tamarackwing::hosts::wire::StatusReply::Builder getStatusReply();
+  inline void setStatusReply( ::tamarackwing::hosts::wire::StatusReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::StatusReply::Builder initStatusReply();
+  inline void adoptStatusReply(::capnp::Orphan< ::tamarackwing::hosts::wire::StatusReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StatusReply> disownStatusReply();
+
+  inline bool isServerNews();
+  inline bool hasServerNews();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder getServerNews();
+  inline void setServerNews( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder initServerNews(unsigned int size);
+  inline void adoptServerNews(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> disownServerNews();
+
+  inline bool isRateReport();
+  inline bool hasRateReport();
+  inline  ::tamarackwing::hosts::wire::RateReport::Builder getRateReport();
+  inline void setRateReport( ::tamarackwing::hosts::wire::RateReport::Reader value);
+  inline  ::tamarackwing::hosts::wire::RateReport::Builder initRateReport();
+  inline void adoptRateReport(::capnp::Orphan< ::tamarackwing::hosts::wire::RateReport>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RateReport> disownRateReport();
+
+  inline bool isRateGrant();
+  inline bool hasRateGrant();
+  inline  ::tamarackwing::hosts::wire::RateGrant::Builder getRateGrant();
+  inline void setRateGrant( ::tamarackwing::hosts::wire::RateGrant::Reader value);
+  inline  ::tamarackwing::hosts::wire::RateGrant::Builder initRateGrant();
+  inline void adoptRateGrant(::capnp::Orphan< ::tamarackwing::hosts::wire::RateGrant>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RateGrant> disownRateGrant();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -5260,14 +5230,14 @@
 
 #if !CAPNP_LITE
 class PeerMessage::Pipeline {
- public:
+public:
   typedef PeerMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -5280,7 +5250,8 @@
 #if !CAPNP_LITE
 inline Entry::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline Entry::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Entry::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Entry::Client::Client(::kj::Own<_t>&& server)
@@ -5290,150 +5261,128 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Entry::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::tamarackwing::hosts::wire::Entry::Client& Entry::Client::operator=(
-    Client& other) {
+inline  ::tamarackwing::hosts::wire::Entry::Client& Entry::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::tamarackwing::hosts::wire::Entry::Client& Entry::Client::operator=(
-    Client&& other) {
+inline  ::tamarackwing::hosts::wire::Entry::Client& Entry::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Entry::HelloParams::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Entry::HelloParams::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Entry::HelloParams::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Entry::HelloParams::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Entry::HelloParams::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Entry::HelloParams::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Entry::HelloParams::Builder::setHost(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Entry::HelloParams::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Entry::HelloParams::Builder::initHost(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Entry::HelloParams::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Entry::HelloParams::Builder::adoptHost(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-Entry::HelloParams::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Entry::HelloParams::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Entry::HelloParams::Reader::hasSecret() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Entry::HelloParams::Builder::hasSecret() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Entry::HelloParams::Reader::getSecret() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Entry::HelloParams::Reader::getSecret() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Entry::HelloParams::Builder::getSecret() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Entry::HelloParams::Builder::getSecret() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Entry::HelloParams::Builder::setSecret(
-    ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Entry::HelloParams::Builder::setSecret( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Entry::HelloParams::Builder::initSecret(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Entry::HelloParams::Builder::initSecret(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Entry::HelloParams::Builder::adoptSecret(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-Entry::HelloParams::Builder::disownSecret() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Entry::HelloParams::Builder::disownSecret() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Entry::HelloResults::Reader::hasSession() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Entry::HelloResults::Builder::hasSession() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::Session::Client
-Entry::HelloResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Session>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::Session::Client Entry::HelloResults::Reader::getSession() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Session>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::Session::Client
-Entry::HelloResults::Builder::getSession() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Session>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::Session::Client Entry::HelloResults::Builder::getSession() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Session>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::Session::Client
-Entry::HelloResults::Pipeline::getSession() {
-  return ::tamarackwing::hosts::wire::Session::Client(
-      _typeless.getPointerField(0).asCap());
+inline  ::tamarackwing::hosts::wire::Session::Client Entry::HelloResults::Pipeline::getSession() {
+  return  ::tamarackwing::hosts::wire::Session::Client(_typeless.getPointerField(0).asCap());
 }
-inline void Entry::HelloResults::Builder::setSession(
-    ::tamarackwing::hosts::wire::Session::Client&& cap) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Session>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(cap));
+inline void Entry::HelloResults::Builder::setSession( ::tamarackwing::hosts::wire::Session::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Session>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Entry::HelloResults::Builder::setSession(
-    ::tamarackwing::hosts::wire::Session::Client& cap) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Session>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline void Entry::HelloResults::Builder::setSession( ::tamarackwing::hosts::wire::Session::Client& cap) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Session>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
 }
 inline void Entry::HelloResults::Builder::adoptSession(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::Session>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Session>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::Session>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Session>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::Session>
-Entry::HelloResults::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Session>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Session> Entry::HelloResults::Builder::disownSession() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Session>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
 inline Session::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline Session::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Session::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Session::Client::Client(::kj::Own<_t>&& server)
