@@ -5443,3757 +5392,3495 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Session::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::tamarackwing::hosts::wire::Session::Client& Session::Client::operator=(
-    Client& other) {
+inline  ::tamarackwing::hosts::wire::Session::Client& Session::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::tamarackwing::hosts::wire::Session::Client& Session::Client::operator=(
-    Client&& other) {
+inline  ::tamarackwing::hosts::wire::Session::Client& Session::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Session::DeliverParams::Reader::hasMessage() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Session::DeliverParams::Builder::hasMessage() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::PeerMessage::Reader
-Session::DeliverParams::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::PeerMessage>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::PeerMessage::Reader Session::DeliverParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::PeerMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::PeerMessage::Builder
-Session::DeliverParams::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::PeerMessage>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::PeerMessage::Builder Session::DeliverParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::PeerMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::PeerMessage::Pipeline
-Session::DeliverParams::Pipeline::getMessage() {
-  return ::tamarackwing::hosts::wire::PeerMessage::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::tamarackwing::hosts::wire::PeerMessage::Pipeline Session::DeliverParams::Pipeline::getMessage() {
+  return  ::tamarackwing::hosts::wire::PeerMessage::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Session::DeliverParams::Builder::setMessage(
-    ::tamarackwing::hosts::wire::PeerMessage::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::PeerMessage>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Session::DeliverParams::Builder::setMessage( ::tamarackwing::hosts::wire::PeerMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::PeerMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::PeerMessage::Builder
-Session::DeliverParams::Builder::initMessage() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::PeerMessage>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::PeerMessage::Builder Session::DeliverParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::PeerMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Session::DeliverParams::Builder::adoptMessage(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::PeerMessage>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::PeerMessage>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::PeerMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::PeerMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::PeerMessage>
-Session::DeliverParams::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::PeerMessage>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::PeerMessage> Session::DeliverParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::PeerMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LogEntry::Reader::getIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LogEntry::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LogEntry::Builder::getIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LogEntry::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LogEntry::Builder::setIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LogEntry::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t LogEntry::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LogEntry::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LogEntry::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LogEntry::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LogEntry::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LogEntry::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t LogEntry::Reader::getKind() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<16>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t LogEntry::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t LogEntry::Builder::getKind() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<16>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t LogEntry::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void LogEntry::Builder::setKind(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS,
-                                   value);
+inline void LogEntry::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LogEntry::Reader::hasPayload() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LogEntry::Builder::hasPayload() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader LogEntry::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader LogEntry::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder LogEntry::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder LogEntry::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LogEntry::Builder::setPayload(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LogEntry::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder LogEntry::Builder::initPayload(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder LogEntry::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void LogEntry::Builder::adoptPayload(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> LogEntry::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool LogEntry::Reader::hasVoters() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool LogEntry::Builder::hasVoters() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-LogEntry::Reader::getVoters() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-LogEntry::Builder::getVoters() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void LogEntry::Builder::setVoters(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline void LogEntry::Builder::setVoters(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-LogEntry::Builder::initVoters(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader LogEntry::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LogEntry::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LogEntry::Builder::setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void LogEntry::Builder::setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LogEntry::Builder::initVoters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void LogEntry::Builder::adoptVoters(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-LogEntry::Builder::disownVoters() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> LogEntry::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LogSnapshot::Reader::getIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LogSnapshot::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LogSnapshot::Builder::getIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LogSnapshot::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LogSnapshot::Builder::setIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LogSnapshot::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t LogSnapshot::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LogSnapshot::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LogSnapshot::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LogSnapshot::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LogSnapshot::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LogSnapshot::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LogSnapshot::Reader::hasVoters() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LogSnapshot::Builder::hasVoters() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-LogSnapshot::Reader::getVoters() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-LogSnapshot::Builder::getVoters() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LogSnapshot::Builder::setVoters(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline void LogSnapshot::Builder::setVoters(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-LogSnapshot::Builder::initVoters(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader LogSnapshot::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LogSnapshot::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LogSnapshot::Builder::setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void LogSnapshot::Builder::setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder LogSnapshot::Builder::initVoters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void LogSnapshot::Builder::adoptVoters(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-LogSnapshot::Builder::disownVoters() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> LogSnapshot::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool LogSnapshot::Reader::hasState() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool LogSnapshot::Builder::hasState() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader LogSnapshot::Reader::getState() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader LogSnapshot::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder LogSnapshot::Builder::getState() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder LogSnapshot::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LogSnapshot::Builder::setState(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void LogSnapshot::Builder::setState( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder LogSnapshot::Builder::initState(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder LogSnapshot::Builder::initState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void LogSnapshot::Builder::adoptState(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> LogSnapshot::Builder::disownState() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> LogSnapshot::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t VoteRequest::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t VoteRequest::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t VoteRequest::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t VoteRequest::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void VoteRequest::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void VoteRequest::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t VoteRequest::Reader::getLastIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t VoteRequest::Reader::getLastIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t VoteRequest::Builder::getLastIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t VoteRequest::Builder::getLastIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void VoteRequest::Builder::setLastIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void VoteRequest::Builder::setLastIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t VoteRequest::Reader::getLastTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t VoteRequest::Reader::getLastTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t VoteRequest::Builder::getLastTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t VoteRequest::Builder::getLastTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void VoteRequest::Builder::setLastTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void VoteRequest::Builder::setLastTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool VoteRequest::Reader::getIsPreVote() const {
-  return _reader.getDataField<bool>(::capnp::bounded<192>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
 inline bool VoteRequest::Builder::getIsPreVote() {
-  return _builder.getDataField<bool>(::capnp::bounded<192>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 inline void VoteRequest::Builder::setIsPreVote(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<192>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t VoteReply::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t VoteReply::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t VoteReply::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t VoteReply::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void VoteReply::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void VoteReply::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool VoteReply::Reader::getGranted() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool VoteReply::Builder::getGranted() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void VoteReply::Builder::setGranted(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool VoteReply::Reader::getIsPreVote() const {
-  return _reader.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 
 inline bool VoteReply::Builder::getIsPreVote() {
-  return _builder.getDataField<bool>(::capnp::bounded<65>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 inline void VoteReply::Builder::setIsPreVote(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AppendRequest::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendRequest::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AppendRequest::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendRequest::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AppendRequest::Reader::getPreviousIndex() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Reader::getPreviousIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendRequest::Builder::getPreviousIndex() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Builder::getPreviousIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AppendRequest::Builder::setPreviousIndex(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendRequest::Builder::setPreviousIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AppendRequest::Reader::getPreviousTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Reader::getPreviousTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendRequest::Builder::getPreviousTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Builder::getPreviousTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void AppendRequest::Builder::setPreviousTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendRequest::Builder::setPreviousTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AppendRequest::Reader::hasEntries() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AppendRequest::Builder::hasEntries() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                     ::capnp::Kind::STRUCT>::Reader
-AppendRequest::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-AppendRequest::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AppendRequest::Builder::setEntries(
-    ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-AppendRequest::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader AppendRequest::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder AppendRequest::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AppendRequest::Builder::setEntries( ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder AppendRequest::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AppendRequest::Builder::adoptEntries(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>
-AppendRequest::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>> AppendRequest::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AppendRequest::Reader::getCommit() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Reader::getCommit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendRequest::Builder::getCommit() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Builder::getCommit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void AppendRequest::Builder::setCommit(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendRequest::Builder::setCommit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AppendRequest::Reader::getRound() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Reader::getRound() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendRequest::Builder::getRound() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendRequest::Builder::getRound() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void AppendRequest::Builder::setRound(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendRequest::Builder::setRound( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AppendReply::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendReply::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendReply::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendReply::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AppendReply::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendReply::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AppendReply::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool AppendReply::Builder::getAccepted() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void AppendReply::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AppendReply::Reader::getMatch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendReply::Reader::getMatch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendReply::Builder::getMatch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendReply::Builder::getMatch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void AppendReply::Builder::setMatch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendReply::Builder::setMatch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AppendReply::Reader::getRound() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AppendReply::Reader::getRound() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AppendReply::Builder::getRound() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AppendReply::Builder::getRound() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void AppendReply::Builder::setRound(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AppendReply::Builder::setRound( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t InstallRequest::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t InstallRequest::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t InstallRequest::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t InstallRequest::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void InstallRequest::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void InstallRequest::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool InstallRequest::Reader::hasSnapshot() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool InstallRequest::Builder::hasSnapshot() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LogSnapshot::Reader
-InstallRequest::Reader::getSnapshot() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Reader InstallRequest::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LogSnapshot::Builder
-InstallRequest::Builder::getSnapshot() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder InstallRequest::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::LogSnapshot::Pipeline
-InstallRequest::Pipeline::getSnapshot() {
-  return ::tamarackwing::hosts::wire::LogSnapshot::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Pipeline InstallRequest::Pipeline::getSnapshot() {
+  return  ::tamarackwing::hosts::wire::LogSnapshot::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void InstallRequest::Builder::setSnapshot(
-    ::tamarackwing::hosts::wire::LogSnapshot::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void InstallRequest::Builder::setSnapshot( ::tamarackwing::hosts::wire::LogSnapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LogSnapshot::Builder
-InstallRequest::Builder::initSnapshot() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder InstallRequest::Builder::initSnapshot() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void InstallRequest::Builder::adoptSnapshot(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>
-InstallRequest::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot> InstallRequest::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t InstallRequest::Reader::getRound() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t InstallRequest::Reader::getRound() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t InstallRequest::Builder::getRound() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t InstallRequest::Builder::getRound() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void InstallRequest::Builder::setRound(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void InstallRequest::Builder::setRound( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AskId::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AskId::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AskId::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AskId::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AskId::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AskId::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AskId::Builder::setHost(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void AskId::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AskId::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder AskId::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AskId::Builder::adoptHost(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void AskId::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AskId::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AskId::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AskId::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AskId::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AskId::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AskId::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AskId::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AskId::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AskId::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AskId::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AskId::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AskId::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AskId::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AskId::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t StoredAnswer::Reader::getStatus() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t StoredAnswer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t StoredAnswer::Builder::getStatus() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t StoredAnswer::Builder::getStatus() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StoredAnswer::Builder::setStatus(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void StoredAnswer::Builder::setStatus( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StoredAnswer::Reader::hasContentType() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool StoredAnswer::Builder::hasContentType() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader StoredAnswer::Reader::getContentType() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StoredAnswer::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder StoredAnswer::Builder::getContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StoredAnswer::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredAnswer::Builder::setContentType(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void StoredAnswer::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder StoredAnswer::Builder::initContentType(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder StoredAnswer::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void StoredAnswer::Builder::adoptContentType(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-StoredAnswer::Builder::disownContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StoredAnswer::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool StoredAnswer::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool StoredAnswer::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader StoredAnswer::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader StoredAnswer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder StoredAnswer::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder StoredAnswer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StoredAnswer::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void StoredAnswer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder StoredAnswer::Builder::initBody(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder StoredAnswer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void StoredAnswer::Builder::adoptBody(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> StoredAnswer::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> StoredAnswer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool OperationRecord::Reader::hasOperation() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool OperationRecord::Builder::hasOperation() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader OperationRecord::Reader::getOperation() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader OperationRecord::Reader::getOperation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder OperationRecord::Builder::getOperation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder OperationRecord::Builder::getOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OperationRecord::Builder::setOperation(
-    ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void OperationRecord::Builder::setOperation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder OperationRecord::Builder::initOperation(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder OperationRecord::Builder::initOperation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void OperationRecord::Builder::adoptOperation(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-OperationRecord::Builder::disownOperation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> OperationRecord::Builder::disownOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t OperationRecord::Reader::getState() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t OperationRecord::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t OperationRecord::Builder::getState() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t OperationRecord::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void OperationRecord::Builder::setState(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void OperationRecord::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool OperationRecord::Reader::hasHolder() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool OperationRecord::Builder::hasHolder() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::AskId::Reader
-OperationRecord::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Reader OperationRecord::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-OperationRecord::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder OperationRecord::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::AskId::Pipeline
-OperationRecord::Pipeline::getHolder() {
-  return ::tamarackwing::hosts::wire::AskId::Pipeline(
-      _typeless.getPointerField(1));
+inline  ::tamarackwing::hosts::wire::AskId::Pipeline OperationRecord::Pipeline::getHolder() {
+  return  ::tamarackwing::hosts::wire::AskId::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void OperationRecord::Builder::setHolder(
-    ::tamarackwing::hosts::wire::AskId::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void OperationRecord::Builder::setHolder( ::tamarackwing::hosts::wire::AskId::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-OperationRecord::Builder::initHolder() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder OperationRecord::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void OperationRecord::Builder::adoptHolder(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>
-OperationRecord::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> OperationRecord::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool OperationRecord::Reader::hasAnswer() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool OperationRecord::Builder::hasAnswer() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Reader
-OperationRecord::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Reader OperationRecord::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Builder
-OperationRecord::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder OperationRecord::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::StoredAnswer::Pipeline
-OperationRecord::Pipeline::getAnswer() {
-  return ::tamarackwing::hosts::wire::StoredAnswer::Pipeline(
-      _typeless.getPointerField(2));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline OperationRecord::Pipeline::getAnswer() {
+  return  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void OperationRecord::Builder::setAnswer(
-    ::tamarackwing::hosts::wire::StoredAnswer::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void OperationRecord::Builder::setAnswer( ::tamarackwing::hosts::wire::StoredAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Builder
-OperationRecord::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder OperationRecord::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void OperationRecord::Builder::adoptAnswer(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>
-OperationRecord::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer> OperationRecord::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerAsk::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerAsk::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::AskId::Reader LedgerAsk::Reader::getId()
-    const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Reader LedgerAsk::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder LedgerAsk::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder LedgerAsk::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::AskId::Pipeline
-LedgerAsk::Pipeline::getId() {
-  return ::tamarackwing::hosts::wire::AskId::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::tamarackwing::hosts::wire::AskId::Pipeline LedgerAsk::Pipeline::getId() {
+  return  ::tamarackwing::hosts::wire::AskId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void LedgerAsk::Builder::setId(
-    ::tamarackwing::hosts::wire::AskId::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LedgerAsk::Builder::setId( ::tamarackwing::hosts::wire::AskId::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-LedgerAsk::Builder::initId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder LedgerAsk::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void LedgerAsk::Builder::adoptId(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>
-LedgerAsk::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> LedgerAsk::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerAsk::Reader::hasOperation() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerAsk::Builder::hasOperation() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LedgerAsk::Reader::getOperation() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LedgerAsk::Reader::getOperation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LedgerAsk::Builder::getOperation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LedgerAsk::Builder::getOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LedgerAsk::Builder::setOperation(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void LedgerAsk::Builder::setOperation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LedgerAsk::Builder::initOperation(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder LedgerAsk::Builder::initOperation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void LedgerAsk::Builder::adoptOperation(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LedgerAsk::Builder::disownOperation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LedgerAsk::Builder::disownOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerPermit::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerPermit::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::AskId::Reader LedgerPermit::Reader::getId()
-    const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Reader LedgerPermit::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-LedgerPermit::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder LedgerPermit::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::AskId::Pipeline
-LedgerPermit::Pipeline::getId() {
-  return ::tamarackwing::hosts::wire::AskId::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::tamarackwing::hosts::wire::AskId::Pipeline LedgerPermit::Pipeline::getId() {
+  return  ::tamarackwing::hosts::wire::AskId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void LedgerPermit::Builder::setId(
-    ::tamarackwing::hosts::wire::AskId::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LedgerPermit::Builder::setId( ::tamarackwing::hosts::wire::AskId::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-LedgerPermit::Builder::initId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder LedgerPermit::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void LedgerPermit::Builder::adoptId(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>
-LedgerPermit::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> LedgerPermit::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t LedgerPermit::Reader::getVerdict() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t LedgerPermit::Reader::getVerdict() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t LedgerPermit::Builder::getVerdict() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t LedgerPermit::Builder::getVerdict() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LedgerPermit::Builder::setVerdict(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void LedgerPermit::Builder::setVerdict( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LedgerPermit::Reader::hasAnswer() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerPermit::Builder::hasAnswer() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Reader
-LedgerPermit::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Reader LedgerPermit::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Builder
-LedgerPermit::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder LedgerPermit::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::StoredAnswer::Pipeline
-LedgerPermit::Pipeline::getAnswer() {
-  return ::tamarackwing::hosts::wire::StoredAnswer::Pipeline(
-      _typeless.getPointerField(1));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline LedgerPermit::Pipeline::getAnswer() {
+  return  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void LedgerPermit::Builder::setAnswer(
-    ::tamarackwing::hosts::wire::StoredAnswer::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void LedgerPermit::Builder::setAnswer( ::tamarackwing::hosts::wire::StoredAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Builder
-LedgerPermit::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder LedgerPermit::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void LedgerPermit::Builder::adoptAnswer(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>
-LedgerPermit::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer> LedgerPermit::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerUpdate::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerUpdate::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::AskId::Reader LedgerUpdate::Reader::getId()
-    const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Reader LedgerUpdate::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-LedgerUpdate::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder LedgerUpdate::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::AskId::Pipeline
-LedgerUpdate::Pipeline::getId() {
-  return ::tamarackwing::hosts::wire::AskId::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::tamarackwing::hosts::wire::AskId::Pipeline LedgerUpdate::Pipeline::getId() {
+  return  ::tamarackwing::hosts::wire::AskId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void LedgerUpdate::Builder::setId(
-    ::tamarackwing::hosts::wire::AskId::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LedgerUpdate::Builder::setId( ::tamarackwing::hosts::wire::AskId::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-LedgerUpdate::Builder::initId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::AskId::Builder LedgerUpdate::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void LedgerUpdate::Builder::adoptId(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>
-LedgerUpdate::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> LedgerUpdate::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerUpdate::Reader::hasOperation() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerUpdate::Builder::hasOperation() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LedgerUpdate::Reader::getOperation() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LedgerUpdate::Reader::getOperation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LedgerUpdate::Builder::getOperation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LedgerUpdate::Builder::getOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LedgerUpdate::Builder::setOperation(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void LedgerUpdate::Builder::setOperation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LedgerUpdate::Builder::initOperation(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder LedgerUpdate::Builder::initOperation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void LedgerUpdate::Builder::adoptOperation(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LedgerUpdate::Builder::disownOperation() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LedgerUpdate::Builder::disownOperation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t LedgerUpdate::Reader::getState() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t LedgerUpdate::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t LedgerUpdate::Builder::getState() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t LedgerUpdate::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LedgerUpdate::Builder::setState(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void LedgerUpdate::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LedgerUpdate::Reader::hasAnswer() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerUpdate::Builder::hasAnswer() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Reader
-LedgerUpdate::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Reader LedgerUpdate::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Builder
-LedgerUpdate::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder LedgerUpdate::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::StoredAnswer::Pipeline
-LedgerUpdate::Pipeline::getAnswer() {
-  return ::tamarackwing::hosts::wire::StoredAnswer::Pipeline(
-      _typeless.getPointerField(2));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline LedgerUpdate::Pipeline::getAnswer() {
+  return  ::tamarackwing::hosts::wire::StoredAnswer::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void LedgerUpdate::Builder::setAnswer(
-    ::tamarackwing::hosts::wire::StoredAnswer::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void LedgerUpdate::Builder::setAnswer( ::tamarackwing::hosts::wire::StoredAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::StoredAnswer::Builder
-LedgerUpdate::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::StoredAnswer::Builder LedgerUpdate::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void LedgerUpdate::Builder::adoptAnswer(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::StoredAnswer>
-LedgerUpdate::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StoredAnswer>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StoredAnswer> LedgerUpdate::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StoredAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerStore::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerStore::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LedgerStore::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LedgerStore::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LedgerStore::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LedgerStore::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LedgerStore::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LedgerStore::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LedgerStore::Builder::initRegion(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder LedgerStore::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void LedgerStore::Builder::adoptRegion(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LedgerStore::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LedgerStore::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LedgerStore::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStore::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LedgerStore::Builder::getEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStore::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LedgerStore::Builder::setEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerStore::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t LedgerStore::Reader::getSequence() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStore::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LedgerStore::Builder::getSequence() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStore::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LedgerStore::Builder::setSequence(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerStore::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LedgerStore::Reader::hasRecord() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerStore::Builder::hasRecord() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::OperationRecord::Reader
-LedgerStore::Reader::getRecord() const {
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::OperationRecord>::get(
-          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::OperationRecord::Reader LedgerStore::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::OperationRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::OperationRecord::Builder
-LedgerStore::Builder::getRecord() {
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::OperationRecord>::get(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::OperationRecord::Builder LedgerStore::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::OperationRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::OperationRecord::Pipeline
-LedgerStore::Pipeline::getRecord() {
-  return ::tamarackwing::hosts::wire::OperationRecord::Pipeline(
-      _typeless.getPointerField(1));
+inline  ::tamarackwing::hosts::wire::OperationRecord::Pipeline LedgerStore::Pipeline::getRecord() {
+  return  ::tamarackwing::hosts::wire::OperationRecord::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void LedgerStore::Builder::setRecord(
-    ::tamarackwing::hosts::wire::OperationRecord::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::OperationRecord>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void LedgerStore::Builder::setRecord( ::tamarackwing::hosts::wire::OperationRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::OperationRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::OperationRecord::Builder
-LedgerStore::Builder::initRecord() {
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::OperationRecord>::init(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::OperationRecord::Builder LedgerStore::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::OperationRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void LedgerStore::Builder::adoptRecord(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::OperationRecord>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::OperationRecord>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::OperationRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::OperationRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::OperationRecord>
-LedgerStore::Builder::disownRecord() {
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::OperationRecord>::disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::OperationRecord> LedgerStore::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::OperationRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerStored::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerStored::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LedgerStored::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LedgerStored::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LedgerStored::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LedgerStored::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LedgerStored::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LedgerStored::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LedgerStored::Builder::initRegion(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder LedgerStored::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void LedgerStored::Builder::adoptRegion(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LedgerStored::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LedgerStored::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LedgerStored::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStored::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LedgerStored::Builder::getEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStored::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LedgerStored::Builder::setEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerStored::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t LedgerStored::Reader::getSequence() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStored::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LedgerStored::Builder::getSequence() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerStored::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LedgerStored::Builder::setSequence(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerStored::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LedgerCopy::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerCopy::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LedgerCopy::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LedgerCopy::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LedgerCopy::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LedgerCopy::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LedgerCopy::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LedgerCopy::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LedgerCopy::Builder::initRegion(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder LedgerCopy::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void LedgerCopy::Builder::adoptRegion(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LedgerCopy::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LedgerCopy::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LedgerCopy::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerCopy::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LedgerCopy::Builder::getEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerCopy::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LedgerCopy::Builder::setEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerCopy::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t LedgerCopy::Reader::getPart() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t LedgerCopy::Reader::getPart() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t LedgerCopy::Builder::getPart() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t LedgerCopy::Builder::getPart() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LedgerCopy::Builder::setPart(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerCopy::Builder::setPart( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t LedgerCopy::Reader::getParts() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t LedgerCopy::Reader::getParts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t LedgerCopy::Builder::getParts() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t LedgerCopy::Builder::getParts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void LedgerCopy::Builder::setParts(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerCopy::Builder::setParts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LedgerCopy::Reader::hasRecords() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerCopy::Builder::hasRecords() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-LedgerCopy::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::OperationRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-LedgerCopy::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::OperationRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void LedgerCopy::Builder::setRecords(
-    ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::OperationRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-LedgerCopy::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::OperationRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Reader LedgerCopy::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Builder LedgerCopy::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LedgerCopy::Builder::setRecords( ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>::Builder LedgerCopy::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void LedgerCopy::Builder::adoptRecords(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::OperationRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::tamarackwing::hosts::wire::OperationRecord,
-                  ::capnp::Kind::STRUCT>>
-LedgerCopy::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::OperationRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>> LedgerCopy::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::OperationRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool LedgerCopied::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool LedgerCopied::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LedgerCopied::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LedgerCopied::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LedgerCopied::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LedgerCopied::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LedgerCopied::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void LedgerCopied::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LedgerCopied::Builder::initRegion(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder LedgerCopied::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void LedgerCopied::Builder::adoptRegion(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LedgerCopied::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LedgerCopied::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LedgerCopied::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerCopied::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LedgerCopied::Builder::getEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerCopied::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LedgerCopied::Builder::setEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerCopied::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t LedgerCopied::Reader::getPart() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t LedgerCopied::Reader::getPart() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t LedgerCopied::Builder::getPart() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t LedgerCopied::Builder::getPart() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LedgerCopied::Builder::setPart(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void LedgerCopied::Builder::setPart( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HostRecord::Reader::hasName() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostRecord::Builder::hasName() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostRecord::Reader::getName() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostRecord::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostRecord::Builder::getName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostRecord::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HostRecord::Builder::setName(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void HostRecord::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostRecord::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostRecord::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void HostRecord::Builder::adoptName(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostRecord::Builder::disownName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostRecord::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool HostRecord::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostRecord::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostRecord::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostRecord::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostRecord::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostRecord::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HostRecord::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void HostRecord::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostRecord::Builder::initRegion(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostRecord::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void HostRecord::Builder::adoptRegion(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostRecord::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostRecord::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool HostRecord::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostRecord::Builder::hasDataCentre() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostRecord::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostRecord::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostRecord::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostRecord::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HostRecord::Builder::setDataCentre(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void HostRecord::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostRecord::Builder::initDataCentre(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostRecord::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void HostRecord::Builder::adoptDataCentre(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostRecord::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostRecord::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HostRecord::Reader::hasCallerAddress() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostRecord::Builder::hasCallerAddress() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostRecord::Reader::getCallerAddress() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostRecord::Reader::getCallerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostRecord::Builder::getCallerAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostRecord::Builder::getCallerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void HostRecord::Builder::setCallerAddress(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void HostRecord::Builder::setCallerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostRecord::Builder::initCallerAddress(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostRecord::Builder::initCallerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void HostRecord::Builder::adoptCallerAddress(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-HostRecord::Builder::disownCallerAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostRecord::Builder::disownCallerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t HostRecord::Reader::getCallerPort() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t HostRecord::Reader::getCallerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t HostRecord::Builder::getCallerPort() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t HostRecord::Builder::getCallerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostRecord::Builder::setCallerPort(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostRecord::Builder::setCallerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HostRecord::Reader::hasPeerAddress() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostRecord::Builder::hasPeerAddress() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostRecord::Reader::getPeerAddress() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostRecord::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostRecord::Builder::getPeerAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostRecord::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void HostRecord::Builder::setPeerAddress(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void HostRecord::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostRecord::Builder::initPeerAddress(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostRecord::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void HostRecord::Builder::adoptPeerAddress(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostRecord::Builder::disownPeerAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostRecord::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t HostRecord::Reader::getPeerPort() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t HostRecord::Reader::getPeerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t HostRecord::Builder::getPeerPort() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t HostRecord::Builder::getPeerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HostRecord::Builder::setPeerPort(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostRecord::Builder::setPeerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t HostRecord::Reader::getForwardPort() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t HostRecord::Reader::getForwardPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t HostRecord::Builder::getForwardPort() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t HostRecord::Builder::getForwardPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HostRecord::Builder::setForwardPort(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostRecord::Builder::setForwardPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HostRecord::Reader::getHasDisk() const {
-  return _reader.getDataField<bool>(::capnp::bounded<48>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
 }
 
 inline bool HostRecord::Builder::getHasDisk() {
-  return _builder.getDataField<bool>(::capnp::bounded<48>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
 }
 inline void HostRecord::Builder::setHasDisk(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<48>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t HostRecord::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t HostRecord::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HostRecord::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t HostRecord::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HostRecord::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostRecord::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HostRecord::Reader::getDraining() const {
-  return _reader.getDataField<bool>(::capnp::bounded<49>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
 }
 
 inline bool HostRecord::Builder::getDraining() {
-  return _builder.getDataField<bool>(::capnp::bounded<49>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
 }
 inline void HostRecord::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<49>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HostStatus::Reader::hasRecord() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostStatus::Builder::hasRecord() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::HostRecord::Reader
-HostStatus::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::HostRecord>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::HostRecord::Reader HostStatus::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::HostRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::HostRecord::Builder
-HostStatus::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::HostRecord>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::HostRecord::Builder HostStatus::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::HostRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::HostRecord::Pipeline
-HostStatus::Pipeline::getRecord() {
-  return ::tamarackwing::hosts::wire::HostRecord::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::tamarackwing::hosts::wire::HostRecord::Pipeline HostStatus::Pipeline::getRecord() {
+  return  ::tamarackwing::hosts::wire::HostRecord::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void HostStatus::Builder::setRecord(
-    ::tamarackwing::hosts::wire::HostRecord::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::HostRecord>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void HostStatus::Builder::setRecord( ::tamarackwing::hosts::wire::HostRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::HostRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::HostRecord::Builder
-HostStatus::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::HostRecord>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::HostRecord::Builder HostStatus::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::HostRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void HostStatus::Builder::adoptRecord(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::HostRecord>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::HostRecord>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::HostRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::HostRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::HostRecord>
-HostStatus::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::HostRecord>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::HostRecord> HostStatus::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::HostRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t HostStatus::Reader::getApplied() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t HostStatus::Reader::getApplied() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HostStatus::Builder::getApplied() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t HostStatus::Builder::getApplied() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostStatus::Builder::setApplied(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostStatus::Builder::setApplied( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t HostStatus::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t HostStatus::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HostStatus::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t HostStatus::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HostStatus::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostStatus::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t HostStatus::Reader::getSyncedEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t HostStatus::Reader::getSyncedEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HostStatus::Builder::getSyncedEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t HostStatus::Builder::getSyncedEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HostStatus::Builder::setSyncedEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostStatus::Builder::setSyncedEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t HostStatus::Reader::getAgeMs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t HostStatus::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t HostStatus::Builder::getAgeMs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t HostStatus::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void HostStatus::Builder::setAgeMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void HostStatus::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t FeedRequest::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t FeedRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t FeedRequest::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t FeedRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FeedRequest::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void FeedRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t FeedRequest::Reader::getNext() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t FeedRequest::Reader::getNext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t FeedRequest::Builder::getNext() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t FeedRequest::Builder::getNext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void FeedRequest::Builder::setNext(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void FeedRequest::Builder::setNext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool FeedRequest::Reader::hasStatuses() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool FeedRequest::Builder::hasStatuses() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                     ::capnp::Kind::STRUCT>::Reader
-FeedRequest::Reader::getStatuses() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostStatus, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                     ::capnp::Kind::STRUCT>::Builder
-FeedRequest::Builder::getStatuses() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostStatus, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FeedRequest::Builder::setStatuses(
-    ::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostStatus, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                     ::capnp::Kind::STRUCT>::Builder
-FeedRequest::Builder::initStatuses(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostStatus, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Reader FeedRequest::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Builder FeedRequest::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedRequest::Builder::setStatuses( ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>::Builder FeedRequest::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void FeedRequest::Builder::adoptStatuses(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostStatus, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::HostStatus,
-                                     ::capnp::Kind::STRUCT>>
-FeedRequest::Builder::disownStatuses() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostStatus, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>> FeedRequest::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t FeedReply::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t FeedReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t FeedReply::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t FeedReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FeedReply::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void FeedReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool FeedReply::Reader::hasEntries() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool FeedReply::Builder::hasEntries() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                     ::capnp::Kind::STRUCT>::Reader
-FeedReply::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-FeedReply::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FeedReply::Builder::setEntries(
-    ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-FeedReply::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader FeedReply::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder FeedReply::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FeedReply::Builder::setEntries( ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder FeedReply::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void FeedReply::Builder::adoptEntries(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::LogEntry,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>
-FeedReply::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::LogEntry, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>> FeedReply::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool FeedReply::Reader::hasSnapshot() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool FeedReply::Builder::hasSnapshot() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LogSnapshot::Reader
-FeedReply::Reader::getSnapshot() const {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Reader FeedReply::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LogSnapshot::Builder
-FeedReply::Builder::getSnapshot() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder FeedReply::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::tamarackwing::hosts::wire::LogSnapshot::Pipeline
-FeedReply::Pipeline::getSnapshot() {
-  return ::tamarackwing::hosts::wire::LogSnapshot::Pipeline(
-      _typeless.getPointerField(1));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Pipeline FeedReply::Pipeline::getSnapshot() {
+  return  ::tamarackwing::hosts::wire::LogSnapshot::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void FeedReply::Builder::setSnapshot(
-    ::tamarackwing::hosts::wire::LogSnapshot::Reader value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void FeedReply::Builder::setSnapshot( ::tamarackwing::hosts::wire::LogSnapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LogSnapshot::Builder
-FeedReply::Builder::initSnapshot() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::tamarackwing::hosts::wire::LogSnapshot::Builder FeedReply::Builder::initSnapshot() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void FeedReply::Builder::adoptSnapshot(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>&& value) {
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LogSnapshot>
-FeedReply::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LogSnapshot>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LogSnapshot> FeedReply::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LogSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t FeedReply::Reader::getCommit() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t FeedReply::Reader::getCommit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t FeedReply::Builder::getCommit() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t FeedReply::Builder::getCommit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void FeedReply::Builder::setCommit(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void FeedReply::Builder::setCommit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t FeedReply::Reader::getWordAgeMs() const {
-  return _reader.getDataField<::int64_t>(
+inline  ::int64_t FeedReply::Reader::getWordAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
 }
 
-inline ::int64_t FeedReply::Builder::getWordAgeMs() {
-  return _builder.getDataField<::int64_t>(
+inline  ::int64_t FeedReply::Builder::getWordAgeMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
 }
-inline void FeedReply::Builder::setWordAgeMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value, -1ll);
+inline void FeedReply::Builder::setWordAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
 inline bool FeedReply::Reader::hasLeader() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool FeedReply::Builder::hasLeader() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader FeedReply::Reader::getLeader() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader FeedReply::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder FeedReply::Builder::getLeader() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder FeedReply::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void FeedReply::Builder::setLeader(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void FeedReply::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder FeedReply::Builder::initLeader(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder FeedReply::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void FeedReply::Builder::adoptLeader(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> FeedReply::Builder::disownLeader() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> FeedReply::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t ProposeRequest::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t ProposeRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ProposeRequest::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t ProposeRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProposeRequest::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ProposeRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ProposeRequest::Reader::hasPayload() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProposeRequest::Builder::hasPayload() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ProposeRequest::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ProposeRequest::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ProposeRequest::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ProposeRequest::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProposeRequest::Builder::setPayload(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ProposeRequest::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ProposeRequest::Builder::initPayload(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder ProposeRequest::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ProposeRequest::Builder::adoptPayload(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ProposeRequest::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ProposeRequest::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t SetFault::Reader::getCode() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t SetFault::Reader::getCode() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t SetFault::Builder::getCode() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t SetFault::Builder::getCode() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SetFault::Builder::setCode(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void SetFault::Builder::setCode( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SetFault::Reader::hasPath() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool SetFault::Builder::hasPath() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader SetFault::Reader::getPath() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SetFault::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder SetFault::Builder::getPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SetFault::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SetFault::Builder::setPath(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void SetFault::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder SetFault::Builder::initPath(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder SetFault::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void SetFault::Builder::adoptPath(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> SetFault::Builder::disownPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SetFault::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t SetFault::Reader::getLine() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t SetFault::Reader::getLine() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t SetFault::Builder::getLine() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t SetFault::Builder::getLine() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SetFault::Builder::setLine(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void SetFault::Builder::setLine( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SetFault::Reader::hasFound() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool SetFault::Builder::hasFound() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader SetFault::Reader::getFound() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
