+inline  ::capnp::Text::Reader SetFault::Reader::getFound() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder SetFault::Builder::getFound() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SetFault::Builder::getFound() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SetFault::Builder::setFound(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void SetFault::Builder::setFound( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder SetFault::Builder::initFound(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder SetFault::Builder::initFound(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void SetFault::Builder::adoptFound(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> SetFault::Builder::disownFound() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SetFault::Builder::disownFound() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t ProposeReply::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t ProposeReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ProposeReply::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t ProposeReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProposeReply::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ProposeReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t ProposeReply::Reader::getKind() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t ProposeReply::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t ProposeReply::Builder::getKind() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t ProposeReply::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void ProposeReply::Builder::setKind(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ProposeReply::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t ProposeReply::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t ProposeReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ProposeReply::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t ProposeReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ProposeReply::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ProposeReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ProposeReply::Reader::hasFaults() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProposeReply::Builder::hasFaults() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                     ::capnp::Kind::STRUCT>::Reader
-ProposeReply::Reader::getFaults() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::SetFault, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                     ::capnp::Kind::STRUCT>::Builder
-ProposeReply::Builder::getFaults() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::SetFault, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ProposeReply::Builder::setFaults(
-    ::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::SetFault, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                     ::capnp::Kind::STRUCT>::Builder
-ProposeReply::Builder::initFaults(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::SetFault, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader ProposeReply::Reader::getFaults() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder ProposeReply::Builder::getFaults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ProposeReply::Builder::setFaults( ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder ProposeReply::Builder::initFaults(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ProposeReply::Builder::adoptFaults(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::SetFault,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::SetFault, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::tamarackwing::hosts::wire::SetFault, ::capnp::Kind::STRUCT>>
-ProposeReply::Builder::disownFaults() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::SetFault, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>> ProposeReply::Builder::disownFaults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool TargetLoad::Reader::hasTarget() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TargetLoad::Builder::hasTarget() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TargetLoad::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TargetLoad::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TargetLoad::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TargetLoad::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TargetLoad::Builder::setTarget(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void TargetLoad::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TargetLoad::Builder::initTarget(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder TargetLoad::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TargetLoad::Builder::adoptTarget(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> TargetLoad::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TargetLoad::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t TargetLoad::Reader::getSlots() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t TargetLoad::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t TargetLoad::Builder::getSlots() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t TargetLoad::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TargetLoad::Builder::setSlots(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TargetLoad::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t TargetLoad::Reader::getDemand() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t TargetLoad::Reader::getDemand() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t TargetLoad::Builder::getDemand() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t TargetLoad::Builder::getDemand() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TargetLoad::Builder::setDemand(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TargetLoad::Builder::setDemand( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ServedTokens::Reader::hasTarget() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServedTokens::Builder::hasTarget() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServedTokens::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServedTokens::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServedTokens::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServedTokens::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServedTokens::Builder::setTarget(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ServedTokens::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServedTokens::Builder::initTarget(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ServedTokens::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ServedTokens::Builder::adoptTarget(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServedTokens::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServedTokens::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ServedTokens::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServedTokens::Builder::hasWorkspace() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServedTokens::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServedTokens::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServedTokens::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServedTokens::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServedTokens::Builder::setWorkspace(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void ServedTokens::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServedTokens::Builder::initWorkspace(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ServedTokens::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ServedTokens::Builder::adoptWorkspace(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServedTokens::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServedTokens::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ServedTokens::Reader::getTokens() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ServedTokens::Reader::getTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ServedTokens::Builder::getTokens() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ServedTokens::Builder::getTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServedTokens::Builder::setTokens(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ServedTokens::Builder::setTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ServerReport::Reader::hasName() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServerReport::Builder::hasName() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServerReport::Reader::getName() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServerReport::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServerReport::Builder::getName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServerReport::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setName(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ServerReport::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServerReport::Builder::initName(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ServerReport::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ServerReport::Builder::adoptName(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServerReport::Builder::disownName() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ServerReport::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServerReport::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServerReport::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServerReport::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServerReport::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServerReport::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void ServerReport::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServerReport::Builder::initRegion(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ServerReport::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ServerReport::Builder::adoptRegion(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServerReport::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ServerReport::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServerReport::Builder::hasDataCentre() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServerReport::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServerReport::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServerReport::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServerReport::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setDataCentre(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void ServerReport::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServerReport::Builder::initDataCentre(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ServerReport::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ServerReport::Builder::adoptDataCentre(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-ServerReport::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ServerReport::Reader::hasAddress() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServerReport::Builder::hasAddress() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ServerReport::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServerReport::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ServerReport::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServerReport::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setAddress(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void ServerReport::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ServerReport::Builder::initAddress(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ServerReport::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void ServerReport::Builder::adoptAddress(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ServerReport::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t ServerReport::Reader::getPort() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t ServerReport::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ServerReport::Builder::getPort() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t ServerReport::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setPort(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ServerReport::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ServerReport::Reader::hasTargets() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool ServerReport::Builder::hasTargets() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-ServerReport::Reader::getTargets() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-ServerReport::Builder::getTargets() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void ServerReport::Builder::setTargets(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          value);
-}
-inline void ServerReport::Builder::setTargets(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-ServerReport::Builder::initTargets(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ServerReport::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerReport::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::setTargets( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void ServerReport::Builder::setTargets(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerReport::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void ServerReport::Builder::adoptTargets(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-ServerReport::Builder::disownTargets() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ServerReport::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t ServerReport::Reader::getSlots() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t ServerReport::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ServerReport::Builder::getSlots() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t ServerReport::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setSlots(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ServerReport::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t ServerReport::Reader::getRunning() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t ServerReport::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ServerReport::Builder::getRunning() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t ServerReport::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setRunning(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ServerReport::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t ServerReport::Reader::getQueued() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t ServerReport::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ServerReport::Builder::getQueued() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t ServerReport::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setQueued(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ServerReport::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline double ServerReport::Reader::getPrefillRate() const {
-  return _reader.getDataField<double>(::capnp::bounded<2>() *
-                                      ::capnp::ELEMENTS);
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline double ServerReport::Builder::getPrefillRate() {
-  return _builder.getDataField<double>(::capnp::bounded<2>() *
-                                       ::capnp::ELEMENTS);
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void ServerReport::Builder::setPrefillRate(double value) {
-  _builder.setDataField<double>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                value);
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline double ServerReport::Reader::getDecodeRate() const {
-  return _reader.getDataField<double>(::capnp::bounded<3>() *
-                                      ::capnp::ELEMENTS);
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
 inline double ServerReport::Builder::getDecodeRate() {
-  return _builder.getDataField<double>(::capnp::bounded<3>() *
-                                       ::capnp::ELEMENTS);
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 inline void ServerReport::Builder::setDecodeRate(double value) {
-  _builder.setDataField<double>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                value);
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t ServerReport::Reader::getAgeMs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ServerReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ServerReport::Builder::getAgeMs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ServerReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setAgeMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ServerReport::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ServerReport::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
 inline bool ServerReport::Builder::getLeaving() {
-  return _builder.getDataField<bool>(::capnp::bounded<16>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 inline void ServerReport::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RegionStatus::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ServerReport::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RegionStatus::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::int64_t ServerReport::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RegionStatus::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ServerReport::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RegionStatus::Reader::getEcho() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t ServerReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RegionStatus::Builder::getEcho() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t ServerReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void RegionStatus::Builder::setEcho(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ServerReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t RegionStatus::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ServerReport::Reader::getColdMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t RegionStatus::Builder::getEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::int64_t ServerReport::Builder::getColdMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void RegionStatus::Builder::setEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ServerReport::Builder::setColdMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RegionStatus::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RegionStatus::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegionStatus::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RegionStatus::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RegionStatus::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RegionStatus::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RegionStatus::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RegionStatus::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RegionStatus::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RegionStatus::Reader::getDraining() const {
-  return _reader.getDataField<bool>(::capnp::bounded<192>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
 inline bool RegionStatus::Builder::getDraining() {
-  return _builder.getDataField<bool>(::capnp::bounded<192>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 inline void RegionStatus::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<192>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RegionStatus::Reader::hasLoads() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RegionStatus::Builder::hasLoads() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                     ::capnp::Kind::STRUCT>::Reader
-RegionStatus::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                     ::capnp::Kind::STRUCT>::Builder
-RegionStatus::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RegionStatus::Builder::setLoads(
-    ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                     ::capnp::Kind::STRUCT>::Builder
-RegionStatus::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RegionStatus::Builder::setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void RegionStatus::Builder::adoptLoads(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                     ::capnp::Kind::STRUCT>>
-RegionStatus::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RegionStatus::Reader::hasServed() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool RegionStatus::Builder::hasServed() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                     ::capnp::Kind::STRUCT>::Reader
-RegionStatus::Reader::getServed() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServedTokens, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                     ::capnp::Kind::STRUCT>::Builder
-RegionStatus::Builder::getServed() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServedTokens, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void RegionStatus::Builder::setServed(
-    ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServedTokens, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                     ::capnp::Kind::STRUCT>::Builder
-RegionStatus::Builder::initServed(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServedTokens, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getServed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RegionStatus::Builder::setServed( ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initServed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void RegionStatus::Builder::adoptServed(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServedTokens, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::ServedTokens,
-                                     ::capnp::Kind::STRUCT>>
-RegionStatus::Builder::disownServed() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServedTokens, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool RegionStatus::Reader::hasServers() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool RegionStatus::Builder::hasServers() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                     ::capnp::Kind::STRUCT>::Reader
-RegionStatus::Reader::getServers() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServerReport, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                     ::capnp::Kind::STRUCT>::Builder
-RegionStatus::Builder::getServers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServerReport, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void RegionStatus::Builder::setServers(
-    ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServerReport, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                     ::capnp::Kind::STRUCT>::Builder
-RegionStatus::Builder::initServers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServerReport, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RegionStatus::Builder::setServers( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void RegionStatus::Builder::adoptServers(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServerReport, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::ServerReport,
-                                     ::capnp::Kind::STRUCT>>
-RegionStatus::Builder::disownServers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::ServerReport, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t ProbeReply::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t ProbeReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ProbeReply::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t ProbeReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProbeReply::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void ProbeReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ProbeReply::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProbeReply::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ProbeReply::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ProbeReply::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ProbeReply::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ProbeReply::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProbeReply::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ProbeReply::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ProbeReply::Builder::initRegion(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ProbeReply::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ProbeReply::Builder::adoptRegion(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ProbeReply::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ProbeReply::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ProbeReply::Reader::hasLoads() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProbeReply::Builder::hasLoads() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                     ::capnp::Kind::STRUCT>::Reader
-ProbeReply::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                     ::capnp::Kind::STRUCT>::Builder
-ProbeReply::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void ProbeReply::Builder::setLoads(
-    ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                     ::capnp::Kind::STRUCT>::Builder
-ProbeReply::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader ProbeReply::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder ProbeReply::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ProbeReply::Builder::setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder ProbeReply::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ProbeReply::Builder::adoptLoads(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::TargetLoad,
-                                     ::capnp::Kind::STRUCT>>
-ProbeReply::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::TargetLoad, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> ProbeReply::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Chunk::Reader::getChunk() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Chunk::Reader::getChunk() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Chunk::Builder::getChunk() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Chunk::Builder::getChunk() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Chunk::Builder::setChunk(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Chunk::Builder::setChunk( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Chunk::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Chunk::Builder::hasWorkspace() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Chunk::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Chunk::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Chunk::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Chunk::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Chunk::Builder::setWorkspace(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Chunk::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Chunk::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Chunk::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Chunk::Builder::adoptWorkspace(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Chunk::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Chunk::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Chunk::Reader::getTokens() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Reader::getTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Chunk::Builder::getTokens() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Builder::getTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Chunk::Builder::setTokens(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Chunk::Builder::setTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Chunk::Reader::getWanted() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Reader::getWanted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Chunk::Builder::getWanted() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Builder::getWanted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Chunk::Builder::setWanted(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Chunk::Builder::setWanted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Chunk::Reader::getRetryAfterMs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Chunk::Builder::getRetryAfterMs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Chunk::Builder::setRetryAfterMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Chunk::Builder::setRetryAfterMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HostProgress::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostProgress::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostProgress::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostProgress::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostProgress::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostProgress::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HostProgress::Builder::setHost(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void HostProgress::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostProgress::Builder::initHost(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostProgress::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void HostProgress::Builder::adoptHost(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostProgress::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostProgress::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t HostProgress::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t HostProgress::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HostProgress::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t HostProgress::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostProgress::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void HostProgress::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool HostProgress::Reader::getIsLive() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool HostProgress::Builder::getIsLive() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void HostProgress::Builder::setIsLive(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t StatusReply::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t StatusReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t StatusReply::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t StatusReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StatusReply::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void StatusReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StatusReply::Reader::hasLeader() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool StatusReply::Builder::hasLeader() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader StatusReply::Reader::getLeader() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StatusReply::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder StatusReply::Builder::getLeader() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StatusReply::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StatusReply::Builder::setLeader(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void StatusReply::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder StatusReply::Builder::initLeader(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder StatusReply::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void StatusReply::Builder::adoptLeader(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> StatusReply::Builder::disownLeader() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StatusReply::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t StatusReply::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t StatusReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t StatusReply::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t StatusReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StatusReply::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void StatusReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StatusReply::Reader::hasVoters() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool StatusReply::Builder::hasVoters() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-StatusReply::Reader::getVoters() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-StatusReply::Builder::getVoters() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StatusReply::Builder::setVoters(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline void StatusReply::Builder::setVoters(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-StatusReply::Builder::initVoters(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StatusReply::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusReply::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StatusReply::Builder::setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StatusReply::Builder::setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusReply::Builder::initVoters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void StatusReply::Builder::adoptVoters(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-StatusReply::Builder::disownVoters() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StatusReply::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool StatusReply::Reader::hasHosts() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool StatusReply::Builder::hasHosts() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                     ::capnp::Kind::STRUCT>::Reader
-StatusReply::Reader::getHosts() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostProgress, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                     ::capnp::Kind::STRUCT>::Builder
-StatusReply::Builder::getHosts() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostProgress, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StatusReply::Builder::setHosts(
-    ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostProgress, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                     ::capnp::Kind::STRUCT>::Builder
-StatusReply::Builder::initHosts(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostProgress, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader StatusReply::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StatusReply::Builder::setHosts( ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void StatusReply::Builder::adoptHosts(
-    ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostProgress, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>> StatusReply::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RateDemand::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateDemand::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateDemand::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateDemand::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateDemand::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateDemand::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateDemand::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateDemand::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RateDemand::Reader::getDemand() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateDemand::Builder::getDemand() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateDemand::Builder::setDemand( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RateDemand::Reader::getHeld() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateDemand::Builder::getHeld() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateDemand::Builder::setHeld( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateReport::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateReport::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateReport::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateReport::Reader::getHolds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateReport::Builder::getHolds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateReport::Builder::setHolds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateReport::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateReport::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader RateReport::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder RateReport::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateReport::Builder::setDemands( ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder RateReport::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateReport::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>> RateReport::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RateShare::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateShare::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateShare::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateShare::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateShare::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateShare::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateShare::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateShare::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RateShare::Reader::getShare() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateShare::Builder::getShare() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateShare::Builder::setShare( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateGrant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateGrant::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateGrant::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateGrant::Reader::hasShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan<::capnp::List<::tamarackwing::hosts::wire::HostProgress,
-                                     ::capnp::Kind::STRUCT>>
-StatusReply::Builder::disownHosts() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::tamarackwing::hosts::wire::HostProgress, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool RateGrant::Builder::hasShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader RateGrant::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder RateGrant::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateGrant::Builder::setShares( ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder RateGrant::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateGrant::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>> RateGrant::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::tamarackwing::hosts::wire::PeerMessage::Which
-PeerMessage::Reader::which() const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::tamarackwing::hosts::wire::PeerMessage::Which PeerMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::tamarackwing::hosts::wire::PeerMessage::Which
-PeerMessage::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() *
-                                      ::capnp::ELEMENTS);
+inline  ::tamarackwing::hosts::wire::PeerMessage::Which PeerMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool PeerMessage::Reader::isVoteRequest() const {
@@ -9203,61 +8890,51 @@
   return which() == PeerMessage::VOTE_REQUEST;
 }
 inline bool PeerMessage::Reader::hasVoteRequest() const {
-  if (which() != PeerMessage::VOTE_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::VOTE_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasVoteRequest() {
-  if (which() != PeerMessage::VOTE_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::VOTE_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::VoteRequest::Reader
-PeerMessage::Reader::getVoteRequest() const {
+inline  ::tamarackwing::hosts::wire::VoteRequest::Reader PeerMessage::Reader::getVoteRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::VOTE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteRequest>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::VoteRequest::Builder
-PeerMessage::Builder::getVoteRequest() {
+inline  ::tamarackwing::hosts::wire::VoteRequest::Builder PeerMessage::Builder::getVoteRequest() {
   KJ_IREQUIRE((which() == PeerMessage::VOTE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteRequest>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setVoteRequest(
-    ::tamarackwing::hosts::wire::VoteRequest::Reader value) {
+inline void PeerMessage::Builder::setVoteRequest( ::tamarackwing::hosts::wire::VoteRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::VOTE_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::VoteRequest::Builder
-PeerMessage::Builder::initVoteRequest() {
+inline  ::tamarackwing::hosts::wire::VoteRequest::Builder PeerMessage::Builder::initVoteRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::VOTE_REQUEST);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteRequest>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptVoteRequest(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::VoteRequest>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::VOTE_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::VoteRequest>
-PeerMessage::Builder::disownVoteRequest() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest> PeerMessage::Builder::disownVoteRequest() {
   KJ_IREQUIRE((which() == PeerMessage::VOTE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteRequest>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isVoteReply() const {
@@ -9267,61 +8944,51 @@
   return which() == PeerMessage::VOTE_REPLY;
 }
 inline bool PeerMessage::Reader::hasVoteReply() const {
-  if (which() != PeerMessage::VOTE_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::VOTE_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasVoteReply() {
-  if (which() != PeerMessage::VOTE_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::VOTE_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::VoteReply::Reader
-PeerMessage::Reader::getVoteReply() const {
+inline  ::tamarackwing::hosts::wire::VoteReply::Reader PeerMessage::Reader::getVoteReply() const {
   KJ_IREQUIRE((which() == PeerMessage::VOTE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::VoteReply::Builder
-PeerMessage::Builder::getVoteReply() {
+inline  ::tamarackwing::hosts::wire::VoteReply::Builder PeerMessage::Builder::getVoteReply() {
   KJ_IREQUIRE((which() == PeerMessage::VOTE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setVoteReply(
-    ::tamarackwing::hosts::wire::VoteReply::Reader value) {
+inline void PeerMessage::Builder::setVoteReply( ::tamarackwing::hosts::wire::VoteReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::VOTE_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::VoteReply::Builder
-PeerMessage::Builder::initVoteReply() {
+inline  ::tamarackwing::hosts::wire::VoteReply::Builder PeerMessage::Builder::initVoteReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::VOTE_REPLY);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptVoteReply(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::VoteReply>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::VOTE_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::VoteReply>
-PeerMessage::Builder::disownVoteReply() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply> PeerMessage::Builder::disownVoteReply() {
   KJ_IREQUIRE((which() == PeerMessage::VOTE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::VoteReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoteReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isAppendRequest() const {
@@ -9331,64 +8998,51 @@
   return which() == PeerMessage::APPEND_REQUEST;
 }
 inline bool PeerMessage::Reader::hasAppendRequest() const {
-  if (which() != PeerMessage::APPEND_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasAppendRequest() {
-  if (which() != PeerMessage::APPEND_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::AppendRequest::Reader
-PeerMessage::Reader::getAppendRequest() const {
+inline  ::tamarackwing::hosts::wire::AppendRequest::Reader PeerMessage::Reader::getAppendRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::AppendRequest>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::AppendRequest::Builder
-PeerMessage::Builder::getAppendRequest() {
+inline  ::tamarackwing::hosts::wire::AppendRequest::Builder PeerMessage::Builder::getAppendRequest() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::AppendRequest>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setAppendRequest(
-    ::tamarackwing::hosts::wire::AppendRequest::Reader value) {
+inline void PeerMessage::Builder::setAppendRequest( ::tamarackwing::hosts::wire::AppendRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::AppendRequest::Builder
-PeerMessage::Builder::initAppendRequest() {
+inline  ::tamarackwing::hosts::wire::AppendRequest::Builder PeerMessage::Builder::initAppendRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REQUEST);
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::AppendRequest>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptAppendRequest(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::AppendRequest>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::AppendRequest>
-PeerMessage::Builder::disownAppendRequest() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest> PeerMessage::Builder::disownAppendRequest() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::AppendRequest>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isAppendReply() const {
@@ -9398,61 +9052,51 @@
   return which() == PeerMessage::APPEND_REPLY;
 }
 inline bool PeerMessage::Reader::hasAppendReply() const {
-  if (which() != PeerMessage::APPEND_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasAppendReply() {
-  if (which() != PeerMessage::APPEND_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::AppendReply::Reader
-PeerMessage::Reader::getAppendReply() const {
+inline  ::tamarackwing::hosts::wire::AppendReply::Reader PeerMessage::Reader::getAppendReply() const {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::AppendReply::Builder
-PeerMessage::Builder::getAppendReply() {
+inline  ::tamarackwing::hosts::wire::AppendReply::Builder PeerMessage::Builder::getAppendReply() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setAppendReply(
-    ::tamarackwing::hosts::wire::AppendReply::Reader value) {
+inline void PeerMessage::Builder::setAppendReply( ::tamarackwing::hosts::wire::AppendReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::AppendReply::Builder
-PeerMessage::Builder::initAppendReply() {
+inline  ::tamarackwing::hosts::wire::AppendReply::Builder PeerMessage::Builder::initAppendReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REPLY);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptAppendReply(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::AppendReply>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::AppendReply>
-PeerMessage::Builder::disownAppendReply() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendReply> PeerMessage::Builder::disownAppendReply() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AppendReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AppendReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isInstallRequest() const {
@@ -9462,64 +9106,51 @@
   return which() == PeerMessage::INSTALL_REQUEST;
 }
 inline bool PeerMessage::Reader::hasInstallRequest() const {
-  if (which() != PeerMessage::INSTALL_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::INSTALL_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasInstallRequest() {
-  if (which() != PeerMessage::INSTALL_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::INSTALL_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::InstallRequest::Reader
-PeerMessage::Reader::getInstallRequest() const {
+inline  ::tamarackwing::hosts::wire::InstallRequest::Reader PeerMessage::Reader::getInstallRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::INSTALL_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::InstallRequest>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::InstallRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::InstallRequest::Builder
-PeerMessage::Builder::getInstallRequest() {
+inline  ::tamarackwing::hosts::wire::InstallRequest::Builder PeerMessage::Builder::getInstallRequest() {
   KJ_IREQUIRE((which() == PeerMessage::INSTALL_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::InstallRequest>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::InstallRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setInstallRequest(
-    ::tamarackwing::hosts::wire::InstallRequest::Reader value) {
+inline void PeerMessage::Builder::setInstallRequest( ::tamarackwing::hosts::wire::InstallRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::INSTALL_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::InstallRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::InstallRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::InstallRequest::Builder
-PeerMessage::Builder::initInstallRequest() {
+inline  ::tamarackwing::hosts::wire::InstallRequest::Builder PeerMessage::Builder::initInstallRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::INSTALL_REQUEST);
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::InstallRequest>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::InstallRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptInstallRequest(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::InstallRequest>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::InstallRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::INSTALL_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::InstallRequest>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::InstallRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::InstallRequest>
-PeerMessage::Builder::disownInstallRequest() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::InstallRequest> PeerMessage::Builder::disownInstallRequest() {
   KJ_IREQUIRE((which() == PeerMessage::INSTALL_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::InstallRequest>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::InstallRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerAsk() const {
@@ -9529,61 +9160,51 @@
   return which() == PeerMessage::LEDGER_ASK;
 }
 inline bool PeerMessage::Reader::hasLedgerAsk() const {
-  if (which() != PeerMessage::LEDGER_ASK)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerAsk() {
-  if (which() != PeerMessage::LEDGER_ASK)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LedgerAsk::Reader
-PeerMessage::Reader::getLedgerAsk() const {
+inline  ::tamarackwing::hosts::wire::LedgerAsk::Reader PeerMessage::Reader::getLedgerAsk() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_ASK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerAsk>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LedgerAsk::Builder
-PeerMessage::Builder::getLedgerAsk() {
+inline  ::tamarackwing::hosts::wire::LedgerAsk::Builder PeerMessage::Builder::getLedgerAsk() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_ASK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerAsk>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerAsk(
-    ::tamarackwing::hosts::wire::LedgerAsk::Reader value) {
+inline void PeerMessage::Builder::setLedgerAsk( ::tamarackwing::hosts::wire::LedgerAsk::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_ASK);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerAsk>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LedgerAsk::Builder
-PeerMessage::Builder::initLedgerAsk() {
+inline  ::tamarackwing::hosts::wire::LedgerAsk::Builder PeerMessage::Builder::initLedgerAsk() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_ASK);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerAsk>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerAsk(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerAsk>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerAsk>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_ASK);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerAsk>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerAsk>
-PeerMessage::Builder::disownLedgerAsk() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerAsk> PeerMessage::Builder::disownLedgerAsk() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_ASK),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerAsk>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerPermit() const {
@@ -9593,61 +9214,51 @@
   return which() == PeerMessage::LEDGER_PERMIT;
 }
 inline bool PeerMessage::Reader::hasLedgerPermit() const {
-  if (which() != PeerMessage::LEDGER_PERMIT)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_PERMIT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerPermit() {
-  if (which() != PeerMessage::LEDGER_PERMIT)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_PERMIT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LedgerPermit::Reader
-PeerMessage::Reader::getLedgerPermit() const {
+inline  ::tamarackwing::hosts::wire::LedgerPermit::Reader PeerMessage::Reader::getLedgerPermit() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_PERMIT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerPermit>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerPermit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LedgerPermit::Builder
-PeerMessage::Builder::getLedgerPermit() {
+inline  ::tamarackwing::hosts::wire::LedgerPermit::Builder PeerMessage::Builder::getLedgerPermit() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_PERMIT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerPermit>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerPermit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerPermit(
-    ::tamarackwing::hosts::wire::LedgerPermit::Reader value) {
+inline void PeerMessage::Builder::setLedgerPermit( ::tamarackwing::hosts::wire::LedgerPermit::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_PERMIT);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerPermit>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerPermit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LedgerPermit::Builder
-PeerMessage::Builder::initLedgerPermit() {
+inline  ::tamarackwing::hosts::wire::LedgerPermit::Builder PeerMessage::Builder::initLedgerPermit() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_PERMIT);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerPermit>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerPermit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerPermit(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerPermit>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerPermit>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_PERMIT);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerPermit>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerPermit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerPermit>
-PeerMessage::Builder::disownLedgerPermit() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerPermit> PeerMessage::Builder::disownLedgerPermit() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_PERMIT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerPermit>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerPermit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerUpdate() const {
@@ -9657,61 +9268,51 @@
   return which() == PeerMessage::LEDGER_UPDATE;
 }
 inline bool PeerMessage::Reader::hasLedgerUpdate() const {
-  if (which() != PeerMessage::LEDGER_UPDATE)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_UPDATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerUpdate() {
-  if (which() != PeerMessage::LEDGER_UPDATE)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_UPDATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LedgerUpdate::Reader
-PeerMessage::Reader::getLedgerUpdate() const {
+inline  ::tamarackwing::hosts::wire::LedgerUpdate::Reader PeerMessage::Reader::getLedgerUpdate() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_UPDATE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerUpdate>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LedgerUpdate::Builder
-PeerMessage::Builder::getLedgerUpdate() {
+inline  ::tamarackwing::hosts::wire::LedgerUpdate::Builder PeerMessage::Builder::getLedgerUpdate() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_UPDATE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerUpdate>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerUpdate(
-    ::tamarackwing::hosts::wire::LedgerUpdate::Reader value) {
+inline void PeerMessage::Builder::setLedgerUpdate( ::tamarackwing::hosts::wire::LedgerUpdate::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_UPDATE);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerUpdate>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LedgerUpdate::Builder
-PeerMessage::Builder::initLedgerUpdate() {
+inline  ::tamarackwing::hosts::wire::LedgerUpdate::Builder PeerMessage::Builder::initLedgerUpdate() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_UPDATE);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerUpdate>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerUpdate(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerUpdate>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerUpdate>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_UPDATE);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerUpdate>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerUpdate>
-PeerMessage::Builder::disownLedgerUpdate() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerUpdate> PeerMessage::Builder::disownLedgerUpdate() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_UPDATE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerUpdate>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerUpdated() const {
@@ -9721,60 +9322,51 @@
   return which() == PeerMessage::LEDGER_UPDATED;
 }
 inline bool PeerMessage::Reader::hasLedgerUpdated() const {
-  if (which() != PeerMessage::LEDGER_UPDATED)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_UPDATED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerUpdated() {
-  if (which() != PeerMessage::LEDGER_UPDATED)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_UPDATED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::AskId::Reader
-PeerMessage::Reader::getLedgerUpdated() const {
+inline  ::tamarackwing::hosts::wire::AskId::Reader PeerMessage::Reader::getLedgerUpdated() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_UPDATED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-PeerMessage::Builder::getLedgerUpdated() {
+inline  ::tamarackwing::hosts::wire::AskId::Builder PeerMessage::Builder::getLedgerUpdated() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_UPDATED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerUpdated(
-    ::tamarackwing::hosts::wire::AskId::Reader value) {
+inline void PeerMessage::Builder::setLedgerUpdated( ::tamarackwing::hosts::wire::AskId::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_UPDATED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::AskId::Builder
-PeerMessage::Builder::initLedgerUpdated() {
+inline  ::tamarackwing::hosts::wire::AskId::Builder PeerMessage::Builder::initLedgerUpdated() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_UPDATED);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerUpdated(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_UPDATED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::AskId>
-PeerMessage::Builder::disownLedgerUpdated() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AskId> PeerMessage::Builder::disownLedgerUpdated() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_UPDATED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::AskId>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::AskId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerStore() const {
@@ -9784,61 +9376,51 @@
   return which() == PeerMessage::LEDGER_STORE;
 }
 inline bool PeerMessage::Reader::hasLedgerStore() const {
-  if (which() != PeerMessage::LEDGER_STORE)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_STORE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerStore() {
-  if (which() != PeerMessage::LEDGER_STORE)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_STORE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LedgerStore::Reader
-PeerMessage::Reader::getLedgerStore() const {
+inline  ::tamarackwing::hosts::wire::LedgerStore::Reader PeerMessage::Reader::getLedgerStore() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_STORE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStore>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStore>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LedgerStore::Builder
-PeerMessage::Builder::getLedgerStore() {
+inline  ::tamarackwing::hosts::wire::LedgerStore::Builder PeerMessage::Builder::getLedgerStore() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_STORE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStore>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStore>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerStore(
-    ::tamarackwing::hosts::wire::LedgerStore::Reader value) {
+inline void PeerMessage::Builder::setLedgerStore( ::tamarackwing::hosts::wire::LedgerStore::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_STORE);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStore>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStore>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LedgerStore::Builder
-PeerMessage::Builder::initLedgerStore() {
+inline  ::tamarackwing::hosts::wire::LedgerStore::Builder PeerMessage::Builder::initLedgerStore() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_STORE);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStore>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStore>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerStore(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStore>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStore>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_STORE);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStore>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStore>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStore>
-PeerMessage::Builder::disownLedgerStore() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStore> PeerMessage::Builder::disownLedgerStore() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_STORE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStore>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStore>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerStored() const {
@@ -9848,61 +9430,51 @@
   return which() == PeerMessage::LEDGER_STORED;
 }
 inline bool PeerMessage::Reader::hasLedgerStored() const {
-  if (which() != PeerMessage::LEDGER_STORED)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_STORED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerStored() {
-  if (which() != PeerMessage::LEDGER_STORED)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_STORED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LedgerStored::Reader
-PeerMessage::Reader::getLedgerStored() const {
+inline  ::tamarackwing::hosts::wire::LedgerStored::Reader PeerMessage::Reader::getLedgerStored() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_STORED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStored>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStored>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LedgerStored::Builder
-PeerMessage::Builder::getLedgerStored() {
+inline  ::tamarackwing::hosts::wire::LedgerStored::Builder PeerMessage::Builder::getLedgerStored() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_STORED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStored>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStored>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerStored(
-    ::tamarackwing::hosts::wire::LedgerStored::Reader value) {
+inline void PeerMessage::Builder::setLedgerStored( ::tamarackwing::hosts::wire::LedgerStored::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_STORED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStored>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStored>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LedgerStored::Builder
-PeerMessage::Builder::initLedgerStored() {
+inline  ::tamarackwing::hosts::wire::LedgerStored::Builder PeerMessage::Builder::initLedgerStored() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_STORED);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStored>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStored>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerStored(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStored>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStored>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_STORED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStored>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStored>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerStored>
-PeerMessage::Builder::disownLedgerStored() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerStored> PeerMessage::Builder::disownLedgerStored() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_STORED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerStored>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerStored>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerCopy() const {
@@ -9912,61 +9484,51 @@
   return which() == PeerMessage::LEDGER_COPY;
 }
 inline bool PeerMessage::Reader::hasLedgerCopy() const {
-  if (which() != PeerMessage::LEDGER_COPY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_COPY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerCopy() {
-  if (which() != PeerMessage::LEDGER_COPY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_COPY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LedgerCopy::Reader
-PeerMessage::Reader::getLedgerCopy() const {
+inline  ::tamarackwing::hosts::wire::LedgerCopy::Reader PeerMessage::Reader::getLedgerCopy() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_COPY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopy>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopy>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LedgerCopy::Builder
-PeerMessage::Builder::getLedgerCopy() {
+inline  ::tamarackwing::hosts::wire::LedgerCopy::Builder PeerMessage::Builder::getLedgerCopy() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_COPY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopy>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopy>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerCopy(
-    ::tamarackwing::hosts::wire::LedgerCopy::Reader value) {
+inline void PeerMessage::Builder::setLedgerCopy( ::tamarackwing::hosts::wire::LedgerCopy::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_COPY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopy>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopy>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LedgerCopy::Builder
-PeerMessage::Builder::initLedgerCopy() {
+inline  ::tamarackwing::hosts::wire::LedgerCopy::Builder PeerMessage::Builder::initLedgerCopy() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_COPY);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopy>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopy>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerCopy(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopy>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopy>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_COPY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopy>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopy>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopy>
-PeerMessage::Builder::disownLedgerCopy() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopy> PeerMessage::Builder::disownLedgerCopy() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_COPY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopy>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopy>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isLedgerCopied() const {
@@ -9976,61 +9538,51 @@
   return which() == PeerMessage::LEDGER_COPIED;
 }
 inline bool PeerMessage::Reader::hasLedgerCopied() const {
-  if (which() != PeerMessage::LEDGER_COPIED)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_COPIED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasLedgerCopied() {
-  if (which() != PeerMessage::LEDGER_COPIED)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::LEDGER_COPIED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::LedgerCopied::Reader
-PeerMessage::Reader::getLedgerCopied() const {
+inline  ::tamarackwing::hosts::wire::LedgerCopied::Reader PeerMessage::Reader::getLedgerCopied() const {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_COPIED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopied>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopied>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::LedgerCopied::Builder
-PeerMessage::Builder::getLedgerCopied() {
+inline  ::tamarackwing::hosts::wire::LedgerCopied::Builder PeerMessage::Builder::getLedgerCopied() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_COPIED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopied>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopied>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLedgerCopied(
-    ::tamarackwing::hosts::wire::LedgerCopied::Reader value) {
+inline void PeerMessage::Builder::setLedgerCopied( ::tamarackwing::hosts::wire::LedgerCopied::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_COPIED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopied>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopied>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::LedgerCopied::Builder
-PeerMessage::Builder::initLedgerCopied() {
+inline  ::tamarackwing::hosts::wire::LedgerCopied::Builder PeerMessage::Builder::initLedgerCopied() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_COPIED);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopied>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopied>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptLedgerCopied(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopied>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopied>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LEDGER_COPIED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopied>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopied>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::LedgerCopied>
-PeerMessage::Builder::disownLedgerCopied() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::LedgerCopied> PeerMessage::Builder::disownLedgerCopied() {
   KJ_IREQUIRE((which() == PeerMessage::LEDGER_COPIED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::LedgerCopied>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::LedgerCopied>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isFeedRequest() const {
@@ -10040,61 +9592,51 @@
   return which() == PeerMessage::FEED_REQUEST;
 }
 inline bool PeerMessage::Reader::hasFeedRequest() const {
-  if (which() != PeerMessage::FEED_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::FEED_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasFeedRequest() {
-  if (which() != PeerMessage::FEED_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::FEED_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::FeedRequest::Reader
-PeerMessage::Reader::getFeedRequest() const {
+inline  ::tamarackwing::hosts::wire::FeedRequest::Reader PeerMessage::Reader::getFeedRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::FEED_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedRequest>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::FeedRequest::Builder
-PeerMessage::Builder::getFeedRequest() {
+inline  ::tamarackwing::hosts::wire::FeedRequest::Builder PeerMessage::Builder::getFeedRequest() {
   KJ_IREQUIRE((which() == PeerMessage::FEED_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedRequest>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setFeedRequest(
-    ::tamarackwing::hosts::wire::FeedRequest::Reader value) {
+inline void PeerMessage::Builder::setFeedRequest( ::tamarackwing::hosts::wire::FeedRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FEED_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::FeedRequest::Builder
-PeerMessage::Builder::initFeedRequest() {
+inline  ::tamarackwing::hosts::wire::FeedRequest::Builder PeerMessage::Builder::initFeedRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FEED_REQUEST);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedRequest>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptFeedRequest(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::FeedRequest>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::FeedRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FEED_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::FeedRequest>
-PeerMessage::Builder::disownFeedRequest() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::FeedRequest> PeerMessage::Builder::disownFeedRequest() {
   KJ_IREQUIRE((which() == PeerMessage::FEED_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedRequest>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isFeedReply() const {
@@ -10104,61 +9646,51 @@
   return which() == PeerMessage::FEED_REPLY;
 }
 inline bool PeerMessage::Reader::hasFeedReply() const {
-  if (which() != PeerMessage::FEED_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::FEED_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasFeedReply() {
-  if (which() != PeerMessage::FEED_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::FEED_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::FeedReply::Reader
-PeerMessage::Reader::getFeedReply() const {
+inline  ::tamarackwing::hosts::wire::FeedReply::Reader PeerMessage::Reader::getFeedReply() const {
   KJ_IREQUIRE((which() == PeerMessage::FEED_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::FeedReply::Builder
-PeerMessage::Builder::getFeedReply() {
+inline  ::tamarackwing::hosts::wire::FeedReply::Builder PeerMessage::Builder::getFeedReply() {
   KJ_IREQUIRE((which() == PeerMessage::FEED_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setFeedReply(
-    ::tamarackwing::hosts::wire::FeedReply::Reader value) {
+inline void PeerMessage::Builder::setFeedReply( ::tamarackwing::hosts::wire::FeedReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FEED_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::FeedReply::Builder
-PeerMessage::Builder::initFeedReply() {
+inline  ::tamarackwing::hosts::wire::FeedReply::Builder PeerMessage::Builder::initFeedReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FEED_REPLY);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptFeedReply(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::FeedReply>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::FeedReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FEED_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::FeedReply>
-PeerMessage::Builder::disownFeedReply() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::FeedReply> PeerMessage::Builder::disownFeedReply() {
   KJ_IREQUIRE((which() == PeerMessage::FEED_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::FeedReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::FeedReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isProposeRequest() const {
@@ -10168,64 +9700,51 @@
   return which() == PeerMessage::PROPOSE_REQUEST;
 }
 inline bool PeerMessage::Reader::hasProposeRequest() const {
-  if (which() != PeerMessage::PROPOSE_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::PROPOSE_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasProposeRequest() {
-  if (which() != PeerMessage::PROPOSE_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::PROPOSE_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::ProposeRequest::Reader
-PeerMessage::Reader::getProposeRequest() const {
+inline  ::tamarackwing::hosts::wire::ProposeRequest::Reader PeerMessage::Reader::getProposeRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::PROPOSE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::ProposeRequest>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::ProposeRequest::Builder
-PeerMessage::Builder::getProposeRequest() {
+inline  ::tamarackwing::hosts::wire::ProposeRequest::Builder PeerMessage::Builder::getProposeRequest() {
   KJ_IREQUIRE((which() == PeerMessage::PROPOSE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::ProposeRequest>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setProposeRequest(
-    ::tamarackwing::hosts::wire::ProposeRequest::Reader value) {
+inline void PeerMessage::Builder::setProposeRequest( ::tamarackwing::hosts::wire::ProposeRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROPOSE_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::ProposeRequest::Builder
-PeerMessage::Builder::initProposeRequest() {
+inline  ::tamarackwing::hosts::wire::ProposeRequest::Builder PeerMessage::Builder::initProposeRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROPOSE_REQUEST);
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::ProposeRequest>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptProposeRequest(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeRequest>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROPOSE_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeRequest>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeRequest>
-PeerMessage::Builder::disownProposeRequest() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeRequest> PeerMessage::Builder::disownProposeRequest() {
   KJ_IREQUIRE((which() == PeerMessage::PROPOSE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::tamarackwing::hosts::wire::ProposeRequest>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isProposeReply() const {
