@@ -10235,61 +9754,51 @@
   return which() == PeerMessage::PROPOSE_REPLY;
 }
 inline bool PeerMessage::Reader::hasProposeReply() const {
-  if (which() != PeerMessage::PROPOSE_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::PROPOSE_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasProposeReply() {
-  if (which() != PeerMessage::PROPOSE_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::PROPOSE_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::ProposeReply::Reader
-PeerMessage::Reader::getProposeReply() const {
+inline  ::tamarackwing::hosts::wire::ProposeReply::Reader PeerMessage::Reader::getProposeReply() const {
   KJ_IREQUIRE((which() == PeerMessage::PROPOSE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::ProposeReply::Builder
-PeerMessage::Builder::getProposeReply() {
+inline  ::tamarackwing::hosts::wire::ProposeReply::Builder PeerMessage::Builder::getProposeReply() {
   KJ_IREQUIRE((which() == PeerMessage::PROPOSE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setProposeReply(
-    ::tamarackwing::hosts::wire::ProposeReply::Reader value) {
+inline void PeerMessage::Builder::setProposeReply( ::tamarackwing::hosts::wire::ProposeReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROPOSE_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::ProposeReply::Builder
-PeerMessage::Builder::initProposeReply() {
+inline  ::tamarackwing::hosts::wire::ProposeReply::Builder PeerMessage::Builder::initProposeReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROPOSE_REPLY);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptProposeReply(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeReply>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROPOSE_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::ProposeReply>
-PeerMessage::Builder::disownProposeReply() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ProposeReply> PeerMessage::Builder::disownProposeReply() {
   KJ_IREQUIRE((which() == PeerMessage::PROPOSE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProposeReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProposeReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isWithdrawalNotice() const {
@@ -10299,81 +9808,57 @@
   return which() == PeerMessage::WITHDRAWAL_NOTICE;
 }
 inline bool PeerMessage::Reader::hasWithdrawalNotice() const {
-  if (which() != PeerMessage::WITHDRAWAL_NOTICE)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::WITHDRAWAL_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasWithdrawalNotice() {
-  if (which() != PeerMessage::WITHDRAWAL_NOTICE)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::WITHDRAWAL_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-PeerMessage::Reader::getWithdrawalNotice() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PeerMessage::Reader::getWithdrawalNotice() const {
   KJ_IREQUIRE((which() == PeerMessage::WITHDRAWAL_NOTICE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PeerMessage::Builder::getWithdrawalNotice() {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerMessage::Builder::getWithdrawalNotice() {
   KJ_IREQUIRE((which() == PeerMessage::WITHDRAWAL_NOTICE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setWithdrawalNotice(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
+inline void PeerMessage::Builder::setWithdrawalNotice( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS,
-      PeerMessage::WITHDRAWAL_NOTICE);
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline void PeerMessage::Builder::setWithdrawalNotice(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::WITHDRAWAL_NOTICE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void PeerMessage::Builder::setWithdrawalNotice(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS,
-      PeerMessage::WITHDRAWAL_NOTICE);
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PeerMessage::Builder::initWithdrawalNotice(unsigned int size) {
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::WITHDRAWAL_NOTICE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerMessage::Builder::initWithdrawalNotice(unsigned int size) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS,
-      PeerMessage::WITHDRAWAL_NOTICE);
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          size);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::WITHDRAWAL_NOTICE);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void PeerMessage::Builder::adoptWithdrawalNotice(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS,
-      PeerMessage::WITHDRAWAL_NOTICE);
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-PeerMessage::Builder::disownWithdrawalNotice() {
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::WITHDRAWAL_NOTICE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PeerMessage::Builder::disownWithdrawalNotice() {
   KJ_IREQUIRE((which() == PeerMessage::WITHDRAWAL_NOTICE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isRegionStatus() const {
@@ -10383,61 +9868,51 @@
   return which() == PeerMessage::REGION_STATUS;
 }
 inline bool PeerMessage::Reader::hasRegionStatus() const {
-  if (which() != PeerMessage::REGION_STATUS)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::REGION_STATUS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasRegionStatus() {
-  if (which() != PeerMessage::REGION_STATUS)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::REGION_STATUS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::RegionStatus::Reader
-PeerMessage::Reader::getRegionStatus() const {
+inline  ::tamarackwing::hosts::wire::RegionStatus::Reader PeerMessage::Reader::getRegionStatus() const {
   KJ_IREQUIRE((which() == PeerMessage::REGION_STATUS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::RegionStatus>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RegionStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::RegionStatus::Builder
-PeerMessage::Builder::getRegionStatus() {
+inline  ::tamarackwing::hosts::wire::RegionStatus::Builder PeerMessage::Builder::getRegionStatus() {
   KJ_IREQUIRE((which() == PeerMessage::REGION_STATUS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::RegionStatus>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RegionStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setRegionStatus(
-    ::tamarackwing::hosts::wire::RegionStatus::Reader value) {
+inline void PeerMessage::Builder::setRegionStatus( ::tamarackwing::hosts::wire::RegionStatus::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::REGION_STATUS);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::RegionStatus>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RegionStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::RegionStatus::Builder
-PeerMessage::Builder::initRegionStatus() {
+inline  ::tamarackwing::hosts::wire::RegionStatus::Builder PeerMessage::Builder::initRegionStatus() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::REGION_STATUS);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::RegionStatus>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RegionStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptRegionStatus(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::RegionStatus>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::RegionStatus>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::REGION_STATUS);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::RegionStatus>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RegionStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::RegionStatus>
-PeerMessage::Builder::disownRegionStatus() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RegionStatus> PeerMessage::Builder::disownRegionStatus() {
   KJ_IREQUIRE((which() == PeerMessage::REGION_STATUS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::RegionStatus>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RegionStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isProbeRequest() const {
@@ -10446,24 +9921,24 @@
 inline bool PeerMessage::Builder::isProbeRequest() {
   return which() == PeerMessage::PROBE_REQUEST;
 }
-inline ::uint64_t PeerMessage::Reader::getProbeRequest() const {
+inline  ::uint64_t PeerMessage::Reader::getProbeRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::PROBE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PeerMessage::Builder::getProbeRequest() {
+inline  ::uint64_t PeerMessage::Builder::getProbeRequest() {
   KJ_IREQUIRE((which() == PeerMessage::PROBE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerMessage::Builder::setProbeRequest(::uint64_t value) {
+inline void PeerMessage::Builder::setProbeRequest( ::uint64_t value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROBE_REQUEST);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerMessage::Reader::isProbeReply() const {
@@ -10473,61 +9948,51 @@
   return which() == PeerMessage::PROBE_REPLY;
 }
 inline bool PeerMessage::Reader::hasProbeReply() const {
-  if (which() != PeerMessage::PROBE_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::PROBE_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasProbeReply() {
-  if (which() != PeerMessage::PROBE_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::PROBE_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::ProbeReply::Reader
-PeerMessage::Reader::getProbeReply() const {
+inline  ::tamarackwing::hosts::wire::ProbeReply::Reader PeerMessage::Reader::getProbeReply() const {
   KJ_IREQUIRE((which() == PeerMessage::PROBE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProbeReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProbeReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::ProbeReply::Builder
-PeerMessage::Builder::getProbeReply() {
+inline  ::tamarackwing::hosts::wire::ProbeReply::Builder PeerMessage::Builder::getProbeReply() {
   KJ_IREQUIRE((which() == PeerMessage::PROBE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProbeReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProbeReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setProbeReply(
-    ::tamarackwing::hosts::wire::ProbeReply::Reader value) {
+inline void PeerMessage::Builder::setProbeReply( ::tamarackwing::hosts::wire::ProbeReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROBE_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProbeReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProbeReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::ProbeReply::Builder
-PeerMessage::Builder::initProbeReply() {
+inline  ::tamarackwing::hosts::wire::ProbeReply::Builder PeerMessage::Builder::initProbeReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROBE_REPLY);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProbeReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProbeReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptProbeReply(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::ProbeReply>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::ProbeReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PROBE_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProbeReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProbeReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::ProbeReply>
-PeerMessage::Builder::disownProbeReply() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ProbeReply> PeerMessage::Builder::disownProbeReply() {
   KJ_IREQUIRE((which() == PeerMessage::PROBE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::ProbeReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ProbeReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isChunkRequest() const {
@@ -10537,60 +10002,51 @@
   return which() == PeerMessage::CHUNK_REQUEST;
 }
 inline bool PeerMessage::Reader::hasChunkRequest() const {
-  if (which() != PeerMessage::CHUNK_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CHUNK_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasChunkRequest() {
-  if (which() != PeerMessage::CHUNK_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CHUNK_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::Chunk::Reader
-PeerMessage::Reader::getChunkRequest() const {
+inline  ::tamarackwing::hosts::wire::Chunk::Reader PeerMessage::Reader::getChunkRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::Chunk::Builder
-PeerMessage::Builder::getChunkRequest() {
+inline  ::tamarackwing::hosts::wire::Chunk::Builder PeerMessage::Builder::getChunkRequest() {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setChunkRequest(
-    ::tamarackwing::hosts::wire::Chunk::Reader value) {
+inline void PeerMessage::Builder::setChunkRequest( ::tamarackwing::hosts::wire::Chunk::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::Chunk::Builder
-PeerMessage::Builder::initChunkRequest() {
+inline  ::tamarackwing::hosts::wire::Chunk::Builder PeerMessage::Builder::initChunkRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_REQUEST);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptChunkRequest(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_REQUEST);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>
-PeerMessage::Builder::disownChunkRequest() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk> PeerMessage::Builder::disownChunkRequest() {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isChunkGrant() const {
@@ -10600,60 +10056,51 @@
   return which() == PeerMessage::CHUNK_GRANT;
 }
 inline bool PeerMessage::Reader::hasChunkGrant() const {
-  if (which() != PeerMessage::CHUNK_GRANT)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CHUNK_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasChunkGrant() {
-  if (which() != PeerMessage::CHUNK_GRANT)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CHUNK_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::Chunk::Reader
-PeerMessage::Reader::getChunkGrant() const {
+inline  ::tamarackwing::hosts::wire::Chunk::Reader PeerMessage::Reader::getChunkGrant() const {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_GRANT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::Chunk::Builder
-PeerMessage::Builder::getChunkGrant() {
+inline  ::tamarackwing::hosts::wire::Chunk::Builder PeerMessage::Builder::getChunkGrant() {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_GRANT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setChunkGrant(
-    ::tamarackwing::hosts::wire::Chunk::Reader value) {
+inline void PeerMessage::Builder::setChunkGrant( ::tamarackwing::hosts::wire::Chunk::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_GRANT);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::Chunk::Builder
-PeerMessage::Builder::initChunkGrant() {
+inline  ::tamarackwing::hosts::wire::Chunk::Builder PeerMessage::Builder::initChunkGrant() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_GRANT);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptChunkGrant(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_GRANT);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>
-PeerMessage::Builder::disownChunkGrant() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk> PeerMessage::Builder::disownChunkGrant() {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_GRANT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isChunkSettled() const {
@@ -10663,60 +10110,51 @@
   return which() == PeerMessage::CHUNK_SETTLED;
 }
 inline bool PeerMessage::Reader::hasChunkSettled() const {
-  if (which() != PeerMessage::CHUNK_SETTLED)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CHUNK_SETTLED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasChunkSettled() {
-  if (which() != PeerMessage::CHUNK_SETTLED)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CHUNK_SETTLED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::Chunk::Reader
-PeerMessage::Reader::getChunkSettled() const {
+inline  ::tamarackwing::hosts::wire::Chunk::Reader PeerMessage::Reader::getChunkSettled() const {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_SETTLED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::Chunk::Builder
-PeerMessage::Builder::getChunkSettled() {
+inline  ::tamarackwing::hosts::wire::Chunk::Builder PeerMessage::Builder::getChunkSettled() {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_SETTLED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setChunkSettled(
-    ::tamarackwing::hosts::wire::Chunk::Reader value) {
+inline void PeerMessage::Builder::setChunkSettled( ::tamarackwing::hosts::wire::Chunk::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_SETTLED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::Chunk::Builder
-PeerMessage::Builder::initChunkSettled() {
+inline  ::tamarackwing::hosts::wire::Chunk::Builder PeerMessage::Builder::initChunkSettled() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_SETTLED);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptChunkSettled(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CHUNK_SETTLED);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::Chunk>
-PeerMessage::Builder::disownChunkSettled() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::Chunk> PeerMessage::Builder::disownChunkSettled() {
   KJ_IREQUIRE((which() == PeerMessage::CHUNK_SETTLED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::Chunk>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::Chunk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isStatusRequest() const {
@@ -10725,24 +10163,24 @@
 inline bool PeerMessage::Builder::isStatusRequest() {
   return which() == PeerMessage::STATUS_REQUEST;
 }
-inline ::uint64_t PeerMessage::Reader::getStatusRequest() const {
+inline  ::uint64_t PeerMessage::Reader::getStatusRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::STATUS_REQUEST),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t PeerMessage::Builder::getStatusRequest() {
+inline  ::uint64_t PeerMessage::Builder::getStatusRequest() {
   KJ_IREQUIRE((which() == PeerMessage::STATUS_REQUEST),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerMessage::Builder::setStatusRequest(::uint64_t value) {
+inline void PeerMessage::Builder::setStatusRequest( ::uint64_t value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATUS_REQUEST);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PeerMessage::Reader::isStatusReply() const {
@@ -10752,65 +10190,218 @@
   return which() == PeerMessage::STATUS_REPLY;
 }
 inline bool PeerMessage::Reader::hasStatusReply() const {
-  if (which() != PeerMessage::STATUS_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::STATUS_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasStatusReply() {
-  if (which() != PeerMessage::STATUS_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::STATUS_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::tamarackwing::hosts::wire::StatusReply::Reader
-PeerMessage::Reader::getStatusReply() const {
+inline  ::tamarackwing::hosts::wire::StatusReply::Reader PeerMessage::Reader::getStatusReply() const {
   KJ_IREQUIRE((which() == PeerMessage::STATUS_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StatusReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StatusReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::tamarackwing::hosts::wire::StatusReply::Builder
-PeerMessage::Builder::getStatusReply() {
+inline  ::tamarackwing::hosts::wire::StatusReply::Builder PeerMessage::Builder::getStatusReply() {
   KJ_IREQUIRE((which() == PeerMessage::STATUS_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StatusReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StatusReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setStatusReply(
-    ::tamarackwing::hosts::wire::StatusReply::Reader value) {
+inline void PeerMessage::Builder::setStatusReply( ::tamarackwing::hosts::wire::StatusReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATUS_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StatusReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StatusReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::tamarackwing::hosts::wire::StatusReply::Builder
-PeerMessage::Builder::initStatusReply() {
+inline  ::tamarackwing::hosts::wire::StatusReply::Builder PeerMessage::Builder::initStatusReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATUS_REPLY);
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StatusReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StatusReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptStatusReply(
-    ::capnp::Orphan<::tamarackwing::hosts::wire::StatusReply>&& value) {
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StatusReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATUS_REPLY);
-  ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StatusReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StatusReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::tamarackwing::hosts::wire::StatusReply>
-PeerMessage::Builder::disownStatusReply() {
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StatusReply> PeerMessage::Builder::disownStatusReply() {
   KJ_IREQUIRE((which() == PeerMessage::STATUS_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::tamarackwing::hosts::wire::StatusReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StatusReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-}  // namespace wire
-}  // namespace hosts
-}  // namespace tamarackwing
+inline bool PeerMessage::Reader::isServerNews() const {
+  return which() == PeerMessage::SERVER_NEWS;
+}
+inline bool PeerMessage::Builder::isServerNews() {
+  return which() == PeerMessage::SERVER_NEWS;
+}
+inline bool PeerMessage::Reader::hasServerNews() const {
+  if (which() != PeerMessage::SERVER_NEWS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasServerNews() {
+  if (which() != PeerMessage::SERVER_NEWS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Reader::getServerNews() const {
+  KJ_IREQUIRE((which() == PeerMessage::SERVER_NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::getServerNews() {
+  KJ_IREQUIRE((which() == PeerMessage::SERVER_NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setServerNews( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::SERVER_NEWS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::initServerNews(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::SERVER_NEWS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Builder::adoptServerNews(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::SERVER_NEWS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> PeerMessage::Builder::disownServerNews() {
+  KJ_IREQUIRE((which() == PeerMessage::SERVER_NEWS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isRateReport() const {
+  return which() == PeerMessage::RATE_REPORT;
+}
+inline bool PeerMessage::Builder::isRateReport() {
+  return which() == PeerMessage::RATE_REPORT;
+}
+inline bool PeerMessage::Reader::hasRateReport() const {
+  if (which() != PeerMessage::RATE_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRateReport() {
+  if (which() != PeerMessage::RATE_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::RateReport::Reader PeerMessage::Reader::getRateReport() const {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::RateReport::Builder PeerMessage::Builder::getRateReport() {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRateReport( ::tamarackwing::hosts::wire::RateReport::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_REPORT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::RateReport::Builder PeerMessage::Builder::initRateReport() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_REPORT);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRateReport(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::RateReport>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_REPORT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RateReport> PeerMessage::Builder::disownRateReport() {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isRateGrant() const {
+  return which() == PeerMessage::RATE_GRANT;
+}
+inline bool PeerMessage::Builder::isRateGrant() {
+  return which() == PeerMessage::RATE_GRANT;
+}
+inline bool PeerMessage::Reader::hasRateGrant() const {
+  if (which() != PeerMessage::RATE_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRateGrant() {
+  if (which() != PeerMessage::RATE_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::RateGrant::Reader PeerMessage::Reader::getRateGrant() const {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::RateGrant::Builder PeerMessage::Builder::getRateGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRateGrant( ::tamarackwing::hosts::wire::RateGrant::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_GRANT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::RateGrant::Builder PeerMessage::Builder::initRateGrant() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_GRANT);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRateGrant(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::RateGrant>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_GRANT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RateGrant> PeerMessage::Builder::disownRateGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RateGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+}  // namespace
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -235,6 +235,9 @@
   out.setDecodeRate(report.decode_rate);
   out.setAgeMs(report.age.count());
   out.setLeaving(report.leaving);
+  out.setStartedMs(report.started.count());
+  out.setSequence(report.sequence);
+  out.setColdMs(report.cold_for.count());
 }
 
 policy::ServerReport Read(wire::ServerReport::Reader in) {
@@ -254,6 +257,9 @@
   report.decode_rate = in.getDecodeRate();
   report.age = milliseconds(in.getAgeMs());
   report.leaving = in.getLeaving();
+  report.started = milliseconds(in.getStartedMs());
+  report.sequence = in.getSequence();
+  report.cold_for = milliseconds(in.getColdMs());
   return report;
 }
 
@@ -457,6 +463,30 @@
       hosts[i].setIsLive(value.hosts[i].is_live);
     }
   }
+  void operator()(const policy::RateReport& value) {
+    auto to = this->out.initRateReport();
+    to.setNumber(value.number);
+    to.setHolds(value.holds);
+    auto demands = to.initDemands(static_cast<unsigned>(value.demands.size()));
+    for (unsigned i = 0; i < value.demands.size(); ++i) {
+      demands[i].setWorkspace(Chars(value.demands[i].workspace.Text()));
+      demands[i].setDemand(value.demands[i].demand);
+      demands[i].setHeld(value.demands[i].held);
+    }
+  }
+  void operator()(const policy::RateGrant& value) {
+    auto to = this->out.initRateGrant();
+    to.setNumber(value.number);
+    auto shares = to.initShares(static_cast<unsigned>(value.shares.size()));
+    for (unsigned i = 0; i < value.shares.size(); ++i) {
+      shares[i].setWorkspace(Chars(value.shares[i].workspace.Text()));
+      shares[i].setShare(value.shares[i].share);
+    }
+  }
+  void operator()(const control::ServerNews& value) {
+    WriteList(value.reports, this->out.initServerNews(static_cast<unsigned>(
+                                 value.reports.size())));
+  }
 
  private:
   wire::PeerMessage::Builder out;
@@ -494,7 +524,7 @@
   control::ProposeReply reply;
   reply.number = in.getNumber();
   reply.outcome.kind =
-      ReadEnum(in.getKind(), state::ApplyKind::kIgnored, valid);
+      ReadEnum(in.getKind(), state::ApplyKind::kOvertaken, valid);
   reply.outcome.version = in.getVersion();
   for (const auto fault : in.getFaults()) {
     reply.outcome.faults.push_back(Read(fault, valid));
@@ -628,6 +658,25 @@
                               from.getTokens()};
 }
 
+PeerMessage ReadRateMessage(wire::PeerMessage::Reader in) {
+  if (in.which() == wire::PeerMessage::RATE_REPORT) {
+    const auto from = in.getRateReport();
+    policy::RateReport report{from.getNumber(), from.getHolds(), {}};
+    for (const auto demand : from.getDemands()) {
+      report.demands.push_back({WorkspaceName(Text(demand.getWorkspace())),
+                                demand.getDemand(), demand.getHeld()});
+    }
+    return report;
+  }
+  const auto from = in.getRateGrant();
+  policy::RateGrant grant{from.getNumber(), {}};
+  for (const auto share : from.getShares()) {
+    grant.shares.push_back(
+        {WorkspaceName(Text(share.getWorkspace())), share.getShare()});
+  }
+  return grant;
+}
+
 PeerMessage ReadAny(wire::PeerMessage::Reader in, bool& valid) {
   using Wire = wire::PeerMessage;
   switch (in.which()) {
@@ -683,6 +732,16 @@
       return control::StatusRequest{in.getStatusRequest()};
     case Wire::STATUS_REPLY:
       return ReadStatusReply(in.getStatusReply());
+    case Wire::RATE_REPORT:
+    case Wire::RATE_GRANT:
+      return ReadRateMessage(in);
+    case Wire::SERVER_NEWS: {
+      control::ServerNews news;
+      for (const auto report : in.getServerNews()) {
+        news.reports.push_back(Read(report));
+      }
+      return news;
+    }
   }
   valid = false;
   return control::ProbeRequest();
--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "tamarackwing/base/clock.h"
@@ -41,13 +42,17 @@
   asio::awaitable<Expected<ResponseHead, ConnectionError>> ReadHead(
       TimePoint deadline);
   //! Reads the next piece; an empty one says that the answer is whole.
-  //! An answer whose end only the closing would show is kMalformed.
+  //! An answer without a length is whole where the server closes in order.
   asio::awaitable<Expected<std::string, ConnectionError>> ReadPiece(
       TimePoint deadline);
   //! Whether the last answer was whole and another request may follow.
   bool IsReusable() const;
-  //! Whether the server has closed an idle connection.
-  bool IsPeerClosed();
+  //! Whether an idle connection is open and nothing has come on it: what a
+  //! server sends beyond an answer belongs to no request.
+  bool IsQuiet();
+  //! How long the server keeps the connection open while it is idle, where the
+  //! last answer said so.
+  std::optional<std::chrono::seconds> KeptAliveFor() const;
   //! Closes at once; a pending call returns kCancelled.
   void Cancel();
 
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -1,6 +1,7 @@
 #include "tamarackwing/http/connection.h"
 
 #include <array>
+#include <charconv>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -112,9 +113,6 @@
     co_return unexpected(
         this->state->Classify(error, ConnectionError::kReadFailed));
   }
-  if (this->state->parser->need_eof()) {
-    co_return unexpected(ConnectionError::kMalformed);
-  }
   const auto& message = this->state->parser->get();
   ResponseHead head;
   head.status = message.result_int();
@@ -152,11 +150,34 @@
 
 bool Connection::IsReusable() const {
   return this->state->whole && !this->state->cancelled &&
+         this->state->buffer.size() == 0 &&
          (!this->state->parser || this->state->parser->keep_alive());
 }
 
-bool Connection::IsPeerClosed() {
-  return http::IsPeerClosed(this->state->stream.socket());
+bool Connection::IsQuiet() {
+  return http::IsQuiet(this->state->stream.socket());
+}
+
+std::optional<std::chrono::seconds> Connection::KeptAliveFor() const {
+  if (!this->state->parser) {
+    return std::nullopt;
+  }
+  const auto field =
+      this->state->parser->get()[beast_http::field::keep_alive];
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view text(field.data(), field.size());
+  const std::size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::int64_t seconds = 0;
+  const char* const begin = text.data() + at + kTimeout.size();
+  const auto read =
+      std::from_chars(begin, text.data() + text.size(), seconds);
+  if (read.ec != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
 }
 
 void Connection::Cancel() {
--- a/packages/http/src/socket_options.cc
+++ b/packages/http/src/socket_options.cc
@@ -24,4 +24,11 @@
   return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
 }
 
+bool IsQuiet(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const auto received =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 }  // namespace tamarackwing::http
--- a/packages/http/src/socket_options.h
+++ b/packages/http/src/socket_options.h
@@ -15,4 +15,7 @@
 //! Precondition: the socket is readable.
 bool IsPeerClosed(asio::ip::tcp::socket& socket);
 
+//! Whether an idle socket is open and has nothing to read.
+bool IsQuiet(asio::ip::tcp::socket& socket);
+
 }  // namespace tamarackwing::http
--- a/packages/operators/src/operator_listener.cc
+++ b/packages/operators/src/operator_listener.cc
@@ -58,6 +58,9 @@
       body["code"] = "ignored";
       status = kNotFound;
       break;
+    case state::ApplyKind::kOvertaken:
+      body["code"] = "overtaken";
+      break;
   }
   body["version"] = result.outcome->version;
   body["faults"] = FaultDocument(result.outcome->faults);
--- a/packages/policy/include/tamarackwing/policy/server_report.h
+++ b/packages/policy/include/tamarackwing/policy/server_report.h
@@ -29,6 +29,13 @@
   double decode_rate = 0;
   //! How old the figures were when they were sent.
   std::chrono::milliseconds age{0};
+  //! When the server's process started, by the server's own clock; zero where
+  //! it does not say.
+  std::chrono::milliseconds started{0};
+  //! Counts the reports of one process; zero where they are not counted.
+  std::uint64_t sequence = 0;
+  //! How much longer the server stays cold.
+  std::chrono::milliseconds cold_for{0};
   //! Whether it leaves: no new work.
   bool leaving = false;
 
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,10 +33,24 @@
   std::chrono::milliseconds ramp{5'000};
   //! The cost of reaching a server of another data centre.
   std::chrono::milliseconds other_data_centre{2};
+  //! How long a server without a lease is still taken where no other is left:
+  //! its reports may be cut off while it works.
+  std::chrono::milliseconds lapsed{0};
+  //! Prompt tokens a second of a server that does not say.
+  double prefill_rate = 2'000;
+  //! Output tokens a second for one request of a server that does not say.
+  double decode_rate = 50;
   //! Prompt prefixes remembered for each server.
   std::size_t prefixes = 1024;
 };
 
+//! One part of a prompt, in the order of the prompt.
+struct PrefixPart {
+  //! Digest of this part and all before it.
+  std::uint64_t digest = 0;
+  TokenCount tokens = 0;
+};
+
 //! What a request needs of a server.
 struct ServerQuery {
   //! The model version or service.
@@ -44,6 +59,15 @@
   TokenCount output_tokens = 0;
   //! Digest of the prompt's prefix; zero for none.
   std::uint64_t prefix = 0;
+  //! The prompt in parts; a part is kept only where all before it are.
+  std::vector<PrefixPart> parts;
+  //! Requests with the same value gather on the same servers while those are
+  //! about as good as any; zero spreads.
+  std::uint64_t affinity = 0;
+  //! Requests a second that this host may send to one cold server.
+  std::function<std::uint32_t(const BackendServerName&)> cold_allowance;
+  //! Data centres that get no new work; null for none.
+  const std::set<DataCentreName>* closed = nullptr;
   //! The asker's own data centre.
   DataCentreName data_centre;
   //! Servers that this request has tried.
@@ -67,7 +91,10 @@
   ~ServerTable();
   ServerTable(ServerTable&&) noexcept;
 
-  //! Takes an announcement or renewal; true where the server is new.
+  //! Takes an announcement or renewal; true where the server is new. One that
+  //! is older than what is known is dropped, also where another server has
+  //! since taken its address. A report without an address says that a server
+  //! leaves of which the sender knows no more than the name.
   bool Announce(const ServerReport& report, TimePoint now);
   //! Drops servers whose lease has run out and names them.
   std::vector<BackendServerName> Expire(TimePoint now);
@@ -75,12 +102,19 @@
   std::optional<ServerChoice> Pick(const ServerQuery& query,
                                    TimePoint now,
                                    RandomSource& random) const;
-  //! Notes that a request left for a server.
-  void NoteSent(const BackendServerName& name, TimePoint now);
+  //! Notes that a request left for a server; `prompt_tokens` are to be read
+  //! there before its first output.
+  void NoteSent(const BackendServerName& name,
+                TokenCount prompt_tokens,
+                TimePoint now);
+  //! Notes that a request had its first output.
+  void NoteFirstOutput(const BackendServerName& name, TokenCount prompt_tokens);
   //! Notes that a request ended and how.
   void NoteFinished(const BackendServerName& name, bool failed, TimePoint now);
   //! Notes what a server says its cache holds; a hint that may be wrong.
   void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
+  //! Requests that this host has at the servers of a target.
+  std::uint32_t OwnRunning(const std::string& target) const;
   //! Slots of all usable servers for a target.
   std::uint32_t Slots(const std::string& target, TimePoint now) const;
   //! Whether any usable server serves the target.
@@ -92,7 +126,20 @@
 
  private:
   struct Server;
-  bool IsUsable(const Server& server, TimePoint now) const;
+  struct Candidate {
+    const Server* server = nullptr;
+    Duration cost{};
+  };
+  void Leave(const ServerReport& report);
+  //! Whether a report is older than what is known.
+  bool IsOvertaken(const ServerReport& report) const;
+  std::vector<Candidate> Candidates(const ServerQuery& query,
+                                    bool lapsed,
+                                    TimePoint now) const;
+  static bool BearsOneMore(const Server& server,
+                           const ServerQuery& query,
+                           TimePoint now);
+  bool IsUsable(const Server& server, bool lapsed, TimePoint now) const;
   std::uint32_t RampedSlots(const Server& server, TimePoint now) const;
   Duration ExpectedCost(const Server& server,
                         const ServerQuery& query,
@@ -103,6 +150,8 @@
   ServerTableLimits limits;
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
+  //! The newest server at each address and port.
+  std::map<std::pair<std::string, std::uint16_t>, BackendServerName> by_address;
 };
 
 }  // namespace tamarackwing::policy
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -7,17 +7,18 @@
 #include <utility>
 
 #include "tamarackwing/base/random_source.h"
+#include "tamarackwing/policy/rendezvous.h"
 
 namespace tamarackwing::policy {
 namespace {
 
 //! Servers within this factor of the best cost take part in the random choice.
 constexpr double kNearBest = 1.25;
-constexpr double kDefaultPrefillRate = 2000;
-constexpr double kDefaultDecodeRate = 50;
 //! The part of a prompt that a cached prefix is taken to cover.
 constexpr double kCachedPart = 0.8;
 constexpr TokenCount kTypicalOutput = 128;
+//! The span in which what a cold server gets is counted.
+constexpr std::chrono::seconds kColdSpan{1};
 
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
@@ -36,6 +37,10 @@
   TimePoint paused_until;
   std::uint32_t failures = 0;
   std::uint32_t own_running = 0;
+  //! Prompt tokens sent by this host that have not had their first output.
+  TokenCount unread = 0;
+  TimePoint cold_until;
+  std::deque<TimePoint> cold_sends;
   std::deque<TimePoint> sent;
   std::deque<std::uint64_t> prefix_order;
   std::unordered_set<std::uint64_t> prefixes;
@@ -51,13 +56,77 @@
       this->sent.pop_front();
     }
   }
+
+  //! Tokens of the leading parts that this server is taken to keep.
+  TokenCount KeptTokens(const std::vector<PrefixPart>& parts) const {
+    TokenCount kept = 0;
+    for (const PrefixPart& part : parts) {
+      if (!this->prefixes.contains(part.digest)) {
+        break;
+      }
+      kept += part.tokens;
+    }
+    return kept;
+  }
 };
 
 ServerTable::ServerTable(ServerTableLimits limits) : limits(limits) {}
 ServerTable::~ServerTable() = default;
 ServerTable::ServerTable(ServerTable&&) noexcept = default;
 
+void ServerTable::Leave(const ServerReport& report) {
+  const auto known = this->servers.find(report.name);
+  const auto zero = std::chrono::milliseconds(0);
+  if (known == this->servers.end() || !report.leaving) {
+    return;
+  }
+  ServerReport& last = known->second->report;
+  if (report.started == zero || report.started == last.started) {
+    last.leaving = true;
+  }
+}
+
+bool ServerTable::IsOvertaken(const ServerReport& report) const {
+  const auto at = this->by_address.find({report.address, report.port});
+  if (at != this->by_address.end() && at->second != report.name) {
+    const auto holder = this->servers.find(at->second);
+    if (holder != this->servers.end() &&
+        holder->second->report.started > report.started) {
+      return true;
+    }
+  }
+  const auto known = this->servers.find(report.name);
+  if (known == this->servers.end()) {
+    return false;
+  }
+  const ServerReport& last = known->second->report;
+  if (report.started != last.started) {
+    return report.started < last.started && !report.address.empty();
+  }
+  // A process that has said that it leaves does not come back.
+  const bool comes_back = last.leaving && !report.leaving && report.started > std::chrono::milliseconds(0);
+  const bool is_late = report.sequence != 0 && report.sequence < last.sequence;
+  return comes_back || is_late;
+}
+
 bool ServerTable::Announce(const ServerReport& report, TimePoint now) {
+  if (this->IsOvertaken(report)) {
+    return false;
+  }
+  if (report.address.empty()) {
+    this->Leave(report);
+    return false;
+  }
+  const std::pair place(report.address, report.port);
+  const auto at = this->by_address.find(place);
+  if (at != this->by_address.end() && at->second != report.name) {
+    const auto replaced = this->servers.find(at->second);
+    if (replaced != this->servers.end()) {
+      this->Unindex(*replaced->second);
+      this->servers.erase(replaced);
+    }
+  }
+  this->by_address[place] = report.name;
   std::unique_ptr<Server>& slot = this->servers[report.name];
   const bool is_new = !slot;
   if (is_new) {
@@ -65,8 +134,14 @@
     slot->usable_since = now;
   } else {
     this->Unindex(*slot);
+    if (slot->report.started != report.started) {
+      // A new process knows nothing of what the old one kept.
+      *slot = Server();
+      slot->usable_since = now;
+    }
   }
   slot->report = report;
+  slot->cold_until = now + report.cold_for;
   slot->lease_until = now + this->limits.lease;
   slot->figures_from = now - report.age;
   slot->DropSentBefore(slot->figures_from);
@@ -77,12 +152,20 @@
 std::vector<BackendServerName> ServerTable::Expire(TimePoint now) {
   std::vector<BackendServerName> expired;
   for (const auto& [name, server] : this->servers) {
-    if (server->lease_until <= now) {
+    const bool has_lapsed = server->lease_until <= now;
+    const bool is_last_resort = server->lease_until + this->limits.lapsed > now &&
+                                server->failures == 0 && !server->report.leaving;
+    if (has_lapsed && !is_last_resort) {
       expired.push_back(name);
     }
   }
   for (const BackendServerName& name : expired) {
-    this->Unindex(*this->servers.at(name));
+    const Server& server = *this->servers.at(name);
+    this->Unindex(server);
+    const auto at = this->by_address.find({server.report.address, server.report.port});
+    if (at != this->by_address.end() && at->second == name) {
+      this->by_address.erase(at);
+    }
     this->servers.erase(name);
   }
   return expired;
@@ -91,45 +174,109 @@
 std::optional<ServerChoice> ServerTable::Pick(const ServerQuery& query,
                                               TimePoint now,
                                               RandomSource& random) const {
-  const auto candidates = this->by_target.find(query.target);
-  if (candidates == this->by_target.end()) {
-    return std::nullopt;
-  }
-  struct Candidate {
-    const Server* server;
-    Duration cost;
-  };
-  std::vector<Candidate> usable;
-  usable.reserve(candidates->second.size());
-  Duration best = Duration::max();
-  for (const Server* server : candidates->second) {
-    const bool was_tried =
-        !query.tried.empty() && query.tried.contains(server->report.name);
-    if (was_tried || !this->IsUsable(*server, now)) {
-      continue;
-    }
-    const Duration cost = this->ExpectedCost(*server, query, now);
-    best = std::min(best, cost);
-    usable.push_back({server, cost});
+  std::vector<Candidate> usable = this->Candidates(query, false, now);
+  if (usable.empty() && this->limits.lapsed.count() > 0) {
+    usable = this->Candidates(query, true, now);
   }
   if (usable.empty()) {
     return std::nullopt;
   }
+  Duration best = Duration::max();
+  for (const Candidate& candidate : usable) {
+    best = std::min(best, candidate.cost);
+  }
   const auto bound = std::chrono::duration_cast<Duration>(best * kNearBest);
   std::erase_if(usable, [&](const Candidate& c) { return c.cost > bound; });
-  const Candidate& first = usable[random.Below(usable.size())];
-  const Candidate& second = usable[random.Below(usable.size())];
-  const Candidate& chosen = second.cost < first.cost ? second : first;
+  Candidate chosen;
+  if (query.affinity != 0) {
+    chosen = *std::max_element(
+        usable.begin(), usable.end(),
+        [&](const Candidate& a, const Candidate& b) {
+          return RendezvousWeight(query.affinity, a.server->report.name.Text()) <
+                 RendezvousWeight(query.affinity, b.server->report.name.Text());
+        });
+  } else {
+    const Candidate& first = usable[random.Below(usable.size())];
+    const Candidate& second = usable[random.Below(usable.size())];
+    chosen = second.cost < first.cost ? second : first;
+  }
   const ServerReport& report = chosen.server->report;
   return ServerChoice{report.name, report.address, report.port, chosen.cost};
 }
 
-void ServerTable::NoteSent(const BackendServerName& name, TimePoint now) {
-  const auto server = this->servers.find(name);
-  if (server != this->servers.end()) {
-    server->second->own_running += 1;
-    server->second->sent.push_back(now);
+std::vector<ServerTable::Candidate> ServerTable::Candidates(
+    const ServerQuery& query,
+    bool lapsed,
+    TimePoint now) const {
+  std::vector<Candidate> usable;
+  const auto servers_of = this->by_target.find(query.target);
+  if (servers_of == this->by_target.end()) {
+    return usable;
+  }
+  usable.reserve(servers_of->second.size());
+  for (const Server* server : servers_of->second) {
+    const bool was_tried =
+        !query.tried.empty() && query.tried.contains(server->report.name);
+    const bool is_closed = query.closed != nullptr &&
+                           query.closed->contains(server->report.data_centre);
+    if (!was_tried && !is_closed && this->IsUsable(*server, lapsed, now) &&
+        BearsOneMore(*server, query, now)) {
+      usable.push_back({server, this->ExpectedCost(*server, query, now)});
+    }
+  }
+  return usable;
+}
+
+bool ServerTable::BearsOneMore(const Server& server,
+                               const ServerQuery& query,
+                               TimePoint now) {
+  if (server.cold_until <= now || !query.cold_allowance) {
+    return true;
+  }
+  const auto recent = std::count_if(
+      server.cold_sends.begin(), server.cold_sends.end(),
+      [&](TimePoint sent) { return now - sent <= kColdSpan; });
+  return static_cast<std::uint32_t>(recent) <
+         query.cold_allowance(server.report.name);
+}
+
+void ServerTable::NoteSent(const BackendServerName& name,
+                           TokenCount prompt_tokens,
+                           TimePoint now) {
+  const auto found = this->servers.find(name);
+  if (found == this->servers.end()) {
+    return;
+  }
+  Server& server = *found->second;
+  server.own_running += 1;
+  server.unread += prompt_tokens;
+  server.sent.push_back(now);
+  if (server.cold_until > now) {
+    server.cold_sends.push_back(now);
+    while (now - server.cold_sends.front() > kColdSpan) {
+      server.cold_sends.pop_front();
+    }
+  }
+}
+
+void ServerTable::NoteFirstOutput(const BackendServerName& name,
+                                  TokenCount prompt_tokens) {
+  const auto found = this->servers.find(name);
+  if (found != this->servers.end()) {
+    Server& server = *found->second;
+    server.unread = std::max<TokenCount>(0, server.unread - prompt_tokens);
+  }
+}
+
+std::uint32_t ServerTable::OwnRunning(const std::string& target) const {
+  const auto servers_of = this->by_target.find(target);
+  std::uint32_t running = 0;
+  if (servers_of != this->by_target.end()) {
+    for (const Server* server : servers_of->second) {
+      running += server->own_running;
+    }
   }
+  return running;
 }
 
 void ServerTable::NoteFinished(const BackendServerName& name,
@@ -181,7 +328,7 @@
   }
   std::uint32_t slots = 0;
   for (const Server* server : candidates->second) {
-    if (this->IsUsable(*server, now)) {
+    if (this->IsUsable(*server, false, now)) {
       slots += this->RampedSlots(*server, now);
     }
   }
@@ -201,9 +348,11 @@
   return reports;
 }
 
-bool ServerTable::IsUsable(const Server& server, TimePoint now) const {
-  if (server.report.leaving || server.lease_until <= now ||
-      server.paused_until > now) {
+bool ServerTable::IsUsable(const Server& server,
+                           bool lapsed,
+                           TimePoint now) const {
+  const bool has_lease = lapsed || server.lease_until > now;
+  if (server.report.leaving || !has_lease || server.paused_until > now) {
     return false;
   }
   // A server that has failed is probed by one request at a time.
@@ -227,14 +376,17 @@
                                    TimePoint now) const {
   const double prefill_rate = server.report.prefill_rate > 0
                                   ? server.report.prefill_rate
-                                  : kDefaultPrefillRate;
+                                  : this->limits.prefill_rate;
   const double decode_rate = server.report.decode_rate > 0
                                  ? server.report.decode_rate
-                                 : kDefaultDecodeRate;
+                                 : this->limits.decode_rate;
   const bool cached = query.prefix != 0 && !server.prefixes.empty() &&
                       server.prefixes.contains(query.prefix);
-  const double prompt =
-      static_cast<double>(query.prompt_tokens) * (cached ? 1 - kCachedPart : 1);
+  const TokenCount kept = server.KeptTokens(query.parts);
+  // Prompts are read one after another.
+  const double prompt = static_cast<double>(query.prompt_tokens - kept) *
+                            (cached ? 1 - kCachedPart : 1) +
+                        static_cast<double>(server.unread);
   const double own = prompt / prefill_rate +
                      static_cast<double>(query.output_tokens) / decode_rate;
   const double typical = static_cast<double>(kTypicalOutput) / decode_rate;
--- /dev/null
+++ b/packages/policy/src/try_plan.cc
@@ -0,0 +1,38 @@
+#include "tamarackwing/policy/try_plan.h"
+
+namespace tamarackwing::policy {
+namespace {
+
+//! Tries beyond those that may run: connections that are refused and servers
+//! that reject cost little, but not nothing.
+constexpr std::size_t kMostVainTries = 3;
+
+}  // namespace
+
+TryPlan::TryPlan(TryRules rules) : rules(rules) {}
+
+NextStep TryPlan::Next(TryEnd end) {
+  this->tries += 1;
+  if (end != TryEnd::kNotSent) {
+    this->sends += 1;
+  }
+  if (end == TryEnd::kLost || end == TryEnd::kFailed ||
+      end == TryEnd::kServed) {
+    this->runs += 1;
+  }
+  if (end == TryEnd::kServed) {
+    return NextStep::kPassOn;
+  }
+  const bool may_run_again =
+      this->runs == 0 || (this->rules.repeatable && this->runs < this->rules.most_runs);
+  if (may_run_again && this->tries < this->rules.most_runs + kMostVainTries) {
+    return NextStep::kTryAnother;
+  }
+  return end == TryEnd::kFailed ? NextStep::kPassOn : this->Stop();
+}
+
+NextStep TryPlan::Stop() const {
+  return this->MayHaveRun() ? NextStep::kGiveUp : NextStep::kRefuse;
+}
+
+}  // namespace tamarackwing::policy
--- a/packages/policy/tests/server_table_tests.cc
+++ b/packages/policy/tests/server_table_tests.cc
@@ -68,7 +68,7 @@
   this->table.Announce(Report("a"), this->clock.Now());
   this->table.Announce(Report("b"), this->clock.Now());
   for (int i = 0; i < 20; ++i) {
-    this->table.NoteSent(BackendServerName("a"), this->clock.Now());
+    this->table.NoteSent(BackendServerName("a"), 0, this->clock.Now());
   }
   EXPECT_EQ(this->PickMany(Query(), 50)["b"], 50);
 }
@@ -108,13 +108,13 @@
 TEST_F(ServerTableTest, AFailedServerIsSetAsideAndThenProbedByOneRequest) {
   const BackendServerName name("a");
   this->table.Announce(Report("a"), this->clock.Now());
-  this->table.NoteSent(name, this->clock.Now());
+  this->table.NoteSent(name, 0, this->clock.Now());
   this->table.NoteFinished(name, true, this->clock.Now());
   EXPECT_FALSE(this->table.Pick(Query(), this->clock.Now(), this->random));
   this->clock.Advance(milliseconds(600));
   this->table.Announce(Report("a"), this->clock.Now());
   EXPECT_TRUE(this->table.Pick(Query(), this->clock.Now(), this->random));
-  this->table.NoteSent(name, this->clock.Now());
+  this->table.NoteSent(name, 0, this->clock.Now());
   EXPECT_FALSE(this->table.Pick(Query(), this->clock.Now(), this->random));
   this->table.NoteFinished(name, false, this->clock.Now());
   EXPECT_TRUE(this->table.Pick(Query(), this->clock.Now(), this->random));
--- a/packages/state/include/tamarackwing/state/configuration_set.h
+++ b/packages/state/include/tamarackwing/state/configuration_set.h
@@ -8,20 +8,14 @@
 #include <vector>
 
 #include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/state/path_route.h"
+#include "tamarackwing/state/residency_rule.h"
+#include "tamarackwing/state/service.h"
 
 namespace tamarackwing::state {
 
-using ResidencyRuleName = StrongId<struct ResidencyRuleNameTag>;
 using ModelVersionName = StrongId<struct ModelVersionNameTag>;
 
-//! The regions in which data may be handled.
-struct ResidencyRule {
-  ResidencyRuleName name;
-  std::vector<RegionName> regions;
-
-  friend bool operator==(const ResidencyRule&, const ResidencyRule&) = default;
-};
-
 //! A tenant: its rate, its burst and where its data may be.
 struct Workspace {
   WorkspaceName name;
@@ -31,6 +25,11 @@
   TokenCount burst = 0;
   //! Its part of a full server against that of other workspaces.
   std::uint32_t weight = 1;
+  //! Goes before the route's; zero is the most urgent, nothing leaves it to
+  //! the route.
+  std::optional<std::uint32_t> priority;
+  //! What a request of a path route counts that does not say its tokens.
+  TokenCount plain_tokens = 1;
   std::vector<RegionName> home_regions;
   ResidencyRuleName residency;
 
@@ -84,6 +83,8 @@
   std::map<KeyDigest, Key> keys;
   std::map<ModelVersionName, ModelVersion> model_versions;
   std::map<RouteName, Route> routes;
+  std::map<ServiceName, Service> services;
+  std::map<RouteName, PathRoute> path_routes;
 
   friend bool operator==(const ConfigurationSet&,
                          const ConfigurationSet&) = default;
@@ -95,7 +96,9 @@
   kWorkspace,
   kKey,
   kModelVersion,
-  kRoute
+  kRoute,
+  kService,
+  kPathRoute,
 };
 
 //! One named object.
@@ -114,6 +117,8 @@
   std::vector<Key> keys;
   std::vector<ModelVersion> model_versions;
   std::vector<Route> routes;
+  std::vector<Service> services;
+  std::vector<PathRoute> path_routes;
   std::vector<ObjectReference> removed;
 
   friend bool operator==(const SetDelta&, const SetDelta&) = default;
--- a/packages/state/include/tamarackwing/state/control_change.h
+++ b/packages/state/include/tamarackwing/state/control_change.h
@@ -20,6 +20,21 @@
   SetDelta delta;
 };
 
+//! Puts a whole set in force where no set with this number, or a higher one,
+//! is: the highest number wins.
+struct ReplaceSet {
+  std::uint64_t number = 0;
+  //! What the operator sent, as it was sent; read back, and never parsed here.
+  std::string document;
+  ConfigurationSet set;
+};
+
+//! Closes a data centre: its servers get no new work until it is opened.
+struct CloseDataCentre {
+  DataCentreName data_centre;
+  bool closed = true;
+};
+
 //! Grants one key, whatever the version of the set.
 struct GrantKey {
   PublishId id;
@@ -73,7 +88,9 @@
                                    DrainHost,
                                    PutRegionView,
                                    ConfirmVersion,
-                                   SetLiveHosts>;
+                                   SetLiveHosts,
+                                   ReplaceSet,
+                                   CloseDataCentre>;
 
 //! Why bytes are no change.
 enum class DecodeError { kMalformed };
--- a/packages/state/include/tamarackwing/state/control_state.h
+++ b/packages/state/include/tamarackwing/state/control_state.h
@@ -14,6 +14,7 @@
 #include "tamarackwing/state/configuration_set.h"
 #include "tamarackwing/state/control_change.h"
 #include "tamarackwing/state/host_record.h"
+#include "tamarackwing/state/path_index.h"
 #include "tamarackwing/state/region_share.h"
 #include "tamarackwing/state/region_view.h"
 #include "tamarackwing/state/topology.h"
@@ -29,6 +30,8 @@
   kRejected,
   //! The bytes were no change, or the change had no effect.
   kIgnored,
+  //! A set with this number, or a higher one, is in force; nothing changed.
+  kOvertaken,
 };
 
 //! The outcome of a change.
@@ -57,6 +60,18 @@
   const std::shared_ptr<const ConfigurationSet>& Set() const {
     return this->set;
   }
+  //! The number of the set in force; zero where none came with a number.
+  std::uint64_t SetNumber() const { return this->set_number; }
+  //! What the operator sent with that number. Never null.
+  const std::shared_ptr<const std::string>& Document() const {
+    return this->document;
+  }
+  //! Data centres whose servers get no new work.
+  const std::set<DataCentreName>& ClosedDataCentres() const {
+    return this->closed;
+  }
+  //! The path routes of the set. Never null.
+  const std::shared_ptr<const PathIndex>& Paths() const { return this->paths; }
   const std::shared_ptr<const std::set<KeyDigest>>& Withdrawn() const {
     return this->withdrawn;
   }
@@ -106,6 +121,9 @@
   ApplyOutcome ApplyChange(LogIndex index, const PutRegionView& change);
   ApplyOutcome ApplyChange(LogIndex index, const ConfirmVersion& change);
   ApplyOutcome ApplyChange(LogIndex index, const SetLiveHosts& change);
+  ApplyOutcome ApplyChange(LogIndex index, const ReplaceSet& change);
+  ApplyOutcome ApplyChange(LogIndex index, const CloseDataCentre& change);
+  void PutSet(std::shared_ptr<const ConfigurationSet> next);
 
   //! Checks a change against `next`, which is the set with the change.
   ApplyOutcome CheckNext(const SetDelta& delta,
@@ -120,7 +138,11 @@
   SetVersion confirmed = 0;
   //! Whether hosts came or went since the set was last checked whole.
   bool topology_changed = true;
+  std::uint64_t set_number = 0;
+  std::shared_ptr<const std::string> document;
+  std::set<DataCentreName> closed;
   std::shared_ptr<const ConfigurationSet> set;
+  std::shared_ptr<const PathIndex> paths;
   std::shared_ptr<const std::set<KeyDigest>> withdrawn;
   std::shared_ptr<const std::map<HostName, HostRecord>> hosts;
   std::map<HostName, std::size_t> slices;
--- a/packages/state/include/tamarackwing/state/set_checker.h
+++ b/packages/state/include/tamarackwing/state/set_checker.h
@@ -23,4 +23,8 @@
                           const Topology& topology,
                           const std::set<KeyDigest>& withdrawn);
 
+//! Checks services and path routes by themselves, whatever hosts there are.
+//! Thread safety: reentrant.
+config::Faults CheckPathObjects(const ConfigurationSet& set);
+
 }  // namespace tamarackwing::state
--- a/packages/state/include/tamarackwing/state/snapshot.h
+++ b/packages/state/include/tamarackwing/state/snapshot.h
@@ -8,6 +8,7 @@
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/state/configuration_set.h"
 #include "tamarackwing/state/host_record.h"
+#include "tamarackwing/state/path_index.h"
 #include "tamarackwing/state/region_share.h"
 
 namespace tamarackwing::state {
@@ -20,6 +21,14 @@
   //! Never null.
   std::shared_ptr<const ConfigurationSet> set =
       std::make_shared<const ConfigurationSet>();
+  //! The number of the set; zero where none came with a number.
+  std::uint64_t set_number = 0;
+  //! Never null.
+  std::shared_ptr<const PathIndex> paths = std::make_shared<const PathIndex>();
+  //! What the operator sent with the number.
+  std::shared_ptr<const std::string> document =
+      std::make_shared<const std::string>();
+  std::set<DataCentreName> closed_data_centres;
   //! Never null.
   std::shared_ptr<const std::set<KeyDigest>> withdrawn =
       std::make_shared<const std::set<KeyDigest>>();
@@ -28,6 +37,8 @@
       std::make_shared<const std::map<HostName, HostRecord>>();
   //! Hosts that answered lately.
   std::set<HostName> live;
+  //! When this host last had word of all that was committed.
+  TimePoint word;
   //! Until when keys of other home regions may be served.
   TimePoint keys_fresh_until;
   //! Budget shares of this region that are changing; others follow the set.
--- a/packages/state/src/configuration_set.cc
+++ b/packages/state/src/configuration_set.cc
@@ -53,6 +53,12 @@
     case ObjectKind::kRoute:
       set.routes.erase(RouteName(object.name));
       break;
+    case ObjectKind::kService:
+      set.services.erase(ServiceName(object.name));
+      break;
+    case ObjectKind::kPathRoute:
+      set.path_routes.erase(RouteName(object.name));
+      break;
   }
 }
 
@@ -69,6 +75,10 @@
               delta.model_versions, delta.removed);
   DiffObjects(ObjectKind::kRoute, from.routes, to.routes, delta.routes,
               delta.removed);
+  DiffObjects(ObjectKind::kService, from.services, to.services, delta.services,
+              delta.removed);
+  DiffObjects(ObjectKind::kPathRoute, from.path_routes, to.path_routes,
+              delta.path_routes, delta.removed);
   return delta;
 }
 
@@ -81,6 +91,8 @@
   Store(delta.keys, set.keys);
   Store(delta.model_versions, set.model_versions);
   Store(delta.routes, set.routes);
+  Store(delta.services, set.services);
+  Store(delta.path_routes, set.path_routes);
 }
 
 std::string_view ObjectKindName(ObjectKind kind) {
@@ -95,6 +107,10 @@
       return "model_versions";
     case ObjectKind::kRoute:
       return "routes";
+    case ObjectKind::kService:
+      return "services";
+    case ObjectKind::kPathRoute:
+      return "path_routes";
   }
   return "objects";
 }
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -27,12 +27,6 @@
 }  // namespace
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ApplyOutcome, kind, version, faults)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationSet,
-                                   residency_rules,
-                                   workspaces,
-                                   keys,
-                                   model_versions,
-                                   routes)
 
 RegionShare ShareIn(const Workspace& workspace, const RegionName& region) {
   const auto& homes = workspace.home_regions;
@@ -45,7 +39,9 @@
 }
 
 ControlState::ControlState()
-    : set(std::make_shared<const ConfigurationSet>()),
+    : document(std::make_shared<const std::string>()),
+      set(std::make_shared<const ConfigurationSet>()),
+      paths(std::make_shared<const PathIndex>()),
       withdrawn(std::make_shared<const std::set<KeyDigest>>()),
       hosts(std::make_shared<const std::map<HostName, HostRecord>>()) {}
 
@@ -144,7 +140,7 @@
     outcome = this->CheckNext(change.delta, *next);
     if (outcome.kind == ApplyKind::kApplied) {
       this->KeepOldWorkspaces(index, change.delta);
-      this->set = std::move(next);
+      this->PutSet(std::move(next));
       this->version = index;
       this->topology_changed = false;
       outcome.version = index;
@@ -170,7 +166,7 @@
   for (const KeyDigest& digest : change.digests) {
     fewer->keys.erase(digest);
   }
-  this->set = std::move(fewer);
+  this->PutSet(std::move(fewer));
   return this->Applied(this->version);
 }
 
@@ -246,6 +242,38 @@
   return this->Applied(this->version);
 }
 
+ApplyOutcome ControlState::ApplyChange(LogIndex index,
+                                       const ReplaceSet& change) {
+  if (change.number <= this->set_number) {
+    return {ApplyKind::kOvertaken, this->version, {}};
+  }
+  config::Faults faults = CheckPathObjects(change.set);
+  if (!faults.empty()) {
+    return {ApplyKind::kRejected, this->version, std::move(faults)};
+  }
+  this->KeepOldWorkspaces(index, DiffSets(*this->set, change.set));
+  this->PutSet(std::make_shared<const ConfigurationSet>(change.set));
+  this->set_number = change.number;
+  this->document = std::make_shared<const std::string>(change.document);
+  this->version = index;
+  return this->Applied(index);
+}
+
+ApplyOutcome ControlState::ApplyChange(LogIndex,
+                                       const CloseDataCentre& change) {
+  if (change.closed) {
+    this->closed.insert(change.data_centre);
+  } else {
+    this->closed.erase(change.data_centre);
+  }
+  return this->Applied(this->version);
+}
+
+void ControlState::PutSet(std::shared_ptr<const ConfigurationSet> next) {
+  this->set = std::move(next);
+  this->paths = std::make_shared<const PathIndex>(*this->set);
+}
+
 ApplyOutcome ControlState::Applied(SetVersion at) const {
   return {ApplyKind::kApplied, at, {}};
 }
@@ -293,6 +321,9 @@
   document["version"] = this->version;
   document["confirmed"] = this->confirmed;
   document["set"] = *this->set;
+  document["set_number"] = this->set_number;
+  document["document"] = *this->document;
+  document["closed"] = this->closed;
   document["withdrawn"] = *this->withdrawn;
   document["hosts"] = *this->hosts;
   document["slices"] = this->slices;
@@ -326,8 +357,12 @@
     document.at("applied").get_to(state.applied);
     document.at("version").get_to(state.version);
     document.at("confirmed").get_to(state.confirmed);
-    state.set = std::make_shared<const ConfigurationSet>(
-        document.at("set").get<ConfigurationSet>());
+    state.PutSet(std::make_shared<const ConfigurationSet>(
+        document.at("set").get<ConfigurationSet>()));
+    document.at("set_number").get_to(state.set_number);
+    state.document = std::make_shared<const std::string>(
+        document.at("document").get<std::string>());
+    document.at("closed").get_to(state.closed);
     state.withdrawn = std::make_shared<const std::set<KeyDigest>>(
         document.at("withdrawn").get<std::set<KeyDigest>>());
     state.hosts = std::make_shared<const std::map<HostName, HostRecord>>(
--- a/packages/state/src/internal/json_codec.h
+++ b/packages/state/src/internal/json_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <nlohmann/json.hpp>
 
 #include "tamarackwing/base/strong_id.h"
@@ -31,6 +32,16 @@
   }
 };
 
+template <typename Value>
+struct adl_serializer<std::optional<Value>> {
+  static void to_json(json& out, const std::optional<Value>& value) {
+    out = value ? json(*value) : json();
+  }
+  static void from_json(const json& in, std::optional<Value>& value) {
+    value = in.is_null() ? std::nullopt : std::optional(in.get<Value>());
+  }
+};
+
 }  // namespace nlohmann
 
 namespace tamarackwing::state {
@@ -41,6 +52,8 @@
                                    rate,
                                    burst,
                                    weight,
+                                   priority,
+                                   plain_tokens,
                                    home_regions,
                                    residency)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Key, digest, workspace, home_regions)
@@ -54,6 +67,36 @@
                                    model_version,
                                    home_regions,
                                    residency)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Service,
+                                   name,
+                                   connection_limit,
+                                   warmup,
+                                   warmup_per_kilosecond,
+                                   engine_slots,
+                                   engine_tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceShare, service, weight)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PathRoute,
+                                   name,
+                                   authority,
+                                   prefix,
+                                   kind,
+                                   open,
+                                   resumable,
+                                   timeout,
+                                   target_latency,
+                                   target_gap,
+                                   priority,
+                                   most_tries,
+                                   services,
+                                   residency)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationSet,
+                                   residency_rules,
+                                   workspaces,
+                                   keys,
+                                   model_versions,
+                                   routes,
+                                   services,
+                                   path_routes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObjectReference, kind, name)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetDelta,
                                    residency_rules,
@@ -61,6 +104,8 @@
                                    keys,
                                    model_versions,
                                    routes,
+                                   services,
+                                   path_routes,
                                    removed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostRecord,
                                    name,
@@ -90,5 +135,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PutRegionView, view)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfirmVersion, version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetLiveHosts, region, hosts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplaceSet, number, document, set)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CloseDataCentre, data_centre, closed)
 
 }  // namespace tamarackwing::state
--- /dev/null
+++ b/packages/state/src/path_index.cc
@@ -0,0 +1,33 @@
+#include "tamarackwing/state/path_index.h"
+
+namespace tamarackwing::state {
+
+PathIndex::PathIndex(const ConfigurationSet& set) {
+  for (const auto& [name, route] : set.path_routes) {
+    this->authorities[route.authority].emplace(route.prefix, route);
+  }
+}
+
+const PathRoute* PathIndex::Find(std::string_view authority,
+                                 std::string_view path) const {
+  const auto prefixes = this->authorities.find(authority);
+  if (prefixes == this->authorities.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so only the path's own slashes can end one.
+  std::size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto found = prefixes->second.find(path.substr(0, end + 1));
+    if (found != prefixes->second.end()) {
+      return &found->second;
+    }
+    end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+bool PathIndex::HasAuthority(std::string_view authority) const {
+  return this->authorities.contains(authority);
+}
+
+}  // namespace tamarackwing::state
--- a/packages/state/src/set_checker.cc
+++ b/packages/state/src/set_checker.cc
@@ -1,6 +1,7 @@
 #include "tamarackwing/state/set_checker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -28,6 +29,9 @@
     for (const auto& [name, route] : this->set.routes) {
       this->CheckRoute(route);
     }
+    config::Faults path_faults = CheckPathObjects(this->set);
+    std::move(path_faults.begin(), path_faults.end(),
+              std::back_inserter(this->faults));
     return std::move(this->faults);
   }
 
@@ -116,8 +120,53 @@
   config::Faults faults;
 };
 
+void CheckShares(const ConfigurationSet& set,
+                 const PathRoute& route,
+                 config::Faults& faults) {
+  const std::string path = "path_routes." + route.name.Text();
+  std::uint64_t weights = 0;
+  for (const ServiceShare& share : route.services) {
+    weights += share.weight;
+    if (!set.services.contains(share.service)) {
+      faults.push_back({config::FaultCode::kUnknownReference,
+                        path + ".services", 0, share.service.Text()});
+    }
+  }
+  if (weights == 0) {
+    faults.push_back(
+        {config::FaultCode::kOutOfRange, path + ".services", 0, "0"});
+  }
+}
+
 }  // namespace
 
+config::Faults CheckPathObjects(const ConfigurationSet& set) {
+  config::Faults faults;
+  std::set<std::pair<std::string, std::string>> places;
+  for (const auto& [name, route] : set.path_routes) {
+    const std::string path = "path_routes." + name.Text();
+    CheckShares(set, route, faults);
+    if (!places.emplace(route.authority, route.prefix).second) {
+      faults.push_back({config::FaultCode::kDuplicateName, path + ".prefix", 0,
+                        route.prefix});
+    }
+    if (route.timeout.count() <= 0) {
+      faults.push_back(
+          {config::FaultCode::kOutOfRange, path + ".timeout", 0, "0"});
+    }
+    if (route.prefix.empty() || route.prefix.front() != '/' ||
+        route.prefix.back() != '/') {
+      faults.push_back({config::FaultCode::kOutOfRange, path + ".prefix", 0,
+                        route.prefix});
+    }
+    if (!set.residency_rules.contains(route.residency)) {
+      faults.push_back({config::FaultCode::kUnknownReference,
+                        path + ".residency", 0, route.residency.Text()});
+    }
+  }
+  return faults;
+}
+
 config::Faults CheckSet(const ConfigurationSet& set,
                         const Topology& topology,
                         const std::set<KeyDigest>& withdrawn) {
@@ -129,7 +178,9 @@
                           const Topology& topology,
                           const std::set<KeyDigest>& withdrawn) {
   // A rule that narrows, or an object that goes, can break what is not named.
-  const bool only_adds = delta.removed.empty() && delta.residency_rules.empty();
+  const bool only_adds = delta.removed.empty() &&
+                         delta.residency_rules.empty() &&
+                         delta.services.empty() && delta.path_routes.empty();
   SetChecker checker(set, topology, withdrawn);
   return only_adds ? checker.CheckNamed(delta) : checker.Check();
 }
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -23,6 +23,10 @@
 //! The freshness of keys runs on even when nothing changes.
 constexpr milliseconds kSnapshotEvery{200};
 constexpr std::chrono::seconds kOrderPatience{9};
+//! A peak moves within a second or two; a lease must follow it.
+constexpr milliseconds kRatesEvery{500};
+//! Second sends as a part of the requests.
+constexpr std::uint32_t kRetryPercent = 10;
 
 std::chrono::microseconds ThreadTime() {
   timespec time{};
@@ -285,7 +289,7 @@
     this->disk_thread = std::make_unique<DiskThread>(*this->disk, *this->store,
                                                      std::move(callbacks));
   }
-  this->network->SetHosts(this->settings.hosts);
+  this->network->SetHosts(this->KnownHosts());
   const bool listens = this->network->Listen().has_value();
   started(listens);
   if (listens) {
@@ -301,7 +305,7 @@
   this->Carry(this->node->Tick(this->parts.clock.Now()));
   const TimePoint now = this->parts.clock.Now();
   this->parts.servers.Expire();
-  this->parts.gate.Expire(now);
+  this->parts.gate.Expire(this->parts.traffic_clock.Now());
   this->parts.budget.Tick();
   if (now >= this->share_at) {
     this->share_at = now + kShareEvery;
@@ -314,6 +318,10 @@
   if (now >= this->snapshot_at) {
     this->PublishSnapshot();
   }
+  if (now >= this->rates_at) {
+    this->rates_at = now + kRatesEvery;
+    this->ReportRates();
+  }
   this->EndWaits();
   this->quiet.store(this->node->IsQuiet());
 }
@@ -370,6 +378,12 @@
   for (const control::RegionNews& news : effects.news) {
     this->CarryRegionNews(news);
   }
+  for (const policy::RateGrant& grant : effects.rate_grants) {
+    this->parts.rates.Accept(grant);
+  }
+  for (const policy::ServerReport& report : effects.servers) {
+    this->parts.servers.TakeRelayed(report);
+  }
   for (const control::ProbeNews& news : effects.probes) {
     this->CarryProbe(news);
   }
@@ -404,6 +418,27 @@
   this->probe_sent.erase(sent);
 }
 
+void ControlThread::ReportRates() {
+  policy::RateReport report = this->parts.rates.MakeReport();
+  if (!report.demands.empty()) {
+    this->Carry(this->node->ReportRates(report));
+  }
+}
+
+bool ControlThread::Announce(const policy::ServerReport& report) {
+  if (!this->parts.snapshots.Get()->ready) {
+    return false;
+  }
+  this->network->Post([this, report] {
+    this->Carry(this->node->RelayServer(report, this->parts.clock.Now()));
+  });
+  return true;
+}
+
+void ControlThread::NoteCacheEvents(const backend_servers::CacheEvents&) {
+  // Entry hosts hear cache events from the servers themselves.
+}
+
 void ControlThread::ShareSlots() {
   const auto snapshot = this->parts.snapshots.Get();
   const TimePoint now = this->parts.clock.Now();
@@ -415,10 +450,15 @@
   for (const auto& [name, route] : snapshot->set->routes) {
     targets.insert(TargetOf(route));
   }
+  for (const auto& [name, service] : snapshot->set->services) {
+    targets.insert(name.Text());
+  }
   for (const std::string& target : targets) {
     std::map<HostName, std::uint32_t> demand;
     const auto own = own_demand.find(target);
-    demand[self] = own == own_demand.end() ? 0 : own->second;
+    demand[self] = own == own_demand.end()
+                       ? this->parts.servers.OwnRunning(target)
+                       : own->second;
     std::uint32_t total = demand[self];
     for (const auto& [host, heard] : this->region_statuses) {
       // A host that falls silent gives its part back.
@@ -494,10 +534,18 @@
     this->told_to_drain.store(true);
   }
   std::vector<state::HostRecord> records;
+  std::uint32_t entries = 0;
   for (const auto& [name, host] : hosts) {
     records.push_back(host);
+    entries += host.caller_port != 0 ? 1 : 0;
   }
   this->network->SetHosts(records);
+  if (this->settings.fleet_retries > 0 && entries > 0) {
+    // Half of what is allowed: hosts count their requests by different windows.
+    this->parts.servers.SetRetryLimits(
+        kRetryPercent,
+        std::max<std::uint32_t>(1, this->settings.fleet_retries / 2 / entries));
+  }
 }
 
 void ControlThread::PublishMetrics() {
@@ -575,6 +623,23 @@
   });
 }
 
+std::vector<state::HostRecord> ControlThread::KnownHosts() const {
+  std::vector<state::HostRecord> hosts = this->settings.hosts;
+  const Membership& membership = this->settings.membership;
+  for (const std::string& seed : membership.seeds) {
+    // A host is named by its address where it is known by no more than that.
+    state::HostRecord host;
+    host.name = HostName(seed);
+    host.peer_address = seed;
+    host.peer_port = membership.peer_port;
+    host.has_disk = true;
+    if (host.name != this->settings.gateway.host) {
+      hosts.push_back(std::move(host));
+    }
+  }
+  return hosts;
+}
+
 control::ControlOptions ControlThread::MakeOptions() const {
   control::ControlOptions options;
   for (const state::HostRecord& host : this->settings.hosts) {
@@ -584,8 +649,16 @@
   }
   options.self.incarnation = NewIncarnation();
   options.self.has_disk = this->disk != nullptr;
-  options.seeds = this->settings.hosts;
-  if (this->founds_log || this->disk == nullptr) {
+  options.seeds = this->KnownHosts();
+  options.voters = this->settings.voters.size();
+  if (this->settings.membership.IsUsed()) {
+    options.voters = this->settings.membership.voters;
+    if (this->founds_log && this->disk != nullptr) {
+      for (const std::string& seed : this->settings.membership.seeds) {
+        options.first_voters.insert(HostName(seed));
+      }
+    }
+  } else if (this->founds_log || this->disk == nullptr) {
     options.first_voters.insert(this->settings.voters.begin(),
                                 this->settings.voters.end());
   }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -8,11 +8,13 @@
 #include <vector>
 
 #include "budget_desk.h"
+#include "rate_desk.h"
 #include "region_table.h"
 #include "settings.h"
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/expected.h"
 #include "tamarackwing/base/metrics.h"
+#include "tamarackwing/backend_servers/server_registry.h"
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/control/control_effects.h"
 #include "tamarackwing/control/control_node.h"
@@ -36,13 +38,17 @@
 
 //! What the control thread serves; everything outlives it.
 struct ControlParts {
+  //! Counts the time for which the machine was suspended.
   const Clock& clock;
+  //! The clock of the traffic threads.
+  const Clock& traffic_clock;
   Metrics& metrics;
   gateway::SnapshotHolder& snapshots;
   gateway::ServerDirectory& servers;
   gateway::AdmissionGate& gate;
   gateway::ActiveRequests& active;
   BudgetDesk& budget;
+  RateDesk& rates;
   RegionTable& regions;
 };
 
@@ -52,6 +58,7 @@
 //! thread that made it.
 class ControlThread final : public gateway::OperationPermits,
                             public operators::OperatorService,
+                            public backend_servers::ServerRegistry,
                             private hosts::PeerHandler {
  public:
   //! `disk` is null on a host without one, and outlives the thread.
@@ -89,6 +96,11 @@
   void Status(StatusCallback callback) override;
   std::shared_ptr<const state::Snapshot> Snapshot() override;
 
+  //! Relays a report to the entry hosts of the server's region; false while
+  //! this host does not know them.
+  bool Announce(const policy::ServerReport& report) override;
+  void NoteCacheEvents(const backend_servers::CacheEvents& events) override;
+
  private:
   struct Changing {
     ChangeCallback callback;
@@ -108,6 +120,7 @@
   void Carry(control::ControlEffects effects);
   void CarryRegionNews(const control::RegionNews& news);
   void CarryProbe(const control::ProbeNews& news);
+  void ReportRates();
   void ShareSlots();
   void ProbeRegions();
   void PublishSnapshot();
@@ -119,6 +132,7 @@
            state::OperationState outcome,
            state::StoredAnswer answer);
   void LinkBudget();
+  std::vector<state::HostRecord> KnownHosts() const;
   control::ControlOptions MakeOptions() const;
 
   const Settings& settings;
@@ -147,6 +161,7 @@
   TimePoint probe_at;
   TimePoint share_at;
   TimePoint snapshot_at;
+  TimePoint rates_at;
   std::shared_ptr<const std::map<HostName, state::HostRecord>> known_hosts;
 };
 
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -1,16 +1,21 @@
 #include "daemon.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <thread>
 #include <utility>
 
+#include "adapter.h"
 #include "budget_desk.h"
 #include "control_thread.h"
+#include "metrics_listener.h"
+#include "rate_desk.h"
 #include "region_table.h"
 #include "tamarackwing/backend_servers/announcement_listener.h"
 #include "tamarackwing/base/metrics.h"
 #include "tamarackwing/base/span.h"
 #include "tamarackwing/callers/caller_listener.h"
+#include "tamarackwing/callers/refusal_response.h"
 #include "tamarackwing/gateway.h"
 #include "tamarackwing/gateway/forward_listener.h"
 #include "tamarackwing/http/io_threads.h"
@@ -46,6 +51,27 @@
   return StartError::kDiskFailed;
 }
 
+//! Stands where a host has no adapter: nothing asks it.
+class NoProtocol final : public gateway::PathProtocol {
+ public:
+  http::Request EncodeSend(const gateway::PathCall&,
+                           const gateway::PathSend&) const override {
+    return {};
+  }
+  gateway::PathAnswer ReadAnswer(const gateway::PathCall&,
+                                 const http::ResponseHead&) const override {
+    return {};
+  }
+  http::Response EncodeRefusal(const Refusal& refusal) const override {
+    return callers::MakeRefusalResponse(refusal);
+  }
+};
+
+//! Opens a listener where the settings name a place for it.
+bool ListenWhere(http::Server& server, const http::Endpoint& endpoint) {
+  return endpoint.port == 0 || server.Listen(endpoint).has_value();
+}
+
 http::Endpoint ForwardEndpoint(const Settings& settings) {
   for (const state::HostRecord& host : settings.hosts) {
     if (host.name == settings.gateway.host) {
@@ -58,26 +84,31 @@
 }  // namespace
 
 struct Daemon::Parts {
-  Parts(Settings given, bool founds_log)
+  Parts(Settings given, bool founds_log, Adapter* adapter)
       : settings(std::move(given)),
+        protocol(adapter == nullptr ? no_protocol : adapter->Protocol()),
         disk(OpenDisk(settings)),
         threads(settings.traffic_threads),
         spans(settings.span_file),
         servers(settings.gateway.region,
                 settings.servers,
-                clock,
+                word_clock,
                 std::hash<std::string>{}(settings.gateway.host.Text())),
         gate(settings.gateway.queue_capacity),
-        budget(clock, settings.times.chunk_life, settings.open_rate),
-        regions(clock),
-        control(
-            settings,
-            {clock, metrics, snapshots, servers, gate, active, budget, regions},
-            disk.get(),
-            founds_log),
-        gateway({threads, clock, metrics, spans, snapshots, servers, gate,
-                 active, budget, control, regions},
+        budget(word_clock, settings.times.chunk_life, settings.open_rate),
+        rates(word_clock, snapshots, policy::RateLeaseOptions()),
+        regions(word_clock),
+        control(settings,
+                {word_clock, clock, metrics, snapshots, servers, gate, active,
+                 budget, rates, regions},
+                disk.get(),
+                founds_log),
+        gateway({threads, clock, word_clock, metrics, spans, snapshots, servers,
+                 gate, active, budget, control, regions},
                 settings.gateway),
+        path_gateway({threads, clock, word_clock, metrics, spans, snapshots,
+                      servers, rates, regions, protocol},
+                     settings.gateway),
         caller_listener(gateway),
         forward_listener(gateway),
         announcement_listener(servers),
@@ -85,10 +116,30 @@
         callers(threads, caller_listener, settings.limits),
         forwarded(threads, forward_listener, settings.limits),
         backend_servers(threads, announcement_listener, settings.limits),
-        operators(threads, operator_listener, settings.limits) {}
+        operators(threads, operator_listener, settings.limits),
+        metrics_listener(metrics),
+        metrics_server(threads, metrics_listener, settings.limits) {
+    if (adapter != nullptr) {
+      adapter_listeners = adapter->MakeListeners(
+          {path_gateway, control, control, word_clock, settings.data_centres});
+    }
+  }
+
+  //! Opens a listener where there is one to open.
+  bool Open(http::Handler* handler, const http::Endpoint& endpoint) {
+    if (handler == nullptr || endpoint.port == 0) {
+      return true;
+    }
+    adapter_servers.push_back(std::make_unique<http::Server>(
+        threads, *handler, settings.limits));
+    return adapter_servers.back()->Listen(endpoint).has_value();
+  }
 
   Settings settings;
   SteadyClock clock;
+  BootClock word_clock;
+  NoProtocol no_protocol;
+  const gateway::PathProtocol& protocol;
   Metrics metrics;
   std::unique_ptr<state::Disk> disk;
   http::IoThreads threads;
@@ -98,9 +149,11 @@
   gateway::AdmissionGate gate;
   gateway::ActiveRequests active;
   BudgetDesk budget;
+  RateDesk rates;
   RegionTable regions;
   ControlThread control;
   gateway::Gateway gateway;
+  gateway::PathGateway path_gateway;
   callers::CallerListener caller_listener;
   gateway::ForwardListener forward_listener;
   backend_servers::AnnouncementListener announcement_listener;
@@ -109,10 +162,16 @@
   http::Server forwarded;
   http::Server backend_servers;
   http::Server operators;
+  MetricsListener metrics_listener;
+  http::Server metrics_server;
+  AdapterListeners adapter_listeners;
+  std::vector<std::unique_ptr<http::Server>> adapter_servers;
 };
 
 std::string_view StartErrorName(StartError error) {
   switch (error) {
+    case StartError::kAdapterListener:
+      return "adapter_listener";
     case StartError::kBackendServersListener:
       return "backend_servers_listener";
     case StartError::kCallersListener:
@@ -123,6 +182,8 @@
       return "forward_listener";
     case StartError::kJournalDamaged:
       return "journal_damaged";
+    case StartError::kMetricsListener:
+      return "metrics_listener";
     case StartError::kOperatorsListener:
       return "operators_listener";
     case StartError::kPeersListener:
@@ -131,8 +192,9 @@
   return "unknown";
 }
 
-Daemon::Daemon(Settings settings, bool founds_log)
-    : parts(std::make_unique<Parts>(std::move(settings), founds_log)) {}
+Daemon::Daemon(Settings settings, bool founds_log, Adapter* adapter)
+    : parts(std::make_unique<Parts>(std::move(settings), founds_log, adapter)) {
+}
 
 Daemon::~Daemon() {
   // Traffic ends first: it posts to the control thread.
@@ -146,18 +208,36 @@
   if (!started) {
     return unexpected(ToStartError(started.error()));
   }
-  if (!parts.operators.Listen(parts.settings.operators)) {
+  const Settings& settings = parts.settings;
+  if (!ListenWhere(parts.operators, settings.operators)) {
     return unexpected(StartError::kOperatorsListener);
   }
-  if (!parts.backend_servers.Listen(parts.settings.backend_servers)) {
+  if (!ListenWhere(parts.metrics_server, settings.metrics)) {
+    return unexpected(StartError::kMetricsListener);
+  }
+  if (!ListenWhere(parts.backend_servers, settings.backend_servers)) {
     return unexpected(StartError::kBackendServersListener);
   }
-  if (!parts.forwarded.Listen(ForwardEndpoint(parts.settings))) {
+  if (settings.callers.port != 0 &&
+      !parts.forwarded.Listen(ForwardEndpoint(settings))) {
     return unexpected(StartError::kForwardListener);
   }
-  if (!parts.callers.Listen(parts.settings.callers)) {
+  if (!ListenWhere(parts.callers, settings.callers)) {
     return unexpected(StartError::kCallersListener);
   }
+  const AdapterListeners& adapter = parts.adapter_listeners;
+  const AdapterEndpoints& places = settings.adapter;
+  const http::Endpoint forwarded = places.callers.port == 0
+                                       ? http::Endpoint()
+                                       : ForwardEndpoint(settings);
+  const bool is_open = parts.Open(adapter.control.get(), places.control) &&
+                       parts.Open(adapter.directory.get(), places.directory) &&
+                       parts.Open(adapter.forwarded.get(), forwarded) &&
+                       parts.Open(adapter.readiness.get(), places.readiness) &&
+                       parts.Open(adapter.callers.get(), places.callers);
+  if (!is_open) {
+    return unexpected(StartError::kAdapterListener);
+  }
   LogEvent(Event::kHostStarted, LogLevel::kInfo,
            {{"host", parts.settings.gateway.host.Text()}});
   return {};
@@ -180,21 +260,30 @@
   LogEvent(Event::kDrainStarted, LogLevel::kInfo,
            {{"host", parts.settings.gateway.host.Text()}});
   parts.gateway.StartDrain();
+  parts.path_gateway.StartDrain();
   parts.control.StartDrain();
   const TimePoint started = parts.clock.Now();
   const TimePoint until = started + parts.settings.drain_limit;
+  const auto under_way = [&] {
+    return parts.gateway.UnderWay() + parts.path_gateway.UnderWay();
+  };
+  const Duration notice =
+      std::max<Duration>(kDrainNotice, parts.settings.drain_serves);
   const auto is_done = [&] {
-    return parts.gateway.UnderWay() == 0 && parts.control.IsQuiet() &&
-           parts.clock.Now() - started >= kDrainNotice;
+    return under_way() == 0 && parts.control.IsQuiet() &&
+           parts.clock.Now() - started >= notice;
   };
   while (!is_done() && parts.clock.Now() < until) {
     std::this_thread::sleep_for(kDrainPoll);
   }
-  const bool all_ended = parts.gateway.UnderWay() == 0;
+  const bool all_ended = under_way() == 0;
   parts.callers.StopAccepting();
+  for (const auto& server : parts.adapter_servers) {
+    server->StopAccepting();
+  }
   LogEvent(Event::kHostStopped, LogLevel::kInfo,
            {{"host", parts.settings.gateway.host.Text()},
-            {"cut", std::to_string(parts.gateway.UnderWay())}});
+            {"cut", std::to_string(under_way())}});
   return all_ended;
 }
 
--- a/programs/tamarackwingd/src/daemon.h
+++ b/programs/tamarackwingd/src/daemon.h
@@ -9,13 +9,17 @@
 
 namespace tamarackwing::daemon {
 
+class Adapter;
+
 //! Why a host could not start.
 enum class StartError {
+  kAdapterListener,
   kBackendServersListener,
   kCallersListener,
   kDiskFailed,
   kForwardListener,
   kJournalDamaged,
+  kMetricsListener,
   kOperatorsListener,
   kPeersListener,
 };
@@ -31,8 +35,10 @@
 class Daemon {
  public:
   //! `founds_log` is set at the first start of a cluster, and on no other: a
-  //! voter that finds no log without it has lost its disk.
-  Daemon(Settings settings, bool founds_log);
+  //! voter that finds no log without it has lost its disk. `adapter`, where it
+  //! is not null, makes the listeners of the settings' adapter and outlives the
+  //! daemon.
+  Daemon(Settings settings, bool founds_log, Adapter* adapter = nullptr);
   //! Stops at once what still runs.
   ~Daemon();
   Daemon(const Daemon&) = delete;
--- a/programs/tamarackwingd/src/main.cc
+++ b/programs/tamarackwingd/src/main.cc
@@ -2,14 +2,18 @@
 #include <pthread.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include "daemon.h"
+#include "tamarackwing/platform.h"
 
-DEFINE_string(settings, "", "path of the host's settings (TOML)");
+DEFINE_string(settings,
+              "",
+              "path of the host's settings (TOML); else TAMARACKWING_CONFIG");
 DEFINE_bool(check, false, "check the settings and exit");
 DEFINE_bool(found_log,
             false,
@@ -23,6 +27,12 @@
 constexpr int kDiskFailed = 5;
 constexpr long kPollNanoseconds = 100'000'000;
 
+//! Where the settings stand that the command line does not name.
+std::string SettingsPath() {
+  const char* const path = std::getenv("TAMARACKWING_CONFIG");
+  return FLAGS_settings.empty() && path != nullptr ? path : FLAGS_settings;
+}
+
 std::string ReadFile(const std::string& path) {
   const std::ifstream file(path);
   std::ostringstream text;
@@ -42,11 +52,28 @@
   }
 }
 
+//! Takes in what may change while the host runs: the level of the log. A file
+//! with faults changes nothing.
+void Reload() {
+  const auto settings =
+      tamarackwing::daemon::ParseSettings(ReadFile(SettingsPath()));
+  if (!settings) {
+    tamarackwing::LogEvent(
+        tamarackwing::Event::kSettingsRejected, tamarackwing::LogLevel::kError,
+        {{"faults", std::to_string(settings.error().size())}});
+    return;
+  }
+  tamarackwing::SetLogLevel(settings->log_level);
+  tamarackwing::LogEvent(tamarackwing::Event::kSettingsReloaded,
+                         tamarackwing::LogLevel::kInfo, {});
+}
+
 sigset_t BlockStopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
@@ -58,13 +85,13 @@
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const auto settings =
-      tamarackwing::daemon::ParseSettings(ReadFile(FLAGS_settings));
+      tamarackwing::daemon::ParseSettings(ReadFile(SettingsPath()));
   if (!settings) {
     tamarackwing::OpenLog(tamarackwing::LogLevel::kInfo);
     tamarackwing::LogEvent(
         tamarackwing::Event::kSettingsRejected, tamarackwing::LogLevel::kError,
         {{"faults", std::to_string(settings.error().size())}});
-    PrintFaults(FLAGS_settings, settings.error());
+    PrintFaults(SettingsPath(), settings.error());
     return kBadSettings;
   }
   if (FLAGS_check) {
@@ -72,7 +99,9 @@
   }
   const sigset_t signals = BlockStopSignals();
   tamarackwing::OpenLog(settings->log_level);
-  tamarackwing::daemon::Daemon daemon(*settings, FLAGS_found_log);
+  tamarackwing::platform::PlatformAdapter adapter;
+  tamarackwing::daemon::Daemon daemon(
+      *settings, FLAGS_found_log || settings->found_log, &adapter);
   const auto started = daemon.Start();
   if (!started) {
     std::cerr << "cannot start: "
@@ -81,7 +110,10 @@
   }
   while (true) {
     const timespec poll{0, kPollNanoseconds};
-    if (sigtimedwait(&signals, nullptr, &poll) > 0) {
+    const int signal = sigtimedwait(&signals, nullptr, &poll);
+    if (signal == SIGHUP) {
+      Reload();
+    } else if (signal > 0) {
       return daemon.Drain() ? 0 : kRequestsCut;
     }
     if (daemon.Poll() == tamarackwing::daemon::DaemonState::kDiskFailed) {
--- /dev/null
+++ b/programs/tamarackwingd/src/rate_desk.cc
@@ -0,0 +1,63 @@
+#include "rate_desk.h"
+
+#include <algorithm>
+
+namespace tamarackwing::daemon {
+namespace {
+
+policy::RateLimit LimitOf(const state::Snapshot& snapshot,
+                          const state::Workspace& workspace) {
+  policy::RateLimit limit;
+  limit.rate = workspace.rate;
+  limit.burst = workspace.burst;
+  const auto entries = std::count_if(
+      snapshot.hosts->begin(), snapshot.hosts->end(),
+      [](const auto& entry) { return entry.second.caller_port != 0; });
+  limit.hosts = std::max<std::size_t>(1, static_cast<std::size_t>(entries));
+  return limit;
+}
+
+}  // namespace
+
+RateDesk::RateDesk(const Clock& clock,
+                   gateway::SnapshotHolder& snapshots,
+                   policy::RateLeaseOptions options)
+    : clock(clock), snapshots(snapshots), holder(options) {}
+
+void RateDesk::Reserve(const WorkspaceName& workspace,
+                       TokenCount tokens,
+                       Callback callback) {
+  gateway::BudgetAnswer answer;
+  const auto snapshot = this->snapshots.Get();
+  const auto found = snapshot->set->workspaces.find(workspace);
+  if (found != snapshot->set->workspaces.end()) {
+    const policy::RateLimit limit = LimitOf(*snapshot, found->second);
+    const std::lock_guard lock(this->mutex);
+    const policy::RateAnswer taken =
+        this->holder.Take(workspace, limit, tokens, this->clock.Now());
+    answer.granted = taken.granted;
+    answer.retry_after = taken.retry_after;
+    // What a reservation has to give back is all there is to know of it.
+    answer.reservation = static_cast<std::uint64_t>(tokens);
+  }
+  callback(answer);
+}
+
+void RateDesk::Settle(const WorkspaceName& workspace,
+                      std::uint64_t reservation,
+                      TokenCount used) {
+  const std::lock_guard lock(this->mutex);
+  this->holder.Return(workspace, static_cast<TokenCount>(reservation) - used);
+}
+
+policy::RateReport RateDesk::MakeReport() {
+  const std::lock_guard lock(this->mutex);
+  return this->holder.MakeReport(this->clock.Now());
+}
+
+void RateDesk::Accept(const policy::RateGrant& grant) {
+  const std::lock_guard lock(this->mutex);
+  this->holder.Accept(grant, this->clock.Now());
+}
+
+}  // namespace tamarackwing::daemon
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 #include <utility>
 
@@ -35,14 +36,42 @@
       field, 0, kMostCount, static_cast<std::int64_t>(otherwise), false));
 }
 
+//! Reads ADDRESS:PORT.
+http::Endpoint ReadPlace(TableReader& reader, std::string_view field) {
+  http::Endpoint endpoint;
+  const std::string text = reader.Text(field, true);
+  const std::size_t colon = text.rfind(':');
+  unsigned port = 0;
+  if (colon != std::string::npos) {
+    const char* const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data() + colon + 1, end, port);
+    if (read.ec != std::errc() || read.ptr != end) {
+      port = 0;
+    }
+  }
+  if (port == 0 || port > kMostPort) {
+    reader.Note(FaultCode::kOutOfRange, field);
+    return endpoint;
+  }
+  endpoint.address = text.substr(0, colon);
+  endpoint.port = static_cast<std::uint16_t>(port);
+  return endpoint;
+}
+
+//! Reads `listen`, or `address` and `port`. A section that is not there opens
+//! no listener.
 http::Endpoint ReadEndpoint(TableReader& document, std::string_view section) {
   http::Endpoint endpoint;
-  auto reader = document.Table(section, true);
-  if (reader) {
-    reader->RejectOthers({"address", "port"});
-    endpoint.address = reader->Text("address", true);
-    endpoint.port = ReadPort(*reader, "port");
+  auto reader = document.Table(section, false);
+  if (!reader) {
+    return endpoint;
+  }
+  reader->RejectOthers({"address", "port", "listen"});
+  if (reader->Has("listen")) {
+    return ReadPlace(*reader, "listen");
   }
+  endpoint.address = reader->Text("address", true);
+  endpoint.port = ReadPort(*reader, "port");
   return endpoint;
 }
 
@@ -65,14 +94,20 @@
 
 state::HostRecord ReadHost(TableReader& reader, std::vector<HostName>& voters) {
   reader.RejectOthers({"name", "region", "data_centre", "caller_address",
-                       "caller_port", "peer_address", "peer_port",
+                       "caller_port", "callers", "peer_address", "peer_port",
                        "forward_port", "disk", "voter"});
   state::HostRecord host;
   host.name = HostName(reader.Text("name", true));
   host.region = RegionName(reader.Text("region", true));
   host.data_centre = DataCentreName(reader.Text("data_centre", true));
-  host.caller_address = reader.Text("caller_address", true);
-  host.caller_port = ReadPort(reader, "caller_port");
+  if (reader.Has("callers")) {
+    const http::Endpoint callers = ReadPlace(reader, "callers");
+    host.caller_address = callers.address;
+    host.caller_port = callers.port;
+  } else if (reader.Has("caller_address") || reader.Has("caller_port")) {
+    host.caller_address = reader.Text("caller_address", true);
+    host.caller_port = ReadPort(reader, "caller_port");
+  }
   host.peer_address = reader.Text("peer_address", true);
   host.peer_port = ReadPort(reader, "peer_port");
   host.forward_port = ReadPort(reader, "forward_port");
@@ -98,23 +133,58 @@
   if (!names.contains(settings.gateway.host)) {
     document.Note(FaultCode::kUnknownReference, "name");
   }
-  if (settings.voters.empty()) {
+  if (settings.voters.empty() && !settings.membership.IsUsed()) {
     document.Note(FaultCode::kMissingField, "hosts");
   }
 }
 
+void ReadMembership(TableReader& document, Settings& settings) {
+  auto reader = document.Table("membership", false);
+  if (!reader) {
+    return;
+  }
+  reader->RejectOthers({"seeds", "peer_port", "voters"});
+  Membership& membership = settings.membership;
+  for (const std::string& seed : reader->Texts("seeds")) {
+    // All hosts listen for peers on one port; a seed may name another of its
+    // ports, which says nothing here.
+    membership.seeds.push_back(seed.substr(0, seed.find(':')));
+  }
+  membership.peer_port = ReadPort(*reader, "peer_port");
+  membership.voters = ReadCount(*reader, "voters", membership.voters);
+}
+
+void ReadDataCentres(TableReader& document, Settings& settings) {
+  for (TableReader& reader : document.Tables("data_centres")) {
+    reader.RejectOthers({"name", "region"});
+    settings.data_centres[DataCentreName(reader.Text("name", true))] =
+        RegionName(reader.Text("region", true));
+  }
+}
+
+void ReadAdapter(TableReader& document, Settings& settings) {
+  AdapterEndpoints& adapter = settings.adapter;
+  adapter.callers = ReadEndpoint(document, "adapter_callers");
+  adapter.readiness = ReadEndpoint(document, "adapter_readiness");
+  adapter.control = ReadEndpoint(document, "adapter_control");
+  adapter.directory = ReadEndpoint(document, "adapter_directory");
+}
+
 void ReadLimits(TableReader& document, Settings& settings) {
   auto reader = document.Table("limits", false);
   if (!reader) {
     return;
   }
   reader->RejectOthers({"head_bytes", "body_bytes", "connections", "queue",
-                        "answer_bytes", "open_rate", "spill_margin_percent"});
+                        "answer_bytes", "open_rate", "spill_margin_percent",
+                        "fleet_retries"});
   http::ServerLimits& limits = settings.limits;
   limits.head_bytes = ReadCount(*reader, "head_bytes", limits.head_bytes);
   limits.body_bytes = ReadCount(*reader, "body_bytes", limits.body_bytes);
   limits.connections = ReadCount(*reader, "connections", limits.connections);
   settings.open_rate = ReadCount(*reader, "open_rate", settings.open_rate);
+  settings.fleet_retries =
+      ReadCount(*reader, "fleet_retries", settings.fleet_retries);
   gateway::GatewaySettings& gateway = settings.gateway;
   gateway.queue_capacity = std::max<std::size_t>(
       1, ReadCount(*reader, "queue", gateway.queue_capacity));
@@ -133,7 +203,9 @@
                         "key_freshness_ms", "chunk_life_ms", "server_lease_ms",
                         "server_ramp_ms", "stream_silence_ms",
                         "first_byte_silence_ms", "operation_grace_ms",
-                        "idle_ms", "head_ms", "silence_ms", "drain_ms"});
+                        "idle_ms", "head_ms", "silence_ms", "drain_ms",
+                        "server_lapsed_ms", "key_withdrawn_ms",
+                        "stop_grace_s"});
   ControlTimes& times = settings.times;
   times.heartbeat = ReadTime(*reader, "heartbeat_ms", times.heartbeat);
   times.election = ReadTime(*reader, "election_ms", times.election);
@@ -158,6 +230,19 @@
   limits.silence_timeout =
       ReadTime(*reader, "silence_ms", limits.silence_timeout);
   settings.drain_limit = ReadTime(*reader, "drain_ms", settings.drain_limit);
+  settings.servers.lapsed =
+      ReadTime(*reader, "server_lapsed_ms", settings.servers.lapsed);
+  if (reader->Has("key_withdrawn_ms")) {
+    // What a caller sends before its key's end may come later.
+    times.key_freshness =
+        ReadTime(*reader, "key_withdrawn_ms", times.key_freshness) * 4 / 5;
+  }
+  if (reader->Has("stop_grace_s")) {
+    const std::chrono::seconds grace(
+        reader->Number("stop_grace_s", 1, kLongestTimeMs / 1'000, 8, false));
+    settings.drain_limit = std::chrono::milliseconds(grace) * 7 / 8;
+    settings.drain_serves = settings.drain_limit * 5 / 7;
+  }
   if (times.election < 3 * times.heartbeat) {
     reader->Note(FaultCode::kOutOfRange, "election_ms");
   }
@@ -176,7 +261,10 @@
   document.RejectOthers(
       {"name", "region", "data_centre", "data_folder", "span_file", "log_level",
        "traffic_threads", "cluster_secret", "operator_token_digest", "callers",
-       "backend_servers", "operators", "hosts", "limits", "times"});
+       "backend_servers", "operators", "hosts", "limits", "times",
+       "membership", "found_log", "data_centres", "adapter_callers",
+       "adapter_readiness", "adapter_control", "adapter_directory",
+       "metrics"});
   settings.gateway.host = HostName(document.Text("name", true));
   settings.gateway.region = RegionName(document.Text("region", true));
   settings.gateway.data_centre =
@@ -192,7 +280,20 @@
   settings.callers = ReadEndpoint(document, "callers");
   settings.backend_servers = ReadEndpoint(document, "backend_servers");
   settings.operators = ReadEndpoint(document, "operators");
+  settings.metrics = ReadEndpoint(document, "metrics");
+  settings.found_log = document.Flag("found_log", false);
+  ReadAdapter(document, settings);
+  ReadMembership(document, settings);
+  ReadDataCentres(document, settings);
   ReadHosts(document, settings);
+  const bool has_adapter = settings.adapter.callers.port != 0 ||
+                           settings.adapter.control.port != 0;
+  const bool has_callers = settings.callers.port != 0 &&
+                           settings.backend_servers.port != 0 &&
+                           settings.operators.port != 0;
+  if (!has_adapter && !has_callers) {
+    document.Note(FaultCode::kMissingField, "callers");
+  }
   ReadLimits(document, settings);
   ReadTimes(document, settings);
   if (!faults.empty()) {
--- a/programs/tamarackwingd/src/settings.h
+++ b/programs/tamarackwingd/src/settings.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +28,26 @@
   std::chrono::milliseconds chunk_life{2'000};
 };
 
+//! The listeners of an adapter; port zero opens none.
+struct AdapterEndpoints {
+  http::Endpoint callers;
+  http::Endpoint readiness;
+  http::Endpoint control;
+  http::Endpoint directory;
+};
+
+//! How the hosts find each other where they are not all named.
+struct Membership {
+  //! Hosts with disks that found the log together, and answer later ones.
+  std::vector<std::string> seeds;
+  //! The port of every host's peers' listener.
+  std::uint16_t peer_port = 0;
+  //! Hosts with disks are admitted as voters up to this number.
+  std::size_t voters = 5;
+
+  bool IsUsed() const { return !this->seeds.empty(); }
+};
+
 //! The settings of one host.
 struct Settings {
   gateway::GatewaySettings gateway;
@@ -41,6 +63,17 @@
   std::string operator_token_digest;
   //! All hosts known at the start, this one among them.
   std::vector<state::HostRecord> hosts;
+  AdapterEndpoints adapter;
+  //! Serves metrics by itself; port zero opens none.
+  http::Endpoint metrics;
+  Membership membership;
+  //! The first start of a cluster, at which its voters found the log.
+  bool found_log = false;
+  //! The region of each data centre.
+  std::map<DataCentreName, RegionName> data_centres;
+  //! Second sends that the hosts together may make in a few seconds besides a
+  //! part of the requests.
+  std::uint32_t fleet_retries = 0;
   //! The first voters of the agreed log.
   std::vector<HostName> voters;
   http::ServerLimits limits;
@@ -49,6 +82,8 @@
   //! Tokens a second for routes open to all, for each host.
   TokenCount open_rate = 1'000;
   std::chrono::milliseconds drain_limit{60'000};
+  //! How long a host that is to stop goes on serving who still comes.
+  std::chrono::milliseconds drain_serves{0};
 };
 
 //! Reads settings from TOML; on failure every fault with its path and line.
