--- /dev/null
+++ b/packages/control/tests/server_relay_tests.cc
@@ -0,0 +1,83 @@
+#include "tamarackwing/control/server_relay.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackwing::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+policy::ServerReport Report(const std::string& name, bool leaving) {
+  policy::ServerReport report;
+  report.name = BackendServerName(name);
+  report.region = RegionName("muscat");
+  report.address = "10.0.0.1";
+  report.started = milliseconds(100);
+  report.leaving = leaving;
+  return report;
+}
+
+class Relaying : public testing::Test {
+ protected:
+  std::size_t DueCount() {
+    std::size_t count = 0;
+    for (const auto& [region, reports] : this->relay.Due(this->clock.Now())) {
+      count += reports.size();
+    }
+    return count;
+  }
+
+  ControlOptions options;
+  ServerRelay relay{ControlOptions()};
+  ManualClock clock;
+};
+
+TEST_F(Relaying, AReportGoesOutOnce) {
+  EXPECT_FALSE(this->relay.Take(Report("x", false), this->clock.Now()));
+  EXPECT_EQ(this->DueCount(), 1U);
+  EXPECT_EQ(this->DueCount(), 0U);
+}
+
+TEST_F(Relaying, ALeavingServerIsToldAtOnceAndAgain) {
+  EXPECT_TRUE(this->relay.Take(Report("x", true), this->clock.Now()));
+  std::size_t told = 0;
+  for (int i = 0; i < 100; ++i) {
+    told += this->DueCount();
+    this->clock.Advance(milliseconds(100));
+  }
+  EXPECT_EQ(told, 8U);
+}
+
+TEST_F(Relaying, AReportThatWaitsIsOvertakenByItsServersLeaving) {
+  this->relay.Take(Report("x", false), this->clock.Now());
+  this->relay.Take(Report("x", true), this->clock.Now());
+  const auto due = this->relay.Due(this->clock.Now());
+  ASSERT_EQ(due.size(), 1U);
+  ASSERT_EQ(due.begin()->second.size(), 1U);
+  EXPECT_TRUE(due.begin()->second.front().leaving);
+}
+
+TEST_F(Relaying, WhoIsKnownByNameAloneIsToldToAllRegions) {
+  policy::ServerReport left;
+  left.name = BackendServerName("x");
+  left.leaving = true;
+  this->relay.Take(left, this->clock.Now());
+  const auto due = this->relay.Due(this->clock.Now());
+  ASSERT_EQ(due.size(), 1U);
+  EXPECT_TRUE(due.begin()->first.IsEmpty());
+}
+
+TEST_F(Relaying, ANewProcessEndsTheNewsOfTheOldOne) {
+  this->relay.Take(Report("x", true), this->clock.Now());
+  this->DueCount();
+  policy::ServerReport started = Report("x", false);
+  started.started = milliseconds(200);
+  this->relay.Take(started, this->clock.Now());
+  this->clock.Advance(this->options.leaving_again);
+  const auto due = this->relay.Due(this->clock.Now());
+  ASSERT_EQ(due.begin()->second.size(), 1U);
+  EXPECT_FALSE(due.begin()->second.front().leaving);
+}
+
+}  // namespace
+}  // namespace tamarackwing::control
--- a/packages/gateway/src/entry_hosts.cc
+++ b/packages/gateway/src/entry_hosts.cc
@@ -13,8 +13,8 @@
   std::vector<http::Endpoint> near;
   std::vector<http::Endpoint> far;
   for (const auto& [name, host] : *snapshot.hosts) {
-    const bool takes_callers = host.caller_port != 0 && !host.draining &&
-                               snapshot.live.contains(name);
+    const bool takes_callers =
+        host.caller_port != 0 && !host.draining && snapshot.live.contains(name);
     if (takes_callers) {
       (host.region == region ? near : far)
           .push_back({host.caller_address, host.caller_port});
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -109,7 +109,8 @@
       co_return refusal;
     }
   }
-  this->plan.emplace(policy::TryRules{this->IsRepeatable(), this->route->most_tries});
+  this->plan.emplace(
+      policy::TryRules{this->IsRepeatable(), this->route->most_tries});
   refusal = co_await this->TryAll();
   if (this->reservation != 0) {
     this->gateway.Parts().budget.Settle(
@@ -248,7 +249,8 @@
       this->NoteRead(*target);
     }
     if (target && target->server) {
-      const bool failed = may_send && (end == TryEnd::kNotSent || end == TryEnd::kLost) &&
+      const bool failed = may_send &&
+                          (end == TryEnd::kNotSent || end == TryEnd::kLost) &&
                           !this->caller_gone;
       servers.Finish(target->server->name, failed);
     }
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -6,8 +6,8 @@
 
 #include "path_request.h"
 #include "refused_header.h"
-#include "tamarackwing/gateway/forward_headers.h"
 #include "tamarackwing/callers/caller_head.h"
+#include "tamarackwing/gateway/forward_headers.h"
 
 namespace tamarackwing::gateway {
 namespace {
@@ -92,8 +92,8 @@
 }
 
 http::asio::awaitable<TryEnd> PathRequest::Try(const Target& target) {
-  this->peer = target.server ? target.server->name.Text()
-                             : target.host->host.Text();
+  this->peer =
+      target.server ? target.server->name.Text() : target.host->host.Text();
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
   const milliseconds most_idle =
       this->IsRepeatable() ? backend_servers::kAnyIdle : kSureIdle;
@@ -104,8 +104,9 @@
   }
   backend_servers::PooledConnection connection = std::move(*acquired);
   this->current_connection = connection.connection.get();
-  const auto sent = co_await connection.connection->Send(
-      this->MakeSend(target), this->deadline);
+  http::Request request = this->MakeSend(target);
+  const auto sent =
+      co_await connection.connection->Send(std::move(request), this->deadline);
   TryEnd end = TryEnd::kLost;
   if (sent) {
     end = co_await this->ReadAnswer(target, *connection.connection);
@@ -213,8 +214,12 @@
     const http::ResponseHead& head,
     const std::string& events) {
   // The head waits for the first event: until then another server may answer.
-  if (!this->writer.HasStarted() && !co_await this->writer.StartStream(head)) {
-    co_return false;
+  if (!this->writer.HasStarted()) {
+    http::ResponseHead passed = head;
+    const bool started = co_await this->writer.StartStream(std::move(passed));
+    if (!started) {
+      co_return false;
+    }
   }
   if (events.empty()) {
     co_return true;
--- a/packages/gateway/src/served_forward.cc
+++ b/packages/gateway/src/served_forward.cc
@@ -62,7 +62,7 @@
   choice.expected = this->forward_target->expected;
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
   auto acquired = co_await pool.Acquire(endpoint, this->deadline,
-                                     backend_servers::kAnyIdle);
+                                        backend_servers::kAnyIdle);
   if (!acquired) {
     co_return RefuseNotRun(RefusalCode::kNoBackendServer);
   }
--- a/packages/gateway/src/served_operation.cc
+++ b/packages/gateway/src/served_operation.cc
@@ -105,9 +105,9 @@
     }
     this->peer = choice->name.Text();
     const http::Endpoint endpoint = EndpointOf(*choice);
-    auto acquired = co_await this->gateway.PoolOf(this->executor)
-                        .Acquire(endpoint, this->deadline,
-                                 backend_servers::kFresh);
+    auto acquired =
+        co_await this->gateway.PoolOf(this->executor)
+            .Acquire(endpoint, this->deadline, backend_servers::kFresh);
     // Only now may bytes leave: whoever gave up meanwhile sends nothing.
     const bool given_up =
         this->cancelled || parts.clock.Now() >= this->deadline;
--- a/packages/gateway/src/served_stream.cc
+++ b/packages/gateway/src/served_stream.cc
@@ -95,8 +95,8 @@
                             const std::string& stream_id) {
   const http::Endpoint endpoint = EndpointOf(choice);
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
-  auto acquired = co_await pool.Acquire(endpoint, this->deadline,
-                                     backend_servers::kFresh);
+  auto acquired =
+      co_await pool.Acquire(endpoint, this->deadline, backend_servers::kFresh);
   if (!acquired) {
     co_return nullptr;
   }
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -94,9 +94,8 @@
   this->table.NoteFirstOutput(name, prompt_tokens);
 }
 
-void ServerDirectory::NoteParts(
-    const BackendServerName& name,
-    const std::vector<policy::PrefixPart>& parts) {
+void ServerDirectory::NoteParts(const BackendServerName& name,
+                                const std::vector<policy::PrefixPart>& parts) {
   const std::lock_guard lock(this->mutex);
   for (const policy::PrefixPart& part : parts) {
     this->table.NotePrefix(name, part.digest);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -484,8 +484,8 @@
     }
   }
   void operator()(const control::ServerNews& value) {
-    WriteList(value.reports, this->out.initServerNews(static_cast<unsigned>(
-                                 value.reports.size())));
+    WriteList(value.reports, this->out.initServerNews(
+                                 static_cast<unsigned>(value.reports.size())));
   }
 
  private:
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -1,10 +1,10 @@
 #include "tamarackwing/http/connection.h"
 
 #include <array>
-#include <charconv>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -162,8 +162,7 @@
   if (!this->state->parser) {
     return std::nullopt;
   }
-  const auto field =
-      this->state->parser->get()[beast_http::field::keep_alive];
+  const auto field = this->state->parser->get()[beast_http::field::keep_alive];
   constexpr std::string_view kTimeout = "timeout=";
   const std::string_view text(field.data(), field.size());
   const std::size_t at = text.find(kTimeout);
@@ -172,8 +171,7 @@
   }
   std::int64_t seconds = 0;
   const char* const begin = text.data() + at + kTimeout.size();
-  const auto read =
-      std::from_chars(begin, text.data() + text.size(), seconds);
+  const auto read = std::from_chars(begin, text.data() + text.size(), seconds);
   if (read.ec != std::errc() || seconds < 0) {
     return std::nullopt;
   }
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -131,6 +131,8 @@
     Duration cost{};
   };
   void Leave(const ServerReport& report);
+  //! Ends the server that had the report's address before.
+  void TakeAddress(const ServerReport& report);
   //! Whether a report is older than what is known.
   bool IsOvertaken(const ServerReport& report) const;
   std::vector<Candidate> Candidates(const ServerQuery& query,
--- a/packages/policy/src/rate_holder.cc
+++ b/packages/policy/src/rate_holder.cc
@@ -28,8 +28,8 @@
   Account& account = place->second;
   if (is_new) {
     account.filled = now;
-    account.level = static_cast<double>(limit.burst) /
-                    static_cast<double>(limit.hosts);
+    account.level =
+        static_cast<double>(limit.burst) / static_cast<double>(limit.hosts);
   }
   account.limit = limit;
   account.touched = now;
@@ -41,8 +41,8 @@
     account.level -= static_cast<double>(tokens);
     return answer;
   }
-  const auto rate = static_cast<double>(
-      std::max<TokenCount>(1, this->RateOf(account, now)));
+  const auto rate =
+      static_cast<double>(std::max<TokenCount>(1, this->RateOf(account, now)));
   answer.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
       std::chrono::duration<double>((1 - account.level) / rate));
   return answer;
@@ -64,7 +64,8 @@
     return now - entry.second.touched > kIdle;
   });
   for (auto& [workspace, account] : this->accounts) {
-    const double rate = static_cast<double>(account.asked) / std::max(span, 0.1);
+    const double rate =
+        static_cast<double>(account.asked) / std::max(span, 0.1);
     account.asked = 0;
     account.demand += (rate - account.demand) * kSmoothing;
     const bool is_held = account.lease_until > now;
@@ -111,10 +112,10 @@
 void RateHolder::Fill(Account& account, TimePoint now) const {
   const TokenCount rate = this->RateOf(account, now);
   // The host's part of the burst is as large as its part of the rate.
-  const double part = account.limit.rate == 0
-                          ? 1
-                          : static_cast<double>(rate) /
-                                static_cast<double>(account.limit.rate);
+  const double part =
+      account.limit.rate == 0
+          ? 1
+          : static_cast<double>(rate) / static_cast<double>(account.limit.rate);
   const double most = part * static_cast<double>(account.limit.burst);
   const double gained =
       static_cast<double>(rate) * Seconds(now - account.filled);
--- a/packages/policy/src/rate_leases.cc
+++ b/packages/policy/src/rate_leases.cc
@@ -14,8 +14,7 @@
 TokenCount OwnedRate(TokenCount rate,
                      std::size_t hosts,
                      const RateLeaseOptions& options) {
-  return rate * options.owned_percent / kWhole /
-         static_cast<TokenCount>(hosts);
+  return rate * options.owned_percent / kWhole / static_cast<TokenCount>(hosts);
 }
 
 RateLeases::RateLeases(RateLeaseOptions options) : options(options) {}
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -77,7 +77,7 @@
 void ServerTable::Leave(const ServerReport& report) {
   const auto known = this->servers.find(report.name);
   const auto zero = std::chrono::milliseconds(0);
-  if (known == this->servers.end() || !report.leaving) {
+  if (known == this->servers.end()) {
     return;
   }
   ServerReport& last = known->second->report;
@@ -104,18 +104,15 @@
     return report.started < last.started && !report.address.empty();
   }
   // A process that has said that it leaves does not come back.
-  const bool comes_back = last.leaving && !report.leaving && report.started > std::chrono::milliseconds(0);
+  const bool comes_back = last.leaving && !report.leaving &&
+                          report.started > std::chrono::milliseconds(0);
   const bool is_late = report.sequence != 0 && report.sequence < last.sequence;
   return comes_back || is_late;
 }
 
-bool ServerTable::Announce(const ServerReport& report, TimePoint now) {
-  if (this->IsOvertaken(report)) {
-    return false;
-  }
+void ServerTable::TakeAddress(const ServerReport& report) {
   if (report.address.empty()) {
-    this->Leave(report);
-    return false;
+    return;
   }
   const std::pair place(report.address, report.port);
   const auto at = this->by_address.find(place);
@@ -127,6 +124,17 @@
     }
   }
   this->by_address[place] = report.name;
+}
+
+bool ServerTable::Announce(const ServerReport& report, TimePoint now) {
+  if (this->IsOvertaken(report)) {
+    return false;
+  }
+  if (report.address.empty() && report.leaving) {
+    this->Leave(report);
+    return false;
+  }
+  this->TakeAddress(report);
   std::unique_ptr<Server>& slot = this->servers[report.name];
   const bool is_new = !slot;
   if (is_new) {
@@ -153,8 +161,9 @@
   std::vector<BackendServerName> expired;
   for (const auto& [name, server] : this->servers) {
     const bool has_lapsed = server->lease_until <= now;
-    const bool is_last_resort = server->lease_until + this->limits.lapsed > now &&
-                                server->failures == 0 && !server->report.leaving;
+    const bool is_last_resort =
+        server->lease_until + this->limits.lapsed > now &&
+        server->failures == 0 && !server->report.leaving;
     if (has_lapsed && !is_last_resort) {
       expired.push_back(name);
     }
@@ -162,7 +171,8 @@
   for (const BackendServerName& name : expired) {
     const Server& server = *this->servers.at(name);
     this->Unindex(server);
-    const auto at = this->by_address.find({server.report.address, server.report.port});
+    const auto at =
+        this->by_address.find({server.report.address, server.report.port});
     if (at != this->by_address.end() && at->second == name) {
       this->by_address.erase(at);
     }
@@ -192,7 +202,8 @@
     chosen = *std::max_element(
         usable.begin(), usable.end(),
         [&](const Candidate& a, const Candidate& b) {
-          return RendezvousWeight(query.affinity, a.server->report.name.Text()) <
+          return RendezvousWeight(query.affinity,
+                                  a.server->report.name.Text()) <
                  RendezvousWeight(query.affinity, b.server->report.name.Text());
         });
   } else {
@@ -233,9 +244,9 @@
   if (server.cold_until <= now || !query.cold_allowance) {
     return true;
   }
-  const auto recent = std::count_if(
-      server.cold_sends.begin(), server.cold_sends.end(),
-      [&](TimePoint sent) { return now - sent <= kColdSpan; });
+  const auto recent =
+      std::count_if(server.cold_sends.begin(), server.cold_sends.end(),
+                    [&](TimePoint sent) { return now - sent <= kColdSpan; });
   return static_cast<std::uint32_t>(recent) <
          query.cold_allowance(server.report.name);
 }
--- a/packages/policy/src/try_plan.cc
+++ b/packages/policy/src/try_plan.cc
@@ -24,7 +24,8 @@
     return NextStep::kPassOn;
   }
   const bool may_run_again =
-      this->runs == 0 || (this->rules.repeatable && this->runs < this->rules.most_runs);
+      this->runs == 0 ||
+      (this->rules.repeatable && this->runs < this->rules.most_runs);
   if (may_run_again && this->tries < this->rules.most_runs + kMostVainTries) {
     return NextStep::kTryAnother;
   }
--- /dev/null
+++ b/packages/policy/tests/rate_lease_tests.cc
@@ -0,0 +1,156 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "tamarackwing/policy/rate_holder.h"
+#include "tamarackwing/policy/rate_leases.h"
+
+namespace tamarackwing::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const WorkspaceName kDesk("desk");
+constexpr TokenCount kRate = 100'000;
+
+RateReport Report(std::uint64_t number,
+                  TokenCount demand,
+                  std::uint64_t holds = 0,
+                  TokenCount held = 0) {
+  return {number, holds, {{kDesk, demand, held}}};
+}
+
+class RateLeasing : public testing::Test {
+ protected:
+  RateLeasing() { this->leases.SetRate(kDesk, kRate); }
+
+  TokenCount Grant(const std::string& host, const RateReport& report) {
+    return this->leases.Grant(HostName(host), report, this->clock.Now())
+        .shares.at(0)
+        .share;
+  }
+
+  RateLeaseOptions options;
+  RateLeases leases{RateLeaseOptions()};
+  ManualClock clock;
+};
+
+TEST_F(RateLeasing, APeakThatMovesTakesTheRateWithIt) {
+  // Muscat asks for three quarters of the rate, then Sohar does.
+  TokenCount muscat = this->Grant("muscat", Report(1, 60'000));
+  TokenCount sohar = this->Grant("sohar", Report(1, 2'000));
+  std::uint64_t number = 1;
+  for (int i = 0; i < 12; ++i) {
+    this->clock.Advance(milliseconds(500));
+    number += 1;
+    muscat = this->Grant("muscat", Report(number, 2'000, number - 1, muscat));
+    sohar = this->Grant("sohar", Report(number, 60'000, number - 1, sohar));
+  }
+  EXPECT_GE(sohar, 60'000);
+  EXPECT_GE(muscat, 2'000);
+}
+
+TEST_F(RateLeasing, ALostHostsLeaseIsGivenOutOnlyOnceItHasEnded) {
+  const TokenCount lost = this->Grant("lost", Report(1, 80'000));
+  this->clock.Advance(this->options.life);
+  EXPECT_LE(this->Grant("other", Report(1, 90'000)), 90'000 - lost);
+  this->clock.Advance(this->options.drift + milliseconds(1));
+  EXPECT_GE(this->Grant("other", Report(2, 90'000)), 85'000);
+}
+
+TEST_F(RateLeasing, ANewLeaderLetsHostsKeepWhatTheyHold) {
+  this->leases.StartTerm(this->clock.Now());
+  this->leases.SetRate(kDesk, kRate);
+  EXPECT_EQ(this->Grant("muscat", Report(7, 60'000, 6, 40'000)), 40'000);
+  EXPECT_EQ(this->Grant("sohar", Report(7, 60'000, 6, 0)), 0);
+}
+
+TEST_F(RateLeasing, AWorkspaceWithoutARateGetsNothing) {
+  const RateReport report{1, 0, {{WorkspaceName("nobody"), 5, 0}}};
+  EXPECT_TRUE(this->leases.Grant(HostName("h"), report, this->clock.Now())
+                  .shares.empty());
+}
+
+RC_GTEST_PROP(RateLeasesSum, NeverExceedTheRate, ()) {
+  RateLeases leases{RateLeaseOptions()};
+  leases.SetRate(kDesk, kRate);
+  ManualClock clock;
+  struct Host {
+    std::uint64_t number = 0;
+    std::uint64_t holds = 0;
+    TokenCount held = 0;
+  };
+  std::vector<Host> hosts(4);
+  const auto steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    const auto index = *rc::gen::inRange<std::size_t>(0, hosts.size());
+    Host& host = hosts[index];
+    const auto demand = *rc::gen::inRange<TokenCount>(0, 150'000);
+    const RateGrant grant = leases.Grant(
+        HostName(std::to_string(index)),
+        {++host.number, host.holds, {{kDesk, demand, host.held}}}, clock.Now());
+    if (*rc::gen::arbitrary<bool>()) {
+      host.holds = grant.number;
+      host.held = grant.shares.at(0).share;
+    }
+    RC_ASSERT(leases.Outstanding(kDesk, clock.Now()) <= kRate * 9 / 10);
+    clock.Advance(milliseconds(*rc::gen::inRange(0, 900)));
+  }
+}
+
+class RateHolding : public testing::Test {
+ protected:
+  bool Take(TokenCount tokens) {
+    return this->holder
+        .Take(kDesk, {kRate, kRate, 4}, tokens, this->clock.Now())
+        .granted;
+  }
+
+  ManualClock clock;
+  RateHolder holder{RateLeaseOptions()};
+};
+
+TEST_F(RateHolding, AHostThatIsCutOffServesWhatItOwns) {
+  TokenCount served = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    served += this->Take(500) ? 500 : 0;
+    this->clock.Advance(milliseconds(10));
+  }
+  const TokenCount owned = OwnedRate(kRate, 4, RateLeaseOptions());
+  // Ten seconds of its own rate, its part of the burst, and one request.
+  EXPECT_LE(served, 10 * owned + kRate / 4 + 500);
+  EXPECT_GE(served, 10 * owned);
+}
+
+TEST_F(RateHolding, ALargeRequestIsPaidBackBeforeTheNext) {
+  EXPECT_TRUE(this->Take(60'000));
+  EXPECT_FALSE(this->Take(1));
+  const RateAnswer refused =
+      this->holder.Take(kDesk, {kRate, kRate, 4}, 1, this->clock.Now());
+  this->clock.Advance(refused.retry_after + milliseconds(1));
+  EXPECT_TRUE(this->Take(1));
+}
+
+TEST_F(RateHolding, AnAnswerThatComesAfterItsLifeIsDropped) {
+  this->Take(10);
+  const RateReport report = this->holder.MakeReport(this->clock.Now());
+  this->clock.Advance(RateLeaseOptions().life);
+  this->holder.Accept({report.number, {{kDesk, 50'000}}}, this->clock.Now());
+  EXPECT_EQ(this->holder.MakeReport(this->clock.Now()).holds, 0U);
+}
+
+TEST_F(RateHolding, WhatIsLeasedIsServed) {
+  this->Take(10);
+  const RateReport report = this->holder.MakeReport(this->clock.Now());
+  this->holder.Accept({report.number, {{kDesk, 50'000}}}, this->clock.Now());
+  TokenCount served = 0;
+  for (int i = 0; i < 200; ++i) {
+    served += this->Take(500) ? 500 : 0;
+    this->clock.Advance(milliseconds(10));
+  }
+  EXPECT_GE(served, 95'000);
+}
+
+}  // namespace
+}  // namespace tamarackwing::policy
--- /dev/null
+++ b/packages/policy/tests/server_order_tests.cc
@@ -0,0 +1,191 @@
+//! Reports of servers that come late, twice or from another process.
+
+#include <gtest/gtest.h>
+
+#include "tamarackwing/base/random_source.h"
+#include "tamarackwing/policy/rendezvous.h"
+#include "tamarackwing/policy/server_table.h"
+
+namespace tamarackwing::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ServerOrder : public testing::Test {
+ protected:
+  ServerOrder() : table(Limits()) {}
+
+  static ServerTableLimits Limits() {
+    ServerTableLimits limits;
+    limits.ramp = milliseconds(0);
+    limits.lapsed = seconds(30);
+    return limits;
+  }
+
+  static ServerReport Report(const std::string& name,
+                             std::int64_t started_ms,
+                             std::uint64_t sequence) {
+    ServerReport report;
+    report.name = BackendServerName(name);
+    report.data_centre = DataCentreName("a");
+    report.address = "10.0.0.1";
+    report.port = 80;
+    report.targets = {"desk"};
+    report.slots = 4;
+    report.started = milliseconds(started_ms);
+    report.sequence = sequence;
+    return report;
+  }
+
+  ServerQuery Query() const {
+    ServerQuery query;
+    query.target = "desk";
+    return query;
+  }
+
+  std::optional<ServerChoice> Pick(const ServerQuery& query) {
+    return this->table.Pick(query, this->clock.Now(), this->random);
+  }
+
+  ManualClock clock;
+  SeededRandom random{7};
+  ServerTable table;
+};
+
+TEST_F(ServerOrder, ALateReportDoesNotBringBackAServerThatLeaves) {
+  ServerReport leaving = Report("x", 100, 5);
+  leaving.leaving = true;
+  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->table.Announce(leaving, this->clock.Now());
+  this->table.Announce(Report("x", 100, 6), this->clock.Now());
+  EXPECT_FALSE(this->Pick(this->Query()).has_value());
+}
+
+TEST_F(ServerOrder, ANewProcessOfTheSameNameIsTaken) {
+  ServerReport leaving = Report("x", 100, 5);
+  leaving.leaving = true;
+  this->table.Announce(leaving, this->clock.Now());
+  this->table.Announce(Report("x", 200, 1), this->clock.Now());
+  EXPECT_TRUE(this->Pick(this->Query()).has_value());
+}
+
+TEST_F(ServerOrder, ALateReportOfAnAddressThatAnotherHoldsIsDropped) {
+  this->table.Announce(Report("new", 200, 1), this->clock.Now());
+  this->table.Announce(Report("old", 100, 9), this->clock.Now());
+  const auto choice = this->Pick(this->Query());
+  ASSERT_TRUE(choice.has_value());
+  EXPECT_EQ(choice->name, BackendServerName("new"));
+  EXPECT_EQ(this->table.Count(), 1U);
+}
+
+TEST_F(ServerOrder, AServerThatTakesAnAddressEndsTheOneThatHadIt) {
+  this->table.Announce(Report("old", 100, 9), this->clock.Now());
+  this->table.Announce(Report("new", 200, 1), this->clock.Now());
+  EXPECT_EQ(this->table.Count(), 1U);
+}
+
+TEST_F(ServerOrder, WhoKnowsOnlyTheNameCanSayThatAServerLeaves) {
+  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  ServerReport left;
+  left.name = BackendServerName("x");
+  left.leaving = true;
+  this->table.Announce(left, this->clock.Now());
+  EXPECT_FALSE(this->Pick(this->Query()).has_value());
+}
+
+TEST_F(ServerOrder, AServerWithoutALeaseIsTheLastResort) {
+  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->clock.Advance(Limits().lease + milliseconds(1));
+  EXPECT_TRUE(this->table.Expire(this->clock.Now()).empty());
+  EXPECT_TRUE(this->Pick(this->Query()).has_value());
+  ServerReport other = Report("y", 100, 1);
+  other.address = "10.0.0.2";
+  this->table.Announce(other, this->clock.Now());
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(this->Pick(this->Query())->name, BackendServerName("y"));
+  }
+}
+
+TEST_F(ServerOrder, AClosedDataCentreGetsNothing) {
+  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  const std::set<DataCentreName> closed{DataCentreName("a")};
+  ServerQuery query = this->Query();
+  query.closed = &closed;
+  EXPECT_FALSE(this->Pick(query).has_value());
+}
+
+TEST_F(ServerOrder, AColdServerGetsNoMoreThanItsAllowanceInAnySecond) {
+  ServerReport cold = Report("x", 100, 4);
+  cold.cold_for = seconds(3);
+  this->table.Announce(cold, this->clock.Now());
+  ServerQuery query = this->Query();
+  query.cold_allowance = [](const BackendServerName&) { return 1U; };
+  int sent = 0;
+  for (int ms = 0; ms < 2'500; ms += 10) {
+    if (this->Pick(query)) {
+      this->table.NoteSent(BackendServerName("x"), 0, this->clock.Now());
+      sent += 1;
+    }
+    this->clock.Advance(milliseconds(10));
+  }
+  EXPECT_EQ(sent, 3);
+}
+
+TEST_F(ServerOrder, PromptsGatherWhereTheirPartsAreKept) {
+  ServerReport other = Report("y", 100, 1);
+  other.address = "10.0.0.2";
+  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->table.Announce(other, this->clock.Now());
+  ServerQuery query = this->Query();
+  query.prompt_tokens = 9'000;
+  query.parts = {{11, 6'000}, {12, 3'000}};
+  this->table.NotePrefix(BackendServerName("y"), 11);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(this->Pick(query)->name, BackendServerName("y"));
+  }
+}
+
+TEST_F(ServerOrder, APartCountsOnlyWhereAllBeforeItAreKept) {
+  ServerReport other = Report("y", 100, 1);
+  other.address = "10.0.0.2";
+  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->table.Announce(other, this->clock.Now());
+  ServerQuery query = this->Query();
+  query.prompt_tokens = 9'000;
+  query.parts = {{11, 6'000}, {12, 3'000}};
+  this->table.NotePrefix(BackendServerName("x"), 12);
+  std::set<BackendServerName> picked;
+  for (int i = 0; i < 40; ++i) {
+    picked.insert(this->Pick(query)->name);
+  }
+  EXPECT_EQ(picked.size(), 2U);
+}
+
+TEST_F(ServerOrder, UnreadPromptsSendTheNextOneElsewhere) {
+  ServerReport other = Report("y", 100, 1);
+  other.address = "10.0.0.2";
+  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->table.Announce(other, this->clock.Now());
+  this->table.NoteSent(BackendServerName("x"), 9'000, this->clock.Now());
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(this->Pick(this->Query())->name, BackendServerName("y"));
+  }
+}
+
+TEST(Rendezvous, AsManyHostsOwnAKeyAsAreAsked) {
+  std::vector<HostName> hosts;
+  for (int i = 0; i < 9; ++i) {
+    hosts.emplace_back("h" + std::to_string(i));
+  }
+  for (std::uint64_t key = 0; key < 200; ++key) {
+    const auto owners =
+        std::count_if(hosts.begin(), hosts.end(), [&](const HostName& host) {
+          return IsAmongOwners(key, host, hosts, 2);
+        });
+    EXPECT_EQ(owners, 2);
+  }
+}
+
+}  // namespace
+}  // namespace tamarackwing::policy
--- /dev/null
+++ b/packages/policy/tests/try_plan_tests.cc
@@ -0,0 +1,52 @@
+#include "tamarackwing/policy/try_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace tamarackwing::policy {
+namespace {
+
+TEST(TryPlan, ARequestThatRunsOnceIsNotSentAgainOnceItMayHaveRun) {
+  TryPlan plan({false, 3});
+  EXPECT_EQ(plan.Next(TryEnd::kLost), NextStep::kGiveUp);
+}
+
+TEST(TryPlan, ARequestThatRunsOnceGoesOnAfterAServerThatDidNotRunIt) {
+  TryPlan plan({false, 1});
+  EXPECT_EQ(plan.Next(TryEnd::kNotRun), NextStep::kTryAnother);
+  EXPECT_EQ(plan.Next(TryEnd::kNotSent), NextStep::kTryAnother);
+  EXPECT_FALSE(plan.MayHaveRun());
+}
+
+TEST(TryPlan, ARepeatableRequestRunsOnNoMoreServersThanItsRouteAllows) {
+  TryPlan plan({true, 2});
+  EXPECT_EQ(plan.Next(TryEnd::kLost), NextStep::kTryAnother);
+  EXPECT_EQ(plan.Next(TryEnd::kLost), NextStep::kGiveUp);
+}
+
+TEST(TryPlan, TheLastFailureOfAServerGoesOnToTheCaller) {
+  TryPlan plan({true, 2});
+  EXPECT_EQ(plan.Next(TryEnd::kFailed), NextStep::kTryAnother);
+  EXPECT_EQ(plan.Next(TryEnd::kFailed), NextStep::kPassOn);
+}
+
+RC_GTEST_PROP(TryPlan,
+              ARefusalIsTrueAndNothingRunsTooOften,
+              (bool repeatable)) {
+  const auto most = *rc::gen::inRange<std::size_t>(1, 4);
+  TryPlan plan({repeatable, most});
+  std::size_t runs = 0;
+  NextStep step = NextStep::kTryAnother;
+  while (step == NextStep::kTryAnother) {
+    const auto end = *rc::gen::element(TryEnd::kNotSent, TryEnd::kNotRun,
+                                       TryEnd::kLost, TryEnd::kFailed);
+    runs += end == TryEnd::kLost || end == TryEnd::kFailed ? 1 : 0;
+    step = plan.Next(end);
+  }
+  RC_ASSERT(runs <= (repeatable ? most : 1));
+  RC_ASSERT(step != NextStep::kRefuse || runs == 0);
+}
+
+}  // namespace
+}  // namespace tamarackwing::policy
--- a/packages/state/src/internal/json_codec.h
+++ b/packages/state/src/internal/json_codec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <chrono>
-#include <optional>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "tamarackwing/base/strong_id.h"
 #include "tamarackwing/state/configuration_set.h"
--- a/packages/state/src/set_checker.cc
+++ b/packages/state/src/set_checker.cc
@@ -156,8 +156,8 @@
     }
     if (route.prefix.empty() || route.prefix.front() != '/' ||
         route.prefix.back() != '/') {
-      faults.push_back({config::FaultCode::kOutOfRange, path + ".prefix", 0,
-                        route.prefix});
+      faults.push_back(
+          {config::FaultCode::kOutOfRange, path + ".prefix", 0, route.prefix});
     }
     if (!set.residency_rules.contains(route.residency)) {
       faults.push_back({config::FaultCode::kUnknownReference,
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -130,8 +130,8 @@
     if (handler == nullptr || endpoint.port == 0) {
       return true;
     }
-    adapter_servers.push_back(std::make_unique<http::Server>(
-        threads, *handler, settings.limits));
+    adapter_servers.push_back(
+        std::make_unique<http::Server>(threads, *handler, settings.limits));
     return adapter_servers.back()->Listen(endpoint).has_value();
   }
 
@@ -227,9 +227,8 @@
   }
   const AdapterListeners& adapter = parts.adapter_listeners;
   const AdapterEndpoints& places = settings.adapter;
-  const http::Endpoint forwarded = places.callers.port == 0
-                                       ? http::Endpoint()
-                                       : ForwardEndpoint(settings);
+  const http::Endpoint forwarded =
+      places.callers.port == 0 ? http::Endpoint() : ForwardEndpoint(settings);
   const bool is_open = parts.Open(adapter.control.get(), places.control) &&
                        parts.Open(adapter.directory.get(), places.directory) &&
                        parts.Open(adapter.forwarded.get(), forwarded) &&
--- a/programs/tamarackwingd/src/metrics_listener.cc
+++ b/programs/tamarackwingd/src/metrics_listener.cc
@@ -23,8 +23,7 @@
 http::asio::awaitable<void> MetricsListener::Handle(
     http::Request,
     http::ResponseWriter& writer) {
-  co_await writer.Send(
-      http::MakeResponse(kOk, kText, this->metrics.Render()));
+  co_await writer.Send(http::MakeResponse(kOk, kText, this->metrics.Render()));
 }
 
 http::Response MetricsListener::RejectFault(http::RequestFault) {
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -199,13 +199,12 @@
   if (!reader) {
     return;
   }
-  reader->RejectOthers({"heartbeat_ms", "election_ms", "host_lost_ms",
-                        "key_freshness_ms", "chunk_life_ms", "server_lease_ms",
-                        "server_ramp_ms", "stream_silence_ms",
-                        "first_byte_silence_ms", "operation_grace_ms",
-                        "idle_ms", "head_ms", "silence_ms", "drain_ms",
-                        "server_lapsed_ms", "key_withdrawn_ms",
-                        "stop_grace_s"});
+  reader->RejectOthers(
+      {"heartbeat_ms", "election_ms", "host_lost_ms", "key_freshness_ms",
+       "chunk_life_ms", "server_lease_ms", "server_ramp_ms",
+       "stream_silence_ms", "first_byte_silence_ms", "operation_grace_ms",
+       "idle_ms", "head_ms", "silence_ms", "drain_ms", "server_lapsed_ms",
+       "key_withdrawn_ms", "stop_grace_s"});
   ControlTimes& times = settings.times;
   times.heartbeat = ReadTime(*reader, "heartbeat_ms", times.heartbeat);
   times.election = ReadTime(*reader, "election_ms", times.election);
@@ -258,13 +257,29 @@
   config::Faults faults;
   Settings settings;
   TableReader document(*table, "", faults);
-  document.RejectOthers(
-      {"name", "region", "data_centre", "data_folder", "span_file", "log_level",
-       "traffic_threads", "cluster_secret", "operator_token_digest", "callers",
-       "backend_servers", "operators", "hosts", "limits", "times",
-       "membership", "found_log", "data_centres", "adapter_callers",
-       "adapter_readiness", "adapter_control", "adapter_directory",
-       "metrics"});
+  document.RejectOthers({"name",
+                         "region",
+                         "data_centre",
+                         "data_folder",
+                         "span_file",
+                         "log_level",
+                         "traffic_threads",
+                         "cluster_secret",
+                         "operator_token_digest",
+                         "callers",
+                         "backend_servers",
+                         "operators",
+                         "hosts",
+                         "limits",
+                         "times",
+                         "membership",
+                         "found_log",
+                         "data_centres",
+                         "adapter_callers",
+                         "adapter_readiness",
+                         "adapter_control",
+                         "adapter_directory",
+                         "metrics"});
   settings.gateway.host = HostName(document.Text("name", true));
   settings.gateway.region = RegionName(document.Text("region", true));
   settings.gateway.data_centre =
@@ -286,8 +301,8 @@
   ReadMembership(document, settings);
   ReadDataCentres(document, settings);
   ReadHosts(document, settings);
-  const bool has_adapter = settings.adapter.callers.port != 0 ||
-                           settings.adapter.control.port != 0;
+  const bool has_adapter =
+      settings.adapter.callers.port != 0 || settings.adapter.control.port != 0;
   const bool has_callers = settings.callers.port != 0 &&
                            settings.backend_servers.port != 0 &&
                            settings.operators.port != 0;
