Refuse new calls before the drain limit, so that those under way can end

Change: it closes connections after their answers at once, refuses new calls after three eighths of the grace, and is no longer forwarded to.

--- a/packages/gateway/include/tamarackwing/gateway/path_gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_gateway.h
@@ -78,6 +78,10 @@
   //! Says that this host is about to stop. Thread safety: from any thread.
   void StartDrain() { this->draining.store(true); }
   bool IsDraining() const { return this->draining.load(); }
+  //! Refuses new calls from now on, so that those under way can end.
+  //! Thread safety: from any thread.
+  void StartRefusing() { this->refusing.store(true); }
+  bool IsRefusing() const { return this->refusing.load(); }
   //! Calls under way. Thread safety: from any thread.
   std::size_t UnderWay() const { return this->under_way.load(); }
 
@@ -93,6 +97,7 @@
   PathGatewayParts parts;
   GatewaySettings settings;
   std::atomic<bool> draining{false};
+  std::atomic<bool> refusing{false};
   std::atomic<std::size_t> under_way{0};
   std::atomic<std::uint64_t> next_number{1};
   std::map<http::asio::execution_context*,
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -24,6 +24,8 @@
 //! A refusal for want of a server asks its caller to wait at least so long: a
 //! server that left renews or is replaced in about this time.
 constexpr milliseconds kServerWait{400};
+//! Another host serves at once.
+constexpr milliseconds kOtherHostWait{10};
 constexpr std::uint32_t kPerKilosecond = 1'000;
 
 milliseconds CeilMs(Duration time) {
@@ -122,6 +124,9 @@
 
 PathRequest::Outcome PathRequest::FindRoute() {
   const PathGatewayParts& parts = this->gateway.Parts();
+  if (this->gateway.IsRefusing()) {
+    return RefuseNotRun(RefusalCode::kDraining, kOtherHostWait);
+  }
   if (!this->snapshot->ready || this->snapshot->set_number == 0) {
     return RefuseNotRun(RefusalCode::kNotReady, kServerWait);
   }
@@ -302,19 +307,15 @@
 std::optional<ForwardTarget> PathRequest::PickHost() {
   const PathGatewayParts& parts = this->gateway.Parts();
   for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
-    if (this->MayRunIn(candidate.region) &&
-        !this->tried_hosts.contains(candidate.host)) {
+    if (this->MayRunIn(candidate.region) && this->MayForwardTo(candidate.host)) {
       return candidate;
     }
   }
   // No word of the regions' load yet: any live entry host that may run it.
   std::vector<ForwardTarget> others;
   for (const auto& [name, host] : *this->snapshot->hosts) {
-    const bool fits = host.caller_port != 0 && !host.draining &&
-                      host.region != this->gateway.Settings().region &&
-                      this->snapshot->live.contains(name) &&
-                      !this->tried_hosts.contains(name) &&
-                      this->MayRunIn(host.region);
+    const bool fits = host.region != this->gateway.Settings().region &&
+                      this->MayForwardTo(name) && this->MayRunIn(host.region);
     if (fits) {
       others.push_back({name,
                         host.region,
@@ -328,6 +329,14 @@
   return others[this->gateway.NextNumber() % others.size()];
 }
 
+bool PathRequest::MayForwardTo(const HostName& name) const {
+  const auto host = this->snapshot->hosts->find(name);
+  return host != this->snapshot->hosts->end() &&
+         host->second.caller_port != 0 && !host->second.draining &&
+         this->snapshot->live.contains(name) &&
+         !this->tried_hosts.contains(name);
+}
+
 policy::ServerQuery PathRequest::Query() const {
   policy::ServerQuery query;
   query.target = this->service;
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -48,6 +48,8 @@
   http::asio::awaitable<Outcome> TryAll();
   std::optional<Target> PickTarget();
   std::optional<ForwardTarget> PickHost();
+  //! Whether a host takes calls and has not been tried.
+  bool MayForwardTo(const HostName& name) const;
   policy::ServerQuery Query() const;
   std::uint32_t ColdAllowance(const BackendServerName& server,
                               std::uint32_t per_kilosecond) const;
--- a/packages/http/include/tamarackwing/http/server.h
+++ b/packages/http/include/tamarackwing/http/server.h
@@ -41,6 +41,9 @@
   //! Binds and accepts; port 0 takes a free one. Returns the port.
   //! Thread safety: once, from one thread.
   Expected<std::uint16_t, ListenError> Listen(const Endpoint& endpoint);
+  //! Goes on accepting, but closes each connection after its next answer, so
+  //! that peers turn to other hosts. Thread safety: callable from any thread.
+  void StopKeepingAlive();
   //! Closes the listener and lets open requests finish; connections close
   //! after their current answer. Thread safety: callable from any thread.
   void StopAccepting();
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -79,6 +79,10 @@
   }
 }
 
+void Server::StopKeepingAlive() {
+  this->shared->closing.store(true);
+}
+
 void Server::StopAccepting() {
   if (this->shared->stopping.exchange(true)) {
     return;
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -240,7 +240,8 @@
 }
 
 bool Session::KeepsAlive() const {
-  return this->keep_alive && !this->context->stopping.load();
+  return this->keep_alive && !this->context->stopping.load() &&
+         !this->context->closing.load();
 }
 
 void Session::Reset(bool keep_alive_wanted) {
--- a/packages/http/src/session.h
+++ b/packages/http/src/session.h
@@ -20,6 +20,8 @@
   Handler& handler;
   ServerLimits limits;
   std::atomic<bool> stopping{false};
+  //! Connections close after their next answer.
+  std::atomic<bool> closing{false};
   std::atomic<std::size_t> open{0};
 };
 
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -266,13 +266,19 @@
   const auto under_way = [&] {
     return parts.gateway.UnderWay() + parts.path_gateway.UnderWay();
   };
-  const Duration notice =
-      std::max<Duration>(kDrainNotice, parts.settings.drain_serves);
+  const TimePoint refuse_at = started + parts.settings.drain_serves;
   const auto is_done = [&] {
-    return under_way() == 0 && parts.control.IsQuiet() &&
-           parts.clock.Now() - started >= notice;
+    return parts.clock.Now() >= refuse_at && under_way() == 0 &&
+           parts.control.IsQuiet() &&
+           parts.clock.Now() - started >= kDrainNotice;
   };
+  for (const auto& server : parts.adapter_servers) {
+    server->StopKeepingAlive();
+  }
   while (!is_done() && parts.clock.Now() < until) {
+    if (parts.clock.Now() >= refuse_at) {
+      parts.path_gateway.StartRefusing();
+    }
     std::this_thread::sleep_for(kDrainPoll);
   }
   const bool all_ended = under_way() == 0;
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -239,8 +239,8 @@
   if (reader->Has("stop_grace_s")) {
     const std::chrono::seconds grace(
         reader->Number("stop_grace_s", 1, kLongestTimeMs / 1'000, 8, false));
-    settings.drain_limit = std::chrono::milliseconds(grace) * 7 / 8;
-    settings.drain_serves = settings.drain_limit * 5 / 7;
+    settings.drain_limit = std::chrono::milliseconds(grace) * 15 / 16;
+    settings.drain_serves = std::chrono::milliseconds(grace) * 3 / 8;
   }
   if (times.election < 3 * times.heartbeat) {
     reader->Note(FaultCode::kOutOfRange, "election_ms");
--- a/programs/tamarackwingd/src/settings.h
+++ b/programs/tamarackwingd/src/settings.h
@@ -82,7 +82,8 @@
   //! Tokens a second for routes open to all, for each host.
   TokenCount open_rate = 1'000;
   std::chrono::milliseconds drain_limit{60'000};
-  //! How long a host that is to stop goes on serving who still comes.
+  //! How long a host that is to stop goes on serving who still comes; what it
+  //! takes then must end within the drain limit.
   std::chrono::milliseconds drain_serves{0};
 };
 
