--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -35,6 +35,7 @@
   kRequestEnded = 5004,
   kReportRejected = 5101,
   kOrderTaken = 5102,
+  kDirectoryDetour = 5103,
 };
 
 //! One named value of an event.
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -123,6 +123,8 @@
       return "report_rejected";
     case Event::kOrderTaken:
       return "order_taken";
+    case Event::kDirectoryDetour:
+      return "directory_detour";
   }
   return "unknown";
 }
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -238,6 +238,7 @@
   TimePoint duties_at;
   TimePoint relay_at;
   std::size_t source = 0;
+  TimePoint source_since;
   std::uint64_t feed_number = 0;
   std::map<std::uint64_t, TimePoint> feed_sent;
   TimePoint feed_answered;
--- a/packages/control/include/tamarackwing/control/membership_duties.h
+++ b/packages/control/include/tamarackwing/control/membership_duties.h
@@ -49,7 +49,8 @@
 
 //! The hosts from which this one may follow the log, best first: voters ask
 //! the leader, others the voters of their region, then hosts of their region
-//! that come before them by name, then any voter. Thread safety: reentrant.
+//! that come before them, those with disks first and then by name, then any
+//! voter. Thread safety: reentrant.
 std::vector<HostName> PlanSources(const SourceInput& input);
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -801,8 +801,14 @@
   if (sources.empty()) {
     return;
   }
-  if (now - this->feed_answered > kSilentReports * this->options.report) {
+  // A source that answers and has no word from a leader itself is no better
+  // than one that is silent.
+  const Duration silence = kSilentReports * this->options.report;
+  const bool has_word = now - this->feed_word <= 2 * silence;
+  const bool is_answered = now - this->feed_answered <= silence;
+  if (!is_answered || (!has_word && now - this->source_since > 2 * silence)) {
     this->source += 1;
+    this->source_since = now;
     this->feed_answered = now;
   }
   FeedRequest request;
--- a/packages/control/src/membership_duties.cc
+++ b/packages/control/src/membership_duties.cc
@@ -89,8 +89,12 @@
   }
   for (const state::HostRecord& host : input.hosts) {
     const bool is_near = host.region == input.self.region;
-    const bool may_feed =
-        !input.ready || (!is_voter && host.name < input.self.name);
+    // Who follows must come behind whom it follows, or two hosts could feed
+    // each other news that is never new.
+    const bool is_before = host.has_disk == input.self.has_disk
+                               ? host.name < input.self.name
+                               : host.has_disk;
+    const bool may_feed = !input.ready || (!is_voter && is_before);
     if (is_near && may_feed) {
       add(host.name);
     }
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -82,5 +82,43 @@
   EXPECT_EQ(PlanSources(input).size(), 3U);
 }
 
+state::HostRecord HostAt(const std::string& name, bool disk) {
+  state::HostRecord host;
+  host.name = HostName(name);
+  host.region = RegionName("muscat");
+  host.has_disk = disk;
+  return host;
+}
+
+TEST(Sources, NoTwoHostsFollowEachOther) {
+  // A region whose hosts with disks are not voters yet: the voters are far.
+  const std::vector<state::HostRecord> hosts{
+      HostAt("4", false), HostAt("5", false), HostAt("7", true),
+      HostAt("8", true)};
+  std::map<HostName, HostName> follows;
+  for (const state::HostRecord& self : hosts) {
+    SourceInput input;
+    input.self = self;
+    input.ready = true;
+    input.hosts = hosts;
+    // Hosts without disks keep no log and know no voters.
+    if (self.has_disk) {
+      input.voters = {HostName("far-1"), HostName("far-2")};
+    }
+    follows[self.name] = PlanSources(input).front();
+  }
+  for (const auto& [host, source] : follows) {
+    HostName next = source;
+    for (std::size_t step = 0; step < hosts.size(); ++step) {
+      ASSERT_NE(next, host);
+      const auto found = follows.find(next);
+      if (found == follows.end()) {
+        break;
+      }
+      next = found->second;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/gateway/include/tamarackwing/gateway/entry_hosts.h
+++ b/packages/gateway/include/tamarackwing/gateway/entry_hosts.h
@@ -12,9 +12,19 @@
 //! How long callers may go by an answer of EntryHostsFor.
 inline constexpr std::chrono::milliseconds kEntryHostsLife{2'000};
 
-//! The live hosts that callers of a region should use: those of the region, or
-//! of any other where it has none. Thread safety: as for `snapshot`.
-std::vector<http::Endpoint> EntryHostsFor(const state::Snapshot& snapshot,
-                                          const RegionName& region);
+//! Hosts that take callers.
+struct EntryHosts {
+  //! Whether none of the region's hosts could be named.
+  bool is_detour = false;
+  std::vector<http::Endpoint> endpoints;
+  //! Hosts of the region that are known, live or not.
+  std::size_t known = 0;
+};
+
+//! The live hosts that callers of a region should use: those of the region, or,
+//! where it has none, those of the other regions that most residency rules
+//! allow. Thread safety: as for `snapshot`.
+EntryHosts EntryHostsFor(const state::Snapshot& snapshot,
+                         const RegionName& region);
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/include/tamarackwing/gateway/path_gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_gateway.h
@@ -75,13 +75,13 @@
   //! Whether callers may be sent here: a set is in force and this host does not
   //! drain. Thread safety: from any thread.
   bool IsReady() const;
-  //! Says that this host is about to stop. Thread safety: from any thread.
-  void StartDrain() { this->draining.store(true); }
+  //! Says that this host is about to stop: it is no longer ready, and refuses
+  //! new calls from `refuse_at` on, so that those under way can end.
+  //! Thread safety: once, from any thread.
+  void StartDrain(TimePoint refuse_at);
   bool IsDraining() const { return this->draining.load(); }
-  //! Refuses new calls from now on, so that those under way can end.
-  //! Thread safety: from any thread.
-  void StartRefusing() { this->refusing.store(true); }
-  bool IsRefusing() const { return this->refusing.load(); }
+  //! Whether new calls are refused. Thread safety: from any thread.
+  bool IsRefusing() const;
   //! Calls under way. Thread safety: from any thread.
   std::size_t UnderWay() const { return this->under_way.load(); }
 
@@ -97,7 +97,7 @@
   PathGatewayParts parts;
   GatewaySettings settings;
   std::atomic<bool> draining{false};
-  std::atomic<bool> refusing{false};
+  TimePoint refuse_at;
   std::atomic<std::size_t> under_way{0};
   std::atomic<std::uint64_t> next_number{1};
   std::map<http::asio::execution_context*,
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -42,8 +42,15 @@
   std::optional<policy::ServerChoice> Take(const policy::ServerQuery& query);
   //! The expected time of the best server, without taking it.
   std::optional<Duration> Expect(const policy::ServerQuery& query);
-  //! Notes how a request ended.
-  void Finish(const BackendServerName& name, bool failed);
+  //! Notes that a request that was sent at `sent` ended, and what it tells of
+  //! its server.
+  void Finish(const BackendServerName& name,
+              policy::ServerSign sign,
+              TimePoint sent);
+  //! Notes that bytes came from a server.
+  void NoteAlive(const BackendServerName& name);
+  //! The time by the directory's clock.
+  TimePoint Now() const { return this->clock.Now(); }
   //! Notes that a server now holds a prefix.
   void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
   //! Notes that a request had its first output.
--- a/packages/gateway/src/path_gateway.cc
+++ b/packages/gateway/src/path_gateway.cc
@@ -45,6 +45,16 @@
   return !this->IsDraining() && snapshot->ready && snapshot->set_number != 0;
 }
 
+void PathGateway::StartDrain(TimePoint refuse_from) {
+  // The flag goes last: who sees it reads the time.
+  this->refuse_at = refuse_from;
+  this->draining.store(true);
+}
+
+bool PathGateway::IsRefusing() const {
+  return this->IsDraining() && this->parts.clock.Now() >= this->refuse_at;
+}
+
 backend_servers::ConnectionPool& PathGateway::PoolOf(
     const http::asio::any_io_executor& executor) {
   return *this->pools.at(&executor.context());
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -254,10 +254,9 @@
       this->NoteRead(*target);
     }
     if (target && target->server) {
-      const bool failed = may_send &&
-                          (end == TryEnd::kNotSent || end == TryEnd::kLost) &&
-                          !this->caller_gone;
-      servers.Finish(target->server->name, failed);
+      servers.Finish(target->server->name,
+                     may_send ? this->sign : policy::ServerSign::kNothing,
+                     this->sent_at);
     }
     if (!may_send) {
       if (this->answer) {
@@ -289,6 +288,7 @@
     if (target.server) {
       target.endpoint = EndpointOf(*target.server);
       this->tried.insert(target.server->name);
+      this->sent_at = this->gateway.Parts().servers.Now();
       this->unread = this->call.prompt ? this->call.prompt->prompt_tokens : 0;
       return target;
     }
@@ -307,7 +307,8 @@
 std::optional<ForwardTarget> PathRequest::PickHost() {
   const PathGatewayParts& parts = this->gateway.Parts();
   for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
-    if (this->MayRunIn(candidate.region) && this->MayForwardTo(candidate.host)) {
+    if (this->MayRunIn(candidate.region) &&
+        this->MayForwardTo(candidate.host)) {
       return candidate;
     }
   }
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -61,6 +61,7 @@
   http::asio::awaitable<policy::TryEnd> KeepWhole(http::Connection& connection,
                                                   http::ResponseHead head);
   http::asio::awaitable<policy::TryEnd> PassStream(
+      const Target& target,
       http::Connection& connection,
       const http::ResponseHead& head);
   http::asio::awaitable<bool> WriteEvents(const http::ResponseHead& head,
@@ -74,6 +75,8 @@
   std::chrono::milliseconds TimeLeft() const;
   Refusal StopRefusal(RefusalCode code) const;
   void Finish(const Outcome& refusal);
+  //! Takes a connection's error for what it tells of the server.
+  policy::TryEnd Lose(http::ConnectionError error);
   //! Says that the server has read the prompt, or will not.
   void NoteRead(const Target& target);
   void LogTry(const Target& target, policy::TryEnd end) const;
@@ -104,6 +107,10 @@
   EventSplitter events;
   std::optional<std::uint64_t> last_event;
   std::string peer;
+  //! What the last try tells of its server.
+  policy::ServerSign sign = policy::ServerSign::kNothing;
+  //! When the last try began, by the servers' clock.
+  TimePoint sent_at;
   //! Prompt tokens of the try under way that its server has yet to read.
   TokenCount unread = 0;
 
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -99,6 +99,10 @@
       this->IsRepeatable() ? backend_servers::kAnyIdle : kSureIdle;
   auto acquired =
       co_await pool.Acquire(target.endpoint, this->deadline, most_idle);
+  this->sign = policy::ServerSign::kNothing;
+  if (!acquired && acquired.error() != http::ConnectionError::kCancelled) {
+    this->sign = policy::ServerSign::kUnreachable;
+  }
   if (!acquired || this->caller_gone) {
     co_return TryEnd::kNotSent;
   }
@@ -110,6 +114,12 @@
   TryEnd end = TryEnd::kLost;
   if (sent) {
     end = co_await this->ReadAnswer(target, *connection.connection);
+  } else {
+    end = this->Lose(sent.error());
+  }
+  if (connection.reused && this->sign == policy::ServerSign::kBroken) {
+    // The server may have closed the connection while it was idle.
+    this->sign = policy::ServerSign::kNothing;
   }
   this->current_connection = nullptr;
   if (end == TryEnd::kLost) {
@@ -121,6 +131,24 @@
   co_return end;
 }
 
+TryEnd PathRequest::Lose(http::ConnectionError error) {
+  switch (error) {
+    case http::ConnectionError::kTimeout:
+      this->sign = policy::ServerSign::kSilent;
+      break;
+    case http::ConnectionError::kCancelled:
+      this->sign = policy::ServerSign::kNothing;
+      break;
+    case http::ConnectionError::kConnectFailed:
+    case http::ConnectionError::kSendFailed:
+    case http::ConnectionError::kReadFailed:
+    case http::ConnectionError::kMalformed:
+      this->sign = policy::ServerSign::kBroken;
+      break;
+  }
+  return TryEnd::kLost;
+}
+
 http::asio::awaitable<TryEnd> PathRequest::ReadAnswer(
     const Target& target,
     http::Connection& connection) {
@@ -128,7 +156,11 @@
   auto head = co_await connection.ReadHead(this->FirstByteDeadline());
   this->NoteRead(target);
   if (!head) {
-    co_return TryEnd::kLost;
+    co_return this->Lose(head.error());
+  }
+  this->sign = policy::ServerSign::kAnswered;
+  if (target.server) {
+    parts.servers.NoteAlive(target.server->name);
   }
   if (target.host) {
     const auto refused = ReadRefusedHeader(head->headers);
@@ -140,7 +172,7 @@
   PathAnswer read = parts.protocol.ReadAnswer(this->call, *head);
   if (!read.is_for_call && !read.not_run && !read.other_server) {
     // What came belongs to another request, or to none.
-    co_return TryEnd::kLost;
+    co_return this->Lose(http::ConnectionError::kMalformed);
   }
   if (read.not_run || read.other_server) {
     const TryEnd end =
@@ -153,7 +185,7 @@
     parts.servers.NoteParts(target.server->name, this->call.prompt->parts);
   }
   if (read.is_stream && read.passed.status < kBadRequest) {
-    co_return co_await this->PassStream(connection, read.passed);
+    co_return co_await this->PassStream(target, connection, read.passed);
   }
   co_return co_await this->KeepWhole(connection, std::move(read.passed));
 }
@@ -166,22 +198,28 @@
   while (true) {
     auto piece = co_await connection.ReadPiece(this->deadline);
     const std::size_t most = this->gateway.Settings().answer_bytes;
-    if (!piece || response.body.size() + piece->size() > most) {
-      co_return TryEnd::kLost;
+    if (!piece) {
+      co_return this->Lose(piece.error());
+    }
+    if (response.body.size() + piece->size() > most) {
+      co_return this->Lose(http::ConnectionError::kMalformed);
     }
     if (piece->empty()) {
       break;
     }
     response.body += *piece;
   }
-  const bool failed = response.head.status >= kServerError;
-  if (!this->writer.HasStarted()) {
-    this->answer = std::move(response);
+  if (this->writer.HasStarted()) {
+    // A stream that has begun can't go on with an answer of another kind.
+    co_return TryEnd::kLost;
   }
+  const bool failed = response.head.status >= kServerError;
+  this->answer = std::move(response);
   co_return failed ? TryEnd::kFailed : TryEnd::kServed;
 }
 
 http::asio::awaitable<TryEnd> PathRequest::PassStream(
+    const Target& target,
     http::Connection& connection,
     const http::ResponseHead& head) {
   const milliseconds gap =
@@ -192,7 +230,10 @@
     auto piece =
         co_await connection.ReadPiece(std::min(this->deadline, now + gap));
     if (!piece) {
-      co_return TryEnd::kLost;
+      co_return this->Lose(piece.error());
+    }
+    if (target.server) {
+      this->gateway.Parts().servers.NoteAlive(target.server->name);
     }
     const bool is_end = piece->empty();
     const std::string whole =
@@ -215,6 +256,8 @@
     const std::string& events) {
   // The head waits for the first event: until then another server may answer.
   if (!this->writer.HasStarted()) {
+    // An earlier server's failure is no longer the answer.
+    this->answer.reset();
     http::ResponseHead passed = head;
     const bool started = co_await this->writer.StartStream(std::move(passed));
     if (!started) {
--- a/packages/gateway/src/served_operation.cc
+++ b/packages/gateway/src/served_operation.cc
@@ -112,7 +112,8 @@
     const bool given_up =
         this->cancelled || parts.clock.Now() >= this->deadline;
     if (!acquired || given_up) {
-      parts.servers.Finish(choice->name, !acquired);
+      parts.servers.Finish(choice->name, SignOf(!acquired),
+                           parts.servers.Now());
       this->tried.insert(choice->name);
       reason = RefusalCode::kBackendServerFailed;
       continue;
@@ -142,7 +143,7 @@
       }
       this->operation_answer = std::move(answer);
     }
-    parts.servers.Finish(choice->name, !whole);
+    parts.servers.Finish(choice->name, SignOf(!whole), parts.servers.Now());
     if (!whole) {
       parts.permits.Lose(region, operation);
       co_return RefuseOutcomeUnknown(RefusalCode::kBackendServerFailed);
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -334,7 +334,7 @@
     this->peer = choice->name.Text();
     const TryOutcome outcome = co_await this->TryServer(*choice, fresh);
     const bool failed = outcome.result == TryResult::kTryAnother;
-    parts.servers.Finish(choice->name, failed);
+    parts.servers.Finish(choice->name, SignOf(failed), parts.servers.Now());
     if (!failed) {
       co_return outcome.refusal;
     }
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -73,13 +73,22 @@
   return choice->expected;
 }
 
-void ServerDirectory::Finish(const BackendServerName& name, bool failed) {
+void ServerDirectory::NoteAlive(const BackendServerName& name) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteAlive(name, this->clock.Now());
+}
+
+void ServerDirectory::Finish(const BackendServerName& name,
+                             policy::ServerSign sign,
+                             TimePoint sent) {
+  const bool failed = sign != policy::ServerSign::kAnswered &&
+                      sign != policy::ServerSign::kNothing;
   if (failed) {
     LogEvent(Event::kBackendServerFailed, LogLevel::kWarning,
              {{"server", name.Text()}});
   }
   const std::lock_guard lock(this->mutex);
-  this->table.NoteFinished(name, failed, this->clock.Now());
+  this->table.NoteFinished(name, sign, sent, this->clock.Now());
 }
 
 void ServerDirectory::NotePrefix(const BackendServerName& name,
--- a/packages/gateway/src/upstream.cc
+++ b/packages/gateway/src/upstream.cc
@@ -6,6 +6,11 @@
   return {choice.address, choice.port};
 }
 
+policy::ServerSign SignOf(bool failed) {
+  return failed ? policy::ServerSign::kUnreachable
+                : policy::ServerSign::kAnswered;
+}
+
 std::string ContentType(const http::ResponseHead& head) {
   return std::string(
       head.headers.Find("Content-Type").value_or("application/json"));
--- a/packages/gateway/src/upstream.h
+++ b/packages/gateway/src/upstream.h
@@ -20,6 +20,10 @@
 //! Where a chosen server takes requests. Thread safety: reentrant.
 http::Endpoint EndpointOf(const policy::ServerChoice& choice);
 
+//! What a finished try of this host's own protocol tells of its server.
+//! Thread safety: reentrant.
+policy::ServerSign SignOf(bool failed);
+
 //! The content type of an answer. Thread safety: reentrant.
 std::string ContentType(const http::ResponseHead& head);
 
--- /dev/null
+++ b/packages/gateway/tests/entry_hosts_tests.cc
@@ -0,0 +1,65 @@
+#include "tamarackwing/gateway/entry_hosts.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackwing::gateway {
+namespace {
+
+class EntryHostsTest : public testing::Test {
+ protected:
+  void Add(const std::string& name, const std::string& region, bool draining) {
+    state::HostRecord host;
+    host.name = HostName(name);
+    host.region = RegionName(region);
+    host.caller_address = name;
+    host.caller_port = 80;
+    host.draining = draining;
+    this->hosts[host.name] = host;
+    this->snapshot.live.insert(host.name);
+  }
+
+  std::vector<std::string> Named(const std::string& region) {
+    this->snapshot.hosts =
+        std::make_shared<const std::map<HostName, state::HostRecord>>(
+            this->hosts);
+    std::vector<std::string> names;
+    for (const http::Endpoint& endpoint :
+         EntryHostsFor(this->snapshot, RegionName(region)).endpoints) {
+      names.push_back(endpoint.address);
+    }
+    return names;
+  }
+
+  std::map<HostName, state::HostRecord> hosts;
+  state::Snapshot snapshot;
+};
+
+TEST_F(EntryHostsTest, CallersAreSentToHostsOfTheirRegionThatGoOn) {
+  this->Add("p1", "plzen", false);
+  this->Add("p2", "plzen", true);
+  this->Add("j1", "jihlava", false);
+  EXPECT_EQ(this->Named("plzen"), std::vector<std::string>{"p1"});
+}
+
+TEST_F(EntryHostsTest, ALostHostIsNotNamed) {
+  this->Add("p1", "plzen", false);
+  this->Add("p2", "plzen", false);
+  this->snapshot.live.erase(HostName("p1"));
+  EXPECT_EQ(this->Named("plzen"), std::vector<std::string>{"p2"});
+}
+
+TEST_F(EntryHostsTest, ADetourGoesWhereMostDataMayBe) {
+  this->Add("p1", "plzen", true);
+  this->Add("b1", "budejovice", false);
+  this->Add("j1", "jihlava", false);
+  auto set = std::make_shared<state::ConfigurationSet>();
+  const state::ResidencyRule rule{
+      state::ResidencyRuleName("two"),
+      {RegionName("plzen"), RegionName("budejovice")}};
+  set->residency_rules[rule.name] = rule;
+  this->snapshot.set = set;
+  EXPECT_EQ(this->Named("plzen"), std::vector<std::string>{"b1"});
+}
+
+}  // namespace
+}  // namespace tamarackwing::gateway
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -74,6 +74,20 @@
   std::set<BackendServerName> tried;
 };
 
+//! What a try tells of its server.
+enum class ServerSign {
+  //! It answered, or says that it is full: it works.
+  kAnswered,
+  //! It did not take a connection.
+  kUnreachable,
+  //! It ended a connection without a whole answer.
+  kBroken,
+  //! Nothing came within the time that the try had.
+  kSilent,
+  //! The try ended for a reason of its own.
+  kNothing,
+};
+
 //! A chosen server with the time it should take.
 struct ServerChoice {
   BackendServerName name;
@@ -109,8 +123,17 @@
                 TimePoint now);
   //! Notes that a request had its first output.
   void NoteFirstOutput(const BackendServerName& name, TokenCount prompt_tokens);
-  //! Notes that a request ended and how.
-  void NoteFinished(const BackendServerName& name, bool failed, TimePoint now);
+  //! Notes that a request that was sent at `sent` ended, and what that tells. A
+  //! server that takes no connection is set aside at once; one that breaks off
+  //! only when it does so again before it answers; a silent one only where
+  //! nothing at all has come from it since the request was sent. What was sent
+  //! before a server was set aside tells nothing new.
+  void NoteFinished(const BackendServerName& name,
+                    ServerSign sign,
+                    TimePoint sent,
+                    TimePoint now);
+  //! Notes that bytes came from a server.
+  void NoteAlive(const BackendServerName& name, TimePoint now);
   //! Notes what a server says its cache holds; a hint that may be wrong.
   void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
   //! Requests that this host has at the servers of a target.
@@ -131,6 +154,7 @@
     Duration cost{};
   };
   void Leave(const ServerReport& report);
+  void SetAside(Server& server, TimePoint sent, TimePoint now);
   //! Ends the server that had the report's address before.
   void TakeAddress(const ServerReport& report);
   //! Whether a report is older than what is known.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -17,6 +17,8 @@
 //! The part of a prompt that a cached prefix is taken to cover.
 constexpr double kCachedPart = 0.8;
 constexpr TokenCount kTypicalOutput = 128;
+//! A single broken answer may be the request's fault, or the network's.
+constexpr std::uint32_t kBreaksToSetAside = 2;
 //! The span in which what a cold server gets is counted.
 constexpr std::chrono::seconds kColdSpan{1};
 
@@ -36,6 +38,10 @@
   TimePoint usable_since;
   TimePoint paused_until;
   std::uint32_t failures = 0;
+  //! Broken answers since the last whole one.
+  std::uint32_t suspicions = 0;
+  //! When bytes last came from it.
+  TimePoint alive;
   std::uint32_t own_running = 0;
   //! Prompt tokens sent by this host that have not had their first output.
   TokenCount unread = 0;
@@ -291,7 +297,8 @@
 }
 
 void ServerTable::NoteFinished(const BackendServerName& name,
-                               bool failed,
+                               ServerSign sign,
+                               TimePoint sent,
                                TimePoint now) {
   const auto found = this->servers.find(name);
   if (found == this->servers.end()) {
@@ -299,8 +306,40 @@
   }
   Server& server = *found->second;
   server.own_running -= std::min(server.own_running, 1U);
-  if (!failed) {
-    server.failures = 0;
+  switch (sign) {
+    case ServerSign::kAnswered:
+      server.failures = 0;
+      server.suspicions = 0;
+      server.alive = now;
+      break;
+    case ServerSign::kUnreachable:
+      this->SetAside(server, sent, now);
+      break;
+    case ServerSign::kBroken:
+      server.suspicions += 1;
+      if (server.suspicions >= kBreaksToSetAside || server.failures > 0) {
+        this->SetAside(server, sent, now);
+      }
+      break;
+    case ServerSign::kSilent:
+      if (server.alive <= sent) {
+        this->SetAside(server, sent, now);
+      }
+      break;
+    case ServerSign::kNothing:
+      break;
+  }
+}
+
+void ServerTable::NoteAlive(const BackendServerName& name, TimePoint now) {
+  const auto found = this->servers.find(name);
+  if (found != this->servers.end()) {
+    found->second->alive = now;
+  }
+}
+
+void ServerTable::SetAside(Server& server, TimePoint sent, TimePoint now) {
+  if (server.failures > 0 && sent < server.paused_until) {
     return;
   }
   const auto doubled = this->limits.first_pause *
@@ -308,6 +347,7 @@
   const Duration pause =
       std::min<Duration>(doubled, this->limits.longest_pause);
   server.failures += 1;
+  server.suspicions = 0;
   server.paused_until = now + pause;
   server.usable_since = server.paused_until;
   server.prefixes.clear();
--- a/packages/policy/tests/server_order_tests.cc
+++ b/packages/policy/tests/server_order_tests.cc
@@ -173,6 +173,50 @@
   }
 }
 
+class ServerHealth : public ServerOrder {
+ protected:
+  ServerHealth() {
+    this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  }
+
+  void End(ServerSign sign, TimePoint sent) {
+    this->table.NoteFinished(BackendServerName("x"), sign, sent,
+                             this->clock.Now());
+  }
+
+  bool IsPicked() { return this->Pick(this->Query()).has_value(); }
+};
+
+TEST_F(ServerHealth, OneBrokenAnswerDoesNotSetAServerAside) {
+  this->End(ServerSign::kBroken, this->clock.Now());
+  EXPECT_TRUE(this->IsPicked());
+  this->End(ServerSign::kAnswered, this->clock.Now());
+  this->End(ServerSign::kBroken, this->clock.Now());
+  EXPECT_TRUE(this->IsPicked());
+  this->End(ServerSign::kBroken, this->clock.Now());
+  EXPECT_FALSE(this->IsPicked());
+}
+
+TEST_F(ServerHealth, ManyRequestsThatEndTogetherAreOneFailure) {
+  const TimePoint sent = this->clock.Now();
+  for (int i = 0; i < 40; ++i) {
+    this->End(ServerSign::kBroken, sent);
+  }
+  this->clock.Advance(Limits().first_pause + milliseconds(1));
+  EXPECT_TRUE(this->IsPicked());
+}
+
+TEST_F(ServerHealth, ABusyServerThatAnswersOthersIsNotSilent) {
+  const TimePoint sent = this->clock.Now();
+  this->clock.Advance(milliseconds(500));
+  this->table.NoteAlive(BackendServerName("x"), this->clock.Now());
+  this->clock.Advance(milliseconds(500));
+  this->End(ServerSign::kSilent, sent);
+  EXPECT_TRUE(this->IsPicked());
+  this->End(ServerSign::kSilent, this->clock.Now());
+  EXPECT_FALSE(this->IsPicked());
+}
+
 TEST(Rendezvous, AsManyHostsOwnAKeyAsAreAsked) {
   std::vector<HostName> hosts;
   for (int i = 0; i < 9; ++i) {
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -96,7 +96,10 @@
                 std::hash<std::string>{}(settings.gateway.host.Text())),
         gate(settings.gateway.queue_capacity),
         budget(word_clock, settings.times.chunk_life, settings.open_rate),
-        rates(word_clock, snapshots, policy::RateLeaseOptions()),
+        rates(word_clock,
+              snapshots,
+              policy::RateLeaseOptions(),
+              settings.rate_tolerance),
         regions(word_clock),
         control(settings,
                 {word_clock, clock, metrics, snapshots, servers, gate, active,
@@ -258,15 +261,15 @@
   Parts& parts = *this->parts;
   LogEvent(Event::kDrainStarted, LogLevel::kInfo,
            {{"host", parts.settings.gateway.host.Text()}});
-  parts.gateway.StartDrain();
-  parts.path_gateway.StartDrain();
-  parts.control.StartDrain();
   const TimePoint started = parts.clock.Now();
   const TimePoint until = started + parts.settings.drain_limit;
+  const TimePoint refuse_at = started + parts.settings.drain_serves;
+  parts.gateway.StartDrain();
+  parts.path_gateway.StartDrain(refuse_at);
+  parts.control.StartDrain();
   const auto under_way = [&] {
     return parts.gateway.UnderWay() + parts.path_gateway.UnderWay();
   };
-  const TimePoint refuse_at = started + parts.settings.drain_serves;
   const auto is_done = [&] {
     return parts.clock.Now() >= refuse_at && under_way() == 0 &&
            parts.control.IsQuiet() &&
@@ -276,9 +279,6 @@
     server->StopKeepingAlive();
   }
   while (!is_done() && parts.clock.Now() < until) {
-    if (parts.clock.Now() >= refuse_at) {
-      parts.path_gateway.StartRefusing();
-    }
     std::this_thread::sleep_for(kDrainPoll);
   }
   const bool all_ended = under_way() == 0;
--- a/programs/tamarackwingd/src/rate_desk.cc
+++ b/programs/tamarackwingd/src/rate_desk.cc
@@ -6,10 +6,16 @@
 namespace {
 
 policy::RateLimit LimitOf(const state::Snapshot& snapshot,
-                          const state::Workspace& workspace) {
+                          const state::Workspace& workspace,
+                          const RateTolerance& tolerance) {
+  constexpr TokenCount kWhole = 100;
   policy::RateLimit limit;
   limit.rate = workspace.rate;
-  limit.burst = workspace.burst;
+  const TokenCount in_span =
+      workspace.rate * tolerance.span.count() + workspace.burst;
+  const TokenCount beyond =
+      in_span * tolerance.percent / kWhole + tolerance.tokens;
+  limit.burst = workspace.burst + beyond / 2;
   const auto entries = std::count_if(
       snapshot.hosts->begin(), snapshot.hosts->end(),
       [](const auto& entry) { return entry.second.caller_port != 0; });
@@ -21,8 +27,12 @@
 
 RateDesk::RateDesk(const Clock& clock,
                    gateway::SnapshotHolder& snapshots,
-                   policy::RateLeaseOptions options)
-    : clock(clock), snapshots(snapshots), holder(options) {}
+                   policy::RateLeaseOptions options,
+                   RateTolerance tolerance)
+    : clock(clock),
+      snapshots(snapshots),
+      tolerance(tolerance),
+      holder(options) {}
 
 void RateDesk::Reserve(const WorkspaceName& workspace,
                        TokenCount tokens,
@@ -31,7 +41,8 @@
   const auto snapshot = this->snapshots.Get();
   const auto found = snapshot->set->workspaces.find(workspace);
   if (found != snapshot->set->workspaces.end()) {
-    const policy::RateLimit limit = LimitOf(*snapshot, found->second);
+    const policy::RateLimit limit =
+        LimitOf(*snapshot, found->second, this->tolerance);
     const std::lock_guard lock(this->mutex);
     const policy::RateAnswer taken =
         this->holder.Take(workspace, limit, tokens, this->clock.Now());
--- a/programs/tamarackwingd/src/rate_desk.h
+++ b/programs/tamarackwingd/src/rate_desk.h
@@ -2,6 +2,7 @@
 
 #include <mutex>
 
+#include "settings.h"
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/gateway/snapshot_holder.h"
 #include "tamarackwing/gateway/token_budget.h"
@@ -17,7 +18,8 @@
   //! outlive the desk.
   RateDesk(const Clock& clock,
            gateway::SnapshotHolder& snapshots,
-           policy::RateLeaseOptions options);
+           policy::RateLeaseOptions options,
+           RateTolerance tolerance);
 
   void Reserve(const WorkspaceName& workspace,
                TokenCount tokens,
@@ -34,6 +36,7 @@
  private:
   const Clock& clock;
   gateway::SnapshotHolder& snapshots;
+  RateTolerance tolerance;
   std::mutex mutex;
   policy::RateHolder holder;
 };
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -177,7 +177,8 @@
   }
   reader->RejectOthers({"head_bytes", "body_bytes", "connections", "queue",
                         "answer_bytes", "open_rate", "spill_margin_percent",
-                        "fleet_retries"});
+                        "fleet_retries", "rate_tolerance_tokens",
+                        "rate_tolerance_percent", "rate_tolerance_span_s"});
   http::ServerLimits& limits = settings.limits;
   limits.head_bytes = ReadCount(*reader, "head_bytes", limits.head_bytes);
   limits.body_bytes = ReadCount(*reader, "body_bytes", limits.body_bytes);
@@ -185,6 +186,13 @@
   settings.open_rate = ReadCount(*reader, "open_rate", settings.open_rate);
   settings.fleet_retries =
       ReadCount(*reader, "fleet_retries", settings.fleet_retries);
+  RateTolerance& tolerance = settings.rate_tolerance;
+  tolerance.tokens =
+      ReadCount(*reader, "rate_tolerance_tokens", tolerance.tokens);
+  tolerance.percent =
+      ReadCount(*reader, "rate_tolerance_percent", tolerance.percent);
+  tolerance.span = std::chrono::seconds(
+      ReadCount(*reader, "rate_tolerance_span_s", tolerance.span.count()));
   gateway::GatewaySettings& gateway = settings.gateway;
   gateway.queue_capacity = std::max<std::size_t>(
       1, ReadCount(*reader, "queue", gateway.queue_capacity));
--- a/programs/tamarackwingd/src/settings.h
+++ b/programs/tamarackwingd/src/settings.h
@@ -48,6 +48,16 @@
   bool IsUsed() const { return !this->seeds.empty(); }
 };
 
+//! What all hosts together may let through in any span beyond its rate and
+//! burst; half of it makes the hosts' bursts larger, since a workspace's
+//! requests do not come evenly to all hosts.
+struct RateTolerance {
+  TokenCount tokens = 0;
+  //! Part of what rate and burst allow in the span.
+  unsigned percent = 0;
+  std::chrono::seconds span{0};
+};
+
 //! The settings of one host.
 struct Settings {
   gateway::GatewaySettings gateway;
@@ -71,6 +81,8 @@
   bool found_log = false;
   //! The region of each data centre.
   std::map<DataCentreName, RegionName> data_centres;
+  //! What may pass beyond a workspace's rate and burst in a few seconds.
+  RateTolerance rate_tolerance;
   //! Second sends that the hosts together may make in a few seconds besides a
   //! part of the requests.
   std::uint32_t fleet_retries = 0;
