Log to standard output without waiting; test founding from seeds

Eight hosts that know three seeds by name found the log, admit five voters, lose and wipe one, and restart all at once without losing what was acknowledged. Before: the log went to standard error through a flushing appender that blocks.

--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -13,6 +13,7 @@
   kDrainStarted = 1003,
   kSettingsRejected = 1004,
   kSettingsReloaded = 1005,
+  kStartFailed = 1006,
   kBackendServerAnnounced = 2001,
   kBackendServerLeft = 2002,
   kBackendServerLeaseExpired = 2003,
@@ -25,6 +26,8 @@
   kJournalRecovered = 3006,
   kHostJoined = 3007,
   kHostLost = 3008,
+  kWordLost = 3009,
+  kWordRegained = 3010,
   kPeerConnected = 3101,
   kPeerLost = 3102,
   kLedgerViewChanged = 4001,
@@ -47,10 +50,14 @@
 //! How much is written.
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-//! Opens the log on standard error, one line an event. Precondition: called
-//! once, before other threads log.
+//! Opens the log on standard output, one line an event; logging never waits.
+//! Precondition: called once, before other threads log.
 void OpenLog(LogLevel level);
 
+//! Writes what waits and closes the log; later events are dropped.
+//! Precondition: called once, when no other thread logs.
+void CloseLog();
+
 //! Changes how much is written. Thread safety: callable from any thread.
 void SetLogLevel(LogLevel level);
 
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -1,7 +1,6 @@
 #include "tamarackwing/base/event.h"
 
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -10,6 +9,8 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "queued_appender.h"
+
 namespace tamarackwing {
 namespace {
 
@@ -37,14 +38,18 @@
 
 void OpenLog(LogLevel level) {
   static const log4cplus::Initializer kInitializer;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new QueuedAppender());
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
   EventLogger().addAppender(appender);
   EventLogger().setLogLevel(ToLibraryLevel(level));
 }
 
+void CloseLog() {
+  EventLogger().closeNestedAppenders();
+  EventLogger().removeAllAppenders();
+}
+
 void SetLogLevel(LogLevel level) {
   EventLogger().setLogLevel(ToLibraryLevel(level));
 }
@@ -77,6 +82,12 @@
       return "drain_started";
     case Event::kSettingsRejected:
       return "settings_rejected";
+    case Event::kStartFailed:
+      return "start_failed";
+    case Event::kWordLost:
+      return "word_lost";
+    case Event::kWordRegained:
+      return "word_regained";
     case Event::kSettingsReloaded:
       return "settings_reloaded";
     case Event::kBackendServerAnnounced:
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -210,6 +210,8 @@
   void ResendProposals(TimePoint now, ControlEffects& effects);
   void ProposeHere(Proposal& proposal, TimePoint now, ControlEffects& effects);
   void UpdateReady(TimePoint now, ControlEffects& effects);
+  //! Logs when word from a leader is lost and when it is back.
+  void WatchWord(TimePoint now);
   HostStatus OwnStatus() const;
   std::vector<HostName> Sources() const;
   std::optional<TimePoint> Word(TimePoint now) const;
@@ -245,6 +247,7 @@
   TimePoint feed_word;
   LogIndex feed_commit = 0;
   bool heard_region = false;
+  std::optional<TimePoint> word_lost_at;
   HostName feed_leader;
   std::map<HostName, Subscriber> subscribers;
 
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -100,6 +100,7 @@
   }
   this->was_leader = this->log.IsLeader();
   this->UpdateReady(now, effects);
+  this->WatchWord(now);
   return effects;
 }
 
@@ -444,7 +445,9 @@
         this->early_withdrawn.erase(digest);
       }
     }
-    this->LogHostChanges(*hosts, live);
+    if (this->ready) {
+      this->LogHostChanges(*hosts, live);
+    }
     if (this->state.Version() != before) {
       LogEvent(Event::kSetApplied, LogLevel::kInfo,
                {{"host", this->options.self.name.Text()},
@@ -952,6 +955,27 @@
   this->TakeLog(std::move(log_effects), now, effects);
 }
 
+void ControlNode::WatchWord(TimePoint now) {
+  const auto word = this->Word(now);
+  const bool has_word = word && now - *word <= this->options.key_freshness;
+  if (has_word) {
+    if (this->word_lost_at) {
+      LogEvent(
+          Event::kWordRegained, LogLevel::kInfo,
+          {{"leader", this->Leader().Text()},
+           {"gone_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                          now - *this->word_lost_at)
+                                          .count())}});
+    }
+    this->word_lost_at.reset();
+  } else if (this->ready && !this->word_lost_at) {
+    this->word_lost_at = now;
+    LogEvent(Event::kWordLost, LogLevel::kWarning,
+             {{"leader", this->Leader().Text()},
+              {"set", std::to_string(this->state.SetNumber())}});
+  }
+}
+
 void ControlNode::UpdateReady(TimePoint now, ControlEffects& effects) {
   if (this->ready) {
     return;
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -4,6 +4,11 @@
 #include <utility>
 
 namespace tamarackwing::control {
+namespace {
+
+constexpr std::size_t kMostVoters = 5;
+
+}  // namespace
 
 ControlCluster::ControlCluster(const std::vector<std::string>& regions,
                                std::size_t hosts_per_region,
@@ -26,6 +31,18 @@
   }
 }
 
+ControlCluster::ControlCluster(const std::vector<state::HostRecord>& hosts,
+                               const std::set<HostName>& seeds,
+                               std::chrono::milliseconds delay)
+    : delay(delay), voters(seeds), seeds(seeds) {
+  for (const state::HostRecord& host : hosts) {
+    this->records[host.name] = host;
+  }
+  for (const HostName& host : this->Names()) {
+    this->Start(host, true);
+  }
+}
+
 void ControlCluster::Run(std::chrono::milliseconds time) {
   const TimePoint until = this->now + time;
   while (this->now < until) {
@@ -67,6 +84,15 @@
   }
 }
 
+std::uint64_t ControlCluster::Change(const HostName& host,
+                                     const state::ControlChange& change) {
+  ControlEffects effects;
+  const std::uint64_t number =
+      this->Node(host).Propose(change, this->now, effects);
+  this->Take(host, std::move(effects));
+  return number;
+}
+
 std::uint64_t ControlCluster::Publish(const HostName& host,
                                       const std::string& id,
                                       SetVersion base,
@@ -163,8 +189,21 @@
   for (const auto& [name, record] : this->records) {
     options.seeds.push_back(record);
   }
+  if (!this->seeds.empty()) {
+    options.seeds.clear();
+    for (const HostName& seed : this->seeds) {
+      state::HostRecord record;
+      record.name = seed;
+      record.has_disk = true;
+      options.seeds.push_back(record);
+    }
+    options.voters = kMostVoters;
+  }
   const bool is_voter = this->voters.contains(host);
-  if (founds || !is_voter || this->disks.contains(host)) {
+  const bool knows_founders =
+      this->seeds.empty() ? founds || !is_voter || this->disks.contains(host)
+                          : founds && options.self.has_disk;
+  if (knows_founders) {
     options.first_voters = this->voters;
   }
   this->nodes[host] = std::make_unique<ControlNode>(options, this->disks[host],
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -20,6 +20,12 @@
                           std::size_t hosts_per_region = 2,
                           std::chrono::milliseconds delay = {});
 
+  //! Hosts that know of each other no more than the seeds' names; the seeds
+  //! found the log.
+  ControlCluster(const std::vector<state::HostRecord>& hosts,
+                 const std::set<HostName>& seeds,
+                 std::chrono::milliseconds delay);
+
   //! Lets time pass in small steps.
   void Run(std::chrono::milliseconds time);
   //! Runs until `done`, at most `limit`; how long it took, or nothing.
@@ -45,6 +51,12 @@
   //! Starts a host again as a new incarnation, with its disk.
   void Restart(const HostName& host);
 
+  //! Takes a host's disk away; it must have crashed.
+  void Wipe(const HostName& host) { this->disks.erase(host); }
+
+  //! Proposes a change at a host; its outcome comes with Outcome.
+  std::uint64_t Change(const HostName& host,
+                       const state::ControlChange& change);
   //! Starts a publish at a host; its outcome comes with Outcome.
   std::uint64_t Publish(const HostName& host,
                         const std::string& id,
@@ -98,6 +110,7 @@
   SeededRandom random{11};
   std::map<HostName, state::HostRecord> records;
   std::set<HostName> voters;
+  std::set<HostName> seeds;
   std::map<HostName, std::unique_ptr<ControlNode>> nodes;
   std::map<HostName, RecoveredControl> disks;
   std::deque<Message> messages;
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "control_cluster.h"
 #include "tamarackwing/control/membership_duties.h"
 
 namespace tamarackwing::control {
@@ -120,5 +121,153 @@
   }
 }
 
+//! Five hosts with disks and three without in three regions, three of them
+//! seeds.
+class Founding : public testing::Test {
+ protected:
+  static std::vector<state::HostRecord> Hosts() {
+    std::vector<state::HostRecord> hosts;
+    const auto add = [&](const char* name, const char* region, bool disk) {
+      state::HostRecord host;
+      host.name = HostName(name);
+      host.region = RegionName(region);
+      host.data_centre = DataCentreName(std::string(region) + "-a");
+      host.has_disk = disk;
+      host.caller_port = disk ? 0 : 80;
+      hosts.push_back(host);
+    };
+    add("m1", "muscat", true);
+    add("m2", "muscat", true);
+    add("s1", "sohar", true);
+    add("s2", "sohar", true);
+    add("l1", "salalah", true);
+    add("m9", "muscat", false);
+    add("s9", "sohar", false);
+    add("l9", "salalah", false);
+    return hosts;
+  }
+
+  void SetUp() override {
+    ASSERT_TRUE(this->cluster.RunUntil([&] { return this->cluster.AllReady(); },
+                                       kPatience));
+    ASSERT_TRUE(this->cluster.RunUntil([&] { return this->VoterCount() == 5; },
+                                       kPatience));
+  }
+
+  std::size_t VoterCount() {
+    const HostName leader = this->cluster.Leader();
+    return leader.IsEmpty() ? 0 : this->cluster.Node(leader).Voters().size();
+  }
+
+  //! Replaces the set and returns what became of it.
+  std::optional<state::ApplyOutcome> Replace(const HostName& host,
+                                             std::uint64_t number) {
+    state::ReplaceSet change;
+    change.number = number;
+    change.document = "document " + std::to_string(number);
+    const std::uint64_t id = this->cluster.Change(host, change);
+    this->cluster.RunUntil(
+        [&] { return this->cluster.Outcome(host, id).has_value(); }, kPatience);
+    return this->cluster.Outcome(host, id);
+  }
+
+  bool IsEverywhere(std::uint64_t number) {
+    for (const HostName& host : this->cluster.Names()) {
+      if (this->cluster.IsUp(host) &&
+          this->cluster.Node(host).State().SetNumber() != number) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  static constexpr std::chrono::milliseconds kPatience{30'000};
+  ControlCluster cluster{Hosts(),
+                         {HostName("m1"), HostName("s1"), HostName("l1")},
+                         std::chrono::milliseconds(80)};
+};
+
+TEST_F(Founding, TheSeedsFoundTheLogAndOthersWithDisksAreAdmitted) {
+  EXPECT_EQ(this->VoterCount(), 5U);
+  EXPECT_TRUE(this->Replace(HostName("m2"), 7).has_value());
+  EXPECT_TRUE(
+      this->cluster.RunUntil([&] { return this->IsEverywhere(7); }, kPatience));
+}
+
+TEST_F(Founding, TheHighestNumberWinsAndOvertakenOnesChangeNothing) {
+  EXPECT_EQ(this->Replace(HostName("m1"), 7)->kind, state::ApplyKind::kApplied);
+  EXPECT_EQ(this->Replace(HostName("s2"), 5)->kind,
+            state::ApplyKind::kOvertaken);
+  EXPECT_EQ(this->Replace(HostName("l1"), 7)->kind,
+            state::ApplyKind::kOvertaken);
+  EXPECT_EQ(*this->cluster.Node(HostName("m1")).State().Document(),
+            "document 7");
+}
+
+TEST_F(Founding, AWipedVoterLosesNothingThatWasAcknowledged) {
+  ASSERT_TRUE(this->Replace(HostName("m1"), 7).has_value());
+  const HostName leader = this->cluster.Leader();
+  this->cluster.Crash(leader);
+  this->cluster.Wipe(leader);
+  this->cluster.Restart(leader);
+  ASSERT_TRUE(
+      this->cluster.RunUntil([&] { return this->IsEverywhere(7); }, kPatience));
+  ASSERT_TRUE(this->Replace(leader, 8).has_value());
+  EXPECT_TRUE(
+      this->cluster.RunUntil([&] { return this->IsEverywhere(8); }, kPatience));
+}
+
+TEST_F(Founding, AllControlHostsMayRestartAtOnce) {
+  ASSERT_TRUE(this->Replace(HostName("m1"), 7).has_value());
+  const std::vector<HostName> names = this->cluster.Names();
+  for (const HostName& host : names) {
+    this->cluster.Crash(host);
+  }
+  for (const HostName& host : names) {
+    this->cluster.Restart(host);
+  }
+  ASSERT_TRUE(this->cluster.RunUntil(
+      [&] { return this->cluster.AllReady() && this->IsEverywhere(7); },
+      kPatience));
+  EXPECT_TRUE(this->Replace(HostName("s2"), 8).has_value());
+}
+
+TEST_F(Founding, AClosedDataCentreStaysClosedOverARestart) {
+  state::CloseDataCentre close;
+  close.data_centre = DataCentreName("sohar-a");
+  const std::uint64_t id = this->cluster.Change(HostName("m1"), close);
+  ASSERT_TRUE(this->cluster.RunUntil(
+      [&] { return this->cluster.Outcome(HostName("m1"), id).has_value(); },
+      kPatience));
+  for (const HostName& host : this->cluster.Names()) {
+    this->cluster.Crash(host);
+  }
+  for (const state::HostRecord& host : Hosts()) {
+    this->cluster.Restart(host.name);
+  }
+  ASSERT_TRUE(this->cluster.RunUntil([&] { return this->cluster.AllReady(); },
+                                     kPatience));
+  EXPECT_TRUE(this->cluster.SnapshotOf(HostName("s9"))
+                  ->closed_data_centres.contains(close.data_centre));
+}
+
+TEST_F(Founding, OldWordThatArrivesLateProvesNothing) {
+  // A host that was suspended reads what its leader had sent long before.
+  const HostName leader = this->cluster.Leader();
+  HostName follower("m1");
+  if (follower == leader) {
+    follower = HostName("s1");
+  }
+  const TimePoint before = this->cluster.SnapshotOf(follower)->word;
+  const TimePoint woken = this->cluster.Now() + std::chrono::seconds(20);
+  state::AppendRequest append;
+  append.term = this->cluster.Node(leader).CurrentTerm();
+  append.commit = this->cluster.Node(leader).State().Applied();
+  append.previous_index = append.commit;
+  this->cluster.Node(follower).Receive(leader, state::LogMessage(append),
+                                       woken);
+  EXPECT_EQ(this->cluster.Node(follower).MakeSnapshot(woken)->word, before);
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -179,7 +179,7 @@
     peer.generation += 1;
     peer.connection = kj::heap<Connected>(
         kj::mv(stream), this->options.self.Text(), this->options.secret);
-    LogEvent(Event::kPeerConnected, LogLevel::kDebug, {{"peer", name.Text()}});
+    LogEvent(Event::kPeerConnected, LogLevel::kInfo, {{"peer", name.Text()}});
     std::deque<control::PeerMessage> waiting;
     waiting.swap(peer.waiting);
     for (const control::PeerMessage& message : waiting) {
--- a/programs/tamarackwingd/src/main.cc
+++ b/programs/tamarackwingd/src/main.cc
@@ -78,6 +78,36 @@
   return signals;
 }
 
+//! Runs the host until it is told to stop; returns the process's result.
+int Serve(const tamarackwing::daemon::Settings& settings,
+          const sigset_t& signals) {
+  tamarackwing::platform::PlatformAdapter adapter;
+  tamarackwing::daemon::Daemon daemon(
+      settings, FLAGS_found_log || settings.found_log, &adapter);
+  const auto started = daemon.Start();
+  if (!started) {
+    const auto name = tamarackwing::daemon::StartErrorName(started.error());
+    tamarackwing::LogEvent(tamarackwing::Event::kStartFailed,
+                           tamarackwing::LogLevel::kError,
+                           {{"error", std::string(name)}});
+    std::cerr << "cannot start: " << name << "\n";
+    return kCannotStart;
+  }
+  while (true) {
+    const timespec poll{0, kPollNanoseconds};
+    const int signal = sigtimedwait(&signals, nullptr, &poll);
+    if (signal == SIGHUP) {
+      Reload();
+    } else if (signal > 0) {
+      return daemon.Drain() ? 0 : kRequestsCut;
+    }
+    if (daemon.Poll() == tamarackwing::daemon::DaemonState::kDiskFailed) {
+      std::cerr << "cannot go on: disk_failed\n";
+      return kDiskFailed;
+    }
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -99,26 +129,7 @@
   }
   const sigset_t signals = BlockStopSignals();
   tamarackwing::OpenLog(settings->log_level);
-  tamarackwing::platform::PlatformAdapter adapter;
-  tamarackwing::daemon::Daemon daemon(
-      *settings, FLAGS_found_log || settings->found_log, &adapter);
-  const auto started = daemon.Start();
-  if (!started) {
-    std::cerr << "cannot start: "
-              << tamarackwing::daemon::StartErrorName(started.error()) << "\n";
-    return kCannotStart;
-  }
-  while (true) {
-    const timespec poll{0, kPollNanoseconds};
-    const int signal = sigtimedwait(&signals, nullptr, &poll);
-    if (signal == SIGHUP) {
-      Reload();
-    } else if (signal > 0) {
-      return daemon.Drain() ? 0 : kRequestsCut;
-    }
-    if (daemon.Poll() == tamarackwing::daemon::DaemonState::kDiskFailed) {
-      std::cerr << "cannot go on: disk_failed\n";
-      return kDiskFailed;
-    }
-  }
+  const int result = Serve(*settings, signals);
+  tamarackwing::CloseLog();
+  return result;
 }
