--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -312,7 +312,13 @@
     for (const auto& [name, host] : this->state.Hosts()) {
       const bool is_entry = host.caller_port != 0;
       const bool is_there = region.IsEmpty() || host.region == region;
-      if (is_entry && is_there && name != this->options.self.name) {
+      if (!is_entry || !is_there) {
+        continue;
+      }
+      if (name == this->options.self.name) {
+        effects.servers.insert(effects.servers.end(), reports.begin(),
+                               reports.end());
+      } else {
         effects.sends.push_back({name, ServerNews{reports}});
       }
     }
--- a/packages/state/src/set_parser.cc
+++ b/packages/state/src/set_parser.cc
@@ -12,6 +12,7 @@
 constexpr TokenCount kLargestRate = 1'000'000'000;
 constexpr std::int64_t kLargestWeight = 1'000;
 constexpr std::int64_t kLongestDeadlineMs = 3'600'000;
+constexpr std::int64_t kMostConnections = 1'000'000;
 constexpr std::size_t kDigestDigits = 64;
 
 bool IsDigest(const std::string& text) {
@@ -40,13 +41,20 @@
 
 Workspace ReadWorkspace(config::TableReader& reader) {
   reader.RejectOthers(
-      {"name", "rate", "burst", "weight", "home_regions", "residency"});
+      {"name", "rate", "burst", "weight", "priority", "plain_tokens",
+       "home_regions", "residency"});
   Workspace workspace;
   workspace.name = WorkspaceName(reader.Text("name", true));
   workspace.rate = reader.Number("rate", 1, kLargestRate, 1, true);
   workspace.burst = reader.Number("burst", 1, kLargestRate, 1, true);
   workspace.weight = static_cast<std::uint32_t>(
       reader.Number("weight", 1, kLargestWeight, 1, false));
+  if (reader.Has("priority")) {
+    workspace.priority = static_cast<std::uint32_t>(
+        reader.Number("priority", 0, kLargestWeight, 0, false));
+  }
+  workspace.plain_tokens =
+      reader.Number("plain_tokens", 1, kLargestRate, 1, false);
   workspace.home_regions = ReadRegions(reader, "home_regions");
   workspace.residency = ResidencyRuleName(reader.Text("residency", true));
   return workspace;
@@ -94,6 +102,72 @@
   return route;
 }
 
+Service ReadService(config::TableReader& reader) {
+  reader.RejectOthers({"name", "connection_limit", "warmup_ms",
+                       "warmup_per_kilosecond", "engine_slots",
+                       "engine_tokens"});
+  Service service;
+  service.name = ServiceName(reader.Text("name", true));
+  service.connection_limit = static_cast<std::uint32_t>(
+      reader.Number("connection_limit", 0, kMostConnections, 0, false));
+  service.warmup = std::chrono::milliseconds(
+      reader.Number("warmup_ms", 0, kLongestDeadlineMs, 0, false));
+  service.warmup_per_kilosecond = static_cast<std::uint32_t>(
+      reader.Number("warmup_per_kilosecond", 0, kLargestRate, 0, false));
+  service.engine_slots = static_cast<std::uint32_t>(
+      reader.Number("engine_slots", 0, kMostConnections, 0, false));
+  service.engine_tokens =
+      reader.Number("engine_tokens", 0, kLargestRate, 0, false);
+  return service;
+}
+
+PathKind ReadPathKind(config::TableReader& reader) {
+  const std::string kind = reader.Text("kind", true);
+  if (kind == "idempotent") {
+    return PathKind::kIdempotent;
+  }
+  if (kind == "stream") {
+    return PathKind::kStream;
+  }
+  if (kind != "once") {
+    reader.Note(config::FaultCode::kOutOfRange, "kind");
+  }
+  return PathKind::kOnce;
+}
+
+PathRoute ReadPathRoute(config::TableReader& reader) {
+  reader.RejectOthers({"name", "authority", "prefix", "kind", "open",
+                       "resumable", "timeout_ms", "target_latency_ms",
+                       "target_gap_ms", "priority", "most_tries", "services",
+                       "residency"});
+  PathRoute route;
+  route.name = RouteName(reader.Text("name", true));
+  route.authority = reader.Text("authority", true);
+  route.prefix = reader.Text("prefix", true);
+  route.kind = ReadPathKind(reader);
+  route.open = reader.Flag("open", false);
+  route.resumable = reader.Flag("resumable", false);
+  route.timeout = std::chrono::milliseconds(
+      reader.Number("timeout_ms", 1, kLongestDeadlineMs, 1, true));
+  route.target_latency = std::chrono::milliseconds(
+      reader.Number("target_latency_ms", 0, kLongestDeadlineMs, 0, false));
+  route.target_gap = std::chrono::milliseconds(
+      reader.Number("target_gap_ms", 0, kLongestDeadlineMs, 0, false));
+  route.priority = static_cast<std::uint32_t>(
+      reader.Number("priority", 0, kLargestWeight, 0, false));
+  route.most_tries = static_cast<std::uint32_t>(
+      reader.Number("most_tries", 1, kLargestWeight, 1, false));
+  for (config::TableReader& share : reader.Tables("services")) {
+    share.RejectOthers({"service", "weight"});
+    route.services.push_back(
+        {ServiceName(share.Text("service", true)),
+         static_cast<std::uint32_t>(
+             share.Number("weight", 0, kLargestWeight, 1, false))});
+  }
+  route.residency = ResidencyRuleName(reader.Text("residency", true));
+  return route;
+}
+
 template <typename Object, typename Name>
 void ReadObjects(config::TableReader& document,
                  ObjectKind kind,
@@ -130,8 +204,9 @@
   config::Faults faults;
   ConfigurationSet set;
   config::TableReader document(*table, "", faults);
-  document.RejectOthers(
-      {"residency_rules", "workspaces", "keys", "model_versions", "routes"});
+  document.RejectOthers({"residency_rules", "workspaces", "keys",
+                         "model_versions", "routes", "services",
+                         "path_routes"});
   ReadObjects(document, ObjectKind::kResidencyRule, ReadResidencyRule,
               NameOf<ResidencyRule>, set.residency_rules, faults);
   ReadObjects(document, ObjectKind::kWorkspace, ReadWorkspace,
@@ -141,6 +216,10 @@
               NameOf<ModelVersion>, set.model_versions, faults);
   ReadObjects(document, ObjectKind::kRoute, ReadRoute, NameOf<Route>,
               set.routes, faults);
+  ReadObjects(document, ObjectKind::kService, ReadService, NameOf<Service>,
+              set.services, faults);
+  ReadObjects(document, ObjectKind::kPathRoute, ReadPathRoute,
+              NameOf<PathRoute>, set.path_routes, faults);
   if (!faults.empty()) {
     return unexpected(std::move(faults));
   }
