--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -111,8 +111,9 @@
       co_return refusal;
     }
   }
-  this->plan.emplace(
-      policy::TryRules{this->IsRepeatable(), this->route->most_tries});
+  // The host that forwards a call counts its runs, so one hop is one run.
+  const std::size_t most_runs = this->forwarded ? 1 : this->route->most_tries;
+  this->plan.emplace(policy::TryRules{this->IsRepeatable(), most_runs});
   refusal = co_await this->TryAll();
   if (this->reservation != 0) {
     this->gateway.Parts().budget.Settle(
