Spill between regions by expected wait; let hosts own a part of each burst

Change: hosts tell each other and the regions that probe them the prompt tokens that wait; a part of the calls goes where the wait is shorter by more than the way; hosts own an equal part of the burst; a detour prefers regions that all rules allow.

--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -73,6 +73,9 @@
   std::string target;
   std::uint32_t slots = 0;
   std::uint32_t demand = 0;
+  std::uint32_t servers = 0;
+  //! Prompt tokens that were sent and have not been read.
+  TokenCount unread = 0;
 };
 
 //! Tokens that one host started for a workspace.
--- a/packages/gateway/include/tamarackwing/gateway/entry_hosts.h
+++ b/packages/gateway/include/tamarackwing/gateway/entry_hosts.h
@@ -21,9 +21,10 @@
   std::size_t known = 0;
 };
 
-//! The live hosts that callers of a region should use: those of the region, or,
-//! where it has none, those of the other regions that most residency rules
-//! allow. Thread safety: as for `snapshot`.
+//! The live hosts that callers of a region should use: those of the region;
+//! where it has none, those of regions that every residency rule allows, then
+//! those of the region that are about to stop, then any.
+//! Thread safety: as for `snapshot`.
 EntryHosts EntryHostsFor(const state::Snapshot& snapshot,
                          const RegionName& region);
 
--- a/packages/gateway/include/tamarackwing/gateway/region_hosts.h
+++ b/packages/gateway/include/tamarackwing/gateway/region_hosts.h
@@ -23,6 +23,9 @@
 class RegionHosts {
  public:
   virtual ~RegionHosts() = default;
+  //! The wait that a request for `target` should expect in this host's own
+  //! region, by all its hosts.
+  virtual Duration OwnWait(const std::string& target) = 0;
   //! Live hosts of other regions with slots for `target`, best first.
   virtual std::vector<ForwardTarget> Candidates(const std::string& target) = 0;
 };
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -62,8 +62,8 @@
   void NoteRequest(const std::string& target);
   //! Takes one retry; false where the budget of the target is spent.
   bool TryRetry(const std::string& target);
-  //! Requests that this host has at the servers of a target.
-  std::uint32_t OwnRunning(const std::string& target);
+  //! What this host has at the servers of a target.
+  policy::OwnLoad LoadOf(const std::string& target);
   //! Drops expired leases.
   void Expire();
   //! Usable slots of a target.
--- a/packages/gateway/src/entry_hosts.cc
+++ b/packages/gateway/src/entry_hosts.cc
@@ -1,7 +1,6 @@
 #include "tamarackwing/gateway/entry_hosts.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace tamarackwing::gateway {
@@ -10,15 +9,16 @@
 //! The most hosts of one answer.
 constexpr std::size_t kMostHosts = 64;
 
-std::size_t RulesThatAllow(const state::ConfigurationSet& set,
-                           const RegionName& region) {
-  return static_cast<std::size_t>(std::count_if(
+//! Whether every residency rule allows a region.
+bool IsAllowedByAll(const state::ConfigurationSet& set,
+                    const RegionName& region) {
+  return std::all_of(
       set.residency_rules.begin(), set.residency_rules.end(),
       [&](const auto& entry) {
         const auto& regions = entry.second.regions;
         return std::find(regions.begin(), regions.end(), region) !=
                regions.end();
-      }));
+      });
 }
 
 }  // namespace
@@ -26,26 +26,37 @@
 EntryHosts EntryHostsFor(const state::Snapshot& snapshot,
                          const RegionName& region) {
   EntryHosts hosts;
-  std::map<std::size_t, std::vector<http::Endpoint>> far;
+  std::vector<http::Endpoint> draining;
+  std::vector<http::Endpoint> allowed;
+  std::vector<http::Endpoint> far;
   for (const auto& [name, host] : *snapshot.hosts) {
     if (host.caller_port == 0) {
       continue;
     }
-    hosts.known += host.region == region ? 1 : 0;
-    if (host.draining || !snapshot.live.contains(name)) {
+    const bool is_near = host.region == region;
+    hosts.known += is_near ? 1 : 0;
+    if (!snapshot.live.contains(name)) {
       continue;
     }
     const http::Endpoint endpoint{host.caller_address, host.caller_port};
-    if (host.region == region) {
+    if (host.draining) {
+      if (is_near) {
+        draining.push_back(endpoint);
+      }
+    } else if (is_near) {
       hosts.endpoints.push_back(endpoint);
+    } else if (IsAllowedByAll(*snapshot.set, host.region)) {
+      allowed.push_back(endpoint);
     } else {
-      far[RulesThatAllow(*snapshot.set, host.region)].push_back(endpoint);
+      far.push_back(endpoint);
     }
   }
-  if (hosts.endpoints.empty()) {
-    hosts.is_detour = true;
-    if (!far.empty()) {
-      hosts.endpoints = std::move(far.rbegin()->second);
+  hosts.is_detour = hosts.endpoints.empty();
+  // Callers whose data may not leave are better off with a host that is about
+  // to stop than with one that they may not use.
+  for (std::vector<http::Endpoint>* next : {&allowed, &draining, &far}) {
+    if (hosts.endpoints.empty()) {
+      hosts.endpoints = std::move(*next);
     }
   }
   if (hosts.endpoints.size() > kMostHosts) {
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -27,6 +27,8 @@
 //! Another host serves at once.
 constexpr milliseconds kOtherHostWait{10};
 constexpr std::uint32_t kPerKilosecond = 1'000;
+//! A call leaves its region only to save this much: its bytes cost on the way.
+constexpr milliseconds kSpillMargin{100};
 
 milliseconds CeilMs(Duration time) {
   return std::chrono::ceil<milliseconds>(time);
@@ -284,7 +286,11 @@
 
 std::optional<PathRequest::Target> PathRequest::PickTarget() {
   Target target;
-  if (this->MayRunIn(this->gateway.Settings().region)) {
+  const bool may_run_here = this->MayRunIn(this->gateway.Settings().region);
+  if (may_run_here && !this->forwarded) {
+    target.host = this->PickSpill();
+  }
+  if (may_run_here && !target.host) {
     target.server = this->gateway.Parts().servers.Take(this->Query());
     if (target.server) {
       target.endpoint = EndpointOf(*target.server);
@@ -294,7 +300,7 @@
       return target;
     }
   }
-  if (!this->forwarded) {
+  if (!this->forwarded && !target.host) {
     target.host = this->PickHost();
   }
   if (!target.host) {
@@ -305,6 +311,28 @@
   return target;
 }
 
+std::optional<ForwardTarget> PathRequest::PickSpill() {
+  const PathGatewayParts& parts = this->gateway.Parts();
+  std::optional<ForwardTarget> far;
+  for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
+    if (this->MayRunIn(candidate.region) && this->MayForwardTo(candidate.host)) {
+      far = std::move(candidate);
+      break;
+    }
+  }
+  const Duration near = parts.regions.OwnWait(this->service);
+  if (!far || far->expected + kSpillMargin >= near) {
+    return std::nullopt;
+  }
+  // All hosts of the region see the same difference at once: each sends only
+  // so much of its work away as would even it out.
+  const auto thousandths = static_cast<std::uint64_t>(
+      kPerKilosecond * (near - far->expected) / near / 2);
+  const std::uint64_t point =
+      policy::RendezvousKey(this->call.id) % kPerKilosecond;
+  return point < thousandths ? far : std::nullopt;
+}
+
 std::optional<ForwardTarget> PathRequest::PickHost() {
   const PathGatewayParts& parts = this->gateway.Parts();
   for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -48,6 +48,9 @@
   http::asio::awaitable<Outcome> TryAll();
   std::optional<Target> PickTarget();
   std::optional<ForwardTarget> PickHost();
+  //! The host of another region that would serve this call so much sooner that
+  //! the way there is worth it.
+  std::optional<ForwardTarget> PickSpill();
   //! Whether a host takes calls and has not been tried.
   bool MayForwardTo(const HostName& name) const;
   policy::ServerQuery Query() const;
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -137,9 +137,9 @@
       .first->second;
 }
 
-std::uint32_t ServerDirectory::OwnRunning(const std::string& target) {
+policy::OwnLoad ServerDirectory::LoadOf(const std::string& target) {
   const std::lock_guard lock(this->mutex);
-  return this->table.OwnRunning(target);
+  return this->table.LoadOf(target, this->clock.Now());
 }
 
 void ServerDirectory::Expire() {
--- a/packages/gateway/tests/entry_hosts_tests.cc
+++ b/packages/gateway/tests/entry_hosts_tests.cc
@@ -59,6 +59,10 @@
   set->residency_rules[rule.name] = rule;
   this->snapshot.set = set;
   EXPECT_EQ(this->Named("plzen"), std::vector<std::string>{"b1"});
+  this->hosts.at(HostName("b1")).draining = true;
+  EXPECT_EQ(this->Named("plzen"), std::vector<std::string>{"p1"});
+  this->hosts.erase(HostName("p1"));
+  EXPECT_EQ(this->Named("plzen"), std::vector<std::string>{"j1"});
 }
 
 }  // namespace
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -190,6 +190,8 @@
   target @0 :Text;
   slots @1 :UInt32;
   demand @2 :UInt32;
+  servers @3 :UInt32;
+  unread @4 :Int64;
 }
 
 struct ServedTokens {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -536,7 +536,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7ae59bd2aba1f58, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b7ae59bd2aba1f58, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3618,6 +3618,10 @@
 
   inline  ::uint32_t getDemand() const;
 
+  inline  ::uint32_t getServers() const;
+
+  inline  ::int64_t getUnread() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3659,6 +3663,12 @@
   inline  ::uint32_t getDemand();
   inline void setDemand( ::uint32_t value);
 
+  inline  ::uint32_t getServers();
+  inline void setServers( ::uint32_t value);
+
+  inline  ::int64_t getUnread();
+  inline void setUnread( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7718,6 +7728,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t TargetLoad::Reader::getServers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getServers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setServers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TargetLoad::Reader::getUnread() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TargetLoad::Builder::getUnread() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setUnread( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServedTokens::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -198,6 +198,8 @@
   out.setTarget(Chars(load.target));
   out.setSlots(load.slots);
   out.setDemand(load.demand);
+  out.setServers(load.servers);
+  out.setUnread(load.unread);
 }
 
 std::vector<control::TargetLoad> ReadLoads(
@@ -205,7 +207,8 @@
   std::vector<control::TargetLoad> loads;
   for (const auto load : in) {
     loads.push_back(
-        {Text(load.getTarget()), load.getSlots(), load.getDemand()});
+        {Text(load.getTarget()), load.getSlots(), load.getDemand(),
+         load.getServers(), load.getUnread()});
   }
   return loads;
 }
--- a/packages/policy/include/tamarackwing/policy/rate_holder.h
+++ b/packages/policy/include/tamarackwing/policy/rate_holder.h
@@ -12,8 +12,10 @@
 
 //! A workspace's limit as the set has it.
 struct RateLimit {
-  //! Tokens a second, and tokens, over all hosts together.
+  //! Tokens a second over all hosts together.
   TokenCount rate = 0;
+  //! Tokens. The hosts own it in equal parts, and hold it once more by what
+  //! they lease: together at most twice this.
   TokenCount burst = 0;
   //! Hosts that take callers.
   std::size_t hosts = 1;
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -88,6 +88,15 @@
   kNothing,
 };
 
+//! What one host has at the servers of a target.
+struct OwnLoad {
+  //! Servers that take work.
+  std::uint32_t servers = 0;
+  std::uint32_t running = 0;
+  //! Prompt tokens that were sent and have not been read.
+  TokenCount unread = 0;
+};
+
 //! A chosen server with the time it should take.
 struct ServerChoice {
   BackendServerName name;
@@ -136,8 +145,8 @@
   void NoteAlive(const BackendServerName& name, TimePoint now);
   //! Notes what a server says its cache holds; a hint that may be wrong.
   void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
-  //! Requests that this host has at the servers of a target.
-  std::uint32_t OwnRunning(const std::string& target) const;
+  //! What this host has at the servers of a target.
+  OwnLoad LoadOf(const std::string& target, TimePoint now) const;
   //! Slots of all usable servers for a target.
   std::uint32_t Slots(const std::string& target, TimePoint now) const;
   //! Whether any usable server serves the target.
--- a/packages/policy/src/rate_holder.cc
+++ b/packages/policy/src/rate_holder.cc
@@ -12,6 +12,10 @@
 //! A new report counts for this part of the smoothed demand.
 constexpr double kSmoothing = 0.5;
 
+double OwnedBurst(const RateLimit& limit) {
+  return static_cast<double>(limit.burst) / static_cast<double>(limit.hosts);
+}
+
 double Seconds(Duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -28,8 +32,7 @@
   Account& account = place->second;
   if (is_new) {
     account.filled = now;
-    account.level =
-        static_cast<double>(limit.burst) / static_cast<double>(limit.hosts);
+    account.level = OwnedBurst(limit);
   }
   account.limit = limit;
   account.touched = now;
@@ -67,7 +70,9 @@
     const double rate =
         static_cast<double>(account.asked) / std::max(span, 0.1);
     account.asked = 0;
-    account.demand += (rate - account.demand) * kSmoothing;
+    // What rises is wanted at once; what falls may come again.
+    account.demand =
+        std::max(rate, account.demand + (rate - account.demand) * kSmoothing);
     const bool is_held = account.lease_until > now;
     report.demands.push_back({workspace,
                               static_cast<TokenCount>(account.demand),
@@ -111,12 +116,15 @@
 
 void RateHolder::Fill(Account& account, TimePoint now) const {
   const TokenCount rate = this->RateOf(account, now);
-  // The host's part of the burst is as large as its part of the rate.
+  // A host's part of the burst is as large as its part of the rate, and never
+  // less than what it owns.
   const double part =
       account.limit.rate == 0
           ? 1
           : static_cast<double>(rate) / static_cast<double>(account.limit.rate);
-  const double most = part * static_cast<double>(account.limit.burst);
+  const double most =
+      std::max(part * static_cast<double>(account.limit.burst),
+               OwnedBurst(account.limit));
   const double gained =
       static_cast<double>(rate) * Seconds(now - account.filled);
   account.level = std::min(most, account.level + gained);
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -285,15 +285,18 @@
   }
 }
 
-std::uint32_t ServerTable::OwnRunning(const std::string& target) const {
+OwnLoad ServerTable::LoadOf(const std::string& target, TimePoint now) const {
+  OwnLoad load;
   const auto servers_of = this->by_target.find(target);
-  std::uint32_t running = 0;
-  if (servers_of != this->by_target.end()) {
-    for (const Server* server : servers_of->second) {
-      running += server->own_running;
-    }
+  if (servers_of == this->by_target.end()) {
+    return load;
+  }
+  for (const Server* server : servers_of->second) {
+    load.servers += this->IsUsable(*server, false, now) ? 1 : 0;
+    load.running += server->own_running;
+    load.unread += server->unread;
   }
-  return running;
+  return load;
 }
 
 void ServerTable::NoteFinished(const BackendServerName& name,
--- a/packages/policy/tests/rate_lease_tests.cc
+++ b/packages/policy/tests/rate_lease_tests.cc
@@ -123,6 +123,14 @@
   EXPECT_GE(served, 10 * owned);
 }
 
+TEST_F(RateHolding, TheFirstRequestsDoNotWaitForALease) {
+  TokenCount served = 0;
+  for (int i = 0; i < 10; ++i) {
+    served += this->Take(3'000) ? 3'000 : 0;
+  }
+  EXPECT_GE(served, kRate / 4);
+}
+
 TEST_F(RateHolding, ALargeRequestIsPaidBackBeforeTheNext) {
   EXPECT_TRUE(this->Take(60'000));
   EXPECT_FALSE(this->Take(1));
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -24,7 +24,7 @@
 constexpr milliseconds kSnapshotEvery{200};
 constexpr std::chrono::seconds kOrderPatience{9};
 //! A peak moves within a second or two; a lease must follow it.
-constexpr milliseconds kRatesEvery{500};
+constexpr milliseconds kRatesEvery{300};
 //! Second sends as a part of the requests.
 constexpr std::uint32_t kRetryPercent = 10;
 
@@ -455,11 +455,11 @@
   }
   for (const std::string& target : targets) {
     std::map<HostName, std::uint32_t> demand;
+    const policy::OwnLoad own_load = this->parts.servers.LoadOf(target);
     const auto own = own_demand.find(target);
-    demand[self] = own == own_demand.end()
-                       ? this->parts.servers.OwnRunning(target)
-                       : own->second;
+    demand[self] = own == own_demand.end() ? own_load.running : own->second;
     std::uint32_t total = demand[self];
+    TokenCount unread = own_load.unread;
     for (const auto& [host, heard] : this->region_statuses) {
       // A host that falls silent gives its part back.
       if (now - this->region_heard[host] > this->settings.times.host_lost ||
@@ -471,14 +471,16 @@
         if (load.target == target) {
           demand[host] = load.demand;
           total += load.demand;
+          unread += load.unread;
         }
       }
     }
     const std::uint32_t slots = this->parts.servers.Slots(target);
     const std::uint32_t part = policy::ShareSlots(slots, demand).at(self);
     this->parts.gate.SetSlots(target, slots == 0 ? 0 : part);
-    status.loads.push_back({target, slots, demand[self]});
-    region_loads.push_back({target, slots, total});
+    status.loads.push_back(
+        {target, slots, demand[self], own_load.servers, own_load.unread});
+    region_loads.push_back({target, slots, total, own_load.servers, unread});
   }
   for (const auto& [target, tokens] : this->parts.gate.TakeServed()) {
     for (const auto& [workspace, count] : tokens) {
@@ -486,6 +488,7 @@
     }
   }
   status.servers = std::exchange(this->announced, {});
+  this->parts.regions.NoteOwn(region_loads);
   this->node->SetRegionStatus(std::move(status), std::move(region_loads));
 }
 
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -100,7 +100,7 @@
               snapshots,
               policy::RateLeaseOptions(),
               settings.rate_tolerance),
-        regions(word_clock),
+        regions(word_clock, settings.servers.prefill_rate),
         control(settings,
                 {word_clock, clock, metrics, snapshots, servers, gate, active,
                  budget, rates, regions},
--- a/programs/tamarackwingd/src/rate_desk.cc
+++ b/programs/tamarackwingd/src/rate_desk.cc
@@ -15,7 +15,7 @@
       workspace.rate * tolerance.span.count() + workspace.burst;
   const TokenCount beyond =
       in_span * tolerance.percent / kWhole + tolerance.tokens;
-  limit.burst = workspace.burst + beyond / 2;
+  limit.burst = (workspace.burst + beyond) / 2;
   const auto entries = std::count_if(
       snapshot.hosts->begin(), snapshot.hosts->end(),
       [](const auto& entry) { return entry.second.caller_port != 0; });
--- a/programs/tamarackwingd/src/region_table.cc
+++ b/programs/tamarackwingd/src/region_table.cc
@@ -12,7 +12,34 @@
 
 }  // namespace
 
-RegionTable::RegionTable(const Clock& clock) : clock(clock) {}
+RegionTable::RegionTable(const Clock& clock, double prefill_rate)
+    : clock(clock), prefill_rate(prefill_rate) {}
+
+void RegionTable::NoteOwn(const std::vector<control::TargetLoad>& loads) {
+  const std::lock_guard lock(this->mutex);
+  this->own.clear();
+  for (const control::TargetLoad& load : loads) {
+    this->own[load.target] = load;
+  }
+}
+
+Duration RegionTable::OwnWait(const std::string& target) {
+  const std::lock_guard lock(this->mutex);
+  const auto load = this->own.find(target);
+  return load == this->own.end() ? Duration::zero()
+                                 : this->WaitAt(load->second);
+}
+
+Duration RegionTable::WaitAt(const control::TargetLoad& load) const {
+  const std::uint32_t turns =
+      load.slots == 0 ? 0 : (load.demand + 1) / load.slots;
+  const double reading =
+      load.servers == 0
+          ? 0
+          : static_cast<double>(load.unread) / load.servers / this->prefill_rate;
+  return kTurn * turns + std::chrono::duration_cast<Duration>(
+                             std::chrono::duration<double>(reading));
+}
 
 void RegionTable::Note(const state::HostRecord& host,
                        const control::ProbeReply& reply,
@@ -38,13 +65,11 @@
     if (!is_recent || load == region.loads.end() || load->second.slots == 0) {
       continue;
     }
-    const std::uint32_t slots = load->second.slots;
-    const std::uint32_t turns = (load->second.demand + 1) / slots;
     gateway::ForwardTarget candidate;
     candidate.host = region.host.name;
     candidate.region = name;
     candidate.endpoint = {region.host.peer_address, region.host.forward_port};
-    candidate.expected = region.round_trip + kTurn * turns;
+    candidate.expected = region.round_trip + this->WaitAt(load->second);
     candidates.push_back(std::move(candidate));
   }
   std::sort(
--- a/programs/tamarackwingd/src/region_table.h
+++ b/programs/tamarackwingd/src/region_table.h
@@ -17,12 +17,16 @@
 class RegionTable final : public gateway::RegionHosts {
  public:
   //! Precondition: `clock` outlives the table.
-  explicit RegionTable(const Clock& clock);
+  //! `prefill_rate` of one server, in prompt tokens a second, is positive.
+  RegionTable(const Clock& clock, double prefill_rate);
 
   //! Takes a probe's answer and the time it took both ways.
   void Note(const state::HostRecord& host,
             const control::ProbeReply& reply,
             Duration round_trip);
+  //! Takes the loads of this host's own region.
+  void NoteOwn(const std::vector<control::TargetLoad>& loads);
+  Duration OwnWait(const std::string& target) override;
   std::vector<gateway::ForwardTarget> Candidates(
       const std::string& target) override;
 
@@ -34,8 +38,12 @@
     TimePoint at;
   };
 
+  Duration WaitAt(const control::TargetLoad& load) const;
+
   const Clock& clock;
+  double prefill_rate;
   std::mutex mutex;
+  std::map<std::string, control::TargetLoad> own;
   std::map<RegionName, Region> regions;
 };
 
--- a/programs/tamarackwingd/src/settings.h
+++ b/programs/tamarackwingd/src/settings.h
@@ -48,9 +48,9 @@
   bool IsUsed() const { return !this->seeds.empty(); }
 };
 
-//! What all hosts together may let through in any span beyond its rate and
-//! burst; half of it makes the hosts' bursts larger, since a workspace's
-//! requests do not come evenly to all hosts.
+//! What all hosts together may let through in any span beyond a workspace's
+//! rate and burst. It makes the hosts' bursts larger, since requests do not
+//! come evenly to all hosts.
 struct RateTolerance {
   TokenCount tokens = 0;
   //! Part of what rate and burst allow in the span.
