--- a/packages/gateway/src/entry_hosts.cc
+++ b/packages/gateway/src/entry_hosts.cc
@@ -12,13 +12,12 @@
 //! Whether every residency rule allows a region.
 bool IsAllowedByAll(const state::ConfigurationSet& set,
                     const RegionName& region) {
-  return std::all_of(
-      set.residency_rules.begin(), set.residency_rules.end(),
-      [&](const auto& entry) {
-        const auto& regions = entry.second.regions;
-        return std::find(regions.begin(), regions.end(), region) !=
-               regions.end();
-      });
+  return std::all_of(set.residency_rules.begin(), set.residency_rules.end(),
+                     [&](const auto& entry) {
+                       const auto& regions = entry.second.regions;
+                       return std::find(regions.begin(), regions.end(),
+                                        region) != regions.end();
+                     });
 }
 
 }  // namespace
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -9,6 +9,7 @@
 #include "tamarackwing/gateway/token_budget.h"
 #include "tamarackwing/http/handoff.h"
 #include "tamarackwing/policy/rendezvous.h"
+#include "tamarackwing/policy/spill.h"
 #include "upstream.h"
 
 namespace tamarackwing::gateway {
@@ -27,8 +28,6 @@
 //! Another host serves at once.
 constexpr milliseconds kOtherHostWait{10};
 constexpr std::uint32_t kPerKilosecond = 1'000;
-//! A call leaves its region only to save this much: its bytes cost on the way.
-constexpr milliseconds kSpillMargin{100};
 
 milliseconds CeilMs(Duration time) {
   return std::chrono::ceil<milliseconds>(time);
@@ -315,22 +314,17 @@
   const PathGatewayParts& parts = this->gateway.Parts();
   std::optional<ForwardTarget> far;
   for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
-    if (this->MayRunIn(candidate.region) && this->MayForwardTo(candidate.host)) {
+    if (this->MayRunIn(candidate.region) &&
+        this->MayForwardTo(candidate.host)) {
       far = std::move(candidate);
       break;
     }
   }
-  const Duration near = parts.regions.OwnWait(this->service);
-  if (!far || far->expected + kSpillMargin >= near) {
-    return std::nullopt;
-  }
-  // All hosts of the region see the same difference at once: each sends only
-  // so much of its work away as would even it out.
-  const auto thousandths = static_cast<std::uint64_t>(
-      kPerKilosecond * (near - far->expected) / near / 2);
-  const std::uint64_t point =
-      policy::RendezvousKey(this->call.id) % kPerKilosecond;
-  return point < thousandths ? far : std::nullopt;
+  const bool spills =
+      far &&
+      policy::ShouldSpill(parts.regions.OwnWait(this->service), far->expected,
+                          policy::RendezvousKey(this->call.id));
+  return spills ? far : std::nullopt;
 }
 
 std::optional<ForwardTarget> PathRequest::PickHost() {
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -206,9 +206,8 @@
     capnp::List<wire::TargetLoad>::Reader in) {
   std::vector<control::TargetLoad> loads;
   for (const auto load : in) {
-    loads.push_back(
-        {Text(load.getTarget()), load.getSlots(), load.getDemand(),
-         load.getServers(), load.getUnread()});
+    loads.push_back({Text(load.getTarget()), load.getSlots(), load.getDemand(),
+                     load.getServers(), load.getUnread()});
   }
   return loads;
 }
--- a/packages/policy/include/tamarackwing/policy.h
+++ b/packages/policy/include/tamarackwing/policy.h
@@ -17,5 +17,6 @@
 #include "tamarackwing/policy/server_report.h"
 #include "tamarackwing/policy/server_table.h"
 #include "tamarackwing/policy/slot_share.h"
+#include "tamarackwing/policy/spill.h"
 #include "tamarackwing/policy/token_bucket.h"
 #include "tamarackwing/policy/try_plan.h"
--- a/packages/policy/src/rate_holder.cc
+++ b/packages/policy/src/rate_holder.cc
@@ -122,9 +122,8 @@
       account.limit.rate == 0
           ? 1
           : static_cast<double>(rate) / static_cast<double>(account.limit.rate);
-  const double most =
-      std::max(part * static_cast<double>(account.limit.burst),
-               OwnedBurst(account.limit));
+  const double most = std::max(part * static_cast<double>(account.limit.burst),
+                               OwnedBurst(account.limit));
   const double gained =
       static_cast<double>(rate) * Seconds(now - account.filled);
   account.level = std::min(most, account.level + gained);
--- a/packages/state/src/set_parser.cc
+++ b/packages/state/src/set_parser.cc
@@ -40,9 +40,8 @@
 }
 
 Workspace ReadWorkspace(config::TableReader& reader) {
-  reader.RejectOthers(
-      {"name", "rate", "burst", "weight", "priority", "plain_tokens",
-       "home_regions", "residency"});
+  reader.RejectOthers({"name", "rate", "burst", "weight", "priority",
+                       "plain_tokens", "home_regions", "residency"});
   Workspace workspace;
   workspace.name = WorkspaceName(reader.Text("name", true));
   workspace.rate = reader.Number("rate", 1, kLargestRate, 1, true);
@@ -159,10 +158,9 @@
       reader.Number("most_tries", 1, kLargestWeight, 1, false));
   for (config::TableReader& share : reader.Tables("services")) {
     share.RejectOthers({"service", "weight"});
-    route.services.push_back(
-        {ServiceName(share.Text("service", true)),
-         static_cast<std::uint32_t>(
-             share.Number("weight", 0, kLargestWeight, 1, false))});
+    route.services.push_back({ServiceName(share.Text("service", true)),
+                              static_cast<std::uint32_t>(share.Number(
+                                  "weight", 0, kLargestWeight, 1, false))});
   }
   route.residency = ResidencyRuleName(reader.Text("residency", true));
   return route;
--- a/programs/tamarackwingd/src/region_table.cc
+++ b/programs/tamarackwingd/src/region_table.cc
@@ -33,10 +33,10 @@
 Duration RegionTable::WaitAt(const control::TargetLoad& load) const {
   const std::uint32_t turns =
       load.slots == 0 ? 0 : (load.demand + 1) / load.slots;
-  const double reading =
-      load.servers == 0
-          ? 0
-          : static_cast<double>(load.unread) / load.servers / this->prefill_rate;
+  const double reading = load.servers == 0
+                             ? 0
+                             : static_cast<double>(load.unread) / load.servers /
+                                   this->prefill_rate;
   return kTurn * turns + std::chrono::duration_cast<Duration>(
                              std::chrono::duration<double>(reading));
 }
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -178,7 +178,8 @@
   reader->RejectOthers({"head_bytes", "body_bytes", "connections", "queue",
                         "answer_bytes", "open_rate", "spill_margin_percent",
                         "fleet_retries", "rate_tolerance_tokens",
-                        "rate_tolerance_percent", "rate_tolerance_span_s"});
+                        "rate_tolerance_percent", "rate_tolerance_span_s",
+                        "prefill_rate", "decode_rate"});
   http::ServerLimits& limits = settings.limits;
   limits.head_bytes = ReadCount(*reader, "head_bytes", limits.head_bytes);
   limits.body_bytes = ReadCount(*reader, "body_bytes", limits.body_bytes);
@@ -186,6 +187,11 @@
   settings.open_rate = ReadCount(*reader, "open_rate", settings.open_rate);
   settings.fleet_retries =
       ReadCount(*reader, "fleet_retries", settings.fleet_retries);
+  policy::ServerTableLimits& servers = settings.servers;
+  servers.prefill_rate =
+      std::max(1.0, ReadCount(*reader, "prefill_rate", servers.prefill_rate));
+  servers.decode_rate =
+      std::max(1.0, ReadCount(*reader, "decode_rate", servers.decode_rate));
   RateTolerance& tolerance = settings.rate_tolerance;
   tolerance.tokens =
       ReadCount(*reader, "rate_tolerance_tokens", tolerance.tokens);
@@ -212,7 +218,7 @@
        "chunk_life_ms", "server_lease_ms", "server_ramp_ms",
        "stream_silence_ms", "first_byte_silence_ms", "operation_grace_ms",
        "idle_ms", "head_ms", "silence_ms", "drain_ms", "server_lapsed_ms",
-       "key_withdrawn_ms", "stop_grace_s"});
+       "server_pause_ms", "key_withdrawn_ms", "stop_grace_s"});
   ControlTimes& times = settings.times;
   times.heartbeat = ReadTime(*reader, "heartbeat_ms", times.heartbeat);
   times.election = ReadTime(*reader, "election_ms", times.election);
@@ -239,6 +245,8 @@
   settings.drain_limit = ReadTime(*reader, "drain_ms", settings.drain_limit);
   settings.servers.lapsed =
       ReadTime(*reader, "server_lapsed_ms", settings.servers.lapsed);
+  settings.servers.longest_pause =
+      ReadTime(*reader, "server_pause_ms", settings.servers.longest_pause);
   if (reader->Has("key_withdrawn_ms")) {
     // What a caller sends before its key's end may come later.
     times.key_freshness =
