--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -241,6 +241,7 @@
   TimePoint relay_at;
   std::size_t source = 0;
   TimePoint source_since;
+  HostName source_leader;
   std::uint64_t feed_number = 0;
   std::map<std::uint64_t, TimePoint> feed_sent;
   TimePoint feed_answered;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -454,7 +454,7 @@
     if (this->ready) {
       this->LogHostChanges(*hosts, live);
     }
-    if (this->state.Version() != before) {
+    if (this->ready && this->state.Version() != before) {
       LogEvent(Event::kSetApplied, LogLevel::kInfo,
                {{"host", this->options.self.name.Text()},
                 {"version", std::to_string(this->state.Version())}});
@@ -810,6 +810,14 @@
   if (sources.empty()) {
     return;
   }
+  if (this->Leader() != this->source_leader) {
+    // Whoever was tried while there was no leader says nothing of what is best
+    // under a new one.
+    this->source_leader = this->Leader();
+    this->source = 0;
+    this->source_since = now;
+    this->feed_answered = now;
+  }
   // A source that answers and has no word from a leader itself is no better
   // than one that is silent.
   const Duration silence = kSilentReports * this->options.report;
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -232,6 +232,37 @@
   EXPECT_TRUE(this->Replace(HostName("s2"), 8).has_value());
 }
 
+TEST_F(Founding, WordIsBackSoonAfterTheGroupWasWithoutALeader) {
+  ASSERT_TRUE(this->Replace(HostName("m1"), 7).has_value());
+  const std::vector<HostName> most{HostName("m1"), HostName("s1"),
+                                   HostName("l1")};
+  for (const int gone_ms : {4'000, 5'000, 6'000, 7'000, 8'000}) {
+    for (const HostName& host : most) {
+      this->cluster.Crash(host);
+    }
+    this->cluster.Run(std::chrono::milliseconds(gone_ms));
+    for (const HostName& host : most) {
+      this->cluster.Restart(host);
+    }
+    ASSERT_TRUE(this->cluster.RunUntil(
+        [&] { return !this->cluster.Leader().IsEmpty(); }, kPatience));
+    const auto all_have_word = [&] {
+      for (const HostName& host : this->cluster.Names()) {
+        if (this->cluster.Now() - this->cluster.SnapshotOf(host)->word >
+            std::chrono::seconds(1)) {
+          return false;
+        }
+      }
+      return true;
+    };
+    const auto took = this->cluster.RunUntil(all_have_word, kPatience);
+    ASSERT_TRUE(took.has_value());
+    // The first commit of the term, and two reports on the way to the leader
+    // with the messages there and back.
+    EXPECT_LE(took->count(), 2'000) << gone_ms;
+  }
+}
+
 TEST_F(Founding, AClosedDataCentreStaysClosedOverARestart) {
   state::CloseDataCentre close;
   close.data_centre = DataCentreName("sohar-a");
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -426,7 +426,7 @@
 }
 
 bool ControlThread::Announce(const policy::ServerReport& report) {
-  if (!this->parts.snapshots.Get()->ready) {
+  if (this->parts.snapshots.Get()->hosts->empty()) {
     return false;
   }
   this->network->Post([this, report] {
