--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -50,7 +50,7 @@
   //! Entries after which the log is compacted.
   std::size_t compact_after = 4'096;
   //! Bytes of payload after which it is.
-  std::size_t compact_after_bytes = 4 * 1024 * 1024;
+  std::size_t compact_after_bytes = 1024 * 1024;
   //! How often reports of backend servers go to the entry hosts.
   std::chrono::milliseconds relay{100};
   //! How long, and how often, it is told again that a server leaves.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -13,7 +13,10 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kBufferedEntries = 8'192;
-constexpr std::size_t kBufferedBytes = 4 * 1024 * 1024;
+constexpr std::size_t kBufferedBytes = 1024 * 1024;
+//! Whoever is further behind gets a snapshot: many sets that replaced each
+//! other weigh more than the one that is left.
+constexpr std::size_t kMostFeedBytes = 128 * 1024;
 constexpr std::size_t kEntriesPerFeed = 512;
 constexpr std::size_t kHundred = 100;
 //! Peers of a region to whom a host reports at the full pace.
@@ -871,7 +874,13 @@
   }
   auto entries =
       this->buffer.From(next, this->state.Applied(), kEntriesPerFeed);
-  if (entries) {
+  std::size_t bytes = 0;
+  for (const state::LogEntry& entry :
+       entries.value_or(std::vector<state::LogEntry>())) {
+    bytes += entry.payload.size();
+  }
+  const bool is_one = entries && entries->size() == 1;
+  if (entries && (bytes <= kMostFeedBytes || is_one)) {
     reply.entries = std::move(*entries);
     return reply;
   }
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -456,6 +456,13 @@
             {"left_ms", std::to_string(this->TimeLeft().count())}});
 }
 
+milliseconds PathRequest::WordAge() const {
+  const TimePoint word = this->snapshot->word;
+  return word == TimePoint()
+             ? milliseconds(-1)
+             : CeilMs(this->gateway.Parts().word_clock.Now() - word);
+}
+
 void PathRequest::Finish(const Outcome& refusal) {
   const PathGatewayParts& parts = this->gateway.Parts();
   std::string outcome =
@@ -468,20 +475,17 @@
                       "\"}");
   parts.metrics.Record("tamarackwing_path_call_seconds", took);
   const std::size_t sends = this->plan ? this->plan->Sends() : 0;
-  LogEvent(
-      Event::kRequestEnded, LogLevel::kInfo,
-      {{"request", this->call.id},
-       {"outcome", outcome},
-       {"ran", refusal && refusal->ran == Ran::kNo ? "no" : "maybe"},
-       {"route", this->route == nullptr ? "" : this->route->name.Text()},
-       {"workspace", this->grant.workspace.Text()},
-       {"set", std::to_string(this->snapshot->set_number)},
-       {"word_age_ms",
-        std::to_string(
-            CeilMs(parts.word_clock.Now() - this->snapshot->word).count())},
-       {"peer", this->peer},
-       {"sends", std::to_string(sends)},
-       {"ms", std::to_string(CeilMs(took).count())}});
+  LogEvent(Event::kRequestEnded, LogLevel::kInfo,
+           {{"request", this->call.id},
+            {"outcome", outcome},
+            {"ran", refusal && refusal->ran == Ran::kNo ? "no" : "maybe"},
+            {"route", this->route == nullptr ? "" : this->route->name.Text()},
+            {"workspace", this->grant.workspace.Text()},
+            {"set", std::to_string(this->snapshot->set_number)},
+            {"word_age_ms", std::to_string(this->WordAge().count())},
+            {"peer", this->peer},
+            {"sends", std::to_string(sends)},
+            {"ms", std::to_string(CeilMs(took).count())}});
   Span span;
   span.context = this->trace;
   span.name = this->forwarded ? "serve forwarded path" : "serve path";
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -76,6 +76,8 @@
   bool IsRepeatable() const;
   bool IsOver() const;
   std::chrono::milliseconds TimeLeft() const;
+  //! How old the leader's word is; negative where there never was any.
+  std::chrono::milliseconds WordAge() const;
   Refusal StopRefusal(RefusalCode code) const;
   void Finish(const Outcome& refusal);
   //! Takes a connection's error for what it tells of the server.
--- a/programs/tamarackwingd/src/main.cc
+++ b/programs/tamarackwingd/src/main.cc
@@ -131,5 +131,7 @@
   tamarackwing::OpenLog(settings->log_level);
   const int result = Serve(*settings, signals);
   tamarackwing::CloseLog();
-  return result;
+  // All is written and closed. The exit handlers of the log's library wait for
+  // its threads, on some machines for good.
+  std::quick_exit(result);
 }
