Give no more work to a server that holds requests and says nothing

Cause: a server that went silent was noticed only when a request on it ran out of time, which for a stream that may not be repeated is its whole deadline. Test failed first (no such limit).

--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -70,6 +70,9 @@
   this->started = parts.clock.Now();
   this->started_at = std::chrono::system_clock::now();
   this->snapshot = parts.snapshots.Get();
+  if (this->snapshot->word != TimePoint()) {
+    this->word_age = CeilMs(parts.word_clock.Now() - this->snapshot->word);
+  }
   this->last_event = this->call.last_event;
   const std::weak_ptr<PathRequest> weak = this->weak_from_this();
   this->writer.OnPeerGone([weak] {
@@ -456,13 +459,6 @@
             {"left_ms", std::to_string(this->TimeLeft().count())}});
 }
 
-milliseconds PathRequest::WordAge() const {
-  const TimePoint word = this->snapshot->word;
-  return word == TimePoint()
-             ? milliseconds(-1)
-             : CeilMs(this->gateway.Parts().word_clock.Now() - word);
-}
-
 void PathRequest::Finish(const Outcome& refusal) {
   const PathGatewayParts& parts = this->gateway.Parts();
   std::string outcome =
@@ -482,7 +478,7 @@
             {"route", this->route == nullptr ? "" : this->route->name.Text()},
             {"workspace", this->grant.workspace.Text()},
             {"set", std::to_string(this->snapshot->set_number)},
-            {"word_age_ms", std::to_string(this->WordAge().count())},
+            {"word_age_ms", std::to_string(this->word_age.count())},
             {"peer", this->peer},
             {"sends", std::to_string(sends)},
             {"ms", std::to_string(CeilMs(took).count())}});
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -76,8 +76,6 @@
   bool IsRepeatable() const;
   bool IsOver() const;
   std::chrono::milliseconds TimeLeft() const;
-  //! How old the leader's word is; negative where there never was any.
-  std::chrono::milliseconds WordAge() const;
   Refusal StopRefusal(RefusalCode code) const;
   void Finish(const Outcome& refusal);
   //! Takes a connection's error for what it tells of the server.
@@ -93,6 +91,9 @@
   http::asio::any_io_executor executor;
 
   std::shared_ptr<const state::Snapshot> snapshot;
+  //! How old the leader's word was when the call came; negative where there
+  //! never was any.
+  std::chrono::milliseconds word_age{-1};
   const state::PathRoute* route = nullptr;
   std::string service;
   Grant grant;
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -29,6 +29,9 @@
   //! How long a failed server is first set aside; doubled up to the longest.
   std::chrono::milliseconds first_pause{500};
   std::chrono::milliseconds longest_pause{30'000};
+  //! A server that holds requests and from which nothing has come for so long
+  //! gets no more; zero never counts it as silent.
+  std::chrono::milliseconds silence{0};
   //! How long a server takes to come back to all its slots.
   std::chrono::milliseconds ramp{5'000};
   //! The cost of reaching a server of another data centre.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -42,6 +42,8 @@
   std::uint32_t suspicions = 0;
   //! When bytes last came from it.
   TimePoint alive;
+  //! Since when it holds requests without a sign of life.
+  TimePoint awaited_since;
   std::uint32_t own_running = 0;
   //! Prompt tokens sent by this host that have not had their first output.
   TokenCount unread = 0;
@@ -265,6 +267,9 @@
     return;
   }
   Server& server = *found->second;
+  if (server.own_running == 0) {
+    server.awaited_since = now;
+  }
   server.own_running += 1;
   server.unread += prompt_tokens;
   server.sent.push_back(now);
@@ -314,6 +319,7 @@
       server.failures = 0;
       server.suspicions = 0;
       server.alive = now;
+      server.awaited_since = now;
       break;
     case ServerSign::kUnreachable:
       this->SetAside(server, sent, now);
@@ -338,6 +344,7 @@
   const auto found = this->servers.find(name);
   if (found != this->servers.end()) {
     found->second->alive = now;
+    found->second->awaited_since = now;
   }
 }
 
@@ -409,6 +416,12 @@
   if (server.report.leaving || !has_lease || server.paused_until > now) {
     return false;
   }
+  const bool is_silent = this->limits.silence.count() > 0 &&
+                         server.own_running > 0 &&
+                         now - server.awaited_since > this->limits.silence;
+  if (is_silent) {
+    return false;
+  }
   // A server that has failed is probed by one request at a time.
   return server.failures == 0 || server.own_running == 0;
 }
--- a/packages/policy/tests/server_order_tests.cc
+++ b/packages/policy/tests/server_order_tests.cc
@@ -20,6 +20,7 @@
     ServerTableLimits limits;
     limits.ramp = milliseconds(0);
     limits.lapsed = seconds(30);
+    limits.silence = milliseconds(1'500);
     return limits;
   }
 
@@ -206,6 +207,26 @@
   EXPECT_TRUE(this->IsPicked());
 }
 
+TEST_F(ServerHealth, AServerThatFallsSilentWithWorkGetsNoMore) {
+  const BackendServerName name("x");
+  this->table.NoteSent(name, 0, this->clock.Now());
+  for (int i = 0; i < 5; ++i) {
+    this->clock.Advance(milliseconds(1'000));
+    this->table.NoteAlive(name, this->clock.Now());
+    this->table.Announce(Report("x", 100, 5 + i), this->clock.Now());
+    EXPECT_TRUE(this->IsPicked());
+  }
+  this->clock.Advance(milliseconds(1'501));
+  EXPECT_FALSE(this->IsPicked());
+  this->table.NoteAlive(name, this->clock.Now());
+  EXPECT_TRUE(this->IsPicked());
+}
+
+TEST_F(ServerHealth, AnIdleServerIsNotSilent) {
+  this->clock.Advance(milliseconds(2'500));
+  EXPECT_TRUE(this->IsPicked());
+}
+
 TEST_F(ServerHealth, ABusyServerThatAnswersOthersIsNotSilent) {
   const TimePoint sent = this->clock.Now();
   this->clock.Advance(milliseconds(500));
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -218,7 +218,8 @@
        "chunk_life_ms", "server_lease_ms", "server_ramp_ms",
        "stream_silence_ms", "first_byte_silence_ms", "operation_grace_ms",
        "idle_ms", "head_ms", "silence_ms", "drain_ms", "server_lapsed_ms",
-       "server_pause_ms", "key_withdrawn_ms", "stop_grace_s"});
+       "server_pause_ms", "server_silence_ms", "key_withdrawn_ms",
+       "stop_grace_s"});
   ControlTimes& times = settings.times;
   times.heartbeat = ReadTime(*reader, "heartbeat_ms", times.heartbeat);
   times.election = ReadTime(*reader, "election_ms", times.election);
@@ -247,6 +248,8 @@
       ReadTime(*reader, "server_lapsed_ms", settings.servers.lapsed);
   settings.servers.longest_pause =
       ReadTime(*reader, "server_pause_ms", settings.servers.longest_pause);
+  settings.servers.silence =
+      ReadTime(*reader, "server_silence_ms", settings.servers.silence);
   if (reader->Has("key_withdrawn_ms")) {
     // What a caller sends before its key's end may come later.
     times.key_freshness =
