--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -313,16 +313,20 @@
   return target;
 }
 
-std::optional<ForwardTarget> PathRequest::PickSpill() {
-  const PathGatewayParts& parts = this->gateway.Parts();
-  std::optional<ForwardTarget> far;
-  for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
+std::optional<ForwardTarget> PathRequest::BestCandidate() {
+  for (ForwardTarget& candidate :
+       this->gateway.Parts().regions.Candidates(this->service)) {
     if (this->MayRunIn(candidate.region) &&
         this->MayForwardTo(candidate.host)) {
-      far = std::move(candidate);
-      break;
+      return std::move(candidate);
     }
   }
+  return std::nullopt;
+}
+
+std::optional<ForwardTarget> PathRequest::PickSpill() {
+  const PathGatewayParts& parts = this->gateway.Parts();
+  std::optional<ForwardTarget> far = this->BestCandidate();
   const bool spills =
       far &&
       policy::ShouldSpill(parts.regions.OwnWait(this->service), far->expected,
@@ -331,12 +335,9 @@
 }
 
 std::optional<ForwardTarget> PathRequest::PickHost() {
-  const PathGatewayParts& parts = this->gateway.Parts();
-  for (ForwardTarget& candidate : parts.regions.Candidates(this->service)) {
-    if (this->MayRunIn(candidate.region) &&
-        this->MayForwardTo(candidate.host)) {
-      return candidate;
-    }
+  std::optional<ForwardTarget> best = this->BestCandidate();
+  if (best) {
+    return best;
   }
   // No word of the regions' load yet: any live entry host that may run it.
   std::vector<ForwardTarget> others;
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -47,6 +47,8 @@
   http::asio::awaitable<Outcome> ReserveTokens();
   http::asio::awaitable<Outcome> TryAll();
   std::optional<Target> PickTarget();
+  //! The host of another region that waits least and may serve this call.
+  std::optional<ForwardTarget> BestCandidate();
   std::optional<ForwardTarget> PickHost();
   //! The host of another region that would serve this call so much sooner that
   //! the way there is worth it.
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -175,10 +175,9 @@
     co_return this->Lose(http::ConnectionError::kMalformed);
   }
   if (read.not_run || read.other_server) {
-    const TryEnd end =
-        co_await this->KeepWhole(connection, std::move(read.passed));
+    // Read to its end, so that the connection can serve again.
+    co_await this->KeepWhole(connection, std::move(read.passed));
     this->answer.reset();
-    static_cast<void>(end);
     co_return TryEnd::kNotRun;
   }
   if (target.server && this->call.prompt) {
--- a/packages/policy/tests/server_order_tests.cc
+++ b/packages/policy/tests/server_order_tests.cc
@@ -126,6 +126,8 @@
   for (int ms = 0; ms < 2'500; ms += 10) {
     if (this->Pick(query)) {
       this->table.NoteSent(BackendServerName("x"), 0, this->clock.Now());
+      this->table.NoteFinished(BackendServerName("x"), ServerSign::kAnswered,
+                               this->clock.Now(), this->clock.Now());
       sent += 1;
     }
     this->clock.Advance(milliseconds(10));
