Check residency in one place for both kinds of route

PathRequest had written the check of the authorizer again; both now call one function. Gone with it: PathIndex::HasAuthority, never called, and AgreedLog::LeaderWord, without a caller since word comes only from answers.

--- a/packages/gateway/include/tamarackwing/gateway/authorizer.h
+++ b/packages/gateway/include/tamarackwing/gateway/authorizer.h
@@ -36,5 +36,10 @@
               const WorkspaceName& workspace,
               const state::Route& route,
               const RegionName& region);
+//! The same for a path route.
+bool MayRunIn(const state::Snapshot& snapshot,
+              const WorkspaceName& workspace,
+              const state::PathRoute& route,
+              const RegionName& region);
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/authorizer.cc
+++ b/packages/gateway/src/authorizer.cc
@@ -17,6 +17,29 @@
   return std::find(regions.begin(), regions.end(), region) != regions.end();
 }
 
+//! Whether the workspace's and a route's rules allow `region`.
+bool MayRunUnder(const state::Snapshot& snapshot,
+                 const WorkspaceName& workspace,
+                 const state::ResidencyRuleName& residency,
+                 bool open,
+                 const RegionName& region) {
+  const auto* route_regions = RegionsOf(*snapshot.set, residency);
+  if (route_regions == nullptr) {
+    return false;
+  }
+  if (workspace.IsEmpty()) {
+    return open && policy::IsPermitted(region, *route_regions, *route_regions);
+  }
+  const auto found = snapshot.set->workspaces.find(workspace);
+  if (found == snapshot.set->workspaces.end()) {
+    return false;
+  }
+  const auto* workspace_regions =
+      RegionsOf(*snapshot.set, found->second.residency);
+  return workspace_regions != nullptr &&
+         policy::IsPermitted(region, *workspace_regions, *route_regions);
+}
+
 }  // namespace
 
 Expected<Grant, RefusalCode> AuthorizeKey(const state::Snapshot& snapshot,
@@ -61,22 +84,14 @@
               const WorkspaceName& workspace,
               const state::Route& route,
               const RegionName& region) {
-  const auto* route_regions = RegionsOf(*snapshot.set, route.residency);
-  if (route_regions == nullptr) {
-    return false;
-  }
-  if (workspace.IsEmpty()) {
-    return route.open &&
-           policy::IsPermitted(region, *route_regions, *route_regions);
-  }
-  const auto found = snapshot.set->workspaces.find(workspace);
-  if (found == snapshot.set->workspaces.end()) {
-    return false;
-  }
-  const auto* workspace_regions =
-      RegionsOf(*snapshot.set, found->second.residency);
-  return workspace_regions != nullptr &&
-         policy::IsPermitted(region, *workspace_regions, *route_regions);
+  return MayRunUnder(snapshot, workspace, route.residency, route.open, region);
+}
+
+bool MayRunIn(const state::Snapshot& snapshot,
+              const WorkspaceName& workspace,
+              const state::PathRoute& route,
+              const RegionName& region) {
+  return MayRunUnder(snapshot, workspace, route.residency, route.open, region);
 }
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -193,22 +193,8 @@
 }
 
 bool PathRequest::MayRunIn(const RegionName& region) const {
-  const state::ConfigurationSet& set = *this->snapshot->set;
-  const auto allows = [&](const state::ResidencyRuleName& name) {
-    const auto rule = set.residency_rules.find(name);
-    return rule != set.residency_rules.end() &&
-           std::find(rule->second.regions.begin(), rule->second.regions.end(),
-                     region) != rule->second.regions.end();
-  };
-  if (!allows(this->route->residency)) {
-    return false;
-  }
-  if (this->grant.workspace.IsEmpty()) {
-    return true;
-  }
-  const auto workspace = set.workspaces.find(this->grant.workspace);
-  return workspace != set.workspaces.end() &&
-         allows(workspace->second.residency);
+  return gateway::MayRunIn(*this->snapshot, this->grant.workspace, *this->route,
+                           region);
 }
 
 http::asio::awaitable<PathRequest::Outcome> PathRequest::ReserveTokens() {
@@ -239,10 +225,7 @@
   ServerDirectory& servers = this->gateway.Parts().servers;
   servers.NoteRequest(this->service);
   while (true) {
-    if (this->caller_gone) {
-      co_return this->StopRefusal(RefusalCode::kDeadlinePassed);
-    }
-    if (this->IsOver()) {
+    if (this->caller_gone || this->IsOver()) {
       co_return this->StopRefusal(RefusalCode::kDeadlinePassed);
     }
     const bool is_again = this->plan->Sends() > 0;
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -135,8 +135,6 @@
                                                      std::size_t most) const;
   //! The newest snapshot.
   const LogSnapshot& Snapshot() const { return this->snapshot; }
-  //! When this host last heard from a leader, or, as one, from a quorum.
-  TimePoint LeaderWord() const { return this->leader_word; }
 
  private:
   enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
--- a/packages/state/include/tamarackwing/state/path_index.h
+++ b/packages/state/include/tamarackwing/state/path_index.h
@@ -20,8 +20,6 @@
   //! null where there is none. Precondition: `path` has no query.
   const PathRoute* Find(std::string_view authority,
                         std::string_view path) const;
-  //! Whether the set has any path route of that authority.
-  bool HasAuthority(std::string_view authority) const;
 
  private:
   using Prefixes = std::map<std::string, PathRoute, std::less<>>;
--- a/packages/state/src/path_index.cc
+++ b/packages/state/src/path_index.cc
@@ -26,8 +26,4 @@
   return nullptr;
 }
 
-bool PathIndex::HasAuthority(std::string_view authority) const {
-  return this->authorities.contains(authority);
-}
-
 }  // namespace tamarackwing::state
