Bound callers by the set's limits; take in changed settings while running

Cause: bounds of what callers send came from the host's settings only, a slow head was closed on without a word after the idle time, and a settings file that changed without a signal was never read.

Change: a set may carry caller_limits (TOML and the adapter's document), which go before the listener's; a head is timed from its first byte and a slow one gets a refusal that says it has not run.

--- a/packages/base/include/tamarackwing/base/refusal.h
+++ b/packages/base/include/tamarackwing/base/refusal.h
@@ -33,6 +33,7 @@
   kResidency,
   kTooLarge,
   kTooManyConnections,
+  kTooSlow,
   kUnknownRoute,
 };
 
--- a/packages/base/src/refusal.cc
+++ b/packages/base/src/refusal.cc
@@ -40,6 +40,7 @@
     RefusalText{RefusalCode::kResidency, "residency", 403},
     RefusalText{RefusalCode::kTooLarge, "too_large", 413},
     RefusalText{RefusalCode::kTooManyConnections, "too_many_connections", 503},
+    RefusalText{RefusalCode::kTooSlow, "too_slow", 408},
     RefusalText{RefusalCode::kUnknownRoute, "unknown_route", 404},
 };
 
--- a/packages/callers/include/tamarackwing/callers/caller_listener.h
+++ b/packages/callers/include/tamarackwing/callers/caller_listener.h
@@ -12,6 +12,8 @@
   //! Precondition: `service` outlives the listener.
   explicit CallerListener(CallerService& service);
 
+  http::ServerLimits LimitsNow(
+      const http::ServerLimits& listener) const override;
   std::optional<http::Response> CheckHead(
       const http::RequestHead& head) override;
   http::asio::awaitable<void> Handle(http::Request request,
--- a/packages/callers/include/tamarackwing/callers/caller_service.h
+++ b/packages/callers/include/tamarackwing/callers/caller_service.h
@@ -6,6 +6,7 @@
 #include "tamarackwing/base/refusal.h"
 #include "tamarackwing/callers/caller_head.h"
 #include "tamarackwing/http/asio.h"
+#include "tamarackwing/http/server_limits.h"
 
 namespace tamarackwing::http {
 class ResponseWriter;
@@ -26,6 +27,9 @@
 class CallerService {
  public:
   virtual ~CallerService() = default;
+  //! What callers may send now; `listener` has the bounds of the listener.
+  virtual http::ServerLimits LimitsNow(
+      const http::ServerLimits& listener) const = 0;
   //! Refuses what the head alone shows to be refused, before the body is read.
   virtual std::optional<Refusal> CheckHead(const CallerHead& head) = 0;
   //! Serves one request: an answer, or a refusal, goes to `writer`.
--- a/packages/callers/src/caller_listener.cc
+++ b/packages/callers/src/caller_listener.cc
@@ -39,10 +39,24 @@
   co_await this->service.Serve(std::move(caller_request), writer);
 }
 
+http::ServerLimits CallerListener::LimitsNow(
+    const http::ServerLimits& listener) const {
+  return this->service.LimitsNow(listener);
+}
+
 http::Response CallerListener::RejectFault(http::RequestFault fault) {
-  const RefusalCode code = fault == http::RequestFault::kMalformed
-                               ? RefusalCode::kMalformedRequest
-                               : RefusalCode::kTooLarge;
+  RefusalCode code = RefusalCode::kMalformedRequest;
+  switch (fault) {
+    case http::RequestFault::kMalformed:
+      break;
+    case http::RequestFault::kHeadTooLarge:
+    case http::RequestFault::kBodyTooLarge:
+      code = RefusalCode::kTooLarge;
+      break;
+    case http::RequestFault::kSlow:
+      code = RefusalCode::kTooSlow;
+      break;
+  }
   return MakeRefusalResponse(RefuseNotRun(code));
 }
 
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -48,6 +48,10 @@
               TimePoint now);
   ~ControlNode();
 
+  //! Keys are served on word that is younger, from now on.
+  void SetKeyFreshness(std::chrono::milliseconds freshness) {
+    this->options.key_freshness = freshness;
+  }
   //! Lets time pass; to be called every few tens of milliseconds.
   ControlEffects Tick(TimePoint now);
   //! Takes a message of another host.
--- a/packages/gateway/include/tamarackwing/gateway/gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway/gateway.h
@@ -63,6 +63,8 @@
   Gateway(GatewayParts parts, GatewaySettings settings);
   ~Gateway() override;
 
+  http::ServerLimits LimitsNow(
+      const http::ServerLimits& listener) const override;
   std::optional<Refusal> CheckHead(const callers::CallerHead& head) override;
   http::asio::awaitable<void> Serve(callers::CallerRequest request,
                                     http::ResponseWriter& writer) override;
--- a/packages/gateway/include/tamarackwing/gateway/path_gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_gateway.h
@@ -16,6 +16,7 @@
 #include "tamarackwing/gateway/snapshot_holder.h"
 #include "tamarackwing/http/asio.h"
 #include "tamarackwing/http/response_writer.h"
+#include "tamarackwing/http/server_limits.h"
 
 namespace tamarackwing::http {
 class IoThreads;
@@ -72,6 +73,10 @@
                                              ForwardedCall origin,
                                              http::ResponseWriter& writer);
 
+  //! What callers may send now; `listener` has the bounds of their listener.
+  http::ServerLimits CallerLimits(const http::ServerLimits& listener) const;
+  //! What hosts that forward calls may send now.
+  http::ServerLimits ForwardLimits(const http::ServerLimits& listener) const;
   //! Whether callers may be sent here: a set is in force and this host does not
   //! drain. Thread safety: from any thread.
   bool IsReady() const;
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -35,6 +35,8 @@
   void NoteCacheEvents(const backend_servers::CacheEvents& events) override;
   //! Takes an announcement that another host of the region passed on.
   void TakeRelayed(const policy::ServerReport& report);
+  //! Goes by other limits from now on.
+  void SetLimits(policy::ServerTableLimits limits);
   //! Sets the retry budget of each target: a part of its requests, and a
   //! reserve. Precondition: `percent` is at most 100.
   void SetRetryLimits(std::uint32_t percent, std::uint32_t reserve);
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "caller_bounds.h"
 #include "served_request.h"
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/callers/refusal_response.h"
@@ -48,6 +49,12 @@
 
 Gateway::~Gateway() = default;
 
+http::ServerLimits Gateway::LimitsNow(
+    const http::ServerLimits& listener) const {
+  return BoundCallers(this->parts.snapshots.Get()->set->caller_limits,
+                      listener);
+}
+
 std::optional<Refusal> Gateway::CheckHead(const callers::CallerHead& head) {
   if (head.target == callers::CallerTarget::kMetrics) {
     return std::nullopt;
--- a/packages/gateway/src/path_gateway.cc
+++ b/packages/gateway/src/path_gateway.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "caller_bounds.h"
 #include "path_request.h"
 #include "tamarackwing/http/io_threads.h"
 
@@ -40,6 +41,18 @@
   co_await request->Run();
 }
 
+http::ServerLimits PathGateway::CallerLimits(
+    const http::ServerLimits& listener) const {
+  return BoundCallers(this->parts.snapshots.Get()->set->caller_limits,
+                      listener);
+}
+
+http::ServerLimits PathGateway::ForwardLimits(
+    const http::ServerLimits& listener) const {
+  return BoundForwards(this->parts.snapshots.Get()->set->caller_limits,
+                       listener);
+}
+
 bool PathGateway::IsReady() const {
   const auto snapshot = this->parts.snapshots.Get();
   return !this->IsDraining() && snapshot->ready && snapshot->set_number != 0;
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -111,6 +111,11 @@
   }
 }
 
+void ServerDirectory::SetLimits(policy::ServerTableLimits limits) {
+  const std::lock_guard lock(this->mutex);
+  this->table.SetLimits(limits);
+}
+
 void ServerDirectory::SetRetryLimits(std::uint32_t percent,
                                      std::uint32_t reserve) {
   const std::lock_guard lock(this->mutex);
--- a/packages/http/include/tamarackwing/http/server.h
+++ b/packages/http/include/tamarackwing/http/server.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <atomic>
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -9,22 +8,13 @@
 #include "tamarackwing/base/expected.h"
 #include "tamarackwing/http/asio.h"
 #include "tamarackwing/http/endpoint.h"
+#include "tamarackwing/http/server_limits.h"
 
 namespace tamarackwing::http {
 
 class Handler;
 class IoThreads;
 
-//! The bounds of one listener.
-struct ServerLimits {
-  std::uint32_t head_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 4 * 1024 * 1024;
-  std::size_t connections = 4096;
-  std::chrono::milliseconds head_timeout{10'000};
-  std::chrono::milliseconds idle_timeout{60'000};
-  std::chrono::milliseconds silence_timeout{10'000};
-};
-
 //! Why a listener could not be opened.
 enum class ListenError { kBadAddress, kAddressInUse, kOther };
 
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -9,7 +9,12 @@
 
 namespace beast_http = boost::beast::http;
 
+using std::chrono::milliseconds;
+
 constexpr unsigned kHttp11 = 11;
+//! Bytes that a connection makes room for before a request begins; most heads
+//! fit.
+constexpr std::size_t kFirstRead = 1'024;
 
 auto Use(boost::system::error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
@@ -57,7 +62,10 @@
 
 Session::Session(asio::ip::tcp::socket socket,
                  std::shared_ptr<SessionContext> context)
-    : stream(std::move(socket)), context(std::move(context)) {
+    : stream(std::move(socket)),
+      context(std::move(context)),
+      limits(this->context->limits),
+      read_timer(this->stream.get_executor()) {
   SetSocketOptions(this->stream.socket(),
                    this->context->limits.silence_timeout);
   this->context->open.fetch_add(1);
@@ -77,20 +85,61 @@
   this->stream.close();
 }
 
+asio::awaitable<bool> Session::AwaitRequest() {
+  if (this->buffer.size() > 0) {
+    co_return true;
+  }
+  boost::system::error_code error;
+  this->stream.expires_after(this->limits.idle_timeout);
+  const auto room = this->buffer.prepare(kFirstRead);
+  const std::size_t read =
+      co_await this->stream.async_read_some(room, Use(error));
+  this->buffer.commit(read);
+  this->stream.expires_never();
+  co_return !error;
+}
+
+template <typename Read>
+asio::awaitable<bool> Session::ReadWithin(milliseconds most, Read read) {
+  const std::uint64_t number = ++this->reads;
+  this->read_is_late = false;
+  this->read_timer.expires_after(most);
+  this->read_timer.async_wait([self = this->shared_from_this(), number](
+                                  const boost::system::error_code& cancelled) {
+    // A timer that has fired already can't be cancelled any more.
+    if (!cancelled && self->reads == number) {
+      self->read_is_late = true;
+      self->stream.cancel();
+    }
+  });
+  boost::system::error_code error;
+  co_await read(error);
+  ++this->reads;
+  this->read_timer.cancel();
+  if (!error) {
+    co_return true;
+  }
+  const auto fault = this->read_is_late ? RequestFault::kSlow : FaultOf(error);
+  if (fault) {
+    this->keep_alive = false;
+    co_await this->Refuse(this->context->handler.RejectFault(*fault));
+  }
+  co_return false;
+}
+
 asio::awaitable<bool> Session::ServeOne() {
-  const ServerLimits& limits = this->context->limits;
+  this->limits = this->context->handler.LimitsNow(this->context->limits);
+  if (!co_await this->AwaitRequest()) {
+    co_return false;
+  }
   Parser parser;
-  parser.header_limit(limits.head_bytes);
-  parser.body_limit(limits.body_bytes);
-  boost::system::error_code error;
-  this->stream.expires_after(limits.idle_timeout);
-  co_await beast_http::async_read_header(this->stream, this->buffer, parser,
+  parser.header_limit(this->limits.head_bytes);
+  parser.body_limit(this->limits.body_bytes);
+  const auto read_head = [this, &parser](boost::system::error_code& error) {
+    return beast_http::async_read_header(this->stream, this->buffer, parser,
                                          Use(error));
-  if (error) {
-    const auto fault = FaultOf(error);
-    if (fault) {
-      co_await this->Refuse(this->context->handler.RejectFault(*fault));
-    }
+  };
+  if (!co_await this->ReadWithin(this->limits.head_timeout, read_head)) {
     co_return false;
   }
   this->Reset(parser.get().keep_alive());
@@ -109,7 +158,6 @@
     co_return false;
   }
   request.body = std::move(parser.get().body());
-  this->stream.expires_never();
   this->serving = true;
   this->WatchPeer();
   co_await this->context->handler.Handle(std::move(request), *this);
@@ -119,27 +167,26 @@
 }
 
 asio::awaitable<bool> Session::ReadBody(Parser& parser) {
+  if (parser.is_done()) {
+    co_return true;
+  }
   boost::system::error_code error;
-  this->stream.expires_after(this->context->limits.head_timeout);
   const std::string expectation(parser.get()[beast_http::field::expect]);
   if (EqualFieldNames(expectation, "100-continue")) {
     beast_http::response<beast_http::empty_body> go_on{
         beast_http::status::continue_, kHttp11};
+    this->stream.expires_after(this->context->limits.head_timeout);
     co_await beast_http::async_write(this->stream, go_on, Use(error));
     if (error) {
       co_return false;
     }
+    this->stream.expires_never();
   }
-  co_await beast_http::async_read(this->stream, this->buffer, parser,
-                                  Use(error));
-  if (!error) {
-    co_return true;
-  }
-  const auto fault = FaultOf(error);
-  if (fault) {
-    co_await this->Refuse(this->context->handler.RejectFault(*fault));
-  }
-  co_return false;
+  const auto read_body = [this, &parser](boost::system::error_code& failure) {
+    return beast_http::async_read(this->stream, this->buffer, parser,
+                                  Use(failure));
+  };
+  co_return co_await this->ReadWithin(this->limits.idle_timeout, read_body);
 }
 
 asio::awaitable<bool> Session::Refuse(Response response) {
--- a/packages/http/src/session.h
+++ b/packages/http/src/session.h
@@ -4,7 +4,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -53,6 +55,12 @@
       boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
 
   asio::awaitable<bool> ServeOne();
+  //! Waits until a request begins; false where none does.
+  asio::awaitable<bool> AwaitRequest();
+  //! Reads a head or a body with `read`, at most for `most`. Whoever is slower
+  //! is told so. Returns whether all has been read.
+  template <typename Read>
+  asio::awaitable<bool> ReadWithin(std::chrono::milliseconds most, Read read);
   asio::awaitable<bool> ReadBody(Parser& parser);
   asio::awaitable<bool> Refuse(Response response);
   void WatchPeer();
@@ -63,6 +71,14 @@
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   std::shared_ptr<SessionContext> context;
+  //! The bounds of the request under way.
+  ServerLimits limits;
+  //! Ends a read that takes too long, and leaves the connection open for the
+  //! answer that says so.
+  asio::steady_timer read_timer;
+  //! Tells the read that a timer was set for from later ones.
+  std::uint64_t reads = 0;
+  bool read_is_late = false;
   std::unique_ptr<StreamResponse> stream_response;
   std::unique_ptr<StreamSerializer> serializer;
   std::function<void()> peer_gone;
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -114,6 +114,9 @@
 class ServerTable {
  public:
   explicit ServerTable(ServerTableLimits limits);
+
+  //! Goes by other limits from now on.
+  void SetLimits(ServerTableLimits next) { this->limits = next; }
   ~ServerTable();
   ServerTable(ServerTable&&) noexcept;
 
--- a/packages/state/include/tamarackwing/state/configuration_set.h
+++ b/packages/state/include/tamarackwing/state/configuration_set.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/state/caller_limits.h"
 #include "tamarackwing/state/path_route.h"
 #include "tamarackwing/state/residency_rule.h"
 #include "tamarackwing/state/service.h"
@@ -85,6 +86,7 @@
   std::map<RouteName, Route> routes;
   std::map<ServiceName, Service> services;
   std::map<RouteName, PathRoute> path_routes;
+  CallerLimits caller_limits;
 
   friend bool operator==(const ConfigurationSet&,
                          const ConfigurationSet&) = default;
@@ -119,6 +121,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   std::vector<PathRoute> path_routes;
+  //! Absent where they stay as they are.
+  std::optional<CallerLimits> caller_limits;
   std::vector<ObjectReference> removed;
 
   friend bool operator==(const SetDelta&, const SetDelta&) = default;
--- a/packages/state/src/configuration_set.cc
+++ b/packages/state/src/configuration_set.cc
@@ -79,6 +79,9 @@
               delta.removed);
   DiffObjects(ObjectKind::kPathRoute, from.path_routes, to.path_routes,
               delta.path_routes, delta.removed);
+  if (!(from.caller_limits == to.caller_limits)) {
+    delta.caller_limits = to.caller_limits;
+  }
   return delta;
 }
 
@@ -93,6 +96,9 @@
   Store(delta.routes, set.routes);
   Store(delta.services, set.services);
   Store(delta.path_routes, set.path_routes);
+  if (delta.caller_limits) {
+    set.caller_limits = *delta.caller_limits;
+  }
 }
 
 std::string_view ObjectKindName(ObjectKind kind) {
--- a/packages/state/src/internal/json_codec.h
+++ b/packages/state/src/internal/json_codec.h
@@ -89,6 +89,11 @@
                                    most_tries,
                                    services,
                                    residency)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CallerLimits,
+                                   head_bytes,
+                                   body_bytes,
+                                   head_timeout,
+                                   idle_timeout)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationSet,
                                    residency_rules,
                                    workspaces,
@@ -96,7 +101,8 @@
                                    model_versions,
                                    routes,
                                    services,
-                                   path_routes)
+                                   path_routes,
+                                   caller_limits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObjectReference, kind, name)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetDelta,
                                    residency_rules,
@@ -106,6 +112,7 @@
                                    routes,
                                    services,
                                    path_routes,
+                                   caller_limits,
                                    removed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostRecord,
                                    name,
--- a/packages/state/src/set_parser.cc
+++ b/packages/state/src/set_parser.cc
@@ -13,6 +13,8 @@
 constexpr std::int64_t kLargestWeight = 1'000;
 constexpr std::int64_t kLongestDeadlineMs = 3'600'000;
 constexpr std::int64_t kMostConnections = 1'000'000;
+constexpr std::int64_t kMostHeadBytes = 1 << 20;
+constexpr std::int64_t kMostBodyBytes = 1 << 30;
 constexpr std::size_t kDigestDigits = 64;
 
 bool IsDigest(const std::string& text) {
@@ -166,6 +168,28 @@
   return route;
 }
 
+CallerLimits ReadCallerLimits(config::TableReader& reader) {
+  reader.RejectOthers({"head_bytes", "body_bytes", "head_ms", "idle_ms"});
+  CallerLimits limits;
+  if (reader.Has("head_bytes")) {
+    limits.head_bytes = static_cast<std::uint32_t>(
+        reader.Number("head_bytes", 1, kMostHeadBytes, 1, true));
+  }
+  if (reader.Has("body_bytes")) {
+    limits.body_bytes = static_cast<std::uint64_t>(
+        reader.Number("body_bytes", 1, kMostBodyBytes, 1, true));
+  }
+  if (reader.Has("head_ms")) {
+    limits.head_timeout = std::chrono::milliseconds(
+        reader.Number("head_ms", 1, kLongestDeadlineMs, 1, true));
+  }
+  if (reader.Has("idle_ms")) {
+    limits.idle_timeout = std::chrono::milliseconds(
+        reader.Number("idle_ms", 1, kLongestDeadlineMs, 1, true));
+  }
+  return limits;
+}
+
 template <typename Object, typename Name>
 void ReadObjects(config::TableReader& document,
                  ObjectKind kind,
@@ -203,8 +227,11 @@
   ConfigurationSet set;
   config::TableReader document(*table, "", faults);
   document.RejectOthers({"residency_rules", "workspaces", "keys",
-                         "model_versions", "routes", "services",
-                         "path_routes"});
+                         "model_versions", "routes", "services", "path_routes",
+                         "caller_limits"});
+  if (auto limits = document.Table("caller_limits", false)) {
+    set.caller_limits = ReadCallerLimits(*limits);
+  }
   ReadObjects(document, ObjectKind::kResidencyRule, ReadResidencyRule,
               NameOf<ResidencyRule>, set.residency_rules, faults);
   ReadObjects(document, ObjectKind::kWorkspace, ReadWorkspace,
--- a/packages/state/tests/control_state_tests.cc
+++ b/packages/state/tests/control_state_tests.cc
@@ -101,6 +101,39 @@
                                          config::FaultCode::kNoDiskHost}));
 }
 
+TEST_F(ControlStateTest, CallersLimitsComeWithTheSetAndGoWithIt) {
+  ConfigurationSet limited = Set();
+  limited.caller_limits.body_bytes = 1'000;
+  limited.caller_limits.head_timeout = std::chrono::seconds(3);
+  this->Publish("a", 0, limited);
+  EXPECT_EQ(this->state.Set()->caller_limits, limited.caller_limits);
+  const auto again = ControlState::Decode(this->state.Encode());
+  ASSERT_TRUE(again.has_value());
+  EXPECT_EQ(again->Set()->caller_limits, limited.caller_limits);
+  this->Publish("b", this->state.Version(), Set());
+  EXPECT_EQ(this->state.Set()->caller_limits, CallerLimits());
+}
+
+TEST(SetParser, CallersLimitsAreReadAndChecked) {
+  const auto set = ParseSet(
+      "[caller_limits]\nhead_bytes = 8000\nhead_ms = 500\nidle_ms = 9000\n");
+  ASSERT_TRUE(set.has_value());
+  EXPECT_EQ(set->caller_limits.head_bytes, 8'000U);
+  EXPECT_EQ(set->caller_limits.idle_timeout, std::chrono::seconds(9));
+  EXPECT_FALSE(set->caller_limits.body_bytes.has_value());
+  EXPECT_FALSE(ParseSet("[caller_limits]\nhead_bytes = 0\n").has_value());
+  EXPECT_FALSE(ParseSet("[caller_limits]\nhead_size = 1\n").has_value());
+}
+
+TEST(SetParser, LettersOutsideOfTextsAreAFault) {
+  // One from each range of letters that the parser's tables leave out.
+  for (const std::string letter : {"\u00e9", "\u3001", "\ufefe"}) {
+    EXPECT_FALSE(ParseSet(letter + " = 1\n").has_value());
+    EXPECT_FALSE(ParseSet("[[keys]]" + letter + "\n").has_value());
+    EXPECT_TRUE(ParseSet("# " + letter + "\n").has_value());
+  }
+}
+
 TEST_F(ControlStateTest, AWithdrawnKeyStaysWithdrawn) {
   this->Publish("a", 0, Set());
   this->Apply(WithdrawKeys{{KeyDigest(kDigest)}});
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -85,6 +85,7 @@
       parts(parts),
       disk(disk),
       founds_log(founds_log),
+      fleet_retries(settings.fleet_retries),
       random(std::hash<std::string>{}(settings.gateway.host.Text()) ^
              NewIncarnation()) {
   this->LinkBudget();
@@ -537,20 +538,37 @@
     this->told_to_drain.store(true);
   }
   std::vector<state::HostRecord> records;
-  std::uint32_t entries = 0;
   for (const auto& [name, host] : hosts) {
     records.push_back(host);
-    entries += host.caller_port != 0 ? 1 : 0;
   }
   this->network->SetHosts(records);
-  if (this->settings.fleet_retries > 0 && entries > 0) {
+  this->LimitRetries();
+}
+
+void ControlThread::LimitRetries() {
+  const auto entries = static_cast<std::uint32_t>(std::count_if(
+      this->known_hosts->begin(), this->known_hosts->end(),
+      [](const auto& host) { return host.second.caller_port != 0; }));
+  if (this->fleet_retries > 0 && entries > 0) {
     // Half of what is allowed: hosts count their requests by different windows.
     this->parts.servers.SetRetryLimits(
         kRetryPercent,
-        std::max<std::uint32_t>(1, this->settings.fleet_retries / 2 / entries));
+        std::max<std::uint32_t>(1, this->fleet_retries / 2 / entries));
   }
 }
 
+void ControlThread::TakeSettings(const Settings& next) {
+  const std::uint32_t retries = next.fleet_retries;
+  const std::chrono::milliseconds freshness = next.times.key_freshness;
+  this->network->Post([this, retries, freshness] {
+    this->fleet_retries = retries;
+    if (this->known_hosts) {
+      this->LimitRetries();
+    }
+    this->node->SetKeyFreshness(freshness);
+  });
+}
+
 void ControlThread::PublishMetrics() {
   Metrics& metrics = this->parts.metrics;
   const state::ControlState& state = this->node->State();
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -70,6 +70,9 @@
 
   //! Recovers from the disk, listens and runs.
   Expected<void, ControlError> Start();
+  //! Takes in what may change while the host runs: the fleet's second sends
+  //! and the freshness of keys.
+  void TakeSettings(const Settings& next);
   //! Tells the others that this host drains.
   void StartDrain();
   //! Whether what the host had to hand over has been taken.
@@ -125,6 +128,7 @@
   void ProbeRegions();
   void PublishSnapshot();
   void PublishMetrics();
+  void LimitRetries();
   void TakeHosts(const std::map<HostName, state::HostRecord>& hosts);
   void EndWaits();
   void End(const RegionName& region,
@@ -139,6 +143,8 @@
   ControlParts parts;
   state::Disk* disk;
   bool founds_log;
+  //! Second sends of all hosts together, as last told.
+  std::uint32_t fleet_retries;
   SeededRandom random;
   std::unique_ptr<state::LogStore> store;
   std::unique_ptr<control::ControlNode> node;
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -257,6 +257,16 @@
                                           : DaemonState::kServing;
 }
 
+void Daemon::TakeSettings(const Settings& next) {
+  Parts& parts = *this->parts;
+  SetLogLevel(next.log_level);
+  parts.settings.drain_limit = next.drain_limit;
+  parts.settings.drain_serves = next.drain_serves;
+  parts.servers.SetLimits(next.servers);
+  parts.rates.SetTolerance(next.rate_tolerance);
+  parts.control.TakeSettings(next);
+}
+
 bool Daemon::Drain() {
   Parts& parts = *this->parts;
   LogEvent(Event::kDrainStarted, LogLevel::kInfo,
--- a/programs/tamarackwingd/src/daemon.h
+++ b/programs/tamarackwingd/src/daemon.h
@@ -51,6 +51,11 @@
   //! Does what control asks of the host, such as to drain, and says whether it
   //! can go on. To be called a few times a second.
   DaemonState Poll();
+  //! Takes in what may change while the host runs: the log's level, the times
+  //! of a stop, the limits of the table of servers, what may pass beyond rates,
+  //! second sends, and the freshness of keys. Listeners and hosts stay.
+  //! Precondition: Start has succeeded.
+  void TakeSettings(const Settings& next);
   //! Refuses new requests, waits for the open ones and returns whether all
   //! ended within the drain limit.
   bool Drain();
--- a/programs/tamarackwingd/src/main.cc
+++ b/programs/tamarackwingd/src/main.cc
@@ -4,11 +4,13 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
-#include <fstream>
 #include <iostream>
-#include <sstream>
+#include <string>
 
 #include "daemon.h"
+#include "settings_file.h"
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/event.h"
 #include "tamarackwing/platform.h"
 
 DEFINE_string(settings,
@@ -33,13 +35,6 @@
   return FLAGS_settings.empty() && path != nullptr ? path : FLAGS_settings;
 }
 
-std::string ReadFile(const std::string& path) {
-  const std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 void PrintFaults(const std::string& file,
                  const tamarackwing::config::Faults& faults) {
   for (const tamarackwing::config::Fault& fault : faults) {
@@ -52,18 +47,17 @@
   }
 }
 
-//! Takes in what may change while the host runs: the level of the log. A file
-//! with faults changes nothing.
-void Reload() {
-  const auto settings =
-      tamarackwing::daemon::ParseSettings(ReadFile(SettingsPath()));
+//! Takes in what may change while the host runs. Settings with faults change
+//! nothing.
+void Reload(const std::string& text, tamarackwing::daemon::Daemon& daemon) {
+  const auto settings = tamarackwing::daemon::ParseSettings(text);
   if (!settings) {
     tamarackwing::LogEvent(
         tamarackwing::Event::kSettingsRejected, tamarackwing::LogLevel::kError,
         {{"faults", std::to_string(settings.error().size())}});
     return;
   }
-  tamarackwing::SetLogLevel(settings->log_level);
+  daemon.TakeSettings(*settings);
   tamarackwing::LogEvent(tamarackwing::Event::kSettingsReloaded,
                          tamarackwing::LogLevel::kInfo, {});
 }
@@ -80,6 +74,7 @@
 
 //! Runs the host until it is told to stop; returns the process's result.
 int Serve(const tamarackwing::daemon::Settings& settings,
+          tamarackwing::daemon::SettingsFile& file,
           const sigset_t& signals) {
   tamarackwing::platform::PlatformAdapter adapter;
   tamarackwing::daemon::Daemon daemon(
@@ -97,9 +92,11 @@
     const timespec poll{0, kPollNanoseconds};
     const int signal = sigtimedwait(&signals, nullptr, &poll);
     if (signal == SIGHUP) {
-      Reload();
+      Reload(file.Read(), daemon);
     } else if (signal > 0) {
       return daemon.Drain() ? 0 : kRequestsCut;
+    } else if (const auto changed = file.ReadIfChanged()) {
+      Reload(*changed, daemon);
     }
     if (daemon.Poll() == tamarackwing::daemon::DaemonState::kDiskFailed) {
       std::cerr << "cannot go on: disk_failed\n";
@@ -114,14 +111,15 @@
   gflags::SetUsageMessage("the gateway process of an entry host");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const auto settings =
-      tamarackwing::daemon::ParseSettings(ReadFile(SettingsPath()));
+  const tamarackwing::SteadyClock clock;
+  tamarackwing::daemon::SettingsFile file(SettingsPath(), clock);
+  const auto settings = tamarackwing::daemon::ParseSettings(file.Read());
   if (!settings) {
     tamarackwing::OpenLog(tamarackwing::LogLevel::kInfo);
     tamarackwing::LogEvent(
         tamarackwing::Event::kSettingsRejected, tamarackwing::LogLevel::kError,
         {{"faults", std::to_string(settings.error().size())}});
-    PrintFaults(SettingsPath(), settings.error());
+    PrintFaults(file.Path(), settings.error());
     return kBadSettings;
   }
   if (FLAGS_check) {
@@ -129,7 +127,7 @@
   }
   const sigset_t signals = BlockStopSignals();
   tamarackwing::OpenLog(settings->log_level);
-  const int result = Serve(*settings, signals);
+  const int result = Serve(*settings, file, signals);
   tamarackwing::CloseLog();
   // All is written and closed. The exit handlers of the log's library wait for
   // its threads, on some machines for good.
--- a/programs/tamarackwingd/src/rate_desk.cc
+++ b/programs/tamarackwingd/src/rate_desk.cc
@@ -41,9 +41,9 @@
   const auto snapshot = this->snapshots.Get();
   const auto found = snapshot->set->workspaces.find(workspace);
   if (found != snapshot->set->workspaces.end()) {
+    const std::lock_guard lock(this->mutex);
     const policy::RateLimit limit =
         LimitOf(*snapshot, found->second, this->tolerance);
-    const std::lock_guard lock(this->mutex);
     const policy::RateAnswer taken =
         this->holder.Take(workspace, limit, tokens, this->clock.Now());
     answer.granted = taken.granted;
@@ -61,6 +61,11 @@
   this->holder.Return(workspace, static_cast<TokenCount>(reservation) - used);
 }
 
+void RateDesk::SetTolerance(RateTolerance next) {
+  const std::lock_guard lock(this->mutex);
+  this->tolerance = next;
+}
+
 policy::RateReport RateDesk::MakeReport() {
   const std::lock_guard lock(this->mutex);
   return this->holder.MakeReport(this->clock.Now());
--- a/programs/tamarackwingd/src/rate_desk.h
+++ b/programs/tamarackwingd/src/rate_desk.h
@@ -28,6 +28,8 @@
               std::uint64_t reservation,
               TokenCount used) override;
 
+  //! Goes by another tolerance from now on.
+  void SetTolerance(RateTolerance next);
   //! The next report to the leader.
   policy::RateReport MakeReport();
   //! Takes the leader's answer.
@@ -36,8 +38,8 @@
  private:
   const Clock& clock;
   gateway::SnapshotHolder& snapshots;
-  RateTolerance tolerance;
   std::mutex mutex;
+  RateTolerance tolerance;
   policy::RateHolder holder;
 };
 
