Keep a server's failure when another server has not run the request

Cause: reading a rejection to its end overwrote the earlier server's stored answer, and the caller got a refusal in its place. Test: WholePath.AServersFailureStandsAfterAnotherHasNotRunTheRequest, red before (502 for the server's own 500).

--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -63,6 +63,11 @@
   http::asio::awaitable<policy::TryEnd> ReadAnswer(
       const Target& target,
       http::Connection& connection);
+  //! An answer to its end; nothing where the connection's error, of which the
+  //! sign is taken, cuts it.
+  http::asio::awaitable<std::optional<http::Response>> ReadWhole(
+      http::Connection& connection,
+      http::ResponseHead head);
   http::asio::awaitable<policy::TryEnd> KeepWhole(http::Connection& connection,
                                                   http::ResponseHead head);
   http::asio::awaitable<policy::TryEnd> PassStream(
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -175,9 +175,9 @@
     co_return this->Lose(http::ConnectionError::kMalformed);
   }
   if (read.not_run || read.other_server) {
-    // Read to its end, so that the connection can serve again.
-    co_await this->KeepWhole(connection, std::move(read.passed));
-    this->answer.reset();
+    // Read to its end, so that the connection can serve again. The answer of an
+    // earlier server that failed still stands.
+    co_await this->ReadWhole(connection, std::move(read.passed));
     co_return TryEnd::kNotRun;
   }
   if (target.server && this->call.prompt) {
@@ -189,7 +189,7 @@
   co_return co_await this->KeepWhole(connection, std::move(read.passed));
 }
 
-http::asio::awaitable<TryEnd> PathRequest::KeepWhole(
+http::asio::awaitable<std::optional<http::Response>> PathRequest::ReadWhole(
     http::Connection& connection,
     http::ResponseHead head) {
   http::Response response;
@@ -198,21 +198,29 @@
     auto piece = co_await connection.ReadPiece(this->deadline);
     const std::size_t most = this->gateway.Settings().answer_bytes;
     if (!piece) {
-      co_return this->Lose(piece.error());
+      this->Lose(piece.error());
+      co_return std::nullopt;
     }
     if (response.body.size() + piece->size() > most) {
-      co_return this->Lose(http::ConnectionError::kMalformed);
+      this->Lose(http::ConnectionError::kMalformed);
+      co_return std::nullopt;
     }
     if (piece->empty()) {
-      break;
+      co_return response;
     }
     response.body += *piece;
   }
-  if (this->writer.HasStarted()) {
-    // A stream that has begun can't go on with an answer of another kind.
+}
+
+http::asio::awaitable<TryEnd> PathRequest::KeepWhole(
+    http::Connection& connection,
+    http::ResponseHead head) {
+  auto response = co_await this->ReadWhole(connection, std::move(head));
+  // A stream that has begun can't go on with an answer of another kind.
+  if (!response || this->writer.HasStarted()) {
     co_return TryEnd::kLost;
   }
-  const bool failed = response.head.status >= kServerError;
+  const bool failed = response->head.status >= kServerError;
   this->answer = std::move(response);
   co_return failed ? TryEnd::kFailed : TryEnd::kServed;
 }
