Split the control node's feeds and proposals into types of their own

One change of behaviour: a host that starts no longer passes over its first source at its first question, because the time since which it asks that source now starts with it.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -12,11 +11,13 @@
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/control/control_effects.h"
 #include "tamarackwing/control/control_options.h"
-#include "tamarackwing/control/feed_buffer.h"
+#include "tamarackwing/control/feed_follower.h"
+#include "tamarackwing/control/feed_source.h"
 #include "tamarackwing/control/host_watch.h"
 #include "tamarackwing/control/leader_duties.h"
 #include "tamarackwing/control/ledger_client.h"
 #include "tamarackwing/control/peer_message.h"
+#include "tamarackwing/control/proposal_desk.h"
 #include "tamarackwing/control/region_allocator.h"
 #include "tamarackwing/control/server_relay.h"
 #include "tamarackwing/state/agreed_log.h"
@@ -124,22 +125,6 @@
   std::vector<HostName> RegionPeers() const;
 
  private:
-  struct Subscriber {
-    LogIndex next = 1;
-    TimePoint heard;
-  };
-  struct Proposal {
-    std::string payload;
-    TimePoint sent;
-    //! Proposed in this host's own log at this index; zero where not.
-    LogIndex index = 0;
-  };
-  //! A proposal that another host forwarded.
-  struct Forwarded {
-    HostName from;
-    std::uint64_t number = 0;
-  };
-
   void TakeLog(state::LogEffects log_effects,
                TimePoint now,
                ControlEffects& effects);
@@ -205,14 +190,17 @@
   void Report(TimePoint now, ControlEffects& effects);
   void ReportToRegion(TimePoint now, ControlEffects& effects);
   void AskFeed(TimePoint now, ControlEffects& effects);
-  void PushFeed(TimePoint now, ControlEffects& effects);
   void SendServerNews(TimePoint now, ControlEffects& effects);
-  FeedReply MakeFeed(LogIndex next, TimePoint now);
+  FeedKnowledge Knowledge(TimePoint now) const;
   void DoLeaderDuties(TimePoint now, ControlEffects& effects);
   void ChangeVoters(TimePoint now, ControlEffects& effects);
   void CompactLog(ControlEffects& effects, TimePoint now);
   void ResendProposals(TimePoint now, ControlEffects& effects);
-  void ProposeHere(Proposal& proposal, TimePoint now, ControlEffects& effects);
+  //! Puts an open proposal of this host into its log, or sends it to the
+  //! leader.
+  void SendProposal(std::uint64_t number,
+                    TimePoint now,
+                    ControlEffects& effects);
   void UpdateReady(TimePoint now, ControlEffects& effects);
   //! Logs when word from a leader is lost and when it is back.
   void WatchWord(TimePoint now);
@@ -231,7 +219,8 @@
   RegionAllocator allocator;
   HostWatch watch;
   LeaderDuties duties;
-  FeedBuffer buffer;
+  FeedFollower follower;
+  FeedSource feed;
   ServerRelay relay;
   policy::RateLeases rates;
 
@@ -243,23 +232,9 @@
   TimePoint region_report_at;
   TimePoint duties_at;
   TimePoint relay_at;
-  std::size_t source = 0;
-  TimePoint source_since;
-  HostName source_leader;
-  std::uint64_t feed_number = 0;
-  std::map<std::uint64_t, TimePoint> feed_sent;
-  TimePoint feed_answered;
-  TimePoint feed_word;
-  LogIndex feed_commit = 0;
   bool heard_region = false;
   std::optional<TimePoint> word_lost_at;
-  HostName feed_leader;
-  std::map<HostName, Subscriber> subscribers;
-
-  std::uint64_t next_number = 1;
-  std::map<std::uint64_t, Proposal> proposals;
-  std::map<LogIndex, Forwarded> forwarded;
-  std::set<std::pair<HostName, std::uint64_t>> forwarded_open;
+  ProposalDesk proposals;
   std::map<std::string, LogIndex> duties_under_way;
   std::set<KeyDigest> early_withdrawn;
   RegionStatus region_status;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -12,19 +12,10 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kBufferedEntries = 8'192;
-constexpr std::size_t kBufferedBytes = 1024 * 1024;
-//! Whoever is further behind gets a snapshot: many sets that replaced each
-//! other weigh more than the one that is left.
-constexpr std::size_t kMostFeedBytes = 128 * 1024;
-constexpr std::size_t kEntriesPerFeed = 512;
 constexpr std::size_t kHundred = 100;
 //! Peers of a region to whom a host reports at the full pace.
 constexpr std::size_t kPeersPerReport = 8;
-constexpr milliseconds kProposalResend{500};
 constexpr milliseconds kLedgerResend{200};
-//! Reports without an answer after which another source is tried.
-constexpr int kSilentReports = 4;
 //! Reports to a member whose answers may still confirm the view.
 constexpr std::size_t kReportsKept = 32;
 
@@ -55,12 +46,11 @@
       allocator(options),
       watch(options.host_lost),
       duties(options),
-      buffer(kBufferedEntries, kBufferedBytes),
+      follower(options.report, now),
       relay(options),
       rates(options.rates),
       started(now),
-      report_at(now),
-      feed_answered(now) {
+      report_at(now) {
   if (!recovered.log.snapshot.state.empty()) {
     auto decoded = state::ControlState::Decode(recovered.log.snapshot.state);
     if (decoded) {
@@ -165,21 +155,14 @@
 std::uint64_t ControlNode::Propose(const state::ControlChange& change,
                                    TimePoint now,
                                    ControlEffects& effects) {
-  const std::uint64_t number = this->next_number++;
-  Proposal& proposal = this->proposals[number];
-  proposal.payload = state::EncodeChange(change);
-  proposal.sent = now;
-  if (this->log.IsLeader()) {
-    this->ProposeHere(proposal, now, effects);
-  } else if (!this->Leader().IsEmpty()) {
-    effects.sends.push_back(
-        {this->Leader(), ProposeRequest{number, proposal.payload}});
-  }
+  const std::uint64_t number =
+      this->proposals.Add(state::EncodeChange(change), now);
+  this->SendProposal(number, now, effects);
   return number;
 }
 
 void ControlNode::GiveUp(std::uint64_t number) {
-  this->proposals.erase(number);
+  this->proposals.Remove(number);
 }
 
 ControlEffects ControlNode::Withdraw(const KeyDigest& digest, TimePoint now) {
@@ -191,7 +174,7 @@
 
 std::optional<std::uint64_t> ControlNode::AskStatus(TimePoint now,
                                                     ControlEffects& effects) {
-  const std::uint64_t number = this->next_number++;
+  const std::uint64_t number = this->proposals.NextNumber();
   if (this->log.IsLeader()) {
     this->HandleStatusRequest(this->options.self.name, StatusRequest{number},
                               now, effects);
@@ -376,7 +359,8 @@
 }
 
 const HostName& ControlNode::Leader() const {
-  return this->log.Leader().IsEmpty() ? this->feed_leader : this->log.Leader();
+  return this->log.Leader().IsEmpty() ? this->follower.Leader()
+                                      : this->log.Leader();
 }
 
 std::vector<HostName> ControlNode::RegionPeers() const {
@@ -414,8 +398,7 @@
     this->duties.StartTerm(now);
     this->rates.StartTerm(now);
     this->duties_under_way.clear();
-    this->forwarded.clear();
-    this->forwarded_open.clear();
+    this->proposals.ForgetForwarded();
     LogEvent(Event::kLeaderElected, LogLevel::kInfo,
              {{"host", this->options.self.name.Text()},
               {"term", std::to_string(this->log.CurrentTerm())}});
@@ -465,7 +448,7 @@
   } else {
     this->state.Skip(entry.index);
   }
-  this->buffer.Add(entry);
+  this->feed.Keep(entry);
   this->FinishProposals(entry, outcome, effects);
   this->TakeView(now, effects);
   effects.snapshot_changed = true;
@@ -523,37 +506,28 @@
       effects.withdrawn.push_back(digest);
     }
   }
-  this->buffer.Clear();
+  this->feed.Clear();
   this->AfterApply(now, effects);
   effects.snapshot_changed = true;
 }
 
 void ControlNode::AfterApply(TimePoint now, ControlEffects& effects) {
   this->TakeView(now, effects);
-  this->PushFeed(now, effects);
+  for (FeedNews& news : this->feed.News(this->Knowledge(now))) {
+    effects.sends.push_back({news.to, std::move(news.reply)});
+  }
 }
 
 void ControlNode::FinishProposals(const state::LogEntry& entry,
                                   const state::ApplyOutcome& outcome,
                                   ControlEffects& effects) {
-  for (auto proposal = this->proposals.begin();
-       proposal != this->proposals.end();) {
-    const bool is_this = proposal->second.index == entry.index &&
-                         proposal->second.payload == entry.payload;
-    if (is_this) {
-      effects.changes.push_back({proposal->first, outcome});
-      proposal = this->proposals.erase(proposal);
-    } else {
-      ++proposal;
-    }
+  for (const std::uint64_t number : this->proposals.Finish(entry)) {
+    effects.changes.push_back({number, outcome});
   }
-  const auto remote = this->forwarded.find(entry.index);
-  if (remote != this->forwarded.end()) {
-    const Forwarded& origin = remote->second;
+  const auto remote = this->proposals.FinishForwarded(entry.index);
+  if (remote) {
     effects.sends.push_back(
-        {origin.from, ProposeReply{origin.number, outcome}});
-    this->forwarded_open.erase({origin.from, origin.number});
-    this->forwarded.erase(remote);
+        {remote->from, ProposeReply{remote->number, outcome}});
   }
 }
 
@@ -580,15 +554,8 @@
   for (const HostStatus& status : request.statuses) {
     this->watch.NoteStatus(status, now - status.age);
   }
-  FeedReply reply = this->MakeFeed(request.next, now);
-  reply.number = request.number;
-  Subscriber& subscriber = this->subscribers[from];
-  subscriber.heard = now;
-  subscriber.next = std::max(request.next, this->state.Applied() + 1);
-  if (!reply.entries.empty()) {
-    subscriber.next = reply.entries.back().index + 1;
-  }
-  effects.sends.push_back({from, std::move(reply)});
+  effects.sends.push_back(
+      {from, this->feed.Answer(from, request, this->Knowledge(now))});
 }
 
 void ControlNode::HandleFeedReply(const HostName& from,
@@ -604,21 +571,11 @@
   if (!reply.entries.empty()) {
     this->AfterApply(now, effects);
   }
-  const auto sent = this->feed_sent.find(reply.number);
-  if (sent != this->feed_sent.end()) {
-    this->feed_answered = now;
-    this->feed_leader = reply.leader;
+  if (this->follower.Take(reply, this->state.Applied(), now)) {
     const state::HostRecord* host = this->FindHost(from);
     this->heard_region =
         this->heard_region ||
         (host != nullptr && host->region == this->options.self.region);
-    this->feed_commit = std::max(this->feed_commit, reply.commit);
-    // The word counts only once all that it spoke of is in force.
-    if (reply.word_age && this->state.Applied() >= reply.commit) {
-      this->feed_word =
-          std::max(this->feed_word, sent->second - *reply.word_age);
-    }
-    this->feed_sent.erase(this->feed_sent.begin(), std::next(sent));
   }
   if (this->state.Applied() < reply.commit && reply.number != 0) {
     this->report_at = now;
@@ -633,22 +590,21 @@
                                 const ProposeRequest& request,
                                 TimePoint now,
                                 ControlEffects& effects) {
-  const std::pair<HostName, std::uint64_t> origin{from, request.number};
-  if (!this->log.IsLeader() || this->forwarded_open.contains(origin)) {
+  const ForwardedProposal proposal{from, request.number};
+  if (!this->log.IsLeader() || this->proposals.IsForwardedOpen(proposal)) {
     return;
   }
   state::LogEffects log_effects;
   const auto index = this->log.Propose(request.payload, now, log_effects);
   if (index) {
-    this->forwarded[*index] = {from, request.number};
-    this->forwarded_open.insert(origin);
+    this->proposals.NoteForwarded(*index, proposal);
   }
   this->TakeLog(std::move(log_effects), now, effects);
 }
 
 void ControlNode::HandleProposeReply(const ProposeReply& reply,
                                      ControlEffects& effects) {
-  if (this->proposals.erase(reply.number) > 0) {
+  if (this->proposals.Remove(reply.number)) {
     effects.changes.push_back({reply.number, reply.outcome});
   }
 }
@@ -767,12 +723,10 @@
   if (now >= this->region_report_at) {
     this->ReportToRegion(now, effects);
   }
-  std::erase_if(this->subscribers, [&](const auto& entry) {
-    return now - entry.second.heard > this->options.host_lost;
-  });
+  this->feed.DropSilent(now - this->options.host_lost);
   if (!this->early_withdrawn.empty() && !this->Leader().IsEmpty()) {
     // Withdrawals are final, so to propose one twice does no harm.
-    if (this->proposals.empty()) {
+    if (!this->proposals.HasOpen()) {
       this->Propose(state::WithdrawKeys{{this->early_withdrawn.begin(),
                                          this->early_withdrawn.end()}},
                     now, effects);
@@ -813,82 +767,21 @@
   if (sources.empty()) {
     return;
   }
-  if (this->Leader() != this->source_leader) {
-    // Whoever was tried while there was no leader says nothing of what is best
-    // under a new one.
-    this->source_leader = this->Leader();
-    this->source = 0;
-    this->source_since = now;
-    this->feed_answered = now;
-  }
-  // A source that answers and has no word from a leader itself is no better
-  // than one that is silent.
-  const Duration silence = kSilentReports * this->options.report;
-  const bool has_word = now - this->feed_word <= 2 * silence;
-  const bool is_answered = now - this->feed_answered <= silence;
-  if (!is_answered || (!has_word && now - this->source_since > 2 * silence)) {
-    this->source += 1;
-    this->source_since = now;
-    this->feed_answered = now;
-  }
-  FeedRequest request;
-  request.number = ++this->feed_number;
-  request.next = this->state.Applied() + 1;
+  const HostName& source = this->follower.Choose(sources, this->Leader(), now);
+  FeedRequest request = this->follower.Ask(this->state.Applied() + 1, now);
   request.statuses = this->watch.Recent(now);
-  this->feed_sent[request.number] = now;
-  if (this->feed_sent.size() > kReportsKept) {
-    this->feed_sent.erase(this->feed_sent.begin());
-  }
-  if (!this->ready) {
-    // Whoever starts asks all, so as not to begin behind its region.
-    for (const HostName& host : sources) {
-      effects.sends.push_back({host, request});
-    }
+  if (this->ready) {
+    effects.sends.push_back({source, std::move(request)});
     return;
   }
-  effects.sends.push_back(
-      {sources[this->source % sources.size()], std::move(request)});
-}
-
-void ControlNode::PushFeed(TimePoint now, ControlEffects& effects) {
-  for (auto& [host, subscriber] : this->subscribers) {
-    if (subscriber.next > this->state.Applied()) {
-      continue;
-    }
-    FeedReply reply = this->MakeFeed(subscriber.next, now);
-    if (reply.snapshot) {
-      continue;
-    }
-    subscriber.next = reply.entries.back().index + 1;
-    effects.sends.push_back({host, std::move(reply)});
+  // Whoever starts asks all, so as not to begin behind its region.
+  for (const HostName& host : sources) {
+    effects.sends.push_back({host, request});
   }
 }
 
-FeedReply ControlNode::MakeFeed(LogIndex next, TimePoint now) {
-  FeedReply reply;
-  reply.commit = this->state.Applied();
-  reply.leader = this->Leader();
-  const auto word = this->Word(now);
-  if (word) {
-    reply.word_age = std::chrono::ceil<milliseconds>(now - *word);
-  }
-  auto entries =
-      this->buffer.From(next, this->state.Applied(), kEntriesPerFeed);
-  std::size_t bytes = 0;
-  for (const state::LogEntry& entry :
-       entries.value_or(std::vector<state::LogEntry>())) {
-    bytes += entry.payload.size();
-  }
-  const bool is_one = entries && entries->size() == 1;
-  if (entries && (bytes <= kMostFeedBytes || is_one)) {
-    reply.entries = std::move(*entries);
-    return reply;
-  }
-  state::LogSnapshot snapshot;
-  snapshot.index = this->state.Applied();
-  snapshot.state = this->state.Encode();
-  reply.snapshot = std::move(snapshot);
-  return reply;
+FeedKnowledge ControlNode::Knowledge(TimePoint now) const {
+  return {this->state, this->Leader(), this->Word(now), now};
 }
 
 void ControlNode::DoLeaderDuties(TimePoint now, ControlEffects& effects) {
@@ -945,35 +838,33 @@
 }
 
 void ControlNode::ResendProposals(TimePoint now, ControlEffects& effects) {
-  std::vector<std::uint64_t> due;
-  for (const auto& [number, proposal] : this->proposals) {
-    if (now - proposal.sent >= kProposalResend) {
-      due.push_back(number);
+  for (const std::uint64_t number : this->proposals.Due(now)) {
+    // One that was sent before may end another one.
+    if (this->proposals.IsOpen(number)) {
+      this->SendProposal(number, now, effects);
     }
   }
-  for (const std::uint64_t number : due) {
-    Proposal& proposal = this->proposals.at(number);
-    proposal.sent = now;
-    if (this->log.IsLeader()) {
-      this->ProposeHere(proposal, now, effects);
-    } else if (!this->Leader().IsEmpty()) {
-      proposal.index = 0;
+}
+
+void ControlNode::SendProposal(std::uint64_t number,
+                               TimePoint now,
+                               ControlEffects& effects) {
+  const std::string payload = this->proposals.PayloadOf(number);
+  if (!this->log.IsLeader()) {
+    this->proposals.SetIndex(number, 0);
+    if (!this->Leader().IsEmpty()) {
       effects.sends.push_back(
-          {this->Leader(), ProposeRequest{number, proposal.payload}});
+          {this->Leader(), ProposeRequest{number, payload}});
     }
+    return;
   }
-}
-
-void ControlNode::ProposeHere(Proposal& proposal,
-                              TimePoint now,
-                              ControlEffects& effects) {
-  if (proposal.index > this->state.Applied()) {
+  if (this->proposals.IndexOf(number) > this->state.Applied()) {
     return;
   }
   state::LogEffects log_effects;
-  const auto index = this->log.Propose(proposal.payload, now, log_effects);
+  const auto index = this->log.Propose(payload, now, log_effects);
   if (index) {
-    proposal.index = *index;
+    this->proposals.SetIndex(number, *index);
   }
   this->TakeLog(std::move(log_effects), now, effects);
 }
@@ -1010,11 +901,12 @@
       self->incarnation == this->options.self.incarnation;
   const auto word = this->Word(now);
   const bool is_fresh = word && now - *word < this->options.key_freshness &&
-                        this->state.Applied() >= this->feed_commit;
+                        this->state.Applied() >= this->follower.Commit();
   // Cut off from the group, the newest state of the region must do.
-  const bool has_floor =
-      now - this->started >= this->options.floor_wait && this->heard_region &&
-      this->state.Applied() >= this->feed_commit && this->state.Applied() > 0;
+  const bool has_floor = now - this->started >= this->options.floor_wait &&
+                         this->heard_region &&
+                         this->state.Applied() >= this->follower.Commit() &&
+                         this->state.Applied() > 0;
   if ((is_listed && is_fresh) || has_floor) {
     this->ready = true;
     effects.snapshot_changed = true;
@@ -1054,10 +946,7 @@
   }
   // Only an answer to this host's own question proves anything of the time: an
   // append may have waited in a socket while this host was suspended.
-  if (this->feed_word == TimePoint()) {
-    return std::nullopt;
-  }
-  return this->feed_word;
+  return this->follower.Word();
 }
 
 bool ControlNode::IsAlive(const state::AskId& id) const {
--- /dev/null
+++ b/packages/control/src/feed_source.cc
@@ -0,0 +1,84 @@
+#include "tamarackwing/control/feed_source.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackwing::control {
+namespace {
+
+constexpr std::size_t kBufferedEntries = 8'192;
+constexpr std::size_t kBufferedBytes = 1024 * 1024;
+//! Whoever is further behind gets a snapshot: many sets that replaced each
+//! other weigh more than the one that is left.
+constexpr std::size_t kMostFeedBytes = 128 * 1024;
+constexpr std::size_t kEntriesPerFeed = 512;
+
+}  // namespace
+
+FeedSource::FeedSource() : buffer(kBufferedEntries, kBufferedBytes) {}
+
+FeedReply FeedSource::Answer(const HostName& from,
+                             const FeedRequest& request,
+                             const FeedKnowledge& knowledge) {
+  FeedReply reply = this->Make(request.next, knowledge);
+  reply.number = request.number;
+  Follower& follower = this->followers[from];
+  follower.heard = knowledge.now;
+  follower.next = std::max(request.next, knowledge.state.Applied() + 1);
+  if (!reply.entries.empty()) {
+    follower.next = reply.entries.back().index + 1;
+  }
+  return reply;
+}
+
+std::vector<FeedNews> FeedSource::News(const FeedKnowledge& knowledge) {
+  std::vector<FeedNews> news;
+  for (auto& [host, follower] : this->followers) {
+    if (follower.next > knowledge.state.Applied()) {
+      continue;
+    }
+    FeedReply reply = this->Make(follower.next, knowledge);
+    if (reply.snapshot) {
+      // Whoever needs one asks for it.
+      continue;
+    }
+    follower.next = reply.entries.back().index + 1;
+    news.push_back({host, std::move(reply)});
+  }
+  return news;
+}
+
+void FeedSource::DropSilent(TimePoint since) {
+  std::erase_if(this->followers,
+                [&](const auto& entry) { return entry.second.heard < since; });
+}
+
+FeedReply FeedSource::Make(LogIndex next,
+                           const FeedKnowledge& knowledge) const {
+  const LogIndex applied = knowledge.state.Applied();
+  FeedReply reply;
+  reply.commit = applied;
+  reply.leader = knowledge.leader;
+  if (knowledge.word) {
+    reply.word_age = std::chrono::ceil<std::chrono::milliseconds>(
+        knowledge.now - *knowledge.word);
+  }
+  auto entries = this->buffer.From(next, applied, kEntriesPerFeed);
+  std::size_t bytes = 0;
+  for (const state::LogEntry& entry :
+       entries.value_or(std::vector<state::LogEntry>())) {
+    bytes += entry.payload.size();
+  }
+  const bool is_one = entries && entries->size() == 1;
+  if (entries && (bytes <= kMostFeedBytes || is_one)) {
+    reply.entries = std::move(*entries);
+    return reply;
+  }
+  state::LogSnapshot snapshot;
+  snapshot.index = applied;
+  snapshot.state = knowledge.state.Encode();
+  reply.snapshot = std::move(snapshot);
+  return reply;
+}
+
+}  // namespace tamarackwing::control
