--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -36,6 +36,7 @@
   kStreamEnded = 5002,
   kTryEnded = 5003,
   kRequestEnded = 5004,
+  kTokensRefused = 5005,
   kReportRejected = 5101,
   kOrderTaken = 5102,
   kDirectoryDetour = 5103,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -128,6 +128,8 @@
       return "stream_ended";
     case Event::kTryEnded:
       return "try_ended";
+    case Event::kTokensRefused:
+      return "tokens_refused";
     case Event::kRequestEnded:
       return "request_ended";
     case Event::kReportRejected:
--- a/packages/gateway/include/tamarackwing/gateway/token_budget.h
+++ b/packages/gateway/include/tamarackwing/gateway/token_budget.h
@@ -15,6 +15,10 @@
   std::uint64_t reservation = 0;
   //! When a new try may succeed.
   std::chrono::milliseconds retry_after{0};
+  //! What decided, for logs: tokens a second that this host may let through,
+  //! and those of all hosts; zero where it is not known.
+  TokenCount host_rate = 0;
+  TokenCount fleet_rate = 0;
 };
 
 //! Interface: the token budgets of all workspaces.
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -214,6 +214,14 @@
       [handoff](BudgetAnswer answer) { handoff->Set(answer); });
   const auto answer = co_await handoff->Wait(this->deadline);
   if (!answer || !answer->granted) {
+    LogEvent(Event::kTokensRefused, LogLevel::kInfo,
+             {{"request", this->call.id},
+              {"workspace", this->grant.workspace.Text()},
+              {"tokens", std::to_string(this->tokens)},
+              {"host_rate", std::to_string(answer ? answer->host_rate : 0)},
+              {"fleet_rate", std::to_string(answer ? answer->fleet_rate : 0)},
+              {"retry_ms",
+               std::to_string(answer ? answer->retry_after.count() : 0)}});
     co_return RefuseNotRun(RefusalCode::kOverBudget,
                            answer ? answer->retry_after : kServerWait);
   }
--- a/packages/policy/include/tamarackwing/policy/rate_holder.h
+++ b/packages/policy/include/tamarackwing/policy/rate_holder.h
@@ -26,6 +26,8 @@
   bool granted = false;
   //! When a new try may succeed.
   std::chrono::milliseconds retry_after{0};
+  //! Tokens a second of this host at the moment.
+  TokenCount rate = 0;
 };
 
 //! One host's part of each workspace's rate: what it owns and what it leases.
--- a/packages/policy/src/rate_holder.cc
+++ b/packages/policy/src/rate_holder.cc
@@ -39,13 +39,13 @@
   account.asked += tokens;
   this->Fill(account, now);
   RateAnswer answer;
+  answer.rate = this->RateOf(account, now);
   answer.granted = account.level > 0;
   if (answer.granted) {
     account.level -= static_cast<double>(tokens);
     return answer;
   }
-  const auto rate =
-      static_cast<double>(std::max<TokenCount>(1, this->RateOf(account, now)));
+  const auto rate = static_cast<double>(std::max<TokenCount>(1, answer.rate));
   answer.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
       std::chrono::duration<double>((1 - account.level) / rate));
   return answer;
--- a/programs/tamarackwingd/src/rate_desk.cc
+++ b/programs/tamarackwingd/src/rate_desk.cc
@@ -48,6 +48,8 @@
         this->holder.Take(workspace, limit, tokens, this->clock.Now());
     answer.granted = taken.granted;
     answer.retry_after = taken.retry_after;
+    answer.host_rate = taken.rate;
+    answer.fleet_rate = limit.rate;
     // What a reservation has to give back is all there is to know of it.
     answer.reservation = static_cast<std::uint64_t>(tokens);
   }
