--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -469,6 +469,7 @@
             {"ran", refusal && refusal->ran == Ran::kNo ? "no" : "maybe"},
             {"route", this->route == nullptr ? "" : this->route->name.Text()},
             {"workspace", this->grant.workspace.Text()},
+            {"tokens", std::to_string(this->tokens)},
             {"set", std::to_string(this->snapshot->set_number)},
             {"word_age_ms", std::to_string(this->word_age.count())},
             {"peer", this->peer},
