Gather prompts that begin alike by what reading them again costs

Servers within a quarter of the best expected time counted as equal, and that time was mostly the decoding that is the same everywhere: 2 s of slack.

Change: policy::ChoosePlacement, apart from the table. A prompt by itself goes to one of two servers drawn from those within 50 ms of the best; prompts of a group stay with the server that rendezvous hashing gives them until it has four readings of their text more to do than the least busy.

--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -373,6 +373,7 @@
     }
     if (shared >= kGatheredTokens) {
       query.affinity = prompt.parts[prompt.parts.size() - 2].digest;
+      query.affinity_tokens = shared;
     }
   }
   const auto service =
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -64,9 +64,10 @@
   std::uint64_t prefix = 0;
   //! The prompt in parts; a part is kept only where all before it are.
   std::vector<PrefixPart> parts;
-  //! Requests with the same value gather on the same servers while those are
-  //! about as good as any; zero spreads.
+  //! Requests with the same value gather on the same servers; zero spreads.
   std::uint64_t affinity = 0;
+  //! Prompt tokens that requests with the same affinity have in common.
+  TokenCount affinity_tokens = 0;
   //! Requests a second that this host may send to one cold server.
   std::function<std::uint32_t(const BackendServerName&)> cold_allowance;
   //! Data centres that get no new work; null for none.
@@ -166,6 +167,7 @@
   struct Server;
   struct Candidate {
     const Server* server = nullptr;
+    Duration wait{};
     Duration cost{};
   };
   void Leave(const ServerReport& report);
@@ -182,6 +184,10 @@
                            TimePoint now);
   bool IsUsable(const Server& server, bool lapsed, TimePoint now) const;
   std::uint32_t RampedSlots(const Server& server, TimePoint now) const;
+  double PrefillRate(const Server& server) const;
+  double DecodeRate(const Server& server) const;
+  //! What a server has to do before the next request.
+  Duration Wait(const Server& server, TimePoint now) const;
   Duration ExpectedCost(const Server& server,
                         const ServerQuery& query,
                         TimePoint now) const;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -7,13 +7,11 @@
 #include <utility>
 
 #include "tamarackwing/base/random_source.h"
-#include "tamarackwing/policy/rendezvous.h"
+#include "tamarackwing/policy/placement.h"
 
 namespace tamarackwing::policy {
 namespace {
 
-//! Servers within this factor of the best cost take part in the random choice.
-constexpr double kNearBest = 1.25;
 //! The part of a prompt that a cached prefix is taken to cover.
 constexpr double kCachedPart = 0.8;
 constexpr TokenCount kTypicalOutput = 128;
@@ -199,26 +197,16 @@
   if (usable.empty()) {
     return std::nullopt;
   }
-  Duration best = Duration::max();
+  std::vector<PlacementOption> options;
+  options.reserve(usable.size());
   for (const Candidate& candidate : usable) {
-    best = std::min(best, candidate.cost);
-  }
-  const auto bound = std::chrono::duration_cast<Duration>(best * kNearBest);
-  std::erase_if(usable, [&](const Candidate& c) { return c.cost > bound; });
-  Candidate chosen;
-  if (query.affinity != 0) {
-    chosen = *std::max_element(
-        usable.begin(), usable.end(),
-        [&](const Candidate& a, const Candidate& b) {
-          return RendezvousWeight(query.affinity,
-                                  a.server->report.name.Text()) <
-                 RendezvousWeight(query.affinity, b.server->report.name.Text());
-        });
-  } else {
-    const Candidate& first = usable[random.Below(usable.size())];
-    const Candidate& second = usable[random.Below(usable.size())];
-    chosen = second.cost < first.cost ? second : first;
+    options.push_back(
+        {candidate.server->report.name.Text(), candidate.wait, candidate.cost});
   }
+  const PromptGroup group{query.affinity,
+                          Seconds(static_cast<double>(query.affinity_tokens) /
+                                  this->limits.prefill_rate)};
+  const Candidate& chosen = usable[ChoosePlacement(options, group, random)];
   const ServerReport& report = chosen.server->report;
   return ServerChoice{report.name, report.address, report.port, chosen.cost};
 }
@@ -240,7 +228,8 @@
                            query.closed->contains(server->report.data_centre);
     if (!was_tried && !is_closed && this->IsUsable(*server, lapsed, now) &&
         BearsOneMore(*server, query, now)) {
-      usable.push_back({server, this->ExpectedCost(*server, query, now)});
+      usable.push_back({server, this->Wait(*server, now),
+                        this->ExpectedCost(*server, query, now)});
     }
   }
   return usable;
@@ -438,31 +427,42 @@
   return std::max(1U, static_cast<std::uint32_t>(ramped));
 }
 
+double ServerTable::PrefillRate(const Server& server) const {
+  return server.report.prefill_rate > 0 ? server.report.prefill_rate
+                                        : this->limits.prefill_rate;
+}
+
+double ServerTable::DecodeRate(const Server& server) const {
+  return server.report.decode_rate > 0 ? server.report.decode_rate
+                                       : this->limits.decode_rate;
+}
+
+Duration ServerTable::Wait(const Server& server, TimePoint now) const {
+  const double typical =
+      static_cast<double>(kTypicalOutput) / this->DecodeRate(server);
+  const double slots = this->RampedSlots(server, now);
+  const double load = server.Load();
+  // Prompts are read one after another.
+  const double reading =
+      static_cast<double>(server.unread) / this->PrefillRate(server);
+  const double waiting = std::max(0.0, load + 1 - slots) / slots * typical;
+  // A busy server decodes all its streams a little slower before it queues.
+  const double crowding = load / slots * typical / 10;
+  return Seconds(reading + waiting + crowding);
+}
+
 Duration ServerTable::ExpectedCost(const Server& server,
                                    const ServerQuery& query,
                                    TimePoint now) const {
-  const double prefill_rate = server.report.prefill_rate > 0
-                                  ? server.report.prefill_rate
-                                  : this->limits.prefill_rate;
-  const double decode_rate = server.report.decode_rate > 0
-                                 ? server.report.decode_rate
-                                 : this->limits.decode_rate;
   const bool cached = query.prefix != 0 && !server.prefixes.empty() &&
                       server.prefixes.contains(query.prefix);
   const TokenCount kept = server.KeptTokens(query.parts);
-  // Prompts are read one after another.
   const double prompt = static_cast<double>(query.prompt_tokens - kept) *
-                            (cached ? 1 - kCachedPart : 1) +
-                        static_cast<double>(server.unread);
-  const double own = prompt / prefill_rate +
-                     static_cast<double>(query.output_tokens) / decode_rate;
-  const double typical = static_cast<double>(kTypicalOutput) / decode_rate;
-  const double slots = this->RampedSlots(server, now);
-  const double load = server.Load();
-  // A busy server decodes all its streams a little slower before it queues.
-  const double waiting = std::max(0.0, load + 1 - slots) / slots * typical;
-  const double crowding = load / slots * typical / 10;
-  Duration cost = Seconds(own + waiting + crowding);
+                        (cached ? 1 - kCachedPart : 1);
+  const double own =
+      prompt / this->PrefillRate(server) +
+      static_cast<double>(query.output_tokens) / this->DecodeRate(server);
+  Duration cost = this->Wait(server, now) + Seconds(own);
   if (server.report.data_centre != query.data_centre) {
     cost += this->limits.other_data_centre;
   }
