Let a new leader give out rates as soon as all entry hosts have said what they hold

Change: a host that sees another leader takes no more answers of the old one, so its next report says all that it goes by; once every entry host has reported, nothing else can be in force. Hosts that say nothing are waited for as before. Tests: RateLeasing.ANewLeaderGivesMoreOnceAllHaveSaidWhatTheyHold, AHostThatSaysNothingIsWaitedForUntilItsLeaseIsOver.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -204,6 +204,8 @@
   void UpdateReady(TimePoint now, ControlEffects& effects);
   //! Logs when word from a leader is lost and when it is back.
   void WatchWord(TimePoint now);
+  //! Hosts that take callers, and so may hold leases of rates.
+  std::set<HostName> EntryHosts() const;
   HostStatus OwnStatus() const;
   std::vector<HostName> Sources() const;
   std::optional<TimePoint> Word(TimePoint now) const;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -374,6 +374,16 @@
   return peers;
 }
 
+std::set<HostName> ControlNode::EntryHosts() const {
+  std::set<HostName> entries;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    if (host.caller_port != 0) {
+      entries.insert(name);
+    }
+  }
+  return entries;
+}
+
 void ControlNode::TakeLog(state::LogEffects log_effects,
                           TimePoint now,
                           ControlEffects& effects) {
@@ -396,7 +406,7 @@
   if (this->log.IsLeader() && !this->was_leader) {
     this->was_leader = true;
     this->duties.StartTerm(now);
-    this->rates.StartTerm(now);
+    this->rates.StartTerm(this->EntryHosts(), now);
     this->duties_under_way.clear();
     this->proposals.ForgetForwarded();
     LogEvent(Event::kLeaderElected, LogLevel::kInfo,
--- a/packages/policy/include/tamarackwing/policy/rate_holder.h
+++ b/packages/policy/include/tamarackwing/policy/rate_holder.h
@@ -47,6 +47,9 @@
   void Return(const WorkspaceName& workspace, TokenCount tokens);
   //! The next report; workspaces that nobody asked for lately are left out.
   RateReport MakeReport(TimePoint now);
+  //! Takes no more answers to reports that were made before now, so that the
+  //! next report tells a new leader all that this host will go by.
+  void ForgetQuestions() { this->sent.clear(); }
   //! Takes the answer to a report; one that is overtaken or late is dropped.
   void Accept(const RateGrant& grant, TimePoint now);
 
--- a/packages/policy/include/tamarackwing/policy/rate_leases.h
+++ b/packages/policy/include/tamarackwing/policy/rate_leases.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/identifiers.h"
@@ -37,9 +38,12 @@
  public:
   explicit RateLeases(RateLeaseOptions options);
 
-  //! Forgets what an earlier leader gave out, which may be in force until its
-  //! life is over; until then each host gets no more than it says it holds.
-  void StartTerm(TimePoint now);
+  //! Forgets what an earlier leader gave out. It may be in force until all of
+  //! `holders`, which are the hosts that may hold leases, have said what they
+  //! hold, or until its life is over; until then each host gets no more than it
+  //! says. Precondition: a holder takes no answer of an earlier leader after it
+  //! has reported to this one.
+  void StartTerm(std::set<HostName> holders, TimePoint now);
   //! Sets a workspace's rate for the leases from now on.
   void SetRate(const WorkspaceName& workspace, TokenCount rate);
   //! Answers a report. A workspace without a rate gets nothing.
@@ -72,6 +76,8 @@
                    TimePoint now) const;
 
   RateLeaseOptions options;
+  //! Holders that have not said yet what they hold.
+  std::set<HostName> awaited;
   TimePoint settled_from;
   std::map<WorkspaceName, Account> accounts;
 };
--- a/packages/policy/src/rate_leases.cc
+++ b/packages/policy/src/rate_leases.cc
@@ -1,6 +1,7 @@
 #include "tamarackwing/policy/rate_leases.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarackwing::policy {
 namespace {
@@ -19,8 +20,9 @@
 
 RateLeases::RateLeases(RateLeaseOptions options) : options(options) {}
 
-void RateLeases::StartTerm(TimePoint now) {
+void RateLeases::StartTerm(std::set<HostName> holders, TimePoint now) {
   this->accounts.clear();
+  this->awaited = std::move(holders);
   this->settled_from = now + this->options.life + this->options.drift;
 }
 
@@ -33,6 +35,11 @@
                             TimePoint now) {
   RateGrant grant;
   grant.number = report.number;
+  // A host that has just told what it holds gets no more than that: the others
+  // may be told of the rest before its next report.
+  const bool is_settled = this->awaited.empty() || now >= this->settled_from;
+  const bool is_first = this->awaited.erase(host) > 0;
+  const TimePoint expires = now + this->options.life + this->options.drift;
   for (const RateDemand& demand : report.demands) {
     const auto found = this->accounts.find(demand.workspace);
     if (found == this->accounts.end() || found->second.rate == 0) {
@@ -45,12 +52,14 @@
     std::erase_if(holder.leases, [&](const Lease& lease) {
       return lease.number < report.holds || lease.expires <= now;
     });
+    if (is_first) {
+      holder.leases.push_back({report.holds, demand.held, expires});
+    }
     TokenCount share = this->Share(account, host, now);
-    if (now < this->settled_from) {
+    if (!is_settled) {
       share = std::min(share, std::max<TokenCount>(0, demand.held));
     }
-    holder.leases.push_back(
-        {report.number, share, now + this->options.life + this->options.drift});
+    holder.leases.push_back({report.number, share, expires});
     grant.shares.push_back({demand.workspace, share});
   }
   return grant;
--- a/packages/policy/tests/rate_lease_tests.cc
+++ b/packages/policy/tests/rate_lease_tests.cc
@@ -60,12 +60,36 @@
 }
 
 TEST_F(RateLeasing, ANewLeaderLetsHostsKeepWhatTheyHold) {
-  this->leases.StartTerm(this->clock.Now());
+  this->leases.StartTerm({HostName("muscat"), HostName("sohar")},
+                         this->clock.Now());
   this->leases.SetRate(kDesk, kRate);
   EXPECT_EQ(this->Grant("muscat", Report(7, 60'000, 6, 40'000)), 40'000);
   EXPECT_EQ(this->Grant("sohar", Report(7, 60'000, 6, 0)), 0);
 }
 
+TEST_F(RateLeasing, ANewLeaderGivesMoreOnceAllHaveSaidWhatTheyHold) {
+  this->leases.StartTerm({HostName("muscat"), HostName("sohar")},
+                         this->clock.Now());
+  this->leases.SetRate(kDesk, kRate);
+  EXPECT_EQ(this->Grant("muscat", Report(7, 60'000, 6, 40'000)), 40'000);
+  EXPECT_EQ(this->Grant("muscat", Report(8, 60'000, 7, 40'000)), 40'000);
+  EXPECT_LE(this->Grant("sohar", Report(7, 0, 6, 20'000)), 20'000);
+  const TokenCount more = this->Grant("muscat", Report(9, 60'000, 8, 40'000));
+  EXPECT_GT(more, 60'000);
+  // Sohar may not have heard that it is to hold less.
+  EXPECT_LE(more, kRate * 9 / 10 - 20'000);
+}
+
+TEST_F(RateLeasing, AHostThatSaysNothingIsWaitedForUntilItsLeaseIsOver) {
+  this->leases.StartTerm({HostName("muscat"), HostName("frozen")},
+                         this->clock.Now());
+  this->leases.SetRate(kDesk, kRate);
+  this->clock.Advance(this->options.life);
+  EXPECT_EQ(this->Grant("muscat", Report(7, 60'000, 6, 10'000)), 10'000);
+  this->clock.Advance(this->options.drift + milliseconds(1));
+  EXPECT_GT(this->Grant("muscat", Report(8, 60'000, 7, 10'000)), 60'000);
+}
+
 TEST_F(RateLeasing, AWorkspaceWithoutARateGetsNothing) {
   const RateReport report{1, 0, {{WorkspaceName("nobody"), 5, 0}}};
   EXPECT_TRUE(this->leases.Grant(HostName("h"), report, this->clock.Now())
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds kOrderPatience{9};
 //! A peak moves within a second or two; a lease must follow it.
 constexpr milliseconds kRatesEvery{300};
+//! Longer than the reports of a few lost messages.
+constexpr milliseconds kLeaderIsNew{3'000};
 //! Second sends as a part of the requests.
 constexpr std::uint32_t kRetryPercent = 10;
 
@@ -420,8 +422,17 @@
 }
 
 void ControlThread::ReportRates() {
-  policy::RateReport report = this->parts.rates.MakeReport();
-  if (!report.demands.empty()) {
+  const HostName& leader = this->node->Leader();
+  const TimePoint now = this->parts.clock.Now();
+  if (!leader.IsEmpty() && leader != this->rates_leader) {
+    this->rates_leader = leader;
+    this->rates_leader_since = now;
+    this->parts.rates.ForgetQuestions();
+  }
+  // A new leader waits until all have said what they hold, be it nothing.
+  const bool is_new = now - this->rates_leader_since < kLeaderIsNew;
+  const policy::RateReport report = this->parts.rates.MakeReport();
+  if (is_new || !report.demands.empty()) {
     this->Carry(this->node->ReportRates(report));
   }
 }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -168,6 +168,8 @@
   TimePoint share_at;
   TimePoint snapshot_at;
   TimePoint rates_at;
+  HostName rates_leader;
+  TimePoint rates_leader_since;
   std::shared_ptr<const std::map<HostName, state::HostRecord>> known_hosts;
 };
 
--- a/programs/tamarackwingd/src/rate_desk.cc
+++ b/programs/tamarackwingd/src/rate_desk.cc
@@ -73,6 +73,11 @@
   return this->holder.MakeReport(this->clock.Now());
 }
 
+void RateDesk::ForgetQuestions() {
+  const std::lock_guard lock(this->mutex);
+  this->holder.ForgetQuestions();
+}
+
 void RateDesk::Accept(const policy::RateGrant& grant) {
   const std::lock_guard lock(this->mutex);
   this->holder.Accept(grant, this->clock.Now());
--- a/programs/tamarackwingd/src/rate_desk.h
+++ b/programs/tamarackwingd/src/rate_desk.h
@@ -32,6 +32,8 @@
   void SetTolerance(RateTolerance next);
   //! The next report to the leader.
   policy::RateReport MakeReport();
+  //! Takes no more answers to reports that were made before now.
+  void ForgetQuestions();
   //! Takes the leader's answer.
   void Accept(const policy::RateGrant& grant);
 
