Count path calls in a region's demand; turn streams away whose wait is not worth it

Change: CountDemand takes what a host has at the servers; the table adds the other hosts' part to each server and learns how long requests run; policy::ShouldAdmit turns a stream away at once when its wait for a slot nears the shortest time that callers of the service want, with a time to come back that is spread; before that another region may take it. A cold server counts for one slot of its region.

--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -37,6 +37,7 @@
   kTryEnded = 5003,
   kRequestEnded = 5004,
   kTokensRefused = 5005,
+  kTurnedAway = 5006,
   kReportRejected = 5101,
   kOrderTaken = 5102,
   kDirectoryDetour = 5103,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -130,6 +130,8 @@
       return "try_ended";
     case Event::kTokensRefused:
       return "tokens_refused";
+    case Event::kTurnedAway:
+      return "turned_away";
     case Event::kRequestEnded:
       return "request_ended";
     case Event::kReportRejected:
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -60,6 +60,12 @@
   //! Notes the parts of a prompt that a server has read.
   void NoteParts(const BackendServerName& name,
                  const std::vector<policy::PrefixPart>& parts);
+  //! Notes how long a request of a target ran from its first output on.
+  void NoteRun(const std::string& target, Duration run);
+  //! Sets how many requests other hosts have at the servers of a target.
+  void SetPeerLoad(const std::string& target, std::uint32_t running);
+  //! Takes back the choice of a server to which nothing was sent.
+  void Release(const BackendServerName& name, TokenCount prompt_tokens);
   //! Notes a first try for the retry budget of a target.
   void NoteRequest(const std::string& target);
   //! Takes one retry; false where the budget of the target is spent.
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -8,6 +8,7 @@
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/gateway/token_budget.h"
 #include "tamarackwing/http/handoff.h"
+#include "tamarackwing/policy/admission.h"
 #include "tamarackwing/policy/rendezvous.h"
 #include "tamarackwing/policy/spill.h"
 #include "upstream.h"
@@ -259,7 +260,9 @@
         co_await this->writer.Send(std::move(*this->answer));
         co_return std::nullopt;
       }
-      co_return this->StopRefusal(RefusalCode::kNoBackendServer);
+      co_return this->StopRefusal(this->turned_away
+                                      ? RefusalCode::kQueueFull
+                                      : RefusalCode::kNoBackendServer);
     }
     const NextStep step = this->plan->Next(end);
     switch (step) {
@@ -285,11 +288,18 @@
   }
   if (may_run_here && !target.host) {
     target.server = this->gateway.Parts().servers.Take(this->Query());
+    if (target.server && !this->IsWorth(target.server->slot_wait)) {
+      this->gateway.Parts().servers.Release(target.server->name,
+                                            this->PromptTokens());
+      target.server.reset();
+    }
     if (target.server) {
       target.endpoint = EndpointOf(*target.server);
       this->tried.insert(target.server->name);
+      this->server_load = target.server->load;
+      this->slot_wait = target.server->slot_wait;
       this->sent_at = this->gateway.Parts().servers.Now();
-      this->unread = this->call.prompt ? this->call.prompt->prompt_tokens : 0;
+      this->unread = this->PromptTokens();
       return target;
     }
   }
@@ -327,7 +337,10 @@
 
 std::optional<ForwardTarget> PathRequest::PickHost() {
   std::optional<ForwardTarget> best = this->BestCandidate();
-  if (best) {
+  if (best && this->turned_away && !this->IsWorth(best->expected)) {
+    return std::nullopt;
+  }
+  if (best || this->turned_away) {
     return best;
   }
   // No word of the regions' load yet: any live entry host that may run it.
@@ -348,6 +361,33 @@
   return others[this->gateway.NextNumber() % others.size()];
 }
 
+bool PathRequest::IsWorth(Duration wait) {
+  // What may have run is finished wherever that can be.
+  if (this->route->kind != state::PathKind::kStream ||
+      this->plan->MayHaveRun()) {
+    return true;
+  }
+  const milliseconds goal =
+      this->snapshot->paths->StreamTarget(state::ServiceName(this->service));
+  const std::uint64_t key = policy::RendezvousKey(this->call.id);
+  if (policy::ShouldAdmit(wait, goal, key)) {
+    return true;
+  }
+  this->turned_away = true;
+  this->retry_after = CeilMs(policy::TurnedAwayUntil(wait, goal, key));
+  LogEvent(Event::kTurnedAway, LogLevel::kInfo,
+           {{"request", this->call.id},
+            {"service", this->service},
+            {"wait_ms", std::to_string(CeilMs(wait).count())},
+            {"target_ms", std::to_string(goal.count())},
+            {"retry_ms", std::to_string(this->retry_after.count())}});
+  return false;
+}
+
+TokenCount PathRequest::PromptTokens() const {
+  return this->call.prompt ? this->call.prompt->prompt_tokens : 0;
+}
+
 bool PathRequest::MayForwardTo(const HostName& name) const {
   const auto host = this->snapshot->hosts->find(name);
   return host != this->snapshot->hosts->end() &&
@@ -431,6 +471,16 @@
   return RefuseNotRun(code, std::max(this->retry_after, kServerWait));
 }
 
+void PathRequest::NoteBytes() {
+  const TimePoint now = this->gateway.Parts().clock.Now();
+  if (this->first_byte_at) {
+    this->longest_gap = std::max(this->longest_gap, now - this->last_byte_at);
+  } else {
+    this->first_byte_at = now;
+  }
+  this->last_byte_at = now;
+}
+
 void PathRequest::NoteRead(const Target& target) {
   if (target.server && this->unread > 0) {
     this->gateway.Parts().servers.NoteFirstOutput(target.server->name,
@@ -475,6 +525,16 @@
             {"word_age_ms", std::to_string(this->word_age.count())},
             {"peer", this->peer},
             {"sends", std::to_string(sends)},
+            {"load", std::to_string(this->server_load)},
+            {"wait_ms", std::to_string(CeilMs(this->slot_wait).count())},
+            {"first_ms",
+             this->first_byte_at
+                 ? std::to_string(
+                       CeilMs(*this->first_byte_at - this->started).count())
+                 : ""},
+            {"gap_ms", std::to_string(CeilMs(this->longest_gap).count())},
+            {"last_event",
+             this->last_event ? std::to_string(*this->last_event) : ""},
             {"ms", std::to_string(CeilMs(took).count())}});
   Span span;
   span.context = this->trace;
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -55,6 +55,10 @@
   std::optional<ForwardTarget> PickSpill();
   //! Whether a host takes calls and has not been tried.
   bool MayForwardTo(const HostName& name) const;
+  //! Whether the wait for a slot of this call's service is worth it; notes when
+  //! a new try may succeed where it is not.
+  bool IsWorth(Duration wait);
+  TokenCount PromptTokens() const;
   policy::ServerQuery Query() const;
   std::uint32_t ColdAllowance(const BackendServerName& server,
                               std::uint32_t per_kilosecond) const;
@@ -87,6 +91,8 @@
   void Finish(const Outcome& refusal);
   //! Takes a connection's error for what it tells of the server.
   policy::TryEnd Lose(http::ConnectionError error);
+  //! Notes that bytes of the answer came.
+  void NoteBytes();
   //! Says that the server has read the prompt, or will not.
   void NoteRead(const Target& target);
   void LogTry(const Target& target, policy::TryEnd end) const;
@@ -115,6 +121,8 @@
   std::set<BackendServerName> tried;
   std::set<HostName> tried_hosts;
   std::chrono::milliseconds retry_after{0};
+  //! Whether a server was there, but the wait not worth it.
+  bool turned_away = false;
   //! The last whole answer of a server, kept until it is known to go on.
   std::optional<http::Response> answer;
   EventSplitter events;
@@ -127,6 +135,16 @@
   //! Prompt tokens of the try under way that its server has yet to read.
   TokenCount unread = 0;
 
+  //! When the first byte of the answer came, and when the last did.
+  std::optional<TimePoint> first_byte_at;
+  TimePoint last_byte_at;
+  //! The longest time between two pieces of the answer.
+  Duration longest_gap{};
+  //! Requests of this host at the last server when it was chosen.
+  std::uint32_t server_load = 0;
+  //! The wait for a slot that was expected there.
+  Duration slot_wait{};
+
   bool caller_gone = false;
   http::Connection* current_connection = nullptr;
 };
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -220,6 +220,7 @@
   if (!response || this->writer.HasStarted()) {
     co_return TryEnd::kLost;
   }
+  this->NoteBytes();
   const bool failed = response->head.status >= kServerError;
   this->answer = std::move(response);
   co_return failed ? TryEnd::kFailed : TryEnd::kServed;
@@ -242,6 +243,7 @@
     if (target.server) {
       this->gateway.Parts().servers.NoteAlive(target.server->name);
     }
+    this->NoteBytes();
     const bool is_end = piece->empty();
     const std::string whole =
         is_end ? this->events.TakeRest() : this->events.Add(*piece);
@@ -252,6 +254,10 @@
       }
     }
     if (is_end) {
+      if (target.server && this->first_byte_at) {
+        this->gateway.Parts().servers.NoteRun(
+            this->service, this->last_byte_at - *this->first_byte_at);
+      }
       co_await this->writer.FinishStream();
       co_return TryEnd::kServed;
     }
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -111,6 +111,25 @@
   }
 }
 
+void ServerDirectory::NoteRun(const std::string& target, Duration run) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteRun(target, run);
+}
+
+void ServerDirectory::SetPeerLoad(const std::string& target,
+                                  std::uint32_t running) {
+  const std::lock_guard lock(this->mutex);
+  this->table.SetPeerLoad(target, running);
+}
+
+void ServerDirectory::Release(const BackendServerName& name,
+                              TokenCount prompt_tokens) {
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+  this->table.NoteFirstOutput(name, prompt_tokens);
+  this->table.NoteFinished(name, policy::ServerSign::kNothing, now, now);
+}
+
 void ServerDirectory::SetLimits(policy::ServerTableLimits limits) {
   const std::lock_guard lock(this->mutex);
   this->table.SetLimits(limits);
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -107,6 +107,10 @@
   std::string address;
   std::uint16_t port = 0;
   Duration expected{};
+  //! Requests of this host that it runs.
+  std::uint32_t load = 0;
+  //! How long the request waits there for a slot.
+  Duration slot_wait{};
 };
 
 //! The backend servers of a region as one host knows them: their leases, their
@@ -152,6 +156,10 @@
   void NoteAlive(const BackendServerName& name, TimePoint now);
   //! Notes what a server says its cache holds; a hint that may be wrong.
   void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
+  //! Notes how long a request of a target ran from its first output on.
+  void NoteRun(const std::string& target, Duration run);
+  //! Sets how many requests other hosts have at the servers of a target.
+  void SetPeerLoad(const std::string& target, std::uint32_t running);
   //! What this host has at the servers of a target.
   OwnLoad LoadOf(const std::string& target, TimePoint now) const;
   //! Slots of all usable servers for a target.
@@ -165,8 +173,15 @@
 
  private:
   struct Server;
+  //! What is known of all requests of a target.
+  struct TargetLoad {
+    std::uint32_t peers = 0;
+    //! How long requests run; zero where none has ended yet.
+    Duration run{};
+  };
   struct Candidate {
     const Server* server = nullptr;
+    Duration slot_wait{};
     Duration wait{};
     Duration cost{};
   };
@@ -186,17 +201,21 @@
   std::uint32_t RampedSlots(const Server& server, TimePoint now) const;
   double PrefillRate(const Server& server) const;
   double DecodeRate(const Server& server) const;
-  //! What a server has to do before the next request.
-  Duration Wait(const Server& server, TimePoint now) const;
-  Duration ExpectedCost(const Server& server,
-                        const ServerQuery& query,
-                        TimePoint now) const;
+  //! How long the next request of a target waits for a slot.
+  Duration SlotWaitAt(const Server& server,
+                      const std::string& target,
+                      TimePoint now) const;
+  //! What a server has to read and decode before it reads the next prompt.
+  Duration ReadingWaitAt(const Server& server, TimePoint now) const;
+  //! What a request takes by itself.
+  Duration OwnCost(const Server& server, const ServerQuery& query) const;
   void Index(Server& server);
   void Unindex(const Server& server);
 
   ServerTableLimits limits;
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
+  std::unordered_map<std::string, TargetLoad> loads;
   //! The newest server at each address and port.
   std::map<std::pair<std::string, std::uint16_t>, BackendServerName> by_address;
 };
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "tamarackwing/base/random_source.h"
+#include "tamarackwing/policy/admission.h"
 #include "tamarackwing/policy/placement.h"
 
 namespace tamarackwing::policy {
@@ -17,6 +18,8 @@
 constexpr TokenCount kTypicalOutput = 128;
 //! A single broken answer may be the request's fault, or the network's.
 constexpr std::uint32_t kBreaksToSetAside = 2;
+//! Requests over which the time that they run is meant.
+constexpr int kRunsMeant = 32;
 //! The span in which what a cold server gets is counted.
 constexpr std::chrono::seconds kColdSpan{1};
 
@@ -208,7 +211,12 @@
                                   this->limits.prefill_rate)};
   const Candidate& chosen = usable[ChoosePlacement(options, group, random)];
   const ServerReport& report = chosen.server->report;
-  return ServerChoice{report.name, report.address, report.port, chosen.cost};
+  return ServerChoice{report.name,
+                      report.address,
+                      report.port,
+                      chosen.cost,
+                      chosen.server->own_running,
+                      chosen.slot_wait};
 }
 
 std::vector<ServerTable::Candidate> ServerTable::Candidates(
@@ -228,8 +236,10 @@
                            query.closed->contains(server->report.data_centre);
     if (!was_tried && !is_closed && this->IsUsable(*server, lapsed, now) &&
         BearsOneMore(*server, query, now)) {
-      usable.push_back({server, this->Wait(*server, now),
-                        this->ExpectedCost(*server, query, now)});
+      const Duration slot = this->SlotWaitAt(*server, query.target, now);
+      const Duration wait = slot + this->ReadingWaitAt(*server, now);
+      usable.push_back(
+          {server, slot, wait, wait + this->OwnCost(*server, query)});
     }
   }
   return usable;
@@ -379,7 +389,8 @@
   std::uint32_t slots = 0;
   for (const Server* server : candidates->second) {
     if (this->IsUsable(*server, false, now)) {
-      slots += this->RampedSlots(*server, now);
+      // A cold one bears a few requests a second, whatever its slots.
+      slots += server->cold_until > now ? 1 : this->RampedSlots(*server, now);
     }
   }
   return slots;
@@ -437,38 +448,62 @@
                                        : this->limits.decode_rate;
 }
 
-Duration ServerTable::Wait(const Server& server, TimePoint now) const {
+Duration ServerTable::SlotWaitAt(const Server& server,
+                                 const std::string& target,
+                                 TimePoint now) const {
+  Duration run =
+      Seconds(static_cast<double>(kTypicalOutput) / this->DecodeRate(server));
+  double peers = 0;
+  const auto known = this->loads.find(target);
+  if (known != this->loads.end()) {
+    const auto servers = static_cast<double>(this->by_target.at(target).size());
+    peers = static_cast<double>(known->second.peers) / servers;
+    run = known->second.run == Duration::zero() ? run : known->second.run;
+  }
+  // A report counts what all hosts have there.
+  const double load =
+      std::max(server.Load(), static_cast<double>(server.own_running) + peers);
+  return SlotWait(load, this->RampedSlots(server, now), run);
+}
+
+Duration ServerTable::ReadingWaitAt(const Server& server, TimePoint now) const {
   const double typical =
       static_cast<double>(kTypicalOutput) / this->DecodeRate(server);
-  const double slots = this->RampedSlots(server, now);
-  const double load = server.Load();
   // Prompts are read one after another.
   const double reading =
       static_cast<double>(server.unread) / this->PrefillRate(server);
-  const double waiting = std::max(0.0, load + 1 - slots) / slots * typical;
   // A busy server decodes all its streams a little slower before it queues.
-  const double crowding = load / slots * typical / 10;
-  return Seconds(reading + waiting + crowding);
+  const double crowding =
+      server.Load() / this->RampedSlots(server, now) * typical / 10;
+  return Seconds(reading + crowding);
 }
 
-Duration ServerTable::ExpectedCost(const Server& server,
-                                   const ServerQuery& query,
-                                   TimePoint now) const {
+Duration ServerTable::OwnCost(const Server& server,
+                              const ServerQuery& query) const {
   const bool cached = query.prefix != 0 && !server.prefixes.empty() &&
                       server.prefixes.contains(query.prefix);
   const TokenCount kept = server.KeptTokens(query.parts);
   const double prompt = static_cast<double>(query.prompt_tokens - kept) *
                         (cached ? 1 - kCachedPart : 1);
-  const double own =
-      prompt / this->PrefillRate(server) +
-      static_cast<double>(query.output_tokens) / this->DecodeRate(server);
-  Duration cost = this->Wait(server, now) + Seconds(own);
+  Duration cost = Seconds(prompt / this->PrefillRate(server) +
+                          static_cast<double>(query.output_tokens) /
+                              this->DecodeRate(server));
   if (server.report.data_centre != query.data_centre) {
     cost += this->limits.other_data_centre;
   }
   return cost;
 }
 
+void ServerTable::NoteRun(const std::string& target, Duration run) {
+  Duration& known = this->loads[target].run;
+  known = known == Duration::zero() ? run : known + (run - known) / kRunsMeant;
+}
+
+void ServerTable::SetPeerLoad(const std::string& target,
+                              std::uint32_t running) {
+  this->loads[target].peers = running;
+}
+
 void ServerTable::Index(Server& server) {
   for (const std::string& target : server.report.targets) {
     this->by_target[target].push_back(&server);
--- /dev/null
+++ b/packages/policy/tests/admission_tests.cc
@@ -0,0 +1,120 @@
+//! More work than all engines have slots for.
+
+#include "tamarackwing/policy/admission.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <chrono>
+#include <queue>
+#include <vector>
+
+#include "tamarackwing/base/random_source.h"
+
+namespace tamarackwing::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(SlotWaiting, NobodyWaitsWhileSlotsAreFree) {
+  EXPECT_EQ(SlotWait(63, 64, seconds(4)), Duration::zero());
+  EXPECT_EQ(SlotWait(79, 64, seconds(4)), seconds(1));
+  EXPECT_EQ(SlotWait(5, 0, seconds(4)), Duration::zero());
+}
+
+TEST(Admission, ShortWaitsTurnNobodyAwayAndLongOnesAll) {
+  for (std::uint64_t key = 0; key < 1'000; ++key) {
+    EXPECT_TRUE(ShouldAdmit(milliseconds(299), seconds(1), key));
+    EXPECT_FALSE(ShouldAdmit(milliseconds(900), seconds(1), key));
+  }
+}
+
+TEST(Admission, ACallerWithoutATargetIsTaken) {
+  EXPECT_TRUE(ShouldAdmit(seconds(50), Duration::zero(), 999));
+}
+
+TEST(Admission, ThoseTurnedAwayTogetherDoNotComeBackTogether) {
+  const auto early = TurnedAwayUntil(seconds(2), seconds(1), 0);
+  const auto late = TurnedAwayUntil(seconds(2), seconds(1), 999'000);
+  EXPECT_EQ(early, milliseconds(1'700));
+  EXPECT_GT(late, milliseconds(3'300));
+}
+
+//! What a replay of an overload shows.
+struct OverloadResult {
+  int on_time = 0;
+  int late = 0;
+  int turned_away = 0;
+  //! Of long and of short requests, those that were taken.
+  std::array<int, 2> asked{};
+  std::array<int, 2> taken{};
+};
+
+//! A region of 9 engines with 64 slots each, asked for one and a half times
+//! what it can run, long requests and short ones, for twenty seconds. Hosts
+//! know how many requests there are as it was 300 ms ago.
+OverloadResult Overload(bool admits) {
+  constexpr double kSlots = 9 * 64;
+  constexpr milliseconds kTarget{1'000};
+  constexpr std::array<milliseconds, 2> kRun{milliseconds(4'500),
+                                             milliseconds(900)};
+  constexpr milliseconds kMeanRun{3'600};
+  constexpr int kPerSecond = 240;
+  SeededRandom random(20261204);
+  OverloadResult result;
+  // When each slot is free again.
+  std::priority_queue<TimePoint, std::vector<TimePoint>, std::greater<>> slots;
+  for (int i = 0; i < static_cast<int>(kSlots); ++i) {
+    slots.push(TimePoint());
+  }
+  std::priority_queue<TimePoint, std::vector<TimePoint>, std::greater<>> ends;
+  std::queue<std::pair<TimePoint, std::size_t>> history;
+  std::size_t known = 0;
+  for (int i = 0; i < 20 * kPerSecond; ++i) {
+    const TimePoint now = TimePoint() + Duration(seconds(1)) / kPerSecond * i;
+    while (!ends.empty() && ends.top() <= now) {
+      ends.pop();
+    }
+    history.emplace(now, ends.size());
+    while (history.front().first + milliseconds(300) < now) {
+      known = history.front().second;
+      history.pop();
+    }
+    const std::size_t kind = random.Below(4) == 0 ? 1 : 0;
+    result.asked[kind] += 1;
+    const Duration wait =
+        SlotWait(static_cast<double>(known), kSlots, kMeanRun);
+    if (admits && !ShouldAdmit(wait, kTarget, random.Below(1'000'000))) {
+      result.turned_away += 1;
+      continue;
+    }
+    result.taken[kind] += 1;
+    const TimePoint begins = std::max(slots.top(), now);
+    slots.pop();
+    slots.push(begins + kRun[kind]);
+    ends.push(begins + kRun[kind]);
+    (begins - now <= kTarget ? result.on_time : result.late) += 1;
+  }
+  return result;
+}
+
+TEST(AdmissionUnderLoad, MoreAreOnTimeAndFewAreLate) {
+  const OverloadResult all = Overload(false);
+  const OverloadResult admitted = Overload(true);
+  EXPECT_GT(admitted.on_time, 2 * all.on_time);
+  EXPECT_LT(admitted.late, admitted.on_time / 10);
+  // What is turned away is what could not be run, not more than a tenth beyond.
+  const int total = all.on_time + all.late;
+  EXPECT_GT(admitted.on_time, total * 9 / 10 * 2 / 3);
+}
+
+TEST(AdmissionUnderLoad, NoKindIsTurnedAwayMoreThanAnother) {
+  const OverloadResult result = Overload(true);
+  const double first = 1.0 * result.taken[0] / result.asked[0];
+  const double second = 1.0 * result.taken[1] / result.asked[1];
+  EXPECT_NEAR(first, second, 0.05);
+}
+
+}  // namespace
+}  // namespace tamarackwing::policy
--- a/packages/state/include/tamarackwing/state/path_index.h
+++ b/packages/state/include/tamarackwing/state/path_index.h
@@ -21,9 +21,14 @@
   const PathRoute* Find(std::string_view authority,
                         std::string_view path) const;
 
+  //! The shortest target latency of the streams of a service; zero where none
+  //! names one.
+  std::chrono::milliseconds StreamTarget(const ServiceName& service) const;
+
  private:
   using Prefixes = std::map<std::string, PathRoute, std::less<>>;
   std::map<std::string, Prefixes, std::less<>> authorities;
+  std::map<ServiceName, std::chrono::milliseconds> stream_targets;
 };
 
 }  // namespace tamarackwing::state
--- a/packages/state/src/path_index.cc
+++ b/packages/state/src/path_index.cc
@@ -1,13 +1,32 @@
 #include "tamarackwing/state/path_index.h"
 
+#include <algorithm>
+
 namespace tamarackwing::state {
 
 PathIndex::PathIndex(const ConfigurationSet& set) {
   for (const auto& [name, route] : set.path_routes) {
     this->authorities[route.authority].emplace(route.prefix, route);
+    const bool has_target =
+        route.kind == PathKind::kStream && route.target_latency.count() > 0;
+    for (const ServiceShare& share : route.services) {
+      if (has_target) {
+        const auto known =
+            this->stream_targets.emplace(share.service, route.target_latency);
+        known.first->second =
+            std::min(known.first->second, route.target_latency);
+      }
+    }
   }
 }
 
+std::chrono::milliseconds PathIndex::StreamTarget(
+    const ServiceName& service) const {
+  const auto found = this->stream_targets.find(service);
+  return found == this->stream_targets.end() ? std::chrono::milliseconds(0)
+                                             : found->second;
+}
+
 const PathRoute* PathIndex::Find(std::string_view authority,
                                  std::string_view path) const {
   const auto prefixes = this->authorities.find(authority);
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "disk_thread.h"
+#include "region_demand.h"
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/policy/slot_share.h"
 
@@ -465,34 +466,29 @@
   for (const auto& [name, service] : snapshot->set->services) {
     targets.insert(name.Text());
   }
+  std::map<HostName, const control::RegionStatus*> peers;
+  for (const auto& [host, heard] : this->region_statuses) {
+    // A host that falls silent gives its part back.
+    const bool is_heard =
+        now - this->region_heard[host] <= this->settings.times.host_lost;
+    if (is_heard && !heard.draining) {
+      peers[host] = &heard;
+    }
+  }
   for (const std::string& target : targets) {
-    std::map<HostName, std::uint32_t> demand;
     const policy::OwnLoad own_load = this->parts.servers.LoadOf(target);
-    const auto own = own_demand.find(target);
-    demand[self] = own == own_demand.end() ? own_load.running : own->second;
-    std::uint32_t total = demand[self];
-    TokenCount unread = own_load.unread;
-    for (const auto& [host, heard] : this->region_statuses) {
-      // A host that falls silent gives its part back.
-      if (now - this->region_heard[host] > this->settings.times.host_lost ||
-          heard.draining) {
-        continue;
-      }
-      demand[host] = 0;
-      for (const control::TargetLoad& load : heard.loads) {
-        if (load.target == target) {
-          demand[host] = load.demand;
-          total += load.demand;
-          unread += load.unread;
-        }
-      }
-    }
+    const auto gate = own_demand.find(target);
+    const RegionDemand demand =
+        CountDemand(target, self, gate == own_demand.end() ? 0 : gate->second,
+                    own_load, peers);
+    this->parts.servers.SetPeerLoad(target, demand.total - demand.own);
     const std::uint32_t slots = this->parts.servers.Slots(target);
-    const std::uint32_t part = policy::ShareSlots(slots, demand).at(self);
+    const std::uint32_t part = policy::ShareSlots(slots, demand.hosts).at(self);
     this->parts.gate.SetSlots(target, slots == 0 ? 0 : part);
     status.loads.push_back(
-        {target, slots, demand[self], own_load.servers, own_load.unread});
-    region_loads.push_back({target, slots, total, own_load.servers, unread});
+        {target, slots, demand.own, own_load.servers, own_load.unread});
+    region_loads.push_back(
+        {target, slots, demand.total, own_load.servers, demand.unread});
   }
   for (const auto& [target, tokens] : this->parts.gate.TakeServed()) {
     for (const auto& [workspace, count] : tokens) {
--- a/programs/tamarackwingd/src/region_table.cc
+++ b/programs/tamarackwingd/src/region_table.cc
@@ -7,8 +7,6 @@
 
 //! What a probe said counts for so long.
 constexpr std::chrono::seconds kProbeLife{5};
-//! What one more waiting request a slot is taken to cost.
-constexpr std::chrono::milliseconds kTurn{1'000};
 
 }  // namespace
 
@@ -31,14 +29,12 @@
 }
 
 Duration RegionTable::WaitAt(const control::TargetLoad& load) const {
-  const std::uint32_t turns =
-      load.slots == 0 ? 0 : (load.demand + 1) / load.slots;
   const double reading = load.servers == 0
                              ? 0
                              : static_cast<double>(load.unread) / load.servers /
                                    this->prefill_rate;
-  return kTurn * turns + std::chrono::duration_cast<Duration>(
-                             std::chrono::duration<double>(reading));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(reading));
 }
 
 void RegionTable::Note(const state::HostRecord& host,
--- /dev/null
+++ b/programs/tamarackwingd/tests/region_demand_tests.cc
@@ -0,0 +1,37 @@
+#include "region_demand.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackwing::daemon {
+namespace {
+
+const HostName kSelf("plzen-1");
+const HostName kPeer("plzen-2");
+
+TEST(RegionDemand, CallsThatDoNotPassTheGateCount) {
+  policy::OwnLoad load;
+  load.running = 40;
+  EXPECT_EQ(CountDemand("drafter", kSelf, 0, load, {}).own, 40U);
+}
+
+TEST(RegionDemand, WhoeverWaitsAtTheGateCounts) {
+  policy::OwnLoad load;
+  load.running = 4;
+  EXPECT_EQ(CountDemand("drafter", kSelf, 9, load, {}).own, 9U);
+}
+
+TEST(RegionDemand, PeersAddWhatTheyTold) {
+  policy::OwnLoad load;
+  load.running = 4;
+  load.unread = 100;
+  control::RegionStatus status;
+  status.loads = {{"drafter", 64, 30, 9, 2'000}, {"desk", 6, 5, 1, 0}};
+  const RegionDemand demand =
+      CountDemand("drafter", kSelf, 0, load, {{kPeer, &status}});
+  EXPECT_EQ(demand.total, 34U);
+  EXPECT_EQ(demand.unread, 2'100);
+  EXPECT_EQ(demand.hosts.at(kPeer), 30U);
+}
+
+}  // namespace
+}  // namespace tamarackwing::daemon
