--- a/packages/policy/tests/server_order_tests.cc
+++ b/packages/policy/tests/server_order_tests.cc
@@ -118,7 +118,7 @@
 
 TEST_F(ServerOrder, AColdServerGetsNoMoreThanItsAllowanceInAnySecond) {
   ServerReport cold = Report("x", 100, 4);
-  cold.cold_for = seconds(2);
+  cold.cold_for = seconds(3);
   this->table.Announce(cold, this->clock.Now());
   ServerQuery query = this->Query();
   query.cold_allowance = [](const BackendServerName&) { return 1U; };
