--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -5,13 +5,9 @@
 
 #include "refused_header.h"
 #include "tamarackwing/base/event.h"
-#include "tamarackwing/base/random_source.h"
 #include "tamarackwing/gateway/token_budget.h"
 #include "tamarackwing/http/handoff.h"
-#include "tamarackwing/policy/admission.h"
 #include "tamarackwing/policy/rendezvous.h"
-#include "tamarackwing/policy/spill.h"
-#include "upstream.h"
 
 namespace tamarackwing::gateway {
 namespace {
@@ -20,19 +16,11 @@
 using policy::TryEnd;
 using std::chrono::milliseconds;
 
-//! Shared parts of a prompt of this size and more are worth gathering: to read
-//! them again costs more than a step of a full engine.
-constexpr TokenCount kGatheredTokens = 1'024;
 //! A refusal for want of a server asks its caller to wait at least so long: a
 //! server that left renews or is replaced in about this time.
 constexpr milliseconds kServerWait{400};
 //! Another host serves at once.
 constexpr milliseconds kOtherHostWait{10};
-constexpr std::uint32_t kPerKilosecond = 1'000;
-
-milliseconds CeilMs(Duration time) {
-  return std::chrono::ceil<milliseconds>(time);
-}
 
 std::string_view EndName(TryEnd end) {
   switch (end) {
@@ -280,173 +268,6 @@
   }
 }
 
-std::optional<PathRequest::Target> PathRequest::PickTarget() {
-  Target target;
-  const bool may_run_here = this->MayRunIn(this->gateway.Settings().region);
-  if (may_run_here && !this->forwarded) {
-    target.host = this->PickSpill();
-  }
-  if (may_run_here && !target.host) {
-    target.server = this->gateway.Parts().servers.Take(this->Query());
-    if (target.server && !this->IsWorth(target.server->slot_wait)) {
-      this->gateway.Parts().servers.Release(target.server->name,
-                                            this->PromptTokens());
-      target.server.reset();
-    }
-    if (target.server) {
-      target.endpoint = EndpointOf(*target.server);
-      this->tried.insert(target.server->name);
-      this->server_load = target.server->load;
-      this->slot_wait = target.server->slot_wait;
-      this->sent_at = this->gateway.Parts().servers.Now();
-      this->unread = this->PromptTokens();
-      return target;
-    }
-  }
-  if (!this->forwarded && !target.host) {
-    target.host = this->PickHost();
-  }
-  if (!target.host) {
-    return std::nullopt;
-  }
-  target.endpoint = target.host->endpoint;
-  this->tried_hosts.insert(target.host->host);
-  return target;
-}
-
-std::optional<ForwardTarget> PathRequest::BestCandidate() {
-  for (ForwardTarget& candidate :
-       this->gateway.Parts().regions.Candidates(this->service)) {
-    if (this->MayRunIn(candidate.region) &&
-        this->MayForwardTo(candidate.host)) {
-      return std::move(candidate);
-    }
-  }
-  return std::nullopt;
-}
-
-std::optional<ForwardTarget> PathRequest::PickSpill() {
-  const PathGatewayParts& parts = this->gateway.Parts();
-  std::optional<ForwardTarget> far = this->BestCandidate();
-  const bool spills =
-      far &&
-      policy::ShouldSpill(parts.regions.OwnWait(this->service), far->expected,
-                          policy::RendezvousKey(this->call.id));
-  return spills ? far : std::nullopt;
-}
-
-std::optional<ForwardTarget> PathRequest::PickHost() {
-  std::optional<ForwardTarget> best = this->BestCandidate();
-  if (best && this->turned_away && !this->IsWorth(best->expected)) {
-    return std::nullopt;
-  }
-  if (best || this->turned_away) {
-    return best;
-  }
-  // No word of the regions' load yet: any live entry host that may run it.
-  std::vector<ForwardTarget> others;
-  for (const auto& [name, host] : *this->snapshot->hosts) {
-    const bool fits = host.region != this->gateway.Settings().region &&
-                      this->MayForwardTo(name) && this->MayRunIn(host.region);
-    if (fits) {
-      others.push_back({name,
-                        host.region,
-                        {host.peer_address, host.forward_port},
-                        Duration::zero()});
-    }
-  }
-  if (others.empty()) {
-    return std::nullopt;
-  }
-  return others[this->gateway.NextNumber() % others.size()];
-}
-
-bool PathRequest::IsWorth(Duration wait) {
-  // What may have run is finished wherever that can be.
-  if (this->route->kind != state::PathKind::kStream ||
-      this->plan->MayHaveRun()) {
-    return true;
-  }
-  const milliseconds goal =
-      this->snapshot->paths->StreamTarget(state::ServiceName(this->service));
-  const std::uint64_t key = policy::RendezvousKey(this->call.id);
-  if (policy::ShouldAdmit(wait, goal, key)) {
-    return true;
-  }
-  this->turned_away = true;
-  this->retry_after = CeilMs(policy::TurnedAwayUntil(wait, goal, key));
-  LogEvent(Event::kTurnedAway, LogLevel::kInfo,
-           {{"request", this->call.id},
-            {"service", this->service},
-            {"wait_ms", std::to_string(CeilMs(wait).count())},
-            {"target_ms", std::to_string(goal.count())},
-            {"retry_ms", std::to_string(this->retry_after.count())}});
-  return false;
-}
-
-TokenCount PathRequest::PromptTokens() const {
-  return this->call.prompt ? this->call.prompt->prompt_tokens : 0;
-}
-
-bool PathRequest::MayForwardTo(const HostName& name) const {
-  const auto host = this->snapshot->hosts->find(name);
-  return host != this->snapshot->hosts->end() &&
-         host->second.caller_port != 0 && !host->second.draining &&
-         this->snapshot->live.contains(name) &&
-         !this->tried_hosts.contains(name);
-}
-
-policy::ServerQuery PathRequest::Query() const {
-  policy::ServerQuery query;
-  query.target = this->service;
-  query.data_centre = this->gateway.Settings().data_centre;
-  query.tried = this->tried;
-  query.closed = &this->snapshot->closed_data_centres;
-  if (this->call.prompt) {
-    const PromptShape& prompt = *this->call.prompt;
-    query.prompt_tokens = prompt.prompt_tokens;
-    query.output_tokens = prompt.output_tokens;
-    query.parts = prompt.parts;
-    TokenCount shared = 0;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-      shared += prompt.parts[i].tokens;
-    }
-    if (shared >= kGatheredTokens) {
-      query.affinity = prompt.parts[prompt.parts.size() - 2].digest;
-      query.affinity_tokens = shared;
-    }
-  }
-  const auto service =
-      this->snapshot->set->services.find(state::ServiceName(this->service));
-  if (service != this->snapshot->set->services.end() &&
-      service->second.warmup_per_kilosecond > 0) {
-    const std::uint32_t rate = service->second.warmup_per_kilosecond;
-    query.cold_allowance = [this, rate](const BackendServerName& server) {
-      return this->ColdAllowance(server, rate);
-    };
-  }
-  return query;
-}
-
-std::uint32_t PathRequest::ColdAllowance(const BackendServerName& server,
-                                         std::uint32_t per_kilosecond) const {
-  const GatewaySettings& settings = this->gateway.Settings();
-  std::vector<HostName> hosts;
-  for (const auto& [name, host] : *this->snapshot->hosts) {
-    if (host.region == settings.region && host.caller_port != 0 &&
-        this->snapshot->live.contains(name)) {
-      hosts.push_back(name);
-    }
-  }
-  // One request a second from each of as many hosts as the server bears.
-  const std::size_t owners =
-      std::max<std::size_t>(1, per_kilosecond / kPerKilosecond);
-  return policy::IsAmongOwners(policy::RendezvousKey(server.Text()),
-                               settings.host, hosts, owners)
-             ? 1
-             : 0;
-}
-
 bool PathRequest::IsRepeatable() const {
   return this->route->kind == state::PathKind::kIdempotent ||
          (this->route->kind == state::PathKind::kStream &&
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -32,6 +32,9 @@
 
  private:
   using Outcome = std::optional<Refusal>;
+  static std::chrono::milliseconds CeilMs(Duration time) {
+    return std::chrono::ceil<std::chrono::milliseconds>(time);
+  }
   //! Where one try goes: a server of this region, or a host of another.
   struct Target {
     std::optional<policy::ServerChoice> server;
