--- a/packages/policy/src/placement.cc
+++ b/packages/policy/src/placement.cc
@@ -11,8 +11,9 @@
 
 //! Costs nearer than this are the same: what is known of servers is that old.
 constexpr std::chrono::milliseconds kSameCost{50};
-//! One reading of a group's text delays about so many others as long as itself;
-//! with 1, 3 and 8 times the days of high load were worth less.
+//! A group leaves its server once so many readings of its text wait there. Of
+//! bounds between one and ten readings, this one served most on days of high
+//! load.
 constexpr int kReadingWeighs = 4;
 
 std::size_t PlaceAlone(const std::vector<PlacementOption>& options,
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -18,8 +18,8 @@
 constexpr TokenCount kTypicalOutput = 128;
 //! A single broken answer may be the request's fault, or the network's.
 constexpr std::uint32_t kBreaksToSetAside = 2;
-//! Requests over which the time that they run is meant.
-constexpr int kRunsMeant = 32;
+//! Requests over which their running time is averaged.
+constexpr int kRunsAveraged = 32;
 //! The span in which what a cold server gets is counted.
 constexpr std::chrono::seconds kColdSpan{1};
 
@@ -496,7 +496,8 @@
 
 void ServerTable::NoteRun(const std::string& target, Duration run) {
   Duration& known = this->loads[target].run;
-  known = known == Duration::zero() ? run : known + (run - known) / kRunsMeant;
+  known =
+      known == Duration::zero() ? run : known + (run - known) / kRunsAveraged;
 }
 
 void ServerTable::SetPeerLoad(const std::string& target,
