Read ADDRESS:PORT in one place

The operators' command, the daemon's settings and the adapter's reports each split and checked such texts. All call http::ParseEndpoint now. One text is treated otherwise: a settings file that names a port without an address (":80") is refused when it is checked; before, it was refused when the listener was opened.

--- a/packages/http/include/tamarackwing/http/endpoint.h
+++ b/packages/http/include/tamarackwing/http/endpoint.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace tamarackwing::http {
 
@@ -13,4 +15,8 @@
   friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
 };
 
+//! Reads ADDRESS:PORT; nothing where either is missing or the port is zero.
+//! The address is not looked at. Thread safety: reentrant.
+std::optional<Endpoint> ParseEndpoint(std::string_view text);
+
 }  // namespace tamarackwing::http
--- a/programs/tamarackwing/src/commands.cc
+++ b/programs/tamarackwing/src/commands.cc
@@ -97,7 +97,7 @@
                       http::Headers headers,
                       std::string body,
                       json* answer = nullptr) {
-  const auto endpoint = ParseEndpoint(FLAGS_operators);
+  const auto endpoint = http::ParseEndpoint(FLAGS_operators);
   if (!endpoint) {
     std::cerr << "--operators is no address:port\n";
     return ExitCode::kUsage;
--- a/programs/tamarackwing/src/experiment.cc
+++ b/programs/tamarackwing/src/experiment.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "operator_client.h"
 #include "tamarackwing/config/table_reader.h"
 
 namespace tamarackwing::cli {
@@ -18,7 +17,7 @@
                                           std::string_view field) {
   std::vector<http::Endpoint> endpoints;
   for (const std::string& text : reader.Texts(field)) {
-    const auto endpoint = ParseEndpoint(text);
+    const auto endpoint = http::ParseEndpoint(text);
     if (!endpoint) {
       reader.Note(config::FaultCode::kOutOfRange, field);
       continue;
--- a/programs/tamarackwing/src/operator_client.cc
+++ b/programs/tamarackwing/src/operator_client.cc
@@ -1,6 +1,5 @@
 #include "operator_client.h"
 
-#include <charconv>
 #include <utility>
 
 #include "tamarackwing/http/connection.h"
@@ -40,19 +39,4 @@
   return std::move(*response);
 }
 
-std::optional<http::Endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0) {
-    return std::nullopt;
-  }
-  http::Endpoint endpoint{text.substr(0, colon), 0};
-  const char* begin = text.data() + colon + 1;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(begin, end, endpoint.port);
-  if (error != std::errc() || stop != end || endpoint.port == 0) {
-    return std::nullopt;
-  }
-  return endpoint;
-}
-
 }  // namespace tamarackwing::cli
--- a/programs/tamarackwing/src/operator_client.h
+++ b/programs/tamarackwing/src/operator_client.h
@@ -26,7 +26,4 @@
   std::string token;
 };
 
-//! Reads `address:port`; nothing where it is neither. Thread safety: reentrant.
-std::optional<http::Endpoint> ParseEndpoint(const std::string& text);
-
 }  // namespace tamarackwing::cli
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -1,7 +1,6 @@
 #include "settings.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -38,24 +37,12 @@
 
 //! Reads ADDRESS:PORT.
 http::Endpoint ReadPlace(TableReader& reader, std::string_view field) {
-  http::Endpoint endpoint;
-  const std::string text = reader.Text(field, true);
-  const std::size_t colon = text.rfind(':');
-  unsigned port = 0;
-  if (colon != std::string::npos) {
-    const char* const end = text.data() + text.size();
-    const auto read = std::from_chars(text.data() + colon + 1, end, port);
-    if (read.ec != std::errc() || read.ptr != end) {
-      port = 0;
-    }
-  }
-  if (port == 0 || port > kMostPort) {
+  auto endpoint = http::ParseEndpoint(reader.Text(field, true));
+  if (!endpoint) {
     reader.Note(FaultCode::kOutOfRange, field);
-    return endpoint;
+    return {};
   }
-  endpoint.address = text.substr(0, colon);
-  endpoint.port = static_cast<std::uint16_t>(port);
-  return endpoint;
+  return std::move(*endpoint);
 }
 
 //! Reads `listen`, or `address` and `port`. A section that is not there opens
