Say once what the table of servers and its tests said several times; drop what nobody calls

ServerTable looks servers up by one Find; Serves and Reports of the table and Reports of the directory had no caller and go. The part of requests that may be retried stood as a constant in two files and as a parameter that was always the same: the directory is told only the reserve. A socket is peeked at in one place. The tests' servers x and y and their long prompt are made by the fixture; the assertions are as they were.

--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -37,9 +37,8 @@
   void TakeRelayed(const policy::ServerReport& report);
   //! Goes by other limits from now on.
   void SetLimits(policy::ServerTableLimits limits);
-  //! Sets the retry budget of each target: a part of its requests, and a
-  //! reserve. Precondition: `percent` is at most 100.
-  void SetRetryLimits(std::uint32_t percent, std::uint32_t reserve);
+  //! Sets what each target may be retried beyond a part of its requests.
+  void SetRetryReserve(std::uint32_t reserve);
   //! Chooses a server; counts it as sent.
   std::optional<policy::ServerChoice> Take(const policy::ServerQuery& query);
   //! The expected time of the best server, without taking it.
@@ -76,8 +75,6 @@
   void Expire();
   //! Usable slots of a target.
   std::uint32_t Slots(const std::string& target);
-  //! The last reports of all servers.
-  std::vector<policy::ServerReport> Reports();
 
  private:
   void Take(const policy::ServerReport& report);
@@ -87,7 +84,6 @@
   const Clock& clock;
   std::mutex mutex;
   policy::ServerTable table;
-  std::uint32_t retry_percent;
   std::uint32_t retry_reserve;
   std::map<std::string, policy::RetryBudget> retries;
   SeededRandom random;
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -7,6 +7,7 @@
 namespace tamarackwing::gateway {
 namespace {
 
+//! Retries as a part of the requests.
 constexpr std::uint32_t kRetryPercent = 10;
 constexpr std::uint32_t kRetryReserve = 20;
 
@@ -19,7 +20,6 @@
     : region(std::move(region)),
       clock(clock),
       table(limits),
-      retry_percent(kRetryPercent),
       retry_reserve(kRetryReserve),
       random(seed) {}
 
@@ -135,11 +135,9 @@
   this->table.SetLimits(limits);
 }
 
-void ServerDirectory::SetRetryLimits(std::uint32_t percent,
-                                     std::uint32_t reserve) {
+void ServerDirectory::SetRetryReserve(std::uint32_t reserve) {
   const std::lock_guard lock(this->mutex);
-  if (percent != this->retry_percent || reserve != this->retry_reserve) {
-    this->retry_percent = percent;
+  if (reserve != this->retry_reserve) {
     this->retry_reserve = reserve;
     this->retries.clear();
   }
@@ -156,8 +154,7 @@
 }
 
 policy::RetryBudget& ServerDirectory::RetriesOf(const std::string& target) {
-  return this->retries
-      .try_emplace(target, this->retry_percent, this->retry_reserve)
+  return this->retries.try_emplace(target, kRetryPercent, this->retry_reserve)
       .first->second;
 }
 
@@ -183,11 +180,6 @@
   return this->table.Slots(target, this->clock.Now());
 }
 
-std::vector<policy::ServerReport> ServerDirectory::Reports() {
-  const std::lock_guard lock(this->mutex);
-  return this->table.Reports();
-}
-
 void ServerDirectory::Take(const policy::ServerReport& report) {
   bool is_new = false;
   {
--- a/packages/http/src/socket_options.cc
+++ b/packages/http/src/socket_options.cc
@@ -4,6 +4,24 @@
 #include <sys/socket.h>
 
 namespace tamarackwing::http {
+namespace {
+
+//! What stands at a socket to be read.
+enum class Peeked { kNothing, kBytes, kClosed };
+
+Peeked Peek(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const auto received =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (received > 0) {
+    return Peeked::kBytes;
+  }
+  const bool would_wait =
+      received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return would_wait ? Peeked::kNothing : Peeked::kClosed;
+}
+
+}  // namespace
 
 void SetSocketOptions(asio::ip::tcp::socket& socket,
                       std::chrono::milliseconds silence) {
@@ -15,20 +33,11 @@
 }
 
 bool IsPeerClosed(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  const auto received =
-      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (received == 0) {
-    return true;
-  }
-  return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+  return Peek(socket) == Peeked::kClosed;
 }
 
 bool IsQuiet(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  const auto received =
-      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return Peek(socket) == Peeked::kNothing;
 }
 
 }  // namespace tamarackwing::http
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -164,10 +164,6 @@
   OwnLoad LoadOf(const std::string& target, TimePoint now) const;
   //! Slots of all usable servers for a target.
   std::uint32_t Slots(const std::string& target, TimePoint now) const;
-  //! Whether any usable server serves the target.
-  bool Serves(const std::string& target, TimePoint now) const;
-  //! The last reports of all servers.
-  std::vector<ServerReport> Reports() const;
   //! How many servers hold a lease.
   std::size_t Count() const { return this->servers.size(); }
 
@@ -185,6 +181,8 @@
     Duration wait{};
     Duration cost{};
   };
+  //! The server of that name; null where it is not known.
+  Server* Find(const BackendServerName& name);
   void Leave(const ServerReport& report);
   void SetAside(Server& server, TimePoint sent, TimePoint now);
   //! Ends the server that had the report's address before.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -83,13 +83,18 @@
 ServerTable::~ServerTable() = default;
 ServerTable::ServerTable(ServerTable&&) noexcept = default;
 
+ServerTable::Server* ServerTable::Find(const BackendServerName& name) {
+  const auto found = this->servers.find(name);
+  return found == this->servers.end() ? nullptr : found->second.get();
+}
+
 void ServerTable::Leave(const ServerReport& report) {
-  const auto known = this->servers.find(report.name);
+  Server* const known = this->Find(report.name);
   const auto zero = std::chrono::milliseconds(0);
-  if (known == this->servers.end()) {
+  if (known == nullptr) {
     return;
   }
-  ServerReport& last = known->second->report;
+  ServerReport& last = known->report;
   if (report.started == zero || report.started == last.started) {
     last.leaving = true;
   }
@@ -261,11 +266,11 @@
 void ServerTable::NoteSent(const BackendServerName& name,
                            TokenCount prompt_tokens,
                            TimePoint now) {
-  const auto found = this->servers.find(name);
-  if (found == this->servers.end()) {
+  Server* const found = this->Find(name);
+  if (found == nullptr) {
     return;
   }
-  Server& server = *found->second;
+  Server& server = *found;
   if (server.own_running == 0) {
     server.awaited_since = now;
   }
@@ -282,10 +287,9 @@
 
 void ServerTable::NoteFirstOutput(const BackendServerName& name,
                                   TokenCount prompt_tokens) {
-  const auto found = this->servers.find(name);
-  if (found != this->servers.end()) {
-    Server& server = *found->second;
-    server.unread = std::max<TokenCount>(0, server.unread - prompt_tokens);
+  Server* const server = this->Find(name);
+  if (server != nullptr) {
+    server->unread = std::max<TokenCount>(0, server->unread - prompt_tokens);
   }
 }
 
@@ -307,11 +311,11 @@
                                ServerSign sign,
                                TimePoint sent,
                                TimePoint now) {
-  const auto found = this->servers.find(name);
-  if (found == this->servers.end()) {
+  Server* const found = this->Find(name);
+  if (found == nullptr) {
     return;
   }
-  Server& server = *found->second;
+  Server& server = *found;
   server.own_running -= std::min(server.own_running, 1U);
   switch (sign) {
     case ServerSign::kAnswered:
@@ -340,10 +344,10 @@
 }
 
 void ServerTable::NoteAlive(const BackendServerName& name, TimePoint now) {
-  const auto found = this->servers.find(name);
-  if (found != this->servers.end()) {
-    found->second->alive = now;
-    found->second->awaited_since = now;
+  Server* const server = this->Find(name);
+  if (server != nullptr) {
+    server->alive = now;
+    server->awaited_since = now;
   }
 }
 
@@ -365,11 +369,11 @@
 
 void ServerTable::NotePrefix(const BackendServerName& name,
                              std::uint64_t prefix) {
-  const auto found = this->servers.find(name);
-  if (found == this->servers.end() || prefix == 0) {
+  Server* const found = this->Find(name);
+  if (found == nullptr || prefix == 0) {
     return;
   }
-  Server& server = *found->second;
+  Server& server = *found;
   if (!server.prefixes.insert(prefix).second) {
     return;
   }
@@ -396,19 +400,6 @@
   return slots;
 }
 
-bool ServerTable::Serves(const std::string& target, TimePoint now) const {
-  return this->Slots(target, now) > 0;
-}
-
-std::vector<ServerReport> ServerTable::Reports() const {
-  std::vector<ServerReport> reports;
-  reports.reserve(this->servers.size());
-  for (const auto& [name, server] : this->servers) {
-    reports.push_back(server->report);
-  }
-  return reports;
-}
-
 bool ServerTable::IsUsable(const Server& server,
                            bool lapsed,
                            TimePoint now) const {
--- a/packages/policy/tests/server_order_tests.cc
+++ b/packages/policy/tests/server_order_tests.cc
@@ -45,6 +45,25 @@
     return query;
   }
 
+  void AnnounceX() {
+    this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  }
+
+  //! Another server at another address.
+  void AnnounceY() {
+    ServerReport report = Report("y", 100, 1);
+    report.address = "10.0.0.2";
+    this->table.Announce(report, this->clock.Now());
+  }
+
+  //! A prompt of which 6,000 tokens are in its first part.
+  ServerQuery LongPrompt() const {
+    ServerQuery query = this->Query();
+    query.prompt_tokens = 9'000;
+    query.parts = {{11, 6'000}, {12, 3'000}};
+    return query;
+  }
+
   std::optional<ServerChoice> Pick(const ServerQuery& query) {
     return this->table.Pick(query, this->clock.Now(), this->random);
   }
@@ -57,7 +76,7 @@
 TEST_F(ServerOrder, ALateReportDoesNotBringBackAServerThatLeaves) {
   ServerReport leaving = Report("x", 100, 5);
   leaving.leaving = true;
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->AnnounceX();
   this->table.Announce(leaving, this->clock.Now());
   this->table.Announce(Report("x", 100, 6), this->clock.Now());
   EXPECT_FALSE(this->Pick(this->Query()).has_value());
@@ -87,7 +106,7 @@
 }
 
 TEST_F(ServerOrder, WhoKnowsOnlyTheNameCanSayThatAServerLeaves) {
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->AnnounceX();
   ServerReport left;
   left.name = BackendServerName("x");
   left.leaving = true;
@@ -96,20 +115,18 @@
 }
 
 TEST_F(ServerOrder, AServerWithoutALeaseIsTheLastResort) {
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->AnnounceX();
   this->clock.Advance(Limits().lease + milliseconds(1));
   EXPECT_TRUE(this->table.Expire(this->clock.Now()).empty());
   EXPECT_TRUE(this->Pick(this->Query()).has_value());
-  ServerReport other = Report("y", 100, 1);
-  other.address = "10.0.0.2";
-  this->table.Announce(other, this->clock.Now());
+  this->AnnounceY();
   for (int i = 0; i < 20; ++i) {
     EXPECT_EQ(this->Pick(this->Query())->name, BackendServerName("y"));
   }
 }
 
 TEST_F(ServerOrder, AClosedDataCentreGetsNothing) {
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->AnnounceX();
   const std::set<DataCentreName> closed{DataCentreName("a")};
   ServerQuery query = this->Query();
   query.closed = &closed;
@@ -136,13 +153,9 @@
 }
 
 TEST_F(ServerOrder, PromptsGatherWhereTheirPartsAreKept) {
-  ServerReport other = Report("y", 100, 1);
-  other.address = "10.0.0.2";
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
-  this->table.Announce(other, this->clock.Now());
-  ServerQuery query = this->Query();
-  query.prompt_tokens = 9'000;
-  query.parts = {{11, 6'000}, {12, 3'000}};
+  this->AnnounceX();
+  this->AnnounceY();
+  const ServerQuery query = this->LongPrompt();
   this->table.NotePrefix(BackendServerName("y"), 11);
   for (int i = 0; i < 20; ++i) {
     EXPECT_EQ(this->Pick(query)->name, BackendServerName("y"));
@@ -150,13 +163,9 @@
 }
 
 TEST_F(ServerOrder, APartCountsOnlyWhereAllBeforeItAreKept) {
-  ServerReport other = Report("y", 100, 1);
-  other.address = "10.0.0.2";
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
-  this->table.Announce(other, this->clock.Now());
-  ServerQuery query = this->Query();
-  query.prompt_tokens = 9'000;
-  query.parts = {{11, 6'000}, {12, 3'000}};
+  this->AnnounceX();
+  this->AnnounceY();
+  const ServerQuery query = this->LongPrompt();
   this->table.NotePrefix(BackendServerName("x"), 12);
   std::set<BackendServerName> picked;
   for (int i = 0; i < 40; ++i) {
@@ -166,7 +175,7 @@
 }
 
 TEST_F(ServerOrder, WhatOtherHostsHaveThereCountsForTheWait) {
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
+  this->AnnounceX();
   this->table.NoteRun("desk", seconds(4));
   for (int i = 0; i < 3; ++i) {
     this->table.NoteSent(BackendServerName("x"), 0, this->clock.Now());
@@ -186,10 +195,8 @@
 }
 
 TEST_F(ServerOrder, UnreadPromptsSendTheNextOneElsewhere) {
-  ServerReport other = Report("y", 100, 1);
-  other.address = "10.0.0.2";
-  this->table.Announce(Report("x", 100, 4), this->clock.Now());
-  this->table.Announce(other, this->clock.Now());
+  this->AnnounceX();
+  this->AnnounceY();
   this->table.NoteSent(BackendServerName("x"), 9'000, this->clock.Now());
   for (int i = 0; i < 20; ++i) {
     EXPECT_EQ(this->Pick(this->Query())->name, BackendServerName("y"));
@@ -198,9 +205,7 @@
 
 class ServerHealth : public ServerOrder {
  protected:
-  ServerHealth() {
-    this->table.Announce(Report("x", 100, 4), this->clock.Now());
-  }
+  ServerHealth() { this->AnnounceX(); }
 
   void End(ServerSign sign, TimePoint sent) {
     this->table.NoteFinished(BackendServerName("x"), sign, sent,
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -28,8 +28,6 @@
 constexpr milliseconds kRatesEvery{300};
 //! Longer than the reports of a few lost messages.
 constexpr milliseconds kLeaderIsNew{3'000};
-//! Second sends as a part of the requests.
-constexpr std::uint32_t kRetryPercent = 10;
 
 std::chrono::microseconds ThreadTime() {
   timespec time{};
@@ -558,8 +556,7 @@
       [](const auto& host) { return host.second.caller_port != 0; }));
   if (this->fleet_retries > 0 && entries > 0) {
     // Half of what is allowed: hosts count their requests by different windows.
-    this->parts.servers.SetRetryLimits(
-        kRetryPercent,
+    this->parts.servers.SetRetryReserve(
         std::max<std::uint32_t>(1, this->fleet_retries / 2 / entries));
   }
 }
