Give both gateways the same parts, pools and count of requests under way

Gateway and PathGateway each listed the same nine parts, made a pool for each traffic thread and counted their requests by a class of their own: TrafficParts, backend_servers::ConnectionPools and RequestCount serve both. A path call to whose target nothing may be sent gives it back by ServerDirectory::Release, as one that is turned away does.

--- a/packages/gateway/include/tamarackwing/gateway/gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway/gateway.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include <atomic>
-#include <map>
-#include <memory>
 #include <vector>
 
-#include "tamarackwing/backend_servers/connection_pool.h"
+#include "tamarackwing/backend_servers/connection_pools.h"
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/metrics.h"
 #include "tamarackwing/base/span.h"
@@ -13,53 +11,26 @@
 #include "tamarackwing/gateway/active_requests.h"
 #include "tamarackwing/gateway/admission_gate.h"
 #include "tamarackwing/gateway/gateway_settings.h"
+#include "tamarackwing/gateway/request_count.h"
 #include "tamarackwing/gateway/server_directory.h"
 #include "tamarackwing/gateway/snapshot_holder.h"
-
-namespace tamarackwing::http {
-class IoThreads;
-}
+#include "tamarackwing/gateway/traffic_parts.h"
 
 namespace tamarackwing::gateway {
 
 class OperationPermits;
-class RegionHosts;
-class TokenBudget;
 
 //! What a gateway works with; everything outlives it.
-struct GatewayParts {
-  http::IoThreads& threads;
-  //! The clock of timeouts.
-  const Clock& clock;
-  //! The clock by which the snapshot's word is aged.
-  const Clock& word_clock;
-  Metrics& metrics;
-  SpanSink& spans;
-  SnapshotHolder& snapshots;
-  ServerDirectory& servers;
+struct GatewayParts : TrafficParts {
   AdmissionGate& gate;
   ActiveRequests& active;
-  TokenBudget& budget;
   OperationPermits& permits;
-  RegionHosts& regions;
 };
 
 //! Serves callers: checks, admits, routes and answers their requests.
 //! Thread safety: as for callers::CallerService.
 class Gateway final : public callers::CallerService {
  public:
-  //! Counts a request as under way for as long as it lives.
-  class Presence {
-   public:
-    explicit Presence(Gateway& gateway);
-    ~Presence();
-    Presence(const Presence&) = delete;
-    Presence& operator=(const Presence&) = delete;
-
-   private:
-    Gateway& gateway;
-  };
-
   Gateway(GatewayParts parts, GatewaySettings settings);
   ~Gateway() override;
 
@@ -81,14 +52,18 @@
 
   //! Requests under way, operations that outlive their callers included.
   //! Thread safety: from any thread.
-  std::size_t UnderWay() const { return this->under_way.load(); }
+  std::size_t UnderWay() const { return this->requests.Now(); }
+  //! Where requests under way are counted. Thread safety: from any thread.
+  RequestCount& Requests() { return this->requests; }
   //! The parts. Thread safety: as for each part.
   const GatewayParts& Parts() const { return this->parts; }
   //! The settings. Thread safety: from any thread.
   const GatewaySettings& Settings() const { return this->settings; }
   //! The pool of the calling traffic thread's context.
   backend_servers::ConnectionPool& PoolOf(
-      const http::asio::any_io_executor& executor);
+      const http::asio::any_io_executor& executor) {
+    return this->pools.Of(executor);
+  }
   //! A number for a request that waits. Thread safety: from any thread.
   std::uint64_t NextRequest() { return this->next_request.fetch_add(1); }
   //! Hosts that a caller of this workspace should try, best first.
@@ -102,11 +77,9 @@
   GatewayParts parts;
   GatewaySettings settings;
   std::atomic<bool> draining{false};
-  std::atomic<std::size_t> under_way{0};
+  RequestCount requests;
   std::atomic<std::uint64_t> next_request{1};
-  std::map<http::asio::execution_context*,
-           std::unique_ptr<backend_servers::ConnectionPool>>
-      pools;
+  backend_servers::ConnectionPools pools;
 };
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/include/tamarackwing/gateway/path_gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_gateway.h
@@ -1,45 +1,27 @@
 #pragma once
 
 #include <atomic>
-#include <map>
-#include <memory>
 #include <optional>
 
-#include "tamarackwing/backend_servers/connection_pool.h"
+#include "tamarackwing/backend_servers/connection_pools.h"
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/metrics.h"
 #include "tamarackwing/base/span.h"
 #include "tamarackwing/gateway/gateway_settings.h"
 #include "tamarackwing/gateway/path_call.h"
 #include "tamarackwing/gateway/path_protocol.h"
+#include "tamarackwing/gateway/request_count.h"
 #include "tamarackwing/gateway/server_directory.h"
 #include "tamarackwing/gateway/snapshot_holder.h"
+#include "tamarackwing/gateway/traffic_parts.h"
 #include "tamarackwing/http/asio.h"
 #include "tamarackwing/http/response_writer.h"
 #include "tamarackwing/http/server_limits.h"
 
-namespace tamarackwing::http {
-class IoThreads;
-}
-
 namespace tamarackwing::gateway {
 
-class RegionHosts;
-class TokenBudget;
-
 //! What a path gateway works with; everything outlives it.
-struct PathGatewayParts {
-  http::IoThreads& threads;
-  //! The clock of timeouts.
-  const Clock& clock;
-  //! The clock by which the snapshot's word is aged.
-  const Clock& word_clock;
-  Metrics& metrics;
-  SpanSink& spans;
-  SnapshotHolder& snapshots;
-  ServerDirectory& servers;
-  TokenBudget& budget;
-  RegionHosts& regions;
+struct PathGatewayParts : TrafficParts {
   const PathProtocol& protocol;
 };
 
@@ -48,20 +30,6 @@
 //! to a host of another. Thread safety: called from every traffic thread.
 class PathGateway {
  public:
-  //! Counts a call as under way for as long as it lives.
-  class Presence {
-   public:
-    explicit Presence(PathGateway& gateway) : gateway(gateway) {
-      this->gateway.under_way.fetch_add(1);
-    }
-    ~Presence() { this->gateway.under_way.fetch_sub(1); }
-    Presence(const Presence&) = delete;
-    Presence& operator=(const Presence&) = delete;
-
-   private:
-    PathGateway& gateway;
-  };
-
   PathGateway(PathGatewayParts parts, GatewaySettings settings);
   ~PathGateway();
 
@@ -88,13 +56,17 @@
   //! Whether new calls are refused. Thread safety: from any thread.
   bool IsRefusing() const;
   //! Calls under way. Thread safety: from any thread.
-  std::size_t UnderWay() const { return this->under_way.load(); }
+  std::size_t UnderWay() const { return this->calls.Now(); }
+  //! Where calls under way are counted. Thread safety: from any thread.
+  RequestCount& Calls() { return this->calls; }
 
   const PathGatewayParts& Parts() const { return this->parts; }
   const GatewaySettings& Settings() const { return this->settings; }
   //! The pool of the calling traffic thread's context.
   backend_servers::ConnectionPool& PoolOf(
-      const http::asio::any_io_executor& executor);
+      const http::asio::any_io_executor& executor) {
+    return this->pools.Of(executor);
+  }
   //! A different number for each call. Thread safety: from any thread.
   std::uint64_t NextNumber() { return this->next_number.fetch_add(1); }
 
@@ -103,11 +75,9 @@
   GatewaySettings settings;
   std::atomic<bool> draining{false};
   TimePoint refuse_at;
-  std::atomic<std::size_t> under_way{0};
+  RequestCount calls;
   std::atomic<std::uint64_t> next_number{1};
-  std::map<http::asio::execution_context*,
-           std::unique_ptr<backend_servers::ConnectionPool>>
-      pools;
+  backend_servers::ConnectionPools pools;
 };
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -30,22 +30,10 @@
 
 }  // namespace
 
-Gateway::Presence::Presence(Gateway& gateway) : gateway(gateway) {
-  this->gateway.under_way.fetch_add(1);
-}
-
-Gateway::Presence::~Presence() {
-  this->gateway.under_way.fetch_sub(1);
-}
-
 Gateway::Gateway(GatewayParts parts, GatewaySettings settings)
-    : parts(parts), settings(std::move(settings)) {
-  for (const auto& context : this->parts.threads.All()) {
-    this->pools[context.get()] =
-        std::make_unique<backend_servers::ConnectionPool>(*context,
-                                                          this->settings.pool);
-  }
-}
+    : parts(parts),
+      settings(std::move(settings)),
+      pools(this->parts.threads.All(), this->settings.pool) {}
 
 Gateway::~Gateway() = default;
 
@@ -125,11 +113,6 @@
   this->draining.store(true);
 }
 
-backend_servers::ConnectionPool& Gateway::PoolOf(
-    const http::asio::any_io_executor& executor) {
-  return *this->pools.at(&executor.context());
-}
-
 std::vector<HostName> Gateway::HostsFor(const state::Snapshot& snapshot,
                                         const WorkspaceName& name) const {
   std::vector<HostName> near;
--- a/packages/gateway/src/path_gateway.cc
+++ b/packages/gateway/src/path_gateway.cc
@@ -13,13 +13,9 @@
 }
 
 PathGateway::PathGateway(PathGatewayParts parts, GatewaySettings settings)
-    : parts(parts), settings(std::move(settings)) {
-  for (const auto& context : this->parts.threads.All()) {
-    this->pools[context.get()] =
-        std::make_unique<backend_servers::ConnectionPool>(*context,
-                                                          this->settings.pool);
-  }
-}
+    : parts(parts),
+      settings(std::move(settings)),
+      pools(this->parts.threads.All(), this->settings.pool) {}
 
 PathGateway::~PathGateway() = default;
 
@@ -68,9 +64,4 @@
   return this->IsDraining() && this->parts.clock.Now() >= this->refuse_at;
 }
 
-backend_servers::ConnectionPool& PathGateway::PoolOf(
-    const http::asio::any_io_executor& executor) {
-  return *this->pools.at(&executor.context());
-}
-
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -54,7 +54,7 @@
 PathRequest::~PathRequest() = default;
 
 http::asio::awaitable<void> PathRequest::Run() {
-  const PathGateway::Presence presence(this->gateway);
+  const RequestCount::Presence presence(this->gateway.Calls());
   const PathGatewayParts& parts = this->gateway.Parts();
   this->started = parts.clock.Now();
   this->started_at = std::chrono::system_clock::now();
@@ -229,21 +229,10 @@
     const auto target = this->PickTarget();
     const bool may_send =
         target && (!is_again || servers.TryRetry(this->service));
-    TryEnd end = TryEnd::kNotSent;
-    if (may_send) {
-      end = co_await this->Try(*target);
-      this->NoteRead(*target);
-      this->LogTry(*target, end);
-    }
-    if (target && !may_send) {
-      this->NoteRead(*target);
-    }
-    if (target && target->server) {
-      servers.Finish(target->server->name,
-                     may_send ? this->sign : policy::ServerSign::kNothing,
-                     this->sent_at);
-    }
     if (!may_send) {
+      if (target && target->server) {
+        servers.Release(target->server->name, this->PromptTokens());
+      }
       if (this->answer) {
         co_await this->writer.Send(std::move(*this->answer));
         co_return std::nullopt;
@@ -252,8 +241,13 @@
                                       ? RefusalCode::kQueueFull
                                       : RefusalCode::kNoBackendServer);
     }
-    const NextStep step = this->plan->Next(end);
-    switch (step) {
+    const TryEnd end = co_await this->Try(*target);
+    this->NoteRead(*target);
+    this->LogTry(*target, end);
+    if (target->server) {
+      servers.Finish(target->server->name, this->sign, this->sent_at);
+    }
+    switch (this->plan->Next(end)) {
       case NextStep::kTryAnother:
         break;
       case NextStep::kPassOn:
--- a/packages/gateway/src/served_operation.cc
+++ b/packages/gateway/src/served_operation.cc
@@ -44,7 +44,7 @@
 http::asio::awaitable<void> ServedRequest::RunOperation(
     std::shared_ptr<ServedRequest> self,
     std::shared_ptr<http::Handoff<std::optional<Refusal>>> done) {
-  const Gateway::Presence presence(self->gateway);
+  const RequestCount::Presence presence(self->gateway.Requests());
   Outcome refusal = co_await self->AskPermit();
   if (!refusal && self->operation_answer.status == 0) {
     refusal = co_await self->SendOperation();
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -38,7 +38,7 @@
 ServedRequest::~ServedRequest() = default;
 
 http::asio::awaitable<void> ServedRequest::Run() {
-  const Gateway::Presence presence(this->gateway);
+  const RequestCount::Presence presence(this->gateway.Requests());
   const GatewayParts& parts = this->gateway.Parts();
   this->started = parts.clock.Now();
   this->started_at = std::chrono::system_clock::now();
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -106,12 +106,8 @@
                  budget, rates, regions},
                 disk.get(),
                 founds_log),
-        gateway({threads, clock, word_clock, metrics, spans, snapshots, servers,
-                 gate, active, budget, control, regions},
-                settings.gateway),
-        path_gateway({threads, clock, word_clock, metrics, spans, snapshots,
-                      servers, rates, regions, protocol},
-                     settings.gateway),
+        gateway({TrafficWith(budget), gate, active, control}, settings.gateway),
+        path_gateway({TrafficWith(rates), protocol}, settings.gateway),
         caller_listener(gateway),
         forward_listener(gateway),
         announcement_listener(servers),
@@ -128,6 +124,12 @@
     }
   }
 
+  //! What both gateways share, with the budgets that one goes by.
+  gateway::TrafficParts TrafficWith(gateway::TokenBudget& budgets) {
+    return {threads,   clock,   word_clock, metrics, spans,
+            snapshots, servers, budgets,    regions};
+  }
+
   //! Opens a listener where there is one to open.
   bool Open(http::Handler* handler, const http::Endpoint& endpoint) {
     if (handler == nullptr || endpoint.port == 0) {
