--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -296,9 +296,8 @@
   this->relay_at = now + this->options.relay;
   for (const auto& [region, reports] : this->relay.Due(now)) {
     for (const auto& [name, host] : this->state.Hosts()) {
-      const bool is_entry = host.caller_port != 0;
       const bool is_there = region.IsEmpty() || host.region == region;
-      if (!is_entry || !is_there) {
+      if (!host.TakesCallers() || !is_there) {
         continue;
       }
       if (name == this->options.self.name) {
@@ -337,6 +336,7 @@
   }
   const RegionName& region = this->options.self.region;
   for (const auto& [name, host] : this->state.Hosts()) {
+    snapshot->entry_hosts += host.TakesCallers() ? 1 : 0;
     // In its own region a host goes by what it hears itself.
     if (host.region == region && name != this->options.self.name &&
         !this->watch.IsHeard(name, now)) {
@@ -377,7 +377,7 @@
 std::set<HostName> ControlNode::EntryHosts() const {
   std::set<HostName> entries;
   for (const auto& [name, host] : this->state.Hosts()) {
-    if (host.caller_port != 0) {
+    if (host.TakesCallers()) {
       entries.insert(name);
     }
   }
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -132,9 +132,8 @@
 
 bool PathRequest::MayForwardTo(const HostName& name) const {
   const auto host = this->snapshot->hosts->find(name);
-  return host != this->snapshot->hosts->end() &&
-         host->second.caller_port != 0 && !host->second.draining &&
-         this->snapshot->live.contains(name) &&
+  return host != this->snapshot->hosts->end() && host->second.TakesCallers() &&
+         !host->second.draining && this->snapshot->live.contains(name) &&
          !this->tried_hosts.contains(name);
 }
 
@@ -175,7 +174,7 @@
   const GatewaySettings& settings = this->gateway.Settings();
   std::vector<HostName> hosts;
   for (const auto& [name, host] : *this->snapshot->hosts) {
-    if (host.region == settings.region && host.caller_port != 0 &&
+    if (host.region == settings.region && host.TakesCallers() &&
         this->snapshot->live.contains(name)) {
       hosts.push_back(name);
     }
--- a/packages/state/include/tamarackwing/state/host_record.h
+++ b/packages/state/include/tamarackwing/state/host_record.h
@@ -24,6 +24,9 @@
   std::uint64_t incarnation = 0;
   bool draining = false;
 
+  //! Whether it is an entry host.
+  bool TakesCallers() const { return this->caller_port != 0; }
+
   friend bool operator==(const HostRecord&, const HostRecord&) = default;
 };
 
--- a/packages/state/include/tamarackwing/state/snapshot.h
+++ b/packages/state/include/tamarackwing/state/snapshot.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <set>
@@ -35,6 +36,8 @@
   //! Never null; the same one until a host changes.
   std::shared_ptr<const std::map<HostName, HostRecord>> hosts =
       std::make_shared<const std::map<HostName, HostRecord>>();
+  //! How many of the hosts take callers.
+  std::size_t entry_hosts = 0;
   //! Hosts that answered lately.
   std::set<HostName> live;
   //! When this host last had word of all that was committed.
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -529,6 +529,7 @@
   auto snapshot = this->node->MakeSnapshot(now);
   if (snapshot->hosts != this->known_hosts) {
     this->known_hosts = snapshot->hosts;
+    this->entry_hosts = static_cast<std::uint32_t>(snapshot->entry_hosts);
     this->TakeHosts(*snapshot->hosts);
   }
   this->parts.snapshots.Set(std::move(snapshot));
@@ -551,13 +552,10 @@
 }
 
 void ControlThread::LimitRetries() {
-  const auto entries = static_cast<std::uint32_t>(std::count_if(
-      this->known_hosts->begin(), this->known_hosts->end(),
-      [](const auto& host) { return host.second.caller_port != 0; }));
-  if (this->fleet_retries > 0 && entries > 0) {
+  if (this->fleet_retries > 0 && this->entry_hosts > 0) {
     // Half of what is allowed: hosts count their requests by different windows.
-    this->parts.servers.SetRetryReserve(
-        std::max<std::uint32_t>(1, this->fleet_retries / 2 / entries));
+    this->parts.servers.SetRetryReserve(std::max<std::uint32_t>(
+        1, this->fleet_retries / 2 / this->entry_hosts));
   }
 }
 
@@ -566,9 +564,7 @@
   const std::chrono::milliseconds freshness = next.times.key_freshness;
   this->network->Post([this, retries, freshness] {
     this->fleet_retries = retries;
-    if (this->known_hosts) {
-      this->LimitRetries();
-    }
+    this->LimitRetries();
     this->node->SetKeyFreshness(freshness);
   });
 }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -171,6 +171,8 @@
   HostName rates_leader;
   TimePoint rates_leader_since;
   std::shared_ptr<const std::map<HostName, state::HostRecord>> known_hosts;
+  //! How many of them take callers.
+  std::uint32_t entry_hosts = 0;
 };
 
 }  // namespace tamarackwing::daemon
--- a/programs/tamarackwingd/src/rate_desk.cc
+++ b/programs/tamarackwingd/src/rate_desk.cc
@@ -16,10 +16,7 @@
   const TokenCount beyond =
       in_span * tolerance.percent / kWhole + tolerance.tokens;
   limit.burst = (workspace.burst + beyond) / 2;
-  const auto entries = std::count_if(
-      snapshot.hosts->begin(), snapshot.hosts->end(),
-      [](const auto& entry) { return entry.second.caller_port != 0; });
-  limit.hosts = std::max<std::size_t>(1, static_cast<std::size_t>(entries));
+  limit.hosts = std::max<std::size_t>(1, snapshot.entry_hosts);
   return limit;
 }
 
