Read a request's head once: what a handler accepts serves the body

A handler decided on the head before the body came and was then given the whole request, so both callers' listeners and both listeners for forwarded requests read the head, and digested the key, twice for each request. http::Handler::Accept gives an Exchange that keeps what was read; handlers that keep only the head derive from WholeRequestHandler and are as they were. A forwarded request of this system's own interface whose head can't be read is refused before its body is read, not after.

--- a/packages/backend_servers/include/tamarackwing/backend_servers/announcement_listener.h
+++ b/packages/backend_servers/include/tamarackwing/backend_servers/announcement_listener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tamarackwing/http/handler.h"
+#include "tamarackwing/http/whole_request_handler.h"
 
 namespace tamarackwing::backend_servers {
 
@@ -8,7 +8,7 @@
 
 //! Takes `POST /v1/servers` (announce, renew, leave) and
 //! `POST /v1/cache_events` from backend servers.
-class AnnouncementListener final : public http::Handler {
+class AnnouncementListener final : public http::WholeRequestHandler {
  public:
   //! Precondition: `registry` outlives the listener.
   explicit AnnouncementListener(ServerRegistry& registry);
--- a/packages/callers/include/tamarackwing/callers/caller_listener.h
+++ b/packages/callers/include/tamarackwing/callers/caller_listener.h
@@ -14,10 +14,8 @@
 
   http::ServerLimits LimitsNow(
       const http::ServerLimits& listener) const override;
-  std::optional<http::Response> CheckHead(
-      const http::RequestHead& head) override;
-  http::asio::awaitable<void> Handle(http::Request request,
-                                     http::ResponseWriter& writer) override;
+  Expected<std::unique_ptr<http::Exchange>, http::Response> Accept(
+      http::RequestHead head) override;
   http::Response RejectFault(http::RequestFault fault) override;
 
  private:
--- a/packages/callers/include/tamarackwing/callers/caller_service.h
+++ b/packages/callers/include/tamarackwing/callers/caller_service.h
@@ -6,6 +6,7 @@
 #include "tamarackwing/base/refusal.h"
 #include "tamarackwing/callers/caller_head.h"
 #include "tamarackwing/http/asio.h"
+#include "tamarackwing/http/message.h"
 #include "tamarackwing/http/server_limits.h"
 
 namespace tamarackwing::http {
@@ -22,6 +23,11 @@
   std::string body;
 };
 
+//! A request without its body, from its head and the fields that came with it.
+//! Thread safety: reentrant.
+CallerRequest MakeCallerRequest(CallerHead head,
+                                const http::RequestHead& fields);
+
 //! Interface: what serves the callers of a host.
 //! Thread safety: called from every traffic thread.
 class CallerService {
--- a/packages/callers/src/caller_listener.cc
+++ b/packages/callers/src/caller_listener.cc
@@ -6,37 +6,50 @@
 #include "tamarackwing/callers/refusal_response.h"
 
 namespace tamarackwing::callers {
+namespace {
+
+class CallerExchange final : public http::Exchange {
+ public:
+  CallerExchange(CallerService& service, CallerRequest request)
+      : service(service), request(std::move(request)) {}
+
+  http::asio::awaitable<void> Serve(std::string body,
+                                    http::ResponseWriter& writer) override {
+    this->request.body = std::move(body);
+    return this->service.Serve(std::move(this->request), writer);
+  }
+
+ private:
+  CallerService& service;
+  CallerRequest request;
+};
+
+}  // namespace
+
+CallerRequest MakeCallerRequest(CallerHead head,
+                                const http::RequestHead& fields) {
+  CallerRequest request;
+  request.head = std::move(head);
+  request.content_type =
+      fields.headers.Find("Content-Type").value_or("application/json");
+  request.accept = fields.headers.Find("Accept").value_or("*/*");
+  return request;
+}
 
 CallerListener::CallerListener(CallerService& service) : service(service) {}
 
-std::optional<http::Response> CallerListener::CheckHead(
-    const http::RequestHead& head) {
-  const auto caller_head = ParseCallerHead(head);
+Expected<std::unique_ptr<http::Exchange>, http::Response>
+CallerListener::Accept(http::RequestHead head) {
+  auto caller_head = ParseCallerHead(head);
   if (!caller_head) {
-    return MakeRefusalResponse(RefuseNotRun(caller_head.error()));
+    return unexpected(MakeRefusalResponse(RefuseNotRun(caller_head.error())));
   }
   const auto refusal = this->service.CheckHead(*caller_head);
-  if (!refusal) {
-    return std::nullopt;
-  }
-  return MakeRefusalResponse(*refusal);
-}
-
-http::asio::awaitable<void> CallerListener::Handle(
-    http::Request request,
-    http::ResponseWriter& writer) {
-  auto head = ParseCallerHead(request.head);
-  if (!head) {
-    co_await writer.Send(MakeRefusalResponse(RefuseNotRun(head.error())));
-    co_return;
+  if (refusal) {
+    return unexpected(MakeRefusalResponse(*refusal));
   }
-  CallerRequest caller_request;
-  caller_request.head = std::move(*head);
-  caller_request.content_type =
-      request.head.headers.Find("Content-Type").value_or("application/json");
-  caller_request.accept = request.head.headers.Find("Accept").value_or("*/*");
-  caller_request.body = std::move(request.body);
-  co_await this->service.Serve(std::move(caller_request), writer);
+  return std::make_unique<CallerExchange>(
+      this->service, MakeCallerRequest(std::move(*caller_head), head));
 }
 
 http::ServerLimits CallerListener::LimitsNow(
--- a/packages/gateway/include/tamarackwing/gateway/forward_listener.h
+++ b/packages/gateway/include/tamarackwing/gateway/forward_listener.h
@@ -12,10 +12,8 @@
   //! Precondition: `gateway` outlives the listener.
   explicit ForwardListener(Gateway& gateway);
 
-  std::optional<http::Response> CheckHead(
-      const http::RequestHead& head) override;
-  http::asio::awaitable<void> Handle(http::Request request,
-                                     http::ResponseWriter& writer) override;
+  Expected<std::unique_ptr<http::Exchange>, http::Response> Accept(
+      http::RequestHead head) override;
   http::Response RejectFault(http::RequestFault fault) override;
 
  private:
--- a/packages/gateway/src/forward_listener.cc
+++ b/packages/gateway/src/forward_listener.cc
@@ -22,45 +22,55 @@
   return result;
 }
 
+class ForwardExchange final : public http::Exchange {
+ public:
+  ForwardExchange(Gateway& gateway,
+                  ForwardHeaders headers,
+                  callers::CallerRequest request)
+      : gateway(gateway),
+        headers(std::move(headers)),
+        request(std::move(request)) {}
+
+  http::asio::awaitable<void> Serve(std::string body,
+                                    http::ResponseWriter& writer) override {
+    this->request.body = std::move(body);
+    return this->gateway.ServeForwarded(std::move(this->request),
+                                        this->headers.workspace,
+                                        this->headers.key, writer);
+  }
+
+ private:
+  Gateway& gateway;
+  ForwardHeaders headers;
+  callers::CallerRequest request;
+};
+
 }  // namespace
 
 ForwardListener::ForwardListener(Gateway& gateway) : gateway(gateway) {}
 
-std::optional<http::Response> ForwardListener::CheckHead(
-    const http::RequestHead& head) {
-  const auto headers =
+Expected<std::unique_ptr<http::Exchange>, http::Response>
+ForwardListener::Accept(http::RequestHead head) {
+  auto headers =
       ReadForwardHeaders(head.headers, this->gateway.Settings().cluster_secret);
   if (!headers) {
-    return callers::MakeRefusalResponse(RefuseNotRun(RefusalCode::kKeyInvalid));
+    return unexpected(
+        callers::MakeRefusalResponse(RefuseNotRun(RefusalCode::kKeyInvalid)));
   }
   const bool returned = headers->origin == this->gateway.Settings().host ||
                         head.headers.Count(callers::kHopHeader) != 1;
   if (returned) {
-    return callers::MakeRefusalResponse(RefuseNotRun(RefusalCode::kLoop));
+    return unexpected(
+        callers::MakeRefusalResponse(RefuseNotRun(RefusalCode::kLoop)));
   }
-  return std::nullopt;
-}
-
-http::asio::awaitable<void> ForwardListener::Handle(
-    http::Request request,
-    http::ResponseWriter& writer) {
-  const auto headers = ReadForwardHeaders(
-      request.head.headers, this->gateway.Settings().cluster_secret);
-  auto head = callers::ParseCallerHead(WithoutHop(request.head));
-  if (!head) {
-    co_await writer.Send(
-        callers::MakeRefusalResponse(RefuseNotRun(head.error())));
-    co_return;
+  auto caller_head = callers::ParseCallerHead(WithoutHop(head));
+  if (!caller_head) {
+    return unexpected(
+        callers::MakeRefusalResponse(RefuseNotRun(caller_head.error())));
   }
-  callers::CallerRequest caller_request;
-  caller_request.head = std::move(*head);
-  caller_request.content_type = std::string(
-      request.head.headers.Find("Content-Type").value_or("application/json"));
-  caller_request.accept =
-      std::string(request.head.headers.Find("Accept").value_or("*/*"));
-  caller_request.body = std::move(request.body);
-  co_await this->gateway.ServeForwarded(
-      std::move(caller_request), headers->workspace, headers->key, writer);
+  return std::make_unique<ForwardExchange>(
+      this->gateway, std::move(*headers),
+      callers::MakeCallerRequest(std::move(*caller_head), head));
 }
 
 http::Response ForwardListener::RejectFault(http::RequestFault) {
--- a/packages/http/include/tamarackwing/http/handler.h
+++ b/packages/http/include/tamarackwing/http/handler.h
@@ -1,7 +1,9 @@
 #pragma once
 
-#include <optional>
+#include <memory>
+#include <string>
 
+#include "tamarackwing/base/expected.h"
 #include "tamarackwing/http/asio.h"
 #include "tamarackwing/http/message.h"
 #include "tamarackwing/http/response_writer.h"
@@ -12,6 +14,17 @@
 //! What a server could not read.
 enum class RequestFault { kMalformed, kHeadTooLarge, kBodyTooLarge, kSlow };
 
+//! Interface: a request whose head was accepted, with what was read of it.
+//! Not thread-safe.
+class Exchange {
+ public:
+  virtual ~Exchange() = default;
+  //! Serves the request. Whoever writes nothing has the connection closed.
+  //! Precondition: called at most once.
+  virtual asio::awaitable<void> Serve(std::string body,
+                                      ResponseWriter& writer) = 0;
+};
+
 //! Interface: serves the requests of one listener.
 //! Thread safety: called from every traffic thread.
 class Handler {
@@ -22,10 +35,8 @@
     return listener;
   }
   //! Decides on the head before the body is read; a response refuses it.
-  virtual std::optional<Response> CheckHead(const RequestHead& head) = 0;
-  //! Serves one request. Whoever writes nothing has the connection closed.
-  virtual asio::awaitable<void> Handle(Request request,
-                                       ResponseWriter& writer) = 0;
+  virtual Expected<std::unique_ptr<Exchange>, Response> Accept(
+      RequestHead head) = 0;
   //! The answer to bytes that are no request.
   virtual Response RejectFault(RequestFault fault) = 0;
 };
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -143,24 +143,23 @@
     co_return false;
   }
   this->Reset(parser.get().keep_alive());
-  Request request;
-  request.head = ReadHead(parser.get());
+  RequestHead head = ReadHead(parser.get());
   if (parser.content_length()) {
-    request.head.content_length = *parser.content_length();
+    head.content_length = *parser.content_length();
   }
-  auto refusal = this->context->handler.CheckHead(request.head);
-  if (refusal) {
+  auto exchange = this->context->handler.Accept(std::move(head));
+  if (!exchange) {
     const bool has_body = !parser.is_done();
-    const bool sent = co_await this->Refuse(std::move(*refusal));
+    const bool sent = co_await this->Refuse(std::move(exchange.error()));
     co_return sent && !has_body && this->KeepsAlive();
   }
   if (!co_await this->ReadBody(parser)) {
     co_return false;
   }
-  request.body = std::move(parser.get().body());
+  std::string body = std::move(parser.get().body());
   this->serving = true;
   this->WatchPeer();
-  co_await this->context->handler.Handle(std::move(request), *this);
+  co_await (*exchange)->Serve(std::move(body), *this);
   this->serving = false;
   this->peer_gone = nullptr;
   co_return this->finished&& this->KeepsAlive();
--- a/packages/operators/include/tamarackwing/operators/operator_listener.h
+++ b/packages/operators/include/tamarackwing/operators/operator_listener.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "tamarackwing/http/handler.h"
+#include "tamarackwing/http/whole_request_handler.h"
 #include "tamarackwing/state/control_change.h"
 
 namespace tamarackwing::operators {
@@ -10,7 +10,7 @@
 class OperatorService;
 
 //! The operators' API over HTTP; docs/operators.md lists its calls.
-class OperatorListener final : public http::Handler {
+class OperatorListener final : public http::WholeRequestHandler {
  public:
   //! Preconditions: `service` outlives the listener; `token_digest` is the
   //! SHA-256 of the operators' token, empty to refuse everybody.
--- a/programs/tamarackwingd/src/metrics_listener.h
+++ b/programs/tamarackwingd/src/metrics_listener.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "tamarackwing/base/metrics.h"
-#include "tamarackwing/http/handler.h"
+#include "tamarackwing/http/whole_request_handler.h"
 
 namespace tamarackwing::daemon {
 
 //! Serves the host's metrics as text on a listener of their own.
 //! Thread safety: as for http::Handler.
-class MetricsListener final : public http::Handler {
+class MetricsListener final : public http::WholeRequestHandler {
  public:
   //! Precondition: `metrics` outlives the listener.
   explicit MetricsListener(const Metrics& metrics);
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -11,9 +11,9 @@
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/http/asio.h"
 #include "tamarackwing/http/endpoint.h"
-#include "tamarackwing/http/handler.h"
 #include "tamarackwing/http/io_threads.h"
 #include "tamarackwing/http/server.h"
+#include "tamarackwing/http/whole_request_handler.h"
 
 namespace tamarackwing::fakes {
 
@@ -55,7 +55,7 @@
 //! A stand-in for a model engine with continuous batching and for a plain
 //! service that counts what it ran. Thread safety: public methods from any
 //! thread.
-class FakeServer final : public http::Handler {
+class FakeServer final : public http::WholeRequestHandler {
  public:
   //! Precondition: `threads` outlives the server.
   FakeServer(http::IoThreads& threads,
