--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -265,6 +265,7 @@
   parts.settings.drain_limit = next.drain_limit;
   parts.settings.drain_serves = next.drain_serves;
   parts.servers.SetLimits(next.servers);
+  parts.regions.SetPrefillRate(next.servers.prefill_rate);
   parts.rates.SetTolerance(next.rate_tolerance);
   parts.control.TakeSettings(next);
 }
--- a/programs/tamarackwingd/src/region_table.cc
+++ b/programs/tamarackwingd/src/region_table.cc
@@ -13,6 +13,11 @@
 RegionTable::RegionTable(const Clock& clock, double prefill_rate)
     : clock(clock), prefill_rate(prefill_rate) {}
 
+void RegionTable::SetPrefillRate(double next) {
+  const std::lock_guard lock(this->mutex);
+  this->prefill_rate = next;
+}
+
 void RegionTable::NoteOwn(const std::vector<control::TargetLoad>& loads) {
   const std::lock_guard lock(this->mutex);
   this->own.clear();
--- a/programs/tamarackwingd/src/region_table.h
+++ b/programs/tamarackwingd/src/region_table.h
@@ -20,6 +20,8 @@
   //! `prefill_rate` of one server, in prompt tokens a second, is positive.
   RegionTable(const Clock& clock, double prefill_rate);
 
+  //! Goes by another rate of one server from now on; as in the constructor.
+  void SetPrefillRate(double next);
   //! Takes a probe's answer and the time it took both ways.
   void Note(const state::HostRecord& host,
             const control::ProbeReply& reply,
