logs: name the request, the stage of its answer and the prompt's blocks when a try is lost

Callers saw answers cut by one server's crash after the other; 5003 and 2004 did not say what the lost requests had in common. 5003 now names how much of an answer had arrived, the time since the try was sent and up to eight digests of shared blocks; 2004 the request and the health signal. No decision has changed.

--- a/packages/base/include/tamarackwing/base.h
+++ b/packages/base/include/tamarackwing/base.h
@@ -7,6 +7,7 @@
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/base/expected.h"
+#include "tamarackwing/base/hex.h"
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/base/metrics.h"
 #include "tamarackwing/base/random_source.h"
--- a/packages/gateway/include/tamarackwing/gateway/path_call.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_call.h
@@ -41,6 +41,12 @@
   std::optional<std::uint64_t> last_event;
   //! Set for a request to a model.
   std::optional<PromptShape> prompt;
+  //! Digests of the prompt's blocks that other requests can share, each by its
+  //! content alone.
+  std::vector<std::uint64_t> shared_blocks;
+  //! Digest of the block that is specific to the request or its session; zero
+  //! if there is none.
+  std::uint64_t own_block = 0;
 };
 
 //! Workspace and key on whose behalf a call forwarded by another host runs.
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -51,6 +51,7 @@
   //! Records the end of a request sent at `sent` and what it shows about its
   //! server's health.
   void Finish(const BackendServerName& name,
+              const std::string& request,
               policy::HealthSignal signal,
               TimePoint sent);
   //! Records that bytes arrived from a server.
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -5,6 +5,7 @@
 
 #include "refused_header.h"
 #include "tamarackwing/base/event.h"
+#include "tamarackwing/base/hex.h"
 #include "tamarackwing/gateway/token_budget.h"
 #include "tamarackwing/http/handoff.h"
 #include "tamarackwing/policy/rendezvous.h"
@@ -22,6 +23,9 @@
 //! Retry delay while draining: another host can serve the call immediately.
 constexpr milliseconds kOtherHostRetryDelay{10};
 
+//! Max blocks of a prompt in a log line.
+constexpr std::size_t kLoggedBlocks = 8;
+
 std::string_view OutcomeName(TryOutcome try_outcome) {
   switch (try_outcome) {
     case TryOutcome::kNotSent:
@@ -40,6 +44,18 @@
 
 }  // namespace
 
+std::string_view PathRequest::StageName(AnswerStage stage) {
+  switch (stage) {
+    case AnswerStage::kNone:
+      return "none";
+    case AnswerStage::kHead:
+      return "head";
+    case AnswerStage::kBody:
+      return "body";
+  }
+  return "unknown";
+}
+
 PathRequest::PathRequest(PathGateway& gateway,
                          PathCall call,
                          std::optional<ForwardedCall> forwarded,
@@ -248,7 +264,8 @@
     this->NotePrefillDone(*target);
     this->LogTry(*target, try_outcome);
     if (target->server) {
-      servers.Finish(target->server->name, this->signal, this->sent_at);
+      servers.Finish(target->server->name, this->call.id, this->signal,
+                     this->sent_at);
     }
     switch (this->plan->Next(try_outcome)) {
       case NextStep::kTryAnother:
@@ -312,12 +329,17 @@
   if (try_outcome == TryOutcome::kServed) {
     return;
   }
+  const Duration sent_for =
+      this->gateway.Dependencies().clock.Now() - this->try_started;
   LogEvent(Event::kTryEnded, LogLevel::kInfo,
            {{"request", this->call.id},
             {"service", this->service},
             {"peer", this->peer},
             {"forwarded", target.host ? "yes" : "no"},
             {"end", std::string(OutcomeName(try_outcome))},
+            {"answer", std::string(StageName(this->answer_stage))},
+            {"sent_ms", std::to_string(CeilMs(sent_for).count())},
+            {"blocks", ToHexList(this->call.shared_blocks, kLoggedBlocks)},
             {"left_ms", std::to_string(this->TimeLeft().count())}});
 }
 
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -36,6 +36,9 @@
   static std::chrono::milliseconds CeilMs(Duration time) {
     return std::chrono::ceil<std::chrono::milliseconds>(time);
   }
+  //! How much of a try's response had arrived when the try ended.
+  enum class AnswerStage { kNone, kHead, kBody };
+  static std::string_view StageName(AnswerStage stage);
   //! Destination of one try: a backend server of this region or an entry host
   //! of another region.
   struct Target {
@@ -151,6 +154,9 @@
   EventSplitter events;
   std::optional<std::uint64_t> last_event;
   std::string peer;
+  //! When the last try began.
+  TimePoint try_started;
+  AnswerStage answer_stage = AnswerStage::kNone;
   //! What the last try shows about its server's health.
   policy::HealthSignal signal = policy::HealthSignal::kInconclusive;
   //! When the last try began, by the clock of the server directory.
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -96,11 +96,13 @@
 http::asio::awaitable<TryOutcome> PathRequest::Try(const Target& target) {
   this->peer =
       target.server ? target.server->name.Text() : target.host->host.Text();
+  this->try_started = this->gateway.Dependencies().clock.Now();
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
   const milliseconds max_idle =
       this->IsRepeatable() ? backend_servers::kAnyIdle : kSingleRunMaxIdle;
   auto acquired =
       co_await pool.Acquire(target.endpoint, this->deadline, max_idle);
+  this->answer_stage = AnswerStage::kNone;
   this->signal = policy::HealthSignal::kInconclusive;
   if (!acquired && acquired.error() != http::ConnectionError::kCancelled) {
     this->signal = policy::HealthSignal::kUnreachable;
@@ -161,6 +163,7 @@
   if (!head) {
     co_return this->HandleConnectionError(head.error());
   }
+  this->answer_stage = AnswerStage::kHead;
   this->signal = policy::HealthSignal::kAnswered;
   if (target.server) {
     dependencies.servers.NoteAlive(target.server->name);
@@ -250,6 +253,7 @@
       this->gateway.Dependencies().servers.NoteAlive(target.server->name);
     }
     this->NoteBytes();
+    this->answer_stage = AnswerStage::kBody;
     const bool is_end = piece->empty();
     const std::string complete_events =
         is_end ? this->events.TakeRest() : this->events.Add(*piece);
--- a/packages/gateway/src/served_operation.cc
+++ b/packages/gateway/src/served_operation.cc
@@ -115,7 +115,8 @@
     const bool given_up =
         this->cancelled || dependencies.clock.Now() >= this->deadline;
     if (!acquired || given_up) {
-      dependencies.servers.Finish(choice->name, HealthSignalOf(!acquired),
+      dependencies.servers.Finish(choice->name, this->trace.trace_id,
+                                  HealthSignalOf(!acquired),
                                   dependencies.servers.Now());
       this->tried.insert(choice->name);
       reason = RefusalCode::kBackendServerFailed;
@@ -146,7 +147,8 @@
       }
       this->operation_answer = std::move(answer);
     }
-    dependencies.servers.Finish(choice->name, HealthSignalOf(!complete),
+    dependencies.servers.Finish(choice->name, this->trace.trace_id,
+                                HealthSignalOf(!complete),
                                 dependencies.servers.Now());
     if (!complete) {
       dependencies.permits.MarkUnknown(region, operation);
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -337,7 +337,8 @@
     this->peer = choice->name.Text();
     const TryOutcome outcome = co_await this->TryServer(*choice, fresh);
     const bool failed = outcome.result == TryResult::kTryAnother;
-    dependencies.servers.Finish(choice->name, HealthSignalOf(failed),
+    dependencies.servers.Finish(choice->name, this->trace.trace_id,
+                                HealthSignalOf(failed),
                                 dependencies.servers.Now());
     if (!failed) {
       co_return outcome.refusal;
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -81,13 +81,16 @@
 }
 
 void ServerDirectory::Finish(const BackendServerName& name,
+                             const std::string& request,
                              policy::HealthSignal signal,
                              TimePoint sent) {
   const bool failed = signal != policy::HealthSignal::kAnswered &&
                       signal != policy::HealthSignal::kInconclusive;
   if (failed) {
     LogEvent(Event::kBackendServerFailed, LogLevel::kWarning,
-             {{"server", name.Text()}});
+             {{"server", name.Text()},
+              {"request", request},
+              {"signal", std::string(policy::HealthSignalName(signal))}});
   }
   const std::lock_guard lock(this->mutex);
   this->table.NoteFinished(name, signal, sent, this->clock.Now());
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -104,6 +105,9 @@
   kInconclusive,
 };
 
+//! Returns the signal's name in logs. Thread safety: reentrant.
+std::string_view HealthSignalName(HealthSignal signal);
+
 //! This host's load on the servers of a target.
 struct OwnLoad {
   //! Usable servers.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -90,6 +90,22 @@
   }
 };
 
+std::string_view HealthSignalName(HealthSignal signal) {
+  switch (signal) {
+    case HealthSignal::kAnswered:
+      return "answered";
+    case HealthSignal::kUnreachable:
+      return "unreachable";
+    case HealthSignal::kBroken:
+      return "broken";
+    case HealthSignal::kSilent:
+      return "silent";
+    case HealthSignal::kInconclusive:
+      return "inconclusive";
+  }
+  return "unknown";
+}
+
 ServerTable::ServerTable(ServerTableLimits limits) : limits(limits) {}
 ServerTable::~ServerTable() = default;
 ServerTable::ServerTable(ServerTable&&) noexcept = default;
