--- a/packages/base/include/tamarackwing/base/refusal.h
+++ b/packages/base/include/tamarackwing/base/refusal.h
@@ -29,6 +29,7 @@
   kOperationInProgress,
   kOutcomeUnknown,
   kOverBudget,
+  kQuarantined,
   kQueueFull,
   kResidency,
   kTooLarge,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -98,6 +98,18 @@
       return "backend_server_lease_expired";
     case Event::kBackendServerFailed:
       return "backend_server_failed";
+    case Event::kBackendServerBroke:
+      return "backend_server_broke";
+    case Event::kBackendServerCrashed:
+      return "backend_server_crashed";
+    case Event::kBlockQuarantined:
+      return "block_quarantined";
+    case Event::kBlockReleased:
+      return "block_released";
+    case Event::kBlockTrial:
+      return "block_trial";
+    case Event::kBlockTrialFailed:
+      return "block_trial_failed";
     case Event::kLeaderElected:
       return "leader_elected";
     case Event::kSteppedDown:
@@ -132,6 +144,8 @@
       return "tokens_refused";
     case Event::kTurnedAway:
       return "turned_away";
+    case Event::kQuarantineRefused:
+      return "quarantine_refused";
     case Event::kRequestEnded:
       return "request_ended";
     case Event::kReportRejected:
--- a/packages/base/src/refusal.cc
+++ b/packages/base/src/refusal.cc
@@ -36,6 +36,7 @@
                 409},
     RefusalInfo{RefusalCode::kOutcomeUnknown, "outcome_unknown", 409},
     RefusalInfo{RefusalCode::kOverBudget, "over_budget", 429},
+    RefusalInfo{RefusalCode::kQuarantined, "quarantined", 503},
     RefusalInfo{RefusalCode::kQueueFull, "queue_full", 503},
     RefusalInfo{RefusalCode::kResidency, "residency", 403},
     RefusalInfo{RefusalCode::kTooLarge, "too_large", 413},
--- a/packages/control/include/tamarackwing/control/control_effects.h
+++ b/packages/control/include/tamarackwing/control/control_effects.h
@@ -38,6 +38,7 @@
   std::vector<state::PermitReply> permits;
   std::vector<policy::ChunkGrant> grants;
   std::vector<policy::RateGrant> rate_grants;
+  std::vector<policy::QuarantineNotice> quarantine_notices;
   std::vector<KeyDigest> withdrawn;
   std::vector<RegionStatusUpdate> status_updates;
   std::vector<StatusReply> statuses;
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -116,6 +116,11 @@
   //! reply appears in ControlEffects::rate_grants. Does nothing if no leader is
   //! known or this host leads.
   ControlEffects ReportRates(const policy::RateReport& report);
+  //! Reports crashes of servers, and which blocks of prompts this host's
+  //! requests show to be sound, to the leader; the decisions appear in
+  //! ControlEffects::quarantine_notices. Does nothing if no leader is known.
+  ControlEffects ReportCrashes(const policy::CrashReport& report,
+                               TimePoint now);
   //! Announces from now on that this host drains.
   void StartDrain();
 
@@ -195,6 +200,13 @@
                    const policy::RateReport& report,
                    TimePoint now,
                    ControlEffects& effects);
+  void HandleCrashes(const HostName& from,
+                     const policy::CrashReport& report,
+                     TimePoint now,
+                     ControlEffects& effects);
+  //! Sends the quarantine to all entry hosts if it has changed or is due.
+  void SendQuarantine(TimePoint now, ControlEffects& effects);
+  void LogVerdicts();
   void HandleStatusRequest(const HostName& from,
                            const StatusRequest& request,
                            TimePoint now,
@@ -238,6 +250,7 @@
   FeedSource feed;
   ServerRelay relay;
   policy::RateLeases rates;
+  policy::QuarantineJudge judge;
 
   bool was_leader = false;
   bool ready = false;
--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <vector>
 
+#include "tamarackwing/policy/quarantine_judge.h"
 #include "tamarackwing/policy/rate_leases.h"
 #include "tamarackwing/state/agreed_log.h"
 #include "tamarackwing/state/host_record.h"
@@ -45,6 +46,7 @@
   //! leader or with every other member of the view.
   std::chrono::milliseconds view_lease{2'000};
   policy::RateLeaseOptions rates;
+  policy::QuarantineOptions quarantine;
   //! Maximum clock drift between two hosts over the longest of these durations.
   std::chrono::milliseconds drift{200};
   //! Percentage of each region's share that is divided among its hosts as
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -10,6 +10,7 @@
 
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/policy/budget_messages.h"
+#include "tamarackwing/policy/crash_messages.h"
 #include "tamarackwing/policy/rate_messages.h"
 #include "tamarackwing/policy/server_report.h"
 #include "tamarackwing/state/control_state.h"
@@ -161,7 +162,9 @@
                                  StatusReply,
                                  ServerReports,
                                  policy::RateReport,
-                                 policy::RateGrant>;
+                                 policy::RateGrant,
+                                 policy::CrashReport,
+                                 policy::QuarantineNotice>;
 
 //! A message and its recipient.
 struct PeerSend {
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "tamarackwing/base/event.h"
+#include "tamarackwing/base/hex.h"
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/control/membership_plan.h"
 
@@ -22,6 +23,20 @@
 //! uses.
 constexpr std::size_t kMaxUnechoedReports = 32;
 
+Event EventOf(policy::QuarantineVerdict::Kind kind) {
+  switch (kind) {
+    case policy::QuarantineVerdict::Kind::kQuarantined:
+      return Event::kBlockQuarantined;
+    case policy::QuarantineVerdict::Kind::kReleased:
+      return Event::kBlockReleased;
+    case policy::QuarantineVerdict::Kind::kTrial:
+      return Event::kBlockTrial;
+    case policy::QuarantineVerdict::Kind::kTrialFailed:
+      return Event::kBlockTrialFailed;
+  }
+  return Event::kBlockQuarantined;
+}
+
 state::RecoveredLedger MoveLedger(RecoveredControl& recovered) {
   return std::move(recovered.ledger);
 }
@@ -56,6 +71,7 @@
       follower(options.report, now),
       relay(options),
       rates(options.rates),
+      judge(options.quarantine),
       started(now),
       report_at(now) {
   if (!recovered.log.snapshot.state.empty()) {
@@ -94,6 +110,7 @@
     this->leader_tasks_at = now + this->options.report / 2;
     this->RunLeaderTasks(now, effects);
   }
+  this->SendQuarantine(now, effects);
   if (this->was_leader && !this->log.IsLeader()) {
     LogEvent(Event::kSteppedDown, LogLevel::kWarning,
              {{"host", this->options.self.name.Text()}});
@@ -142,6 +159,12 @@
   } else if (const auto* rate_grant =
                  std::get_if<policy::RateGrant>(&message)) {
     effects.rate_grants.push_back(*rate_grant);
+  } else if (const auto* crash_report =
+                 std::get_if<policy::CrashReport>(&message)) {
+    this->HandleCrashes(from, *crash_report, now, effects);
+  } else if (const auto* quarantine_notice =
+                 std::get_if<policy::QuarantineNotice>(&message)) {
+    effects.quarantine_notices.push_back(*quarantine_notice);
   } else {
     this->HandleChunkOrProbe(from, message, now, effects);
   }
@@ -304,6 +327,62 @@
   effects.sends.push_back({from, this->rates.Grant(from, report, now)});
 }
 
+ControlEffects ControlNode::ReportCrashes(const policy::CrashReport& report,
+                                          TimePoint now) {
+  ControlEffects effects;
+  if (this->log.IsLeader()) {
+    this->HandleCrashes(this->options.self.name, report, now, effects);
+  } else if (!this->Leader().IsEmpty()) {
+    effects.sends.push_back({this->Leader(), report});
+  }
+  return effects;
+}
+
+void ControlNode::HandleCrashes(const HostName& from,
+                                const policy::CrashReport& report,
+                                TimePoint now,
+                                ControlEffects& effects) {
+  if (!this->log.HasLease(now)) {
+    return;
+  }
+  policy::QuarantineNotice notice = this->judge.Handle(report, now);
+  if (from == this->options.self.name) {
+    effects.quarantine_notices.push_back(std::move(notice));
+  } else {
+    effects.sends.push_back({from, std::move(notice)});
+  }
+  this->LogVerdicts();
+}
+
+void ControlNode::SendQuarantine(TimePoint now, ControlEffects& effects) {
+  if (!this->log.HasLease(now)) {
+    return;
+  }
+  const auto notice = this->judge.Due(now);
+  this->LogVerdicts();
+  if (!notice) {
+    return;
+  }
+  for (const HostName& host : this->EntryHosts()) {
+    if (host == this->options.self.name) {
+      effects.quarantine_notices.push_back(*notice);
+    } else {
+      effects.sends.push_back({host, *notice});
+    }
+  }
+}
+
+void ControlNode::LogVerdicts() {
+  for (const policy::QuarantineVerdict& verdict : this->judge.TakeVerdicts()) {
+    LogEvent(EventOf(verdict.kind), LogLevel::kWarning,
+             {{"block", ToHex(verdict.block)},
+              {"crashes", std::to_string(verdict.crashes)},
+              {"requests", std::to_string(verdict.requests)},
+              {"servers", verdict.servers},
+              {"age_ms", std::to_string(verdict.age.count())}});
+  }
+}
+
 void ControlNode::SendServerReports(TimePoint now, ControlEffects& effects) {
   this->relay_at = now + this->options.relay;
   for (const auto& [region, reports] : this->relay.Due(now)) {
@@ -423,6 +502,7 @@
     this->was_leader = true;
     this->leader_tasks.StartTerm(now);
     this->rates.StartTerm(this->EntryHosts(), now);
+    this->judge.StartTerm(now);
     this->pending_tasks.clear();
     this->proposals.ClearForwarded();
     LogEvent(Event::kLeaderElected, LogLevel::kInfo,
--- a/packages/gateway/include/tamarackwing/gateway.h
+++ b/packages/gateway/include/tamarackwing/gateway.h
@@ -6,6 +6,7 @@
 #include "tamarackwing/gateway/active_requests.h"
 #include "tamarackwing/gateway/admission_gate.h"
 #include "tamarackwing/gateway/authorizer.h"
+#include "tamarackwing/gateway/block_quarantine.h"
 #include "tamarackwing/gateway/gateway.h"
 #include "tamarackwing/gateway/gateway_settings.h"
 #include "tamarackwing/gateway/path_gateway.h"
--- a/packages/gateway/include/tamarackwing/gateway/traffic_dependencies.h
+++ b/packages/gateway/include/tamarackwing/gateway/traffic_dependencies.h
@@ -12,6 +12,7 @@
 
 namespace tamarackwing::gateway {
 
+class BlockQuarantine;
 class RegionHosts;
 class ServerDirectory;
 class SnapshotHolder;
@@ -31,6 +32,7 @@
   ServerDirectory& servers;
   TokenBudget& budget;
   RegionHosts& regions;
+  BlockQuarantine& quarantine;
 };
 
 }  // namespace tamarackwing::gateway
--- /dev/null
+++ b/packages/gateway/src/block_quarantine.cc
@@ -0,0 +1,170 @@
+#include "tamarackwing/gateway/block_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tamarackwing/base/event.h"
+#include "tamarackwing/base/hex.h"
+#include "tamarackwing/base/metrics.h"
+
+namespace tamarackwing::gateway {
+namespace {
+
+using policy::BlockDigest;
+using std::chrono::milliseconds;
+
+//! How long a granted trial may be used; shorter than the time after which the
+//! leader grants another.
+constexpr milliseconds kTrialLife{8'000};
+//! How long a refused request counts as demand for a trial.
+constexpr milliseconds kDemand{3'000};
+//! How long a host without a leader keeps its quarantine.
+constexpr std::chrono::minutes kHold{10};
+//! Max suspects in the log line of a crash.
+constexpr std::size_t kLoggedSuspects = 8;
+
+milliseconds Until(TimePoint at, TimePoint now) {
+  return at > now ? std::chrono::ceil<milliseconds>(at - now) : milliseconds(0);
+}
+
+void LogCrash(const policy::ServerCrash& crash) {
+  std::vector<BlockDigest> blocks;
+  for (const policy::CrashSuspect& suspect : crash.suspects) {
+    blocks.push_back(suspect.block);
+  }
+  LogEvent(Event::kBackendServerCrashed, LogLevel::kWarning,
+           {{"server", crash.server.Text()},
+            {"age_ms", std::to_string(crash.age.count())},
+            {"suspects", std::to_string(blocks.size())},
+            {"blocks", ToHexList(blocks, kLoggedSuspects)}});
+}
+
+}  // namespace
+
+BlockQuarantine::BlockQuarantine(const Clock& clock, Metrics& metrics)
+    : clock(clock),
+      metrics(metrics),
+      observer(policy::CrashObserverOptions()) {}
+
+BlockQuarantine::~BlockQuarantine() = default;
+
+Expected<SendPermission, QuarantineRefusal> BlockQuarantine::Check(
+    const std::vector<BlockDigest>& blocks) {
+  const std::lock_guard lock(this->mutex);
+  if (this->entries.empty()) {
+    return SendPermission::kFree;
+  }
+  const TimePoint now = this->clock.Now();
+  Entry* trial = nullptr;
+  for (const BlockDigest block : blocks) {
+    const auto found = this->entries.find(block);
+    if (found == this->entries.end()) {
+      continue;
+    }
+    Entry& entry = found->second;
+    // A block is tried without other quarantined ones, one of which may be
+    // the cause.
+    if (entry.trial_until <= now || trial != nullptr) {
+      entry.refused = now;
+      return unexpected(QuarantineRefusal{
+          block, Until(entry.next_trial, now),
+          std::chrono::ceil<milliseconds>(now - entry.confirmed)});
+    }
+    trial = &entry;
+  }
+  if (trial == nullptr) {
+    return SendPermission::kFree;
+  }
+  trial->trial_until = TimePoint();
+  return SendPermission::kTrial;
+}
+
+void BlockQuarantine::NoteBroken(const BackendServerName& server,
+                                 const std::string& request_id,
+                                 std::uint64_t request,
+                                 const std::vector<BlockDigest>& blocks) {
+  bool is_first = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    is_first =
+        this->observer.NoteBroken(server, request, blocks, this->clock.Now());
+  }
+  if (is_first) {
+    LogEvent(Event::kBackendServerBroke, LogLevel::kInfo,
+             {{"server", server.Text()}, {"request", request_id}});
+  }
+}
+
+void BlockQuarantine::NoteAlive(const BackendServerName& server) {
+  const std::lock_guard lock(this->mutex);
+  this->observer.NoteAlive(server, this->clock.Now());
+}
+
+void BlockQuarantine::NoteAnswered(const std::vector<BlockDigest>& blocks) {
+  const std::lock_guard lock(this->mutex);
+  this->observer.NoteAnswered(blocks, this->clock.Now());
+}
+
+std::optional<policy::CrashReport> BlockQuarantine::MakeReport(
+    bool is_new_leader) {
+  policy::CrashReport report;
+  std::vector<policy::ServerCrash> new_crashes;
+  {
+    const std::lock_guard lock(this->mutex);
+    const TimePoint now = this->clock.Now();
+    std::erase_if(this->entries, [&](const auto& entry) {
+      return now - entry.second.confirmed > kHold;
+    });
+    report.number = ++this->number;
+    new_crashes = this->observer.AddTo(report, now);
+    for (auto& [block, entry] : this->entries) {
+      if (entry.refused && now - *entry.refused <= kDemand) {
+        report.refused.push_back(block);
+      }
+      if (is_new_leader) {
+        report.held.push_back(
+            {block, Until(entry.next_trial, now), entry.failed_trials});
+      }
+    }
+  }
+  for (const policy::ServerCrash& crash : new_crashes) {
+    LogCrash(crash);
+    this->metrics.Count("tamarackwing_server_crashes_total");
+  }
+  const bool is_empty = report.crashes.empty() && report.answered.empty() &&
+                        report.refused.empty() && report.held.empty();
+  return is_empty ? std::nullopt : std::optional(std::move(report));
+}
+
+void BlockQuarantine::Accept(const policy::QuarantineNotice& notice) {
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+  this->observer.Acknowledge(notice.number);
+  this->observer.Watch(notice.watched);
+  std::set<BlockDigest> listed;
+  for (const policy::QuarantinedBlock& block : notice.quarantined) {
+    Entry& entry = this->entries[block.block];
+    entry.next_trial = now + block.next_trial;
+    entry.failed_trials = block.failed_trials;
+    entry.confirmed = now;
+    listed.insert(block.block);
+  }
+  if (notice.complete) {
+    std::erase_if(this->entries, [&](const auto& entry) {
+      return !listed.contains(entry.first);
+    });
+  }
+  for (const BlockDigest block : notice.trials) {
+    const auto entry = this->entries.find(block);
+    if (entry != this->entries.end()) {
+      entry->second.trial_until = now + kTrialLife;
+    }
+  }
+}
+
+std::size_t BlockQuarantine::Size() const {
+  const std::lock_guard lock(this->mutex);
+  return this->entries.size();
+}
+
+}  // namespace tamarackwing::gateway
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -6,6 +6,7 @@
 #include "refused_header.h"
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/base/hex.h"
+#include "tamarackwing/gateway/block_quarantine.h"
 #include "tamarackwing/gateway/token_budget.h"
 #include "tamarackwing/http/handoff.h"
 #include "tamarackwing/policy/rendezvous.h"
@@ -245,6 +246,10 @@
     if (this->caller_gone || this->IsPastDeadline()) {
       co_return this->StopRefusal(RefusalCode::kDeadlinePassed);
     }
+    const Outcome quarantined = this->CheckQuarantine();
+    if (quarantined) {
+      co_return quarantined;
+    }
     const bool is_retry = this->plan->Sends() > 0;
     const auto target = this->PickTarget();
     const bool may_send =
@@ -262,6 +267,7 @@
     }
     const TryOutcome try_outcome = co_await this->Try(*target);
     this->NotePrefillDone(*target);
+    this->NoteBlocks(*target, try_outcome);
     this->LogTry(*target, try_outcome);
     if (target->server) {
       servers.Finish(target->server->name, this->call.id, this->signal,
@@ -282,6 +288,38 @@
   }
 }
 
+PathRequest::Outcome PathRequest::CheckQuarantine() {
+  const auto permission =
+      this->gateway.Dependencies().quarantine.Check(this->call.shared_blocks);
+  if (permission) {
+    this->is_trial = *permission == SendPermission::kTrial;
+    return std::nullopt;
+  }
+  const QuarantineRefusal& refusal = permission.error();
+  LogEvent(Event::kQuarantineRefused, LogLevel::kInfo,
+           {{"request", this->call.id},
+            {"block", ToHex(refusal.block)},
+            {"retry_ms", std::to_string(refusal.retry_after.count())},
+            {"age_ms", std::to_string(refusal.age.count())}});
+  this->retry_after = std::max(this->retry_after, refusal.retry_after);
+  return this->StopRefusal(RefusalCode::kQuarantined);
+}
+
+void PathRequest::NoteBlocks(const Target& target, TryOutcome try_outcome) {
+  if (!target.server || this->call.shared_blocks.empty()) {
+    return;
+  }
+  BlockQuarantine& quarantine = this->gateway.Dependencies().quarantine;
+  if (try_outcome == TryOutcome::kServed ||
+      try_outcome == TryOutcome::kFailed) {
+    quarantine.NoteAnswered(this->call.shared_blocks);
+  } else if (try_outcome == TryOutcome::kLost && this->connection_broke &&
+             !this->is_sound) {
+    quarantine.NoteBroken(target.server->name, this->call.id,
+                          this->call.own_block, this->call.shared_blocks);
+  }
+}
+
 bool PathRequest::IsRepeatable() const {
   return this->route->kind == state::PathKind::kIdempotent ||
          (this->route->kind == state::PathKind::kStream &&
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -55,6 +55,11 @@
   bool MayRunIn(const RegionName& region) const;
   http::asio::awaitable<Outcome> ReserveTokens();
   http::asio::awaitable<Outcome> TryAll();
+  //! Refuses the call if a block of its prompt is quarantined.
+  Outcome CheckQuarantine();
+  //! Reports to the quarantine what the end of a try at a server shows about
+  //! the call's blocks.
+  void NoteBlocks(const Target& target, policy::TryOutcome try_outcome);
   //! Chooses a server of this region, or a host of another region for spillover
   //! or as a fallback. Returns nothing if there is none or the call was shed.
   std::optional<Target> PickTarget();
@@ -113,6 +118,11 @@
   void Finish(const Outcome& refusal);
   //! Sets `signal` according to a connection error and returns kLost.
   policy::TryOutcome HandleConnectionError(http::ConnectionError error);
+  //! Records that bytes arrived from a server.
+  void NoteAlive(const BackendServerName& server);
+  //! Records the call's blocks as sound if the answer, whose body began at
+  //! `started`, has gone on for long enough.
+  void NoteLongAnswer(const Target& target, TimePoint started);
   //! Records the arrival time of response bytes.
   void NoteBytes();
   //! Subtracts this call's prompt from the server's pending prefill, once the
@@ -157,6 +167,12 @@
   //! When the last try began.
   TimePoint try_started;
   AnswerStage answer_stage = AnswerStage::kNone;
+  //! Whether the last try ended because its connection broke.
+  bool connection_broke = false;
+  //! Whether the call may be sent to one server of this region only.
+  bool is_trial = false;
+  //! Whether the current try has shown that the call's blocks are sound.
+  bool is_sound = false;
   //! What the last try shows about its server's health.
   policy::HealthSignal signal = policy::HealthSignal::kInconclusive;
   //! When the last try began, by the clock of the server directory.
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -26,7 +26,7 @@
 std::optional<PathRequest::Target> PathRequest::PickTarget() {
   Target target;
   const bool may_run_here = this->MayRunIn(this->gateway.Settings().region);
-  if (may_run_here && !this->forwarded) {
+  if (may_run_here && !this->forwarded && !this->is_trial) {
     target.host = this->PickSpill();
   }
   if (may_run_here && !target.host) {
@@ -46,7 +46,7 @@
       return target;
     }
   }
-  if (!this->forwarded && !target.host) {
+  if (!this->forwarded && !target.host && !this->is_trial) {
     target.host = this->PickHost();
   }
   if (!target.host) {
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -7,6 +7,7 @@
 #include "path_request.h"
 #include "refused_header.h"
 #include "tamarackwing/callers/caller_head.h"
+#include "tamarackwing/gateway/block_quarantine.h"
 #include "tamarackwing/gateway/forward_headers.h"
 
 namespace tamarackwing::gateway {
@@ -29,6 +30,10 @@
 constexpr int kGapMultiple = 5;
 constexpr milliseconds kMinGapTimeout{2'000};
 
+//! A server that has streamed an answer for this long does not crash because
+//! it began to write it.
+constexpr milliseconds kSoundAnswer{1'000};
+
 //! Returns the number in the last `id:` line of complete events.
 std::optional<std::uint64_t> LastEventId(std::string_view events) {
   constexpr std::string_view kField = "id:";
@@ -103,6 +108,8 @@
   auto acquired =
       co_await pool.Acquire(target.endpoint, this->deadline, max_idle);
   this->answer_stage = AnswerStage::kNone;
+  this->connection_broke = false;
+  this->is_sound = false;
   this->signal = policy::HealthSignal::kInconclusive;
   if (!acquired && acquired.error() != http::ConnectionError::kCancelled) {
     this->signal = policy::HealthSignal::kUnreachable;
@@ -144,9 +151,12 @@
     case http::ConnectionError::kCancelled:
       this->signal = policy::HealthSignal::kInconclusive;
       break;
-    case http::ConnectionError::kConnectFailed:
     case http::ConnectionError::kSendFailed:
     case http::ConnectionError::kReadFailed:
+      this->connection_broke = true;
+      this->signal = policy::HealthSignal::kBroken;
+      break;
+    case http::ConnectionError::kConnectFailed:
     case http::ConnectionError::kMalformed:
       this->signal = policy::HealthSignal::kBroken;
       break;
@@ -166,7 +176,7 @@
   this->answer_stage = AnswerStage::kHead;
   this->signal = policy::HealthSignal::kAnswered;
   if (target.server) {
-    dependencies.servers.NoteAlive(target.server->name);
+    this->NoteAlive(target.server->name);
   }
   if (target.host) {
     const auto refused = ReadRefusedHeader(head->headers);
@@ -242,6 +252,7 @@
   const milliseconds gap_timeout =
       std::max(kMinGapTimeout, kGapMultiple * this->route->target_gap);
   this->events.DropRest();
+  const TimePoint body_started = this->gateway.Dependencies().clock.Now();
   while (true) {
     const TimePoint now = this->gateway.Dependencies().clock.Now();
     auto piece = co_await connection.ReadPiece(
@@ -250,9 +261,10 @@
       co_return this->HandleConnectionError(piece.error());
     }
     if (target.server) {
-      this->gateway.Dependencies().servers.NoteAlive(target.server->name);
+      this->NoteAlive(target.server->name);
     }
     this->NoteBytes();
+    this->NoteLongAnswer(target, body_started);
     this->answer_stage = AnswerStage::kBody;
     const bool is_end = piece->empty();
     const std::string complete_events =
@@ -274,6 +286,20 @@
   }
 }
 
+void PathRequest::NoteAlive(const BackendServerName& server) {
+  this->gateway.Dependencies().servers.NoteAlive(server);
+  this->gateway.Dependencies().quarantine.NoteAlive(server);
+}
+
+void PathRequest::NoteLongAnswer(const Target& target, TimePoint started) {
+  const bool is_long = this->last_byte_at - started >= kSoundAnswer;
+  if (target.server && is_long && !this->is_sound) {
+    this->is_sound = true;
+    this->gateway.Dependencies().quarantine.NoteAnswered(
+        this->call.shared_blocks);
+  }
+}
+
 http::asio::awaitable<bool> PathRequest::WriteEvents(
     const http::ResponseHead& head,
     const std::string& events) {
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -282,6 +282,44 @@
   shares @1 :List(RateShare);
 }
 
+struct CrashSuspect {
+  block @0 :UInt64;
+  request @1 :UInt64;
+}
+
+struct ServerCrash {
+  server @0 :Text;
+  ageMs @1 :Int64;
+  suspects @2 :List(CrashSuspect);
+}
+
+struct BlockAnswered {
+  block @0 :UInt64;
+  ageMs @1 :Int64;
+}
+
+struct QuarantinedBlock {
+  block @0 :UInt64;
+  nextTrialMs @1 :Int64;
+  failedTrials @2 :UInt32;
+}
+
+struct CrashReport {
+  number @0 :UInt64;
+  crashes @1 :List(ServerCrash);
+  answered @2 :List(BlockAnswered);
+  refused @3 :List(UInt64);
+  held @4 :List(QuarantinedBlock);
+}
+
+struct QuarantineNotice {
+  number @0 :UInt64;
+  complete @1 :Bool;
+  watched @2 :List(UInt64);
+  quarantined @3 :List(QuarantinedBlock);
+  trials @4 :List(UInt64);
+}
+
 struct PeerMessage {
   union {
     voteRequest @0 :VoteRequest;
@@ -313,5 +351,7 @@
     serverNews @26 :List(ServerReport);
     rateReport @27 :RateReport;
     rateGrant @28 :RateGrant;
+    crashReport @29 :CrashReport;
+    quarantineNotice @30 :QuarantineNotice;
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -61,6 +61,12 @@
 CAPNP_DECLARE_SCHEMA(cb4e76993b91987f);
 CAPNP_DECLARE_SCHEMA(a21119767f86ed6f);
 CAPNP_DECLARE_SCHEMA(99ebd178d0b2a472);
+CAPNP_DECLARE_SCHEMA(c1974a6772ccaaf7);
+CAPNP_DECLARE_SCHEMA(c1695d1e50ede625);
+CAPNP_DECLARE_SCHEMA(9509717da74acf0b);
+CAPNP_DECLARE_SCHEMA(f2cedf8c0b35b660);
+CAPNP_DECLARE_SCHEMA(c599e415db806885);
+CAPNP_DECLARE_SCHEMA(d5055214dee5ffe9);
 CAPNP_DECLARE_SCHEMA(e83335c9258f671c);
 
 }  // namespace schemas
@@ -708,6 +714,96 @@
   };
 };
 
+struct CrashSuspect {
+  CrashSuspect() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c1974a6772ccaaf7, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerCrash {
+  ServerCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c1695d1e50ede625, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BlockAnswered {
+  BlockAnswered() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9509717da74acf0b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuarantinedBlock {
+  QuarantinedBlock() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f2cedf8c0b35b660, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c599e415db806885, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuarantineNotice {
+  QuarantineNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5055214dee5ffe9, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerMessage {
   PeerMessage() = delete;
 
@@ -744,6 +840,8 @@
     SERVER_NEWS,
     RATE_REPORT,
     RATE_GRANT,
+    CRASH_REPORT,
+    QUARANTINE_NOTICE,
   };
 
   struct _capnpPrivate {
@@ -4843,9 +4941,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PeerMessage::Reader {
+class CrashSuspect::Reader {
 public:
-  typedef PeerMessage Reads;
+  typedef CrashSuspect Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4860,120 +4958,94 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isVoteRequest() const;
-  inline bool hasVoteRequest() const;
-  inline  ::tamarackwing::hosts::wire::VoteRequest::Reader getVoteRequest() const;
-
-  inline bool isVoteReply() const;
-  inline bool hasVoteReply() const;
-  inline  ::tamarackwing::hosts::wire::VoteReply::Reader getVoteReply() const;
-
-  inline bool isAppendRequest() const;
-  inline bool hasAppendRequest() const;
-  inline  ::tamarackwing::hosts::wire::AppendRequest::Reader getAppendRequest() const;
-
-  inline bool isAppendReply() const;
-  inline bool hasAppendReply() const;
-  inline  ::tamarackwing::hosts::wire::AppendReply::Reader getAppendReply() const;
-
-  inline bool isInstallRequest() const;
-  inline bool hasInstallRequest() const;
-  inline  ::tamarackwing::hosts::wire::InstallRequest::Reader getInstallRequest() const;
-
-  inline bool isLedgerAsk() const;
-  inline bool hasLedgerAsk() const;
-  inline  ::tamarackwing::hosts::wire::LedgerAsk::Reader getLedgerAsk() const;
-
-  inline bool isLedgerPermit() const;
-  inline bool hasLedgerPermit() const;
-  inline  ::tamarackwing::hosts::wire::LedgerPermit::Reader getLedgerPermit() const;
-
-  inline bool isLedgerUpdate() const;
-  inline bool hasLedgerUpdate() const;
-  inline  ::tamarackwing::hosts::wire::LedgerUpdate::Reader getLedgerUpdate() const;
-
-  inline bool isLedgerUpdated() const;
-  inline bool hasLedgerUpdated() const;
-  inline  ::tamarackwing::hosts::wire::AskId::Reader getLedgerUpdated() const;
-
-  inline bool isLedgerStore() const;
-  inline bool hasLedgerStore() const;
-  inline  ::tamarackwing::hosts::wire::LedgerStore::Reader getLedgerStore() const;
-
-  inline bool isLedgerStored() const;
-  inline bool hasLedgerStored() const;
-  inline  ::tamarackwing::hosts::wire::LedgerStored::Reader getLedgerStored() const;
+  inline  ::uint64_t getBlock() const;
 
-  inline bool isLedgerCopy() const;
-  inline bool hasLedgerCopy() const;
-  inline  ::tamarackwing::hosts::wire::LedgerCopy::Reader getLedgerCopy() const;
+  inline  ::uint64_t getRequest() const;
 
-  inline bool isLedgerCopied() const;
-  inline bool hasLedgerCopied() const;
-  inline  ::tamarackwing::hosts::wire::LedgerCopied::Reader getLedgerCopied() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isFeedRequest() const;
-  inline bool hasFeedRequest() const;
-  inline  ::tamarackwing::hosts::wire::FeedRequest::Reader getFeedRequest() const;
+class CrashSuspect::Builder {
+public:
+  typedef CrashSuspect Builds;
 
-  inline bool isFeedReply() const;
-  inline bool hasFeedReply() const;
-  inline  ::tamarackwing::hosts::wire::FeedReply::Reader getFeedReply() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isProposeRequest() const;
-  inline bool hasProposeRequest() const;
-  inline  ::tamarackwing::hosts::wire::ProposeRequest::Reader getProposeRequest() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isProposeReply() const;
-  inline bool hasProposeReply() const;
-  inline  ::tamarackwing::hosts::wire::ProposeReply::Reader getProposeReply() const;
+  inline  ::uint64_t getBlock();
+  inline void setBlock( ::uint64_t value);
 
-  inline bool isWithdrawalNotice() const;
-  inline bool hasWithdrawalNotice() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWithdrawalNotice() const;
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
 
-  inline bool isRegionStatus() const;
-  inline bool hasRegionStatus() const;
-  inline  ::tamarackwing::hosts::wire::RegionStatus::Reader getRegionStatus() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isProbeRequest() const;
-  inline  ::uint64_t getProbeRequest() const;
+#if !CAPNP_LITE
+class CrashSuspect::Pipeline {
+public:
+  typedef CrashSuspect Pipelines;
 
-  inline bool isProbeReply() const;
-  inline bool hasProbeReply() const;
-  inline  ::tamarackwing::hosts::wire::ProbeReply::Reader getProbeReply() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isChunkRequest() const;
-  inline bool hasChunkRequest() const;
-  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkRequest() const;
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isChunkGrant() const;
-  inline bool hasChunkGrant() const;
-  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkGrant() const;
+class ServerCrash::Reader {
+public:
+  typedef ServerCrash Reads;
 
-  inline bool isChunkSettled() const;
-  inline bool hasChunkSettled() const;
-  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkSettled() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isStatusRequest() const;
-  inline  ::uint64_t getStatusRequest() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isStatusReply() const;
-  inline bool hasStatusReply() const;
-  inline  ::tamarackwing::hosts::wire::StatusReply::Reader getStatusReply() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool isServerNews() const;
-  inline bool hasServerNews() const;
-  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader getServerNews() const;
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
-  inline bool isRateReport() const;
-  inline bool hasRateReport() const;
-  inline  ::tamarackwing::hosts::wire::RateReport::Reader getRateReport() const;
+  inline  ::int64_t getAgeMs() const;
 
-  inline bool isRateGrant() const;
-  inline bool hasRateGrant() const;
-  inline  ::tamarackwing::hosts::wire::RateGrant::Reader getRateGrant() const;
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4987,9 +5059,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PeerMessage::Builder {
+class ServerCrash::Builder {
 public:
-  typedef PeerMessage Builds;
+  typedef ServerCrash Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5003,37 +5075,645 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isVoteRequest();
-  inline bool hasVoteRequest();
-  inline  ::tamarackwing::hosts::wire::VoteRequest::Builder getVoteRequest();
-  inline void setVoteRequest( ::tamarackwing::hosts::wire::VoteRequest::Reader value);
-  inline  ::tamarackwing::hosts::wire::VoteRequest::Builder initVoteRequest();
-  inline void adoptVoteRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest>&& value);
-  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest> disownVoteRequest();
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline bool isVoteReply();
-  inline bool hasVoteReply();
-  inline  ::tamarackwing::hosts::wire::VoteReply::Builder getVoteReply();
-  inline void setVoteReply( ::tamarackwing::hosts::wire::VoteReply::Reader value);
-  inline  ::tamarackwing::hosts::wire::VoteReply::Builder initVoteReply();
-  inline void adoptVoteReply(::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply>&& value);
-  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply> disownVoteReply();
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
 
-  inline bool isAppendRequest();
-  inline bool hasAppendRequest();
-  inline  ::tamarackwing::hosts::wire::AppendRequest::Builder getAppendRequest();
-  inline void setAppendRequest( ::tamarackwing::hosts::wire::AppendRequest::Reader value);
-  inline  ::tamarackwing::hosts::wire::AppendRequest::Builder initAppendRequest();
-  inline void adoptAppendRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest>&& value);
-  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest> disownAppendRequest();
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> disownSuspects();
 
-  inline bool isAppendReply();
-  inline bool hasAppendReply();
-  inline  ::tamarackwing::hosts::wire::AppendReply::Builder getAppendReply();
-  inline void setAppendReply( ::tamarackwing::hosts::wire::AppendReply::Reader value);
-  inline  ::tamarackwing::hosts::wire::AppendReply::Builder initAppendReply();
-  inline void adoptAppendReply(::capnp::Orphan< ::tamarackwing::hosts::wire::AppendReply>&& value);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerCrash::Pipeline {
+public:
+  typedef ServerCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class BlockAnswered::Reader {
+public:
+  typedef BlockAnswered Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBlock() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BlockAnswered::Builder {
+public:
+  typedef BlockAnswered Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBlock();
+  inline void setBlock( ::uint64_t value);
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BlockAnswered::Pipeline {
+public:
+  typedef BlockAnswered Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuarantinedBlock::Reader {
+public:
+  typedef QuarantinedBlock Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBlock() const;
+
+  inline  ::int64_t getNextTrialMs() const;
+
+  inline  ::uint32_t getFailedTrials() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuarantinedBlock::Builder {
+public:
+  typedef QuarantinedBlock Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBlock();
+  inline void setBlock( ::uint64_t value);
+
+  inline  ::int64_t getNextTrialMs();
+  inline void setNextTrialMs( ::int64_t value);
+
+  inline  ::uint32_t getFailedTrials();
+  inline void setFailedTrials( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuarantinedBlock::Pipeline {
+public:
+  typedef QuarantinedBlock Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasAnswered() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Reader getAnswered() const;
+
+  inline bool hasRefused() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRefused() const;
+
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader getHeld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasAnswered();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Builder getAnswered();
+  inline void setAnswered( ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Builder initAnswered(unsigned int size);
+  inline void adoptAnswered(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>> disownAnswered();
+
+  inline bool hasRefused();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRefused();
+  inline void setRefused( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRefused(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRefused(unsigned int size);
+  inline void adoptRefused(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRefused();
+
+  inline bool hasHeld();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>> disownHeld();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuarantineNotice::Reader {
+public:
+  typedef QuarantineNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool getComplete() const;
+
+  inline bool hasWatched() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWatched() const;
+
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
+  inline bool hasTrials() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTrials() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuarantineNotice::Builder {
+public:
+  typedef QuarantineNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+  inline bool hasWatched();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWatched();
+  inline void setWatched( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWatched(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWatched(unsigned int size);
+  inline void adoptWatched(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWatched();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
+  inline bool hasTrials();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTrials();
+  inline void setTrials( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTrials(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTrials(unsigned int size);
+  inline void adoptTrials(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTrials();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuarantineNotice::Pipeline {
+public:
+  typedef QuarantineNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerMessage::Reader {
+public:
+  typedef PeerMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isVoteRequest() const;
+  inline bool hasVoteRequest() const;
+  inline  ::tamarackwing::hosts::wire::VoteRequest::Reader getVoteRequest() const;
+
+  inline bool isVoteReply() const;
+  inline bool hasVoteReply() const;
+  inline  ::tamarackwing::hosts::wire::VoteReply::Reader getVoteReply() const;
+
+  inline bool isAppendRequest() const;
+  inline bool hasAppendRequest() const;
+  inline  ::tamarackwing::hosts::wire::AppendRequest::Reader getAppendRequest() const;
+
+  inline bool isAppendReply() const;
+  inline bool hasAppendReply() const;
+  inline  ::tamarackwing::hosts::wire::AppendReply::Reader getAppendReply() const;
+
+  inline bool isInstallRequest() const;
+  inline bool hasInstallRequest() const;
+  inline  ::tamarackwing::hosts::wire::InstallRequest::Reader getInstallRequest() const;
+
+  inline bool isLedgerAsk() const;
+  inline bool hasLedgerAsk() const;
+  inline  ::tamarackwing::hosts::wire::LedgerAsk::Reader getLedgerAsk() const;
+
+  inline bool isLedgerPermit() const;
+  inline bool hasLedgerPermit() const;
+  inline  ::tamarackwing::hosts::wire::LedgerPermit::Reader getLedgerPermit() const;
+
+  inline bool isLedgerUpdate() const;
+  inline bool hasLedgerUpdate() const;
+  inline  ::tamarackwing::hosts::wire::LedgerUpdate::Reader getLedgerUpdate() const;
+
+  inline bool isLedgerUpdated() const;
+  inline bool hasLedgerUpdated() const;
+  inline  ::tamarackwing::hosts::wire::AskId::Reader getLedgerUpdated() const;
+
+  inline bool isLedgerStore() const;
+  inline bool hasLedgerStore() const;
+  inline  ::tamarackwing::hosts::wire::LedgerStore::Reader getLedgerStore() const;
+
+  inline bool isLedgerStored() const;
+  inline bool hasLedgerStored() const;
+  inline  ::tamarackwing::hosts::wire::LedgerStored::Reader getLedgerStored() const;
+
+  inline bool isLedgerCopy() const;
+  inline bool hasLedgerCopy() const;
+  inline  ::tamarackwing::hosts::wire::LedgerCopy::Reader getLedgerCopy() const;
+
+  inline bool isLedgerCopied() const;
+  inline bool hasLedgerCopied() const;
+  inline  ::tamarackwing::hosts::wire::LedgerCopied::Reader getLedgerCopied() const;
+
+  inline bool isFeedRequest() const;
+  inline bool hasFeedRequest() const;
+  inline  ::tamarackwing::hosts::wire::FeedRequest::Reader getFeedRequest() const;
+
+  inline bool isFeedReply() const;
+  inline bool hasFeedReply() const;
+  inline  ::tamarackwing::hosts::wire::FeedReply::Reader getFeedReply() const;
+
+  inline bool isProposeRequest() const;
+  inline bool hasProposeRequest() const;
+  inline  ::tamarackwing::hosts::wire::ProposeRequest::Reader getProposeRequest() const;
+
+  inline bool isProposeReply() const;
+  inline bool hasProposeReply() const;
+  inline  ::tamarackwing::hosts::wire::ProposeReply::Reader getProposeReply() const;
+
+  inline bool isWithdrawalNotice() const;
+  inline bool hasWithdrawalNotice() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWithdrawalNotice() const;
+
+  inline bool isRegionStatus() const;
+  inline bool hasRegionStatus() const;
+  inline  ::tamarackwing::hosts::wire::RegionStatus::Reader getRegionStatus() const;
+
+  inline bool isProbeRequest() const;
+  inline  ::uint64_t getProbeRequest() const;
+
+  inline bool isProbeReply() const;
+  inline bool hasProbeReply() const;
+  inline  ::tamarackwing::hosts::wire::ProbeReply::Reader getProbeReply() const;
+
+  inline bool isChunkRequest() const;
+  inline bool hasChunkRequest() const;
+  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkRequest() const;
+
+  inline bool isChunkGrant() const;
+  inline bool hasChunkGrant() const;
+  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkGrant() const;
+
+  inline bool isChunkSettled() const;
+  inline bool hasChunkSettled() const;
+  inline  ::tamarackwing::hosts::wire::Chunk::Reader getChunkSettled() const;
+
+  inline bool isStatusRequest() const;
+  inline  ::uint64_t getStatusRequest() const;
+
+  inline bool isStatusReply() const;
+  inline bool hasStatusReply() const;
+  inline  ::tamarackwing::hosts::wire::StatusReply::Reader getStatusReply() const;
+
+  inline bool isServerNews() const;
+  inline bool hasServerNews() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader getServerNews() const;
+
+  inline bool isRateReport() const;
+  inline bool hasRateReport() const;
+  inline  ::tamarackwing::hosts::wire::RateReport::Reader getRateReport() const;
+
+  inline bool isRateGrant() const;
+  inline bool hasRateGrant() const;
+  inline  ::tamarackwing::hosts::wire::RateGrant::Reader getRateGrant() const;
+
+  inline bool isCrashReport() const;
+  inline bool hasCrashReport() const;
+  inline  ::tamarackwing::hosts::wire::CrashReport::Reader getCrashReport() const;
+
+  inline bool isQuarantineNotice() const;
+  inline bool hasQuarantineNotice() const;
+  inline  ::tamarackwing::hosts::wire::QuarantineNotice::Reader getQuarantineNotice() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::Builder {
+public:
+  typedef PeerMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isVoteRequest();
+  inline bool hasVoteRequest();
+  inline  ::tamarackwing::hosts::wire::VoteRequest::Builder getVoteRequest();
+  inline void setVoteRequest( ::tamarackwing::hosts::wire::VoteRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::VoteRequest::Builder initVoteRequest();
+  inline void adoptVoteRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteRequest> disownVoteRequest();
+
+  inline bool isVoteReply();
+  inline bool hasVoteReply();
+  inline  ::tamarackwing::hosts::wire::VoteReply::Builder getVoteReply();
+  inline void setVoteReply( ::tamarackwing::hosts::wire::VoteReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::VoteReply::Builder initVoteReply();
+  inline void adoptVoteReply(::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoteReply> disownVoteReply();
+
+  inline bool isAppendRequest();
+  inline bool hasAppendRequest();
+  inline  ::tamarackwing::hosts::wire::AppendRequest::Builder getAppendRequest();
+  inline void setAppendRequest( ::tamarackwing::hosts::wire::AppendRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::AppendRequest::Builder initAppendRequest();
+  inline void adoptAppendRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendRequest> disownAppendRequest();
+
+  inline bool isAppendReply();
+  inline bool hasAppendReply();
+  inline  ::tamarackwing::hosts::wire::AppendReply::Builder getAppendReply();
+  inline void setAppendReply( ::tamarackwing::hosts::wire::AppendReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::AppendReply::Builder initAppendReply();
+  inline void adoptAppendReply(::capnp::Orphan< ::tamarackwing::hosts::wire::AppendReply>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::AppendReply> disownAppendReply();
 
   inline bool isInstallRequest();
@@ -5229,6 +5909,22 @@
   inline void adoptRateGrant(::capnp::Orphan< ::tamarackwing::hosts::wire::RateGrant>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RateGrant> disownRateGrant();
 
+  inline bool isCrashReport();
+  inline bool hasCrashReport();
+  inline  ::tamarackwing::hosts::wire::CrashReport::Builder getCrashReport();
+  inline void setCrashReport( ::tamarackwing::hosts::wire::CrashReport::Reader value);
+  inline  ::tamarackwing::hosts::wire::CrashReport::Builder initCrashReport();
+  inline void adoptCrashReport(::capnp::Orphan< ::tamarackwing::hosts::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::CrashReport> disownCrashReport();
+
+  inline bool isQuarantineNotice();
+  inline bool hasQuarantineNotice();
+  inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder getQuarantineNotice();
+  inline void setQuarantineNotice( ::tamarackwing::hosts::wire::QuarantineNotice::Reader value);
+  inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder initQuarantineNotice();
+  inline void adoptQuarantineNotice(::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice> disownQuarantineNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7402,1516 +8098,1988 @@
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
 }
-
-inline  ::int64_t FeedReply::Builder::getWordAgeMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+
+inline  ::int64_t FeedReply::Builder::getWordAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void FeedReply::Builder::setWordAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool FeedReply::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedReply::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FeedReply::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FeedReply::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void FeedReply::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FeedReply::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void FeedReply::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FeedReply::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ProposeRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProposeRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ProposeRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ProposeRequest::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ProposeRequest::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ProposeRequest::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ProposeRequest::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ProposeRequest::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ProposeRequest::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ProposeRequest::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ProposeRequest::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t SetFault::Reader::getCode() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SetFault::Builder::getCode() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SetFault::Builder::setCode( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SetFault::Reader::hasPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SetFault::Builder::hasPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SetFault::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SetFault::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SetFault::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SetFault::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SetFault::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SetFault::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SetFault::Reader::getLine() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SetFault::Builder::getLine() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SetFault::Builder::setLine( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SetFault::Reader::hasFound() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SetFault::Builder::hasFound() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SetFault::Reader::getFound() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SetFault::Builder::getFound() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SetFault::Builder::setFound( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SetFault::Builder::initFound(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SetFault::Builder::adoptFound(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SetFault::Builder::disownFound() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ProposeReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProposeReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ProposeReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t ProposeReply::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t ProposeReply::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ProposeReply::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ProposeReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProposeReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ProposeReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ProposeReply::Reader::hasFaults() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ProposeReply::Builder::hasFaults() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader ProposeReply::Reader::getFaults() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder ProposeReply::Builder::getFaults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ProposeReply::Builder::setFaults( ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder ProposeReply::Builder::initFaults(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ProposeReply::Builder::adoptFaults(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void FeedReply::Builder::setWordAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>> ProposeReply::Builder::disownFaults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FeedReply::Reader::hasLeader() const {
+inline bool TargetLoad::Reader::hasTarget() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FeedReply::Builder::hasLeader() {
+inline bool TargetLoad::Builder::hasTarget() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FeedReply::Reader::getLeader() const {
+inline  ::capnp::Text::Reader TargetLoad::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FeedReply::Builder::getLeader() {
+inline  ::capnp::Text::Builder TargetLoad::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FeedReply::Builder::setLeader( ::capnp::Text::Reader value) {
+inline void TargetLoad::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FeedReply::Builder::initLeader(unsigned int size) {
+inline  ::capnp::Text::Builder TargetLoad::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FeedReply::Builder::adoptLeader(
+inline void TargetLoad::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FeedReply::Builder::disownLeader() {
+inline ::capnp::Orphan< ::capnp::Text> TargetLoad::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ProposeRequest::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t TargetLoad::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ProposeRequest::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t TargetLoad::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProposeRequest::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void TargetLoad::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ProposeRequest::Reader::hasPayload() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ProposeRequest::Builder::hasPayload() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader ProposeRequest::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint32_t TargetLoad::Reader::getDemand() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Builder ProposeRequest::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t TargetLoad::Builder::getDemand() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ProposeRequest::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void TargetLoad::Builder::setDemand( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Data::Builder ProposeRequest::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t TargetLoad::Reader::getServers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ProposeRequest::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t TargetLoad::Builder::getServers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> ProposeRequest::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void TargetLoad::Builder::setServers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t SetFault::Reader::getCode() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t TargetLoad::Reader::getUnread() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t SetFault::Builder::getCode() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t TargetLoad::Builder::getUnread() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SetFault::Builder::setCode( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void TargetLoad::Builder::setUnread( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SetFault::Reader::hasPath() const {
+inline bool ServedTokens::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SetFault::Builder::hasPath() {
+inline bool ServedTokens::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SetFault::Reader::getPath() const {
+inline  ::capnp::Text::Reader ServedTokens::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SetFault::Builder::getPath() {
+inline  ::capnp::Text::Builder ServedTokens::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SetFault::Builder::setPath( ::capnp::Text::Reader value) {
+inline void ServedTokens::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SetFault::Builder::initPath(unsigned int size) {
+inline  ::capnp::Text::Builder ServedTokens::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SetFault::Builder::adoptPath(
+inline void ServedTokens::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SetFault::Builder::disownPath() {
+inline ::capnp::Orphan< ::capnp::Text> ServedTokens::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SetFault::Reader::getLine() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t SetFault::Builder::getLine() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void SetFault::Builder::setLine( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SetFault::Reader::hasFound() const {
+inline bool ServedTokens::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SetFault::Builder::hasFound() {
+inline bool ServedTokens::Builder::hasWorkspace() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SetFault::Reader::getFound() const {
+inline  ::capnp::Text::Reader ServedTokens::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SetFault::Builder::getFound() {
+inline  ::capnp::Text::Builder ServedTokens::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SetFault::Builder::setFound( ::capnp::Text::Reader value) {
+inline void ServedTokens::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SetFault::Builder::initFound(unsigned int size) {
+inline  ::capnp::Text::Builder ServedTokens::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SetFault::Builder::adoptFound(
+inline void ServedTokens::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SetFault::Builder::disownFound() {
+inline ::capnp::Orphan< ::capnp::Text> ServedTokens::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ProposeReply::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t ServedTokens::Reader::getTokens() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ProposeReply::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t ServedTokens::Builder::getTokens() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProposeReply::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ServedTokens::Builder::setTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t ProposeReply::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ServerReport::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t ProposeReply::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ServerReport::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ProposeReply::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ServerReport::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ProposeReply::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ServerReport::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerReport::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerReport::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ProposeReply::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ServerReport::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerReport::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerReport::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerReport::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerReport::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServerReport::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ProposeReply::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ProposeReply::Reader::hasFaults() const {
+inline bool ServerReport::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProposeReply::Builder::hasFaults() {
+inline bool ServerReport::Builder::hasDataCentre() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader ProposeReply::Reader::getFaults() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ServerReport::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder ProposeReply::Builder::getFaults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ServerReport::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ProposeReply::Builder::setFaults( ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ServerReport::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>::Builder ProposeReply::Builder::initFaults(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ServerReport::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ProposeReply::Builder::adoptFaults(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServerReport::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>> ProposeReply::Builder::disownFaults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::SetFault,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool TargetLoad::Reader::hasTarget() const {
+inline bool ServerReport::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool TargetLoad::Builder::hasTarget() {
+inline bool ServerReport::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TargetLoad::Reader::getTarget() const {
+inline  ::capnp::Text::Reader ServerReport::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TargetLoad::Builder::getTarget() {
+inline  ::capnp::Text::Builder ServerReport::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void TargetLoad::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void ServerReport::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TargetLoad::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder ServerReport::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void TargetLoad::Builder::adoptTarget(
+inline void ServerReport::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TargetLoad::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TargetLoad::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint16_t ServerReport::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TargetLoad::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint16_t ServerReport::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TargetLoad::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void ServerReport::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TargetLoad::Reader::getDemand() const {
+inline bool ServerReport::Reader::hasTargets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerReport::Builder::hasTargets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ServerReport::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerReport::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::setTargets( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void ServerReport::Builder::setTargets(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerReport::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ServerReport::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ServerReport::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ServerReport::Reader::getSlots() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TargetLoad::Builder::getDemand() {
+inline  ::uint32_t ServerReport::Builder::getSlots() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TargetLoad::Builder::setDemand( ::uint32_t value) {
+inline void ServerReport::Builder::setSlots( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TargetLoad::Reader::getServers() const {
+inline  ::uint32_t ServerReport::Reader::getRunning() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TargetLoad::Builder::getServers() {
+inline  ::uint32_t ServerReport::Builder::getRunning() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TargetLoad::Builder::setServers( ::uint32_t value) {
+inline void ServerReport::Builder::setRunning( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t TargetLoad::Reader::getUnread() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t ServerReport::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerReport::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServerReport::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double ServerReport::Reader::getPrefillRate() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t TargetLoad::Builder::getUnread() {
-  return _builder.getDataField< ::int64_t>(
+inline double ServerReport::Builder::getPrefillRate() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TargetLoad::Builder::setUnread( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void ServerReport::Builder::setPrefillRate(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServedTokens::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline double ServerReport::Reader::getDecodeRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool ServedTokens::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline double ServerReport::Builder::getDecodeRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader ServedTokens::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void ServerReport::Builder::setDecodeRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder ServedTokens::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::int64_t ServerReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ServedTokens::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::int64_t ServerReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerReport::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerReport::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerReport::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void ServerReport::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerReport::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerReport::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServerReport::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServerReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ServerReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerReport::Reader::getColdMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder ServedTokens::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::int64_t ServerReport::Builder::getColdMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void ServedTokens::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServerReport::Builder::setColdMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::Text> ServedTokens::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RegionStatus::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool ServedTokens::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t RegionStatus::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool ServedTokens::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void RegionStatus::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader ServedTokens::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RegionStatus::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder ServedTokens::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RegionStatus::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServedTokens::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RegionStatus::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder ServedTokens::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t RegionStatus::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServedTokens::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t RegionStatus::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> ServedTokens::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void RegionStatus::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t ServedTokens::Reader::getTokens() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegionStatus::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ServedTokens::Builder::getTokens() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RegionStatus::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
-inline void ServedTokens::Builder::setTokens( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RegionStatus::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServerReport::Reader::hasName() const {
+inline bool RegionStatus::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerReport::Builder::hasName() {
+inline bool RegionStatus::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerReport::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerReport::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void RegionStatus::Builder::setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerReport::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServerReport::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RegionStatus::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ServerReport::Reader::hasRegion() const {
+inline bool RegionStatus::Reader::hasServed() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerReport::Builder::hasRegion() {
+inline bool RegionStatus::Builder::hasServed() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerReport::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getServed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerReport::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void RegionStatus::Builder::setServed( ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerReport::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initServed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ServerReport::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RegionStatus::Builder::adoptServed(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ServerReport::Reader::hasDataCentre() const {
+inline bool RegionStatus::Reader::hasServers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerReport::Builder::hasDataCentre() {
+inline bool RegionStatus::Builder::hasServers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerReport::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerReport::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void RegionStatus::Builder::setServers( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerReport::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ServerReport::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RegionStatus::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ServerReport::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool ServerReport::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ServerReport::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ServerReport::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void ServerReport::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ServerReport::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void ServerReport::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint16_t ServerReport::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint64_t ProbeReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t ServerReport::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint64_t ProbeReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void ProbeReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServerReport::Reader::hasTargets() const {
+inline bool ProbeReply::Reader::hasRegion() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerReport::Builder::hasTargets() {
+inline bool ProbeReply::Builder::hasRegion() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ServerReport::Reader::getTargets() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerReport::Builder::getTargets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ServerReport::Builder::setTargets( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Reader ProbeReply::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setTargets(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder ProbeReply::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ServerReport::Builder::initTargets(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void ProbeReply::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void ServerReport::Builder::adoptTargets(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder ProbeReply::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ServerReport::Builder::disownTargets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void ProbeReply::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint32_t ServerReport::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::Text> ProbeReply::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ServerReport::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool ProbeReply::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ServerReport::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool ProbeReply::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t ServerReport::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader ProbeReply::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ServerReport::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder ProbeReply::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ProbeReply::Builder::setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t ServerReport::Reader::getQueued() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder ProbeReply::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t ServerReport::Builder::getQueued() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void ProbeReply::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ServerReport::Builder::setQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> ProbeReply::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline double ServerReport::Reader::getPrefillRate() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Chunk::Reader::getChunk() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double ServerReport::Builder::getPrefillRate() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void ServerReport::Builder::setPrefillRate(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::uint64_t Chunk::Builder::getChunk() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-
-inline double ServerReport::Reader::getDecodeRate() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void Chunk::Builder::setChunk( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double ServerReport::Builder::getDecodeRate() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Chunk::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ServerReport::Builder::setDecodeRate(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool Chunk::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t ServerReport::Reader::getAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Chunk::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t ServerReport::Builder::getAgeMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Chunk::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerReport::Builder::setAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Chunk::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool ServerReport::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Chunk::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline bool ServerReport::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline void Chunk::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ServerReport::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Chunk::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t ServerReport::Reader::getStartedMs() const {
+inline  ::int64_t Chunk::Reader::getTokens() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ServerReport::Builder::getStartedMs() {
+inline  ::int64_t Chunk::Builder::getTokens() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setStartedMs( ::int64_t value) {
+inline void Chunk::Builder::setTokens( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ServerReport::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Reader::getWanted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServerReport::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t Chunk::Builder::getWanted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Chunk::Builder::setWanted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t ServerReport::Reader::getColdMs() const {
+inline  ::int64_t Chunk::Reader::getRetryAfterMs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ServerReport::Builder::getColdMs() {
+inline  ::int64_t Chunk::Builder::getRetryAfterMs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ServerReport::Builder::setColdMs( ::int64_t value) {
+inline void Chunk::Builder::setRetryAfterMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RegionStatus::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HostProgress::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RegionStatus::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HostProgress::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void RegionStatus::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader HostProgress::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RegionStatus::Reader::getEcho() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder HostProgress::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RegionStatus::Builder::getEcho() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void HostProgress::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void RegionStatus::Builder::setEcho( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder HostProgress::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostProgress::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostProgress::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RegionStatus::Reader::getEpoch() const {
+inline  ::uint64_t HostProgress::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RegionStatus::Builder::getEpoch() {
+inline  ::uint64_t HostProgress::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RegionStatus::Builder::setEpoch( ::uint64_t value) {
+inline void HostProgress::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegionStatus::Reader::getDraining() const {
+inline bool HostProgress::Reader::getIsLive() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool RegionStatus::Builder::getDraining() {
+inline bool HostProgress::Builder::getIsLive() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void RegionStatus::Builder::setDraining(bool value) {
+inline void HostProgress::Builder::setIsLive(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RegionStatus::Reader::hasLoads() const {
+inline  ::uint64_t StatusReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StatusReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StatusReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StatusReply::Reader::hasLeader() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegionStatus::Builder::hasLoads() {
+inline bool StatusReply::Builder::hasLeader() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StatusReply::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StatusReply::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RegionStatus::Builder::setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void StatusReply::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder StatusReply::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RegionStatus::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StatusReply::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StatusReply::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RegionStatus::Reader::hasServed() const {
+inline  ::uint64_t StatusReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StatusReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StatusReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StatusReply::Reader::hasVoters() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegionStatus::Builder::hasServed() {
+inline bool StatusReply::Builder::hasVoters() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getServed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StatusReply::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getServed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusReply::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RegionStatus::Builder::setServed( ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void StatusReply::Builder::setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initServed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void StatusReply::Builder::setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusReply::Builder::initVoters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RegionStatus::Builder::adoptServed(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StatusReply::Builder::adoptVoters(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownServed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServedTokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StatusReply::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RegionStatus::Reader::hasServers() const {
+inline bool StatusReply::Reader::hasHosts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegionStatus::Builder::hasServers() {
+inline bool StatusReply::Builder::hasHosts() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getServers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader StatusReply::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RegionStatus::Builder::setServers( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void StatusReply::Builder::setHosts( ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initServers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RegionStatus::Builder::adoptServers(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StatusReply::Builder::adoptHosts(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>> StatusReply::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ProbeReply::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ProbeReply::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ProbeReply::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ProbeReply::Reader::hasRegion() const {
+inline bool RateDemand::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProbeReply::Builder::hasRegion() {
+inline bool RateDemand::Builder::hasWorkspace() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ProbeReply::Reader::getRegion() const {
+inline  ::capnp::Text::Reader RateDemand::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ProbeReply::Builder::getRegion() {
+inline  ::capnp::Text::Builder RateDemand::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProbeReply::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void RateDemand::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ProbeReply::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder RateDemand::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ProbeReply::Builder::adoptRegion(
+inline void RateDemand::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ProbeReply::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> RateDemand::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ProbeReply::Reader::hasLoads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::int64_t RateDemand::Reader::getDemand() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool ProbeReply::Builder::hasLoads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::int64_t RateDemand::Builder::getDemand() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader ProbeReply::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void RateDemand::Builder::setDemand( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder ProbeReply::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::int64_t RateDemand::Reader::getHeld() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ProbeReply::Builder::setLoads( ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::int64_t RateDemand::Builder::getHeld() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Builder ProbeReply::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void RateDemand::Builder::setHeld( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void ProbeReply::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t RateReport::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> ProbeReply::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t RateReport::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateReport::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateReport::Reader::getHolds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateReport::Builder::getHolds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateReport::Builder::setHolds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateReport::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateReport::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader RateReport::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder RateReport::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Chunk::Reader::getChunk() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void RateReport::Builder::setDemands( ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Chunk::Builder::getChunk() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder RateReport::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Chunk::Builder::setChunk( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RateReport::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>> RateReport::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Chunk::Reader::hasWorkspace() const {
+inline bool RateShare::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Chunk::Builder::hasWorkspace() {
+inline bool RateShare::Builder::hasWorkspace() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Chunk::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader RateShare::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Chunk::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder RateShare::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Chunk::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void RateShare::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Chunk::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder RateShare::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Chunk::Builder::adoptWorkspace(
+inline void RateShare::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Chunk::Builder::disownWorkspace() {
+inline ::capnp::Orphan< ::capnp::Text> RateShare::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Chunk::Reader::getTokens() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Chunk::Builder::getTokens() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Chunk::Builder::setTokens( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Chunk::Reader::getWanted() const {
+inline  ::int64_t RateShare::Reader::getShare() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Chunk::Builder::getWanted() {
+inline  ::int64_t RateShare::Builder::getShare() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Chunk::Builder::setWanted( ::int64_t value) {
+inline void RateShare::Builder::setShare( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Chunk::Reader::getRetryAfterMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RateGrant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Chunk::Builder::getRetryAfterMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RateGrant::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Chunk::Builder::setRetryAfterMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RateGrant::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HostProgress::Reader::hasHost() const {
+inline bool RateGrant::Reader::hasShares() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HostProgress::Builder::hasHost() {
+inline bool RateGrant::Builder::hasShares() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HostProgress::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader RateGrant::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HostProgress::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder RateGrant::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HostProgress::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void RateGrant::Builder::setShares( ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HostProgress::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder RateGrant::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HostProgress::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RateGrant::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HostProgress::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>> RateGrant::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HostProgress::Reader::getVersion() const {
+inline  ::uint64_t CrashSuspect::Reader::getBlock() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HostProgress::Builder::getVersion() {
+inline  ::uint64_t CrashSuspect::Builder::getBlock() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostProgress::Builder::setVersion( ::uint64_t value) {
+inline void CrashSuspect::Builder::setBlock( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HostProgress::Reader::getIsLive() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool HostProgress::Builder::getIsLive() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void HostProgress::Builder::setIsLive(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t StatusReply::Reader::getNumber() const {
+inline  ::uint64_t CrashSuspect::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StatusReply::Builder::getNumber() {
+inline  ::uint64_t CrashSuspect::Builder::getRequest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StatusReply::Builder::setNumber( ::uint64_t value) {
+inline void CrashSuspect::Builder::setRequest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StatusReply::Reader::hasLeader() const {
+inline bool ServerCrash::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StatusReply::Builder::hasLeader() {
+inline bool ServerCrash::Builder::hasServer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StatusReply::Reader::getLeader() const {
+inline  ::capnp::Text::Reader ServerCrash::Reader::getServer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StatusReply::Builder::getLeader() {
+inline  ::capnp::Text::Builder ServerCrash::Builder::getServer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StatusReply::Builder::setLeader( ::capnp::Text::Reader value) {
+inline void ServerCrash::Builder::setServer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StatusReply::Builder::initLeader(unsigned int size) {
+inline  ::capnp::Text::Builder ServerCrash::Builder::initServer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StatusReply::Builder::adoptLeader(
+inline void ServerCrash::Builder::adoptServer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StatusReply::Builder::disownLeader() {
+inline ::capnp::Orphan< ::capnp::Text> ServerCrash::Builder::disownServer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StatusReply::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t ServerCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StatusReply::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t ServerCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StatusReply::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ServerCrash::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StatusReply::Reader::hasVoters() const {
+inline bool ServerCrash::Reader::hasSuspects() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StatusReply::Builder::hasVoters() {
+inline bool ServerCrash::Builder::hasSuspects() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StatusReply::Reader::getVoters() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader ServerCrash::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusReply::Builder::getVoters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder ServerCrash::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StatusReply::Builder::setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void StatusReply::Builder::setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void ServerCrash::Builder::setSuspects( ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusReply::Builder::initVoters(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder ServerCrash::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StatusReply::Builder::adoptVoters(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void ServerCrash::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StatusReply::Builder::disownVoters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> ServerCrash::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StatusReply::Reader::hasHosts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool StatusReply::Builder::hasHosts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader StatusReply::Reader::getHosts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::getHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StatusReply::Builder::setHosts( ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Builder StatusReply::Builder::initHosts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void StatusReply::Builder::adoptHosts(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>> StatusReply::Builder::disownHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool RateDemand::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RateDemand::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RateDemand::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RateDemand::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RateDemand::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder RateDemand::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void RateDemand::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> RateDemand::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t RateDemand::Reader::getDemand() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t BlockAnswered::Reader::getBlock() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t RateDemand::Builder::getDemand() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t BlockAnswered::Builder::getBlock() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RateDemand::Builder::setDemand( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void BlockAnswered::Builder::setBlock( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t RateDemand::Reader::getHeld() const {
+inline  ::int64_t BlockAnswered::Reader::getAgeMs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t RateDemand::Builder::getHeld() {
+inline  ::int64_t BlockAnswered::Builder::getAgeMs() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RateDemand::Builder::setHeld( ::int64_t value) {
+inline void BlockAnswered::Builder::setAgeMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RateReport::Reader::getNumber() const {
+inline  ::uint64_t QuarantinedBlock::Reader::getBlock() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RateReport::Builder::getNumber() {
+inline  ::uint64_t QuarantinedBlock::Builder::getBlock() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RateReport::Builder::setNumber( ::uint64_t value) {
+inline void QuarantinedBlock::Builder::setBlock( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RateReport::Reader::getHolds() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t QuarantinedBlock::Reader::getNextTrialMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RateReport::Builder::getHolds() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t QuarantinedBlock::Builder::getNextTrialMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RateReport::Builder::setHolds( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void QuarantinedBlock::Builder::setNextTrialMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RateReport::Reader::hasDemands() const {
+inline  ::uint32_t QuarantinedBlock::Reader::getFailedTrials() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantinedBlock::Builder::getFailedTrials() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuarantinedBlock::Builder::setFailedTrials( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RateReport::Builder::hasDemands() {
+inline bool CrashReport::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader RateReport::Reader::getDemands() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder RateReport::Builder::getDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RateReport::Builder::setDemands( ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void CrashReport::Builder::setCrashes( ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>::Builder RateReport::Builder::initDemands(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
