       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RateReport::Builder::adoptDemands(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void CrashReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>> RateReport::Builder::disownDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RateShare::Reader::hasWorkspace() const {
+inline bool CrashReport::Reader::hasAnswered() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RateShare::Builder::hasWorkspace() {
+inline bool CrashReport::Builder::hasAnswered() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RateShare::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getAnswered() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RateShare::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getAnswered() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RateShare::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CrashReport::Builder::setAnswered( ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RateShare::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initAnswered(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RateShare::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void CrashReport::Builder::adoptAnswered(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RateShare::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownAnswered() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::BlockAnswered,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t RateShare::Reader::getShare() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Reader::hasRefused() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasRefused() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getRefused() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getRefused() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setRefused( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setRefused(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initRefused(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptRefused(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownRefused() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t RateShare::Builder::getShare() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void RateShare::Builder::setShare( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool CrashReport::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setHeld( ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RateGrant::Reader::getNumber() const {
+inline  ::uint64_t QuarantineNotice::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RateGrant::Builder::getNumber() {
+inline  ::uint64_t QuarantineNotice::Builder::getNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RateGrant::Builder::setNumber( ::uint64_t value) {
+inline void QuarantineNotice::Builder::setNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RateGrant::Reader::hasShares() const {
+inline bool QuarantineNotice::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantineNotice::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineNotice::Reader::hasWatched() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RateGrant::Builder::hasShares() {
+inline bool QuarantineNotice::Builder::hasWatched() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader RateGrant::Reader::getShares() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineNotice::Reader::getWatched() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder RateGrant::Builder::getShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::getWatched() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RateGrant::Builder::setShares( ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void QuarantineNotice::Builder::setWatched( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>::Builder RateGrant::Builder::initShares(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void QuarantineNotice::Builder::setWatched(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::initWatched(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RateGrant::Builder::adoptShares(
-    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void QuarantineNotice::Builder::adoptWatched(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>> RateGrant::Builder::disownShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::RateShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> QuarantineNotice::Builder::disownWatched() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool QuarantineNotice::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineNotice::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader QuarantineNotice::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder QuarantineNotice::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QuarantineNotice::Builder::setQuarantined( ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder QuarantineNotice::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineNotice::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>> QuarantineNotice::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool QuarantineNotice::Reader::hasTrials() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineNotice::Builder::hasTrials() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineNotice::Reader::getTrials() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::getTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void QuarantineNotice::Builder::setTrials( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void QuarantineNotice::Builder::setTrials(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::initTrials(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineNotice::Builder::adoptTrials(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> QuarantineNotice::Builder::disownTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::tamarackwing::hosts::wire::PeerMessage::Which PeerMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10437,6 +11605,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isCrashReport() const {
+  return which() == PeerMessage::CRASH_REPORT;
+}
+inline bool PeerMessage::Builder::isCrashReport() {
+  return which() == PeerMessage::CRASH_REPORT;
+}
+inline bool PeerMessage::Reader::hasCrashReport() const {
+  if (which() != PeerMessage::CRASH_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasCrashReport() {
+  if (which() != PeerMessage::CRASH_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::CrashReport::Reader PeerMessage::Reader::getCrashReport() const {
+  KJ_IREQUIRE((which() == PeerMessage::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::CrashReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::CrashReport::Builder PeerMessage::Builder::getCrashReport() {
+  KJ_IREQUIRE((which() == PeerMessage::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::CrashReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setCrashReport( ::tamarackwing::hosts::wire::CrashReport::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CRASH_REPORT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::CrashReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::CrashReport::Builder PeerMessage::Builder::initCrashReport() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CRASH_REPORT);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::CrashReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptCrashReport(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::CrashReport>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CRASH_REPORT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::CrashReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::CrashReport> PeerMessage::Builder::disownCrashReport() {
+  KJ_IREQUIRE((which() == PeerMessage::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::CrashReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isQuarantineNotice() const {
+  return which() == PeerMessage::QUARANTINE_NOTICE;
+}
+inline bool PeerMessage::Builder::isQuarantineNotice() {
+  return which() == PeerMessage::QUARANTINE_NOTICE;
+}
+inline bool PeerMessage::Reader::hasQuarantineNotice() const {
+  if (which() != PeerMessage::QUARANTINE_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasQuarantineNotice() {
+  if (which() != PeerMessage::QUARANTINE_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::QuarantineNotice::Reader PeerMessage::Reader::getQuarantineNotice() const {
+  KJ_IREQUIRE((which() == PeerMessage::QUARANTINE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder PeerMessage::Builder::getQuarantineNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::QUARANTINE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setQuarantineNotice( ::tamarackwing::hosts::wire::QuarantineNotice::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::QUARANTINE_NOTICE);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder PeerMessage::Builder::initQuarantineNotice() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::QUARANTINE_NOTICE);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptQuarantineNotice(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::QUARANTINE_NOTICE);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice> PeerMessage::Builder::disownQuarantineNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::QUARANTINE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -1,5 +1,6 @@
 #include "wire_codec.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -52,6 +53,22 @@
   return names;
 }
 
+void WriteNumbers(const std::vector<std::uint64_t>& numbers,
+                  capnp::List<std::uint64_t>::Builder out) {
+  for (unsigned i = 0; i < numbers.size(); ++i) {
+    out.set(i, numbers[i]);
+  }
+}
+
+std::vector<std::uint64_t> ReadNumbers(capnp::List<std::uint64_t>::Reader in) {
+  std::vector<std::uint64_t> numbers;
+  numbers.reserve(in.size());
+  for (const std::uint64_t number : in) {
+    numbers.push_back(number);
+  }
+  return numbers;
+}
+
 std::set<HostName> ReadHostSet(capnp::List<capnp::Text>::Reader in) {
   std::set<HostName> names;
   for (const auto name : in) {
@@ -267,6 +284,51 @@
   return report;
 }
 
+void Write(const policy::CrashSuspect& suspect,
+           wire::CrashSuspect::Builder out) {
+  out.setBlock(suspect.block);
+  out.setRequest(suspect.request);
+}
+
+void Write(const policy::ServerCrash& crash, wire::ServerCrash::Builder out) {
+  out.setServer(ToText(crash.server.Text()));
+  out.setAgeMs(crash.age.count());
+  auto suspects =
+      out.initSuspects(static_cast<unsigned>(crash.suspects.size()));
+  for (unsigned i = 0; i < crash.suspects.size(); ++i) {
+    Write(crash.suspects[i], suspects[i]);
+  }
+}
+
+void Write(const policy::BlockAnswered& answer,
+           wire::BlockAnswered::Builder out) {
+  out.setBlock(answer.block);
+  out.setAgeMs(answer.age.count());
+}
+
+void Write(const policy::QuarantinedBlock& block,
+           wire::QuarantinedBlock::Builder out) {
+  out.setBlock(block.block);
+  out.setNextTrialMs(block.next_trial.count());
+  out.setFailedTrials(block.failed_trials);
+}
+
+//! Returns a time span of a peer, bounded so that sums cannot overflow.
+milliseconds ReadSpan(std::int64_t ms) {
+  constexpr std::int64_t kMaxMs = 86'400'000;
+  return milliseconds(std::clamp<std::int64_t>(ms, 0, kMaxMs));
+}
+
+std::vector<policy::QuarantinedBlock> ReadQuarantined(
+    capnp::List<wire::QuarantinedBlock>::Reader in) {
+  std::vector<policy::QuarantinedBlock> blocks;
+  for (const auto block : in) {
+    blocks.push_back({block.getBlock(), ReadSpan(block.getNextTrialMs()),
+                      block.getFailedTrials()});
+  }
+  return blocks;
+}
+
 template <typename Item, typename Builder>
 void WriteList(const std::vector<Item>& items, Builder out) {
   unsigned i = 0;
@@ -488,6 +550,30 @@
       shares[i].setShare(value.shares[i].share);
     }
   }
+  void operator()(const policy::CrashReport& value) {
+    auto to = this->out.initCrashReport();
+    to.setNumber(value.number);
+    WriteList(value.crashes,
+              to.initCrashes(static_cast<unsigned>(value.crashes.size())));
+    WriteList(value.answered,
+              to.initAnswered(static_cast<unsigned>(value.answered.size())));
+    WriteNumbers(value.refused,
+                 to.initRefused(static_cast<unsigned>(value.refused.size())));
+    WriteList(value.held,
+              to.initHeld(static_cast<unsigned>(value.held.size())));
+  }
+  void operator()(const policy::QuarantineNotice& value) {
+    auto to = this->out.initQuarantineNotice();
+    to.setNumber(value.number);
+    to.setComplete(value.complete);
+    WriteNumbers(value.watched,
+                 to.initWatched(static_cast<unsigned>(value.watched.size())));
+    WriteList(
+        value.quarantined,
+        to.initQuarantined(static_cast<unsigned>(value.quarantined.size())));
+    WriteNumbers(value.trials,
+                 to.initTrials(static_cast<unsigned>(value.trials.size())));
+  }
   void operator()(const control::ServerReports& value) {
     WriteList(value.reports, this->out.initServerNews(
                                  static_cast<unsigned>(value.reports.size())));
@@ -682,6 +768,37 @@
   return grant;
 }
 
+policy::CrashReport ReadCrashReport(wire::CrashReport::Reader in) {
+  policy::CrashReport report;
+  report.number = in.getNumber();
+  for (const auto crash : in.getCrashes()) {
+    policy::ServerCrash read{BackendServerName(ToString(crash.getServer())),
+                             ReadSpan(crash.getAgeMs()),
+                             {}};
+    for (const auto suspect : crash.getSuspects()) {
+      read.suspects.push_back({suspect.getBlock(), suspect.getRequest()});
+    }
+    report.crashes.push_back(std::move(read));
+  }
+  for (const auto answer : in.getAnswered()) {
+    report.answered.push_back({answer.getBlock(), ReadSpan(answer.getAgeMs())});
+  }
+  report.refused = ReadNumbers(in.getRefused());
+  report.held = ReadQuarantined(in.getHeld());
+  return report;
+}
+
+policy::QuarantineNotice ReadQuarantineNotice(
+    wire::QuarantineNotice::Reader in) {
+  policy::QuarantineNotice notice;
+  notice.number = in.getNumber();
+  notice.complete = in.getComplete();
+  notice.watched = ReadNumbers(in.getWatched());
+  notice.quarantined = ReadQuarantined(in.getQuarantined());
+  notice.trials = ReadNumbers(in.getTrials());
+  return notice;
+}
+
 PeerMessage ReadAny(wire::PeerMessage::Reader in, bool& valid) {
   using Wire = wire::PeerMessage;
   switch (in.which()) {
@@ -741,6 +858,10 @@
     case Wire::RATE_REPORT:
     case Wire::RATE_GRANT:
       return ReadRateMessage(in);
+    case Wire::CRASH_REPORT:
+      return ReadCrashReport(in.getCrashReport());
+    case Wire::QUARANTINE_NOTICE:
+      return ReadQuarantineNotice(in.getQuarantineNotice());
     case Wire::SERVER_NEWS: {
       control::ServerReports server_reports;
       for (const auto report : in.getServerNews()) {
--- /dev/null
+++ b/packages/policy/include/tamarackwing/policy/crash_observer.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/policy/crash_messages.h"
+
+namespace tamarackwing::policy {
+
+//! Bounds of a crash observer.
+struct CrashObserverOptions {
+  //! A server whose connections broke and that has sent nothing since is
+  //! considered crashed after this time; a live server that only lost a
+  //! connection sends something earlier, unless it is idle.
+  std::chrono::milliseconds confirm{200};
+  //! Bytes that arrive this soon after the first broken connection may have
+  //! been sent before it broke.
+  std::chrono::milliseconds settle{50};
+  //! A block with an answer this recently before a crash is no suspect.
+  std::chrono::milliseconds trusted{2'000};
+  //! Max crashes that wait for confirmation or acknowledgement.
+  std::size_t crashes = 32;
+  //! Max suspects of one crash.
+  std::size_t suspects = 64;
+  //! Max blocks whose last answer is remembered.
+  std::size_t answers = 4'096;
+  //! An answer is reported for this long, because reports can be lost.
+  std::chrono::milliseconds repeat{2'000};
+};
+
+//! What one host sees of crashes of backend servers: which of its requests
+//! each crash interrupted, and which blocks are sound because a request with
+//! them was answered. Not thread-safe.
+class CrashObserver {
+ public:
+  explicit CrashObserver(CrashObserverOptions options);
+  ~CrashObserver();
+
+  //! Records that the connection of a request broke before the answer was
+  //! complete. `blocks` are the request's shared blocks. Returns whether this
+  //! is the first broken connection of a possible crash.
+  bool NoteBroken(const BackendServerName& server,
+                  std::uint64_t request,
+                  const std::vector<BlockDigest>& blocks,
+                  TimePoint now);
+  //! Records that bytes were received from a server.
+  void NoteAlive(const BackendServerName& server, TimePoint now);
+  //! Records a complete answer, or one that went on long after its beginning.
+  void NoteAnswered(const std::vector<BlockDigest>& blocks, TimePoint now);
+  //! Sets the blocks whose answers are reported.
+  void Watch(const std::vector<BlockDigest>& blocks);
+  //! Adds confirmed crashes that are not acknowledged, and the last answers to
+  //! requests with watched blocks: recent ones repeatedly, older ones once.
+  //! Returns the crashes that this report contains for the first time.
+  std::vector<ServerCrash> AddTo(CrashReport& report, TimePoint now);
+  //! Drops the crashes that report `number` and earlier ones contained.
+  void Acknowledge(std::uint64_t number);
+  //! Returns the number of blocks whose last answer is remembered.
+  std::size_t RememberedAnswers() const { return this->answered.size(); }
+
+ private:
+  struct Crash {
+    TimePoint at;
+    BackendServerName server;
+    std::vector<CrashSuspect> suspects;
+    //! Number of the last report that contained it; zero if none.
+    std::uint64_t reported = 0;
+  };
+
+  //! Moves crashes from `open` to `confirmed` or drops them.
+  void Confirm(TimePoint now);
+  bool IsTrusted(BlockDigest block, TimePoint at) const;
+
+  CrashObserverOptions options;
+  //! Possible crashes, in order of time.
+  std::vector<Crash> open;
+  std::vector<Crash> confirmed;
+  std::unordered_map<BlockDigest, TimePoint> answered;
+  //! Watched blocks, and whether their last answer was reported.
+  std::map<BlockDigest, bool> watched;
+};
+
+}  // namespace tamarackwing::policy
--- /dev/null
+++ b/packages/policy/include/tamarackwing/policy/quarantine_judge.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/policy/crash_messages.h"
+
+namespace tamarackwing::policy {
+
+//! When a block is quarantined and released.
+struct QuarantineOptions {
+  //! Crashes at distinct moments, with no answer to the block between, after
+  //! which it is quarantined, provided that requests of at least `requests`
+  //! distinct contents held it.
+  std::size_t crashes = 3;
+  std::size_t requests = 2;
+  //! As `crashes`, however few requests there were: more than one request can
+  //! reach with all its tries and one repetition.
+  std::size_t crashes_of_one = 5;
+  //! Crashes closer together than this count as one: a common cause, such as
+  //! a loss of power, strikes servers at the same time.
+  std::chrono::milliseconds moment{100};
+  //! Reports of the same server within this time are about the same crash.
+  std::chrono::milliseconds same_crash{1'000};
+  //! A block with an answer this recently before a crash is no suspect.
+  std::chrono::milliseconds trusted{2'000};
+  //! How long a suspected block is watched before it is quarantined, so that
+  //! all hosts can report answers to it.
+  std::chrono::milliseconds hearing{700};
+  //! Time until the first trial; each failed trial multiplies it.
+  std::chrono::milliseconds first_trial{5'000};
+  std::uint32_t trial_factor = 4;
+  std::chrono::milliseconds max_trial{1'200'000};
+  //! Time after which a trial without an outcome may be repeated: longer than
+  //! a host may use it, and its request may then take.
+  std::chrono::milliseconds trial_timeout{20'000};
+  //! A quarantined block without requests for this long is forgotten.
+  std::chrono::milliseconds forget{3'600'000};
+  //! How long a crash counts.
+  std::chrono::milliseconds evidence{300'000};
+  //! How long a new leader waits for the hosts' reports before it releases
+  //! blocks that none of them reported.
+  std::chrono::milliseconds settle{3'000};
+  //! Interval at which an unchanged quarantine is sent again.
+  std::chrono::milliseconds repeat{1'000};
+  //! Min time between two notices to all hosts.
+  std::chrono::milliseconds min_interval{200};
+  std::size_t max_crashes = 64;
+  std::size_t max_suspects = 256;
+  std::size_t max_quarantined = 64;
+  std::size_t max_watched = 32;
+};
+
+//! A decision of the judge, for the log.
+struct QuarantineVerdict {
+  enum class Kind { kQuarantined, kReleased, kTrial, kTrialFailed };
+  Kind kind = Kind::kQuarantined;
+  BlockDigest block = 0;
+  //! Crashes that the block explains.
+  std::size_t crashes = 0;
+  std::size_t requests = 0;
+  //! Servers of these crashes, separated by commas.
+  std::string servers;
+  //! Age of the oldest of these crashes, or of the answer that released it.
+  std::chrono::milliseconds age{0};
+};
+
+//! Decides, from the reports of all hosts, which blocks of prompts crash
+//! servers. A block that crashes each server is never answered; a sound block
+//! that merely stood in a crash soon is. Not thread-safe.
+class QuarantineJudge {
+ public:
+  explicit QuarantineJudge(QuarantineOptions options);
+  ~QuarantineJudge();
+
+  //! Starts a leader's term with neither evidence nor a quarantine.
+  void StartTerm(TimePoint now);
+  //! Applies a host's report and returns the reply, which may grant the host a
+  //! trial.
+  QuarantineNotice Handle(const CrashReport& report, TimePoint now);
+  //! Returns the notice that is due for all hosts, if any: after a change at
+  //! once, otherwise at intervals while blocks are watched or quarantined.
+  std::optional<QuarantineNotice> Due(TimePoint now);
+  //! Returns the decisions since the last call.
+  std::vector<QuarantineVerdict> TakeVerdicts();
+
+ private:
+  struct Crash {
+    BackendServerName server;
+    TimePoint at;
+    //! Requests that held each block.
+    std::map<BlockDigest, std::set<std::uint64_t>> suspects;
+  };
+  struct Quarantined {
+    TimePoint since;
+    TimePoint next_trial;
+    std::uint32_t failed_trials = 0;
+    TimePoint last_refused;
+    std::optional<TimePoint> trial_sent;
+  };
+  //! The crashes that a block may have caused.
+  struct Case {
+    std::size_t moments = 0;
+    //! No host remembers an answer to a request with the block.
+    bool never_answered = false;
+    std::set<std::uint64_t> requests;
+    std::vector<const Crash*> crashes;
+  };
+
+  void AddCrash(const ServerCrash& crash, TimePoint now);
+  void AddAnswer(const BlockAnswered& answer, TimePoint now);
+  void Adopt(const QuarantinedBlock& held, TimePoint now);
+  void NoteQuarantinedCrash(BlockDigest block, TimePoint at);
+  //! Returns those of the refused blocks for which the host may try a request.
+  std::vector<BlockDigest> GrantTrials(const std::vector<BlockDigest>& refused,
+                                       TimePoint now);
+  void Release(BlockDigest block, std::chrono::milliseconds age);
+  void Expire(TimePoint now);
+  //! Quarantines blocks whose cases suffice and updates the watched ones.
+  void Decide(TimePoint now);
+  //! Returns the cases of blocks by the crashes that no block in `explained`
+  //! accounts for.
+  std::map<BlockDigest, Case> Cases(
+      const std::set<BlockDigest>& explained) const;
+  bool Suffices(const Case& one) const;
+  QuarantineNotice MakeNotice(TimePoint now) const;
+
+  QuarantineOptions options;
+  TimePoint term_start;
+  std::deque<Crash> crashes;
+  std::map<BlockDigest, TimePoint> answered;
+  std::map<BlockDigest, Quarantined> quarantined;
+  //! Suspected blocks, and since when they are watched.
+  std::map<BlockDigest, TimePoint> watched;
+  std::vector<QuarantineVerdict> verdicts;
+  bool changed = false;
+  TimePoint sent;
+};
+
+}  // namespace tamarackwing::policy
--- /dev/null
+++ b/packages/policy/src/crash_observer.cc
@@ -0,0 +1,133 @@
+#include "tamarackwing/policy/crash_observer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackwing::policy {
+namespace {
+
+std::chrono::milliseconds AgeOf(TimePoint at, TimePoint now) {
+  return std::chrono::ceil<std::chrono::milliseconds>(now - at);
+}
+
+}  // namespace
+
+CrashObserver::CrashObserver(CrashObserverOptions options) : options(options) {}
+
+CrashObserver::~CrashObserver() = default;
+
+bool CrashObserver::NoteBroken(const BackendServerName& server,
+                               std::uint64_t request,
+                               const std::vector<BlockDigest>& blocks,
+                               TimePoint now) {
+  auto crash =
+      std::find_if(this->open.begin(), this->open.end(),
+                   [&](const Crash& one) { return one.server == server; });
+  const bool is_new = crash == this->open.end();
+  if (is_new) {
+    if (this->open.size() >= this->options.crashes) {
+      return false;
+    }
+    this->open.push_back({now, server, {}, 0});
+    crash = std::prev(this->open.end());
+  }
+  for (const BlockDigest block : blocks) {
+    if (crash->suspects.size() < this->options.suspects &&
+        !this->IsTrusted(block, crash->at)) {
+      crash->suspects.push_back({block, request});
+    }
+  }
+  return is_new;
+}
+
+void CrashObserver::NoteAlive(const BackendServerName& server, TimePoint now) {
+  if (this->open.empty()) {
+    return;
+  }
+  std::erase_if(this->open, [&](const Crash& crash) {
+    return crash.server == server && now - crash.at > this->options.settle &&
+           now - crash.at <= this->options.confirm;
+  });
+}
+
+void CrashObserver::NoteAnswered(const std::vector<BlockDigest>& blocks,
+                                 TimePoint now) {
+  for (const BlockDigest block : blocks) {
+    this->answered[block] = now;
+  }
+  if (this->answered.size() > this->options.answers) {
+    std::erase_if(this->answered, [&](const auto& entry) {
+      return now - entry.second > this->options.trusted &&
+             !this->watched.contains(entry.first);
+    });
+  }
+  if (this->answered.size() > 2 * this->options.answers) {
+    // Too many blocks in use to remember all of their answers.
+    this->answered.clear();
+  }
+}
+
+void CrashObserver::Watch(const std::vector<BlockDigest>& blocks) {
+  std::map<BlockDigest, bool> next;
+  for (const BlockDigest block : blocks) {
+    const auto known = this->watched.find(block);
+    next[block] = known != this->watched.end() && known->second;
+  }
+  this->watched = std::move(next);
+}
+
+std::vector<ServerCrash> CrashObserver::AddTo(CrashReport& report,
+                                              TimePoint now) {
+  this->Confirm(now);
+  std::vector<ServerCrash> first_time;
+  for (Crash& crash : this->confirmed) {
+    ServerCrash seen{crash.server, AgeOf(crash.at, now), crash.suspects};
+    if (crash.reported == 0) {
+      first_time.push_back(seen);
+    }
+    crash.reported = report.number;
+    report.crashes.push_back(std::move(seen));
+  }
+  for (auto& [block, is_reported] : this->watched) {
+    const auto last = this->answered.find(block);
+    if (last != this->answered.end() &&
+        (!is_reported || now - last->second <= this->options.repeat)) {
+      is_reported = true;
+      report.answered.push_back({block, AgeOf(last->second, now)});
+    }
+  }
+  return first_time;
+}
+
+void CrashObserver::Acknowledge(std::uint64_t number) {
+  std::erase_if(this->confirmed, [&](const Crash& crash) {
+    return crash.reported != 0 && crash.reported <= number;
+  });
+}
+
+void CrashObserver::Confirm(TimePoint now) {
+  const auto is_due = [&](const Crash& crash) {
+    return now - crash.at > this->options.confirm;
+  };
+  for (Crash& crash : this->open) {
+    if (!is_due(crash)) {
+      continue;
+    }
+    std::erase_if(crash.suspects, [&](const CrashSuspect& suspect) {
+      return this->IsTrusted(suspect.block, crash.at);
+    });
+    if (!crash.suspects.empty() &&
+        this->confirmed.size() < this->options.crashes) {
+      this->confirmed.push_back(std::move(crash));
+    }
+  }
+  std::erase_if(this->open, is_due);
+}
+
+bool CrashObserver::IsTrusted(BlockDigest block, TimePoint at) const {
+  const auto last = this->answered.find(block);
+  return last != this->answered.end() &&
+         at - last->second <= this->options.trusted;
+}
+
+}  // namespace tamarackwing::policy
--- /dev/null
+++ b/packages/policy/src/quarantine_judge.cc
@@ -0,0 +1,316 @@
+#include "tamarackwing/policy/quarantine_judge.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace tamarackwing::policy {
+namespace {
+
+using std::chrono::milliseconds;
+
+milliseconds Age(TimePoint at, TimePoint now) {
+  return std::chrono::ceil<milliseconds>(std::max(Duration(), now - at));
+}
+
+}  // namespace
+
+QuarantineJudge::QuarantineJudge(QuarantineOptions options)
+    : options(options) {}
+
+QuarantineJudge::~QuarantineJudge() = default;
+
+void QuarantineJudge::StartTerm(TimePoint now) {
+  this->term_start = now;
+  this->crashes.clear();
+  this->answered.clear();
+  this->quarantined.clear();
+  this->watched.clear();
+}
+
+QuarantineNotice QuarantineJudge::Handle(const CrashReport& report,
+                                         TimePoint now) {
+  for (const QuarantinedBlock& held : report.held) {
+    this->Adopt(held, now);
+  }
+  for (const ServerCrash& crash : report.crashes) {
+    this->AddCrash(crash, now);
+  }
+  for (const BlockAnswered& answer : report.answered) {
+    this->AddAnswer(answer, now);
+  }
+  this->Decide(now);
+  QuarantineNotice notice = this->MakeNotice(now);
+  notice.number = report.number;
+  notice.trials = this->GrantTrials(report.refused, now);
+  return notice;
+}
+
+std::vector<BlockDigest> QuarantineJudge::GrantTrials(
+    const std::vector<BlockDigest>& refused,
+    TimePoint now) {
+  std::vector<BlockDigest> trials;
+  for (const BlockDigest block : refused) {
+    const auto found = this->quarantined.find(block);
+    if (found == this->quarantined.end()) {
+      continue;
+    }
+    Quarantined& entry = found->second;
+    entry.last_refused = now;
+    const bool is_running = entry.trial_sent && now - *entry.trial_sent <=
+                                                    this->options.trial_timeout;
+    if (now < entry.next_trial || is_running) {
+      continue;
+    }
+    entry.trial_sent = now;
+    trials.push_back(block);
+    this->verdicts.push_back({QuarantineVerdict::Kind::kTrial, block,
+                              entry.failed_trials, 0, "",
+                              Age(entry.since, now)});
+  }
+  return trials;
+}
+
+std::optional<QuarantineNotice> QuarantineJudge::Due(TimePoint now) {
+  this->Expire(now);
+  this->Decide(now);
+  const bool is_empty = this->quarantined.empty() && this->watched.empty();
+  const bool repeats = !is_empty && now - this->sent >= this->options.repeat;
+  const bool is_change_due =
+      this->changed && now - this->sent >= this->options.min_interval;
+  if (!is_change_due && !repeats) {
+    return std::nullopt;
+  }
+  this->changed = false;
+  this->sent = now;
+  return this->MakeNotice(now);
+}
+
+std::vector<QuarantineVerdict> QuarantineJudge::TakeVerdicts() {
+  return std::exchange(this->verdicts, {});
+}
+
+void QuarantineJudge::AddCrash(const ServerCrash& crash, TimePoint now) {
+  const TimePoint at = now - crash.age;
+  auto known = std::find_if(
+      this->crashes.begin(), this->crashes.end(), [&](const Crash& one) {
+        return one.server == crash.server &&
+               (at > one.at ? at - one.at : one.at - at) <=
+                   this->options.same_crash;
+      });
+  if (known == this->crashes.end()) {
+    if (this->crashes.size() >= this->options.max_crashes) {
+      this->crashes.pop_front();
+    }
+    this->crashes.push_back({crash.server, at, {}});
+    known = std::prev(this->crashes.end());
+  }
+  for (const CrashSuspect& suspect : crash.suspects) {
+    const auto held = known->suspects.find(suspect.block);
+    if (held != known->suspects.end()) {
+      held->second.insert(suspect.request);
+      continue;
+    }
+    if (known->suspects.size() < this->options.max_suspects) {
+      known->suspects[suspect.block].insert(suspect.request);
+      this->NoteQuarantinedCrash(suspect.block, known->at);
+    }
+  }
+}
+
+void QuarantineJudge::NoteQuarantinedCrash(BlockDigest block, TimePoint at) {
+  const auto found = this->quarantined.find(block);
+  if (found == this->quarantined.end()) {
+    return;
+  }
+  Quarantined& entry = found->second;
+  if (!entry.trial_sent || at < *entry.trial_sent) {
+    // A request that was sent before the decision.
+    return;
+  }
+  entry.trial_sent.reset();
+  entry.failed_trials += 1;
+  milliseconds wait = this->options.first_trial;
+  for (std::uint32_t i = 0;
+       i < entry.failed_trials && wait < this->options.max_trial; ++i) {
+    wait *= this->options.trial_factor;
+  }
+  entry.next_trial = at + std::min(wait, this->options.max_trial);
+  this->changed = true;
+  this->verdicts.push_back({QuarantineVerdict::Kind::kTrialFailed, block,
+                            entry.failed_trials, 0, "", milliseconds(0)});
+}
+
+void QuarantineJudge::AddAnswer(const BlockAnswered& answer, TimePoint now) {
+  const TimePoint at = now - answer.age;
+  const auto held = this->quarantined.find(answer.block);
+  if (held != this->quarantined.end() && at > held->second.since) {
+    this->Release(answer.block, answer.age);
+  }
+  const bool is_suspect = std::any_of(
+      this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
+        return crash.suspects.contains(answer.block);
+      });
+  if (is_suspect) {
+    TimePoint& last = this->answered[answer.block];
+    last = std::max(last, at);
+  }
+}
+
+void QuarantineJudge::Adopt(const QuarantinedBlock& held, TimePoint now) {
+  const bool is_settling = now - this->term_start <= this->options.settle;
+  if (!is_settling || this->quarantined.contains(held.block) ||
+      this->quarantined.size() >= this->options.max_quarantined) {
+    return;
+  }
+  this->quarantined[held.block] = {now, now + held.next_trial,
+                                   held.failed_trials, now, std::nullopt};
+  this->changed = true;
+}
+
+void QuarantineJudge::Release(BlockDigest block, milliseconds age) {
+  this->quarantined.erase(block);
+  this->changed = true;
+  this->verdicts.push_back(
+      {QuarantineVerdict::Kind::kReleased, block, 0, 0, "", age});
+}
+
+void QuarantineJudge::Expire(TimePoint now) {
+  std::erase_if(this->crashes, [&](const Crash& crash) {
+    return now - crash.at > this->options.evidence;
+  });
+  if (this->crashes.empty()) {
+    this->answered.clear();
+  }
+  std::vector<BlockDigest> idle;
+  for (const auto& [block, entry] : this->quarantined) {
+    if (now - entry.last_refused > this->options.forget) {
+      idle.push_back(block);
+    }
+  }
+  for (const BlockDigest block : idle) {
+    this->Release(block, milliseconds(0));
+  }
+}
+
+std::map<BlockDigest, QuarantineJudge::Case> QuarantineJudge::Cases(
+    const std::set<BlockDigest>& explained) const {
+  std::map<BlockDigest, Case> cases;
+  std::vector<const Crash*> in_order;
+  for (const Crash& crash : this->crashes) {
+    const bool is_explained = std::any_of(
+        crash.suspects.begin(), crash.suspects.end(),
+        [&](const auto& suspect) { return explained.contains(suspect.first); });
+    if (!is_explained) {
+      in_order.push_back(&crash);
+    }
+  }
+  std::sort(in_order.begin(), in_order.end(),
+            [](const Crash* a, const Crash* b) { return a->at < b->at; });
+  for (const Crash* crash : in_order) {
+    for (const auto& [block, requests] : crash->suspects) {
+      const auto last = this->answered.find(block);
+      if (last != this->answered.end() &&
+          crash->at <= last->second + this->options.trusted) {
+        continue;
+      }
+      Case& one = cases[block];
+      one.never_answered = last == this->answered.end();
+      if (one.crashes.empty() ||
+          crash->at - one.crashes.back()->at >= this->options.moment) {
+        one.moments += 1;
+      }
+      one.requests.insert(requests.begin(), requests.end());
+      one.crashes.push_back(crash);
+    }
+  }
+  return cases;
+}
+
+bool QuarantineJudge::Suffices(const Case& one) const {
+  return (one.moments >= this->options.crashes &&
+          one.requests.size() >= this->options.requests) ||
+         one.moments >= this->options.crashes_of_one;
+}
+
+void QuarantineJudge::Decide(TimePoint now) {
+  if (this->crashes.empty()) {
+    this->watched.clear();
+    return;
+  }
+  std::set<BlockDigest> explained;
+  for (const auto& [block, entry] : this->quarantined) {
+    explained.insert(block);
+  }
+  while (true) {
+    const auto cases = this->Cases(explained);
+    // Blocks that explain the most crashes come first: those that stood beside
+    // them in the same crashes are then no longer suspected.
+    const Case* strongest = nullptr;
+    const auto is_stronger = [](const Case& a, const Case& b) {
+      return std::tuple(a.moments, a.never_answered, a.requests.size()) >
+             std::tuple(b.moments, b.never_answered, b.requests.size());
+    };
+    for (const auto& [block, one] : cases) {
+      if (this->Suffices(one) &&
+          (strongest == nullptr || is_stronger(one, *strongest))) {
+        strongest = &one;
+      }
+    }
+    std::map<BlockDigest, TimePoint> still_watched;
+    std::vector<BlockDigest> due;
+    for (const auto& [block, one] : cases) {
+      if (one.moments < 2 ||
+          still_watched.size() >= this->options.max_watched) {
+        continue;
+      }
+      const auto known = this->watched.find(block);
+      const bool is_new = known == this->watched.end();
+      const TimePoint since = is_new ? now : known->second;
+      this->changed = this->changed || is_new;
+      still_watched[block] = since;
+      if (this->Suffices(one) && !is_stronger(*strongest, one) &&
+          now - since >= this->options.hearing) {
+        due.push_back(block);
+      }
+    }
+    this->watched = std::move(still_watched);
+    if (due.empty() ||
+        this->quarantined.size() >= this->options.max_quarantined) {
+      return;
+    }
+    for (const BlockDigest block : due) {
+      const Case& one = cases.at(block);
+      this->quarantined[block] = {now, now + this->options.first_trial, 0, now,
+                                  std::nullopt};
+      explained.insert(block);
+      std::string servers;
+      for (const Crash* crash : one.crashes) {
+        servers += (servers.empty() ? "" : ",") + crash->server.Text();
+      }
+      this->verdicts.push_back({QuarantineVerdict::Kind::kQuarantined, block,
+                                one.crashes.size(), one.requests.size(),
+                                std::move(servers),
+                                Age(one.crashes.front()->at, now)});
+    }
+    this->changed = true;
+  }
+}
+
+QuarantineNotice QuarantineJudge::MakeNotice(TimePoint now) const {
+  QuarantineNotice notice;
+  notice.complete = now - this->term_start > this->options.settle;
+  for (const auto& [block, since] : this->watched) {
+    notice.watched.push_back(block);
+  }
+  for (const auto& [block, entry] : this->quarantined) {
+    notice.watched.push_back(block);
+    notice.quarantined.push_back(
+        {block,
+         entry.next_trial > now ? Age(now, entry.next_trial) : milliseconds(0),
+         entry.failed_trials});
+  }
+  return notice;
+}
+
+}  // namespace tamarackwing::policy
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -28,6 +28,8 @@
 //! Short enough for the leased rates to follow a peak of demand, which moves to
 //! another region within one or two seconds.
 constexpr milliseconds kRateReportInterval{300};
+//! Short against the time that a crashed server takes to come back.
+constexpr milliseconds kCrashReportInterval{200};
 //! Time during which a host without demand also reports to a new leader; long
 //! enough for several reports, because some may be lost.
 constexpr milliseconds kNewLeaderPeriod{3'000};
@@ -332,6 +334,10 @@
     this->rates_at = now + kRateReportInterval;
     this->ReportRates();
   }
+  if (now >= this->crashes_at) {
+    this->crashes_at = now + kCrashReportInterval;
+    this->ReportCrashes();
+  }
   this->ExpireRequests();
   this->updates_acknowledged.store(this->node->AllUpdatesAcknowledged());
 }
@@ -393,6 +399,9 @@
   for (const policy::RateGrant& grant : effects.rate_grants) {
     this->dependencies.rates.Accept(grant);
   }
+  for (const policy::QuarantineNotice& notice : effects.quarantine_notices) {
+    this->dependencies.quarantine.Accept(notice);
+  }
   for (const policy::ServerReport& report : effects.servers) {
     this->dependencies.servers.ApplyRelayed(report);
   }
@@ -450,6 +459,16 @@
   }
 }
 
+void ControlThread::ReportCrashes() {
+  const TimePoint now = this->dependencies.clock.Now();
+  // A new leader does not know the quarantine.
+  const bool is_new_leader = now - this->rates_leader_since < kNewLeaderPeriod;
+  const auto report = this->dependencies.quarantine.MakeReport(is_new_leader);
+  if (report) {
+    this->Execute(this->node->ReportCrashes(*report, now));
+  }
+}
+
 bool ControlThread::Announce(const policy::ServerReport& report) {
   if (this->dependencies.snapshots.Get()->hosts->empty()) {
     return false;
@@ -599,6 +618,8 @@
   metrics.Set("tamarackwing_applied_index",
               static_cast<double>(state.Applied()));
   metrics.Set("tamarackwing_is_leader", this->node->IsLeader() ? 1 : 0);
+  metrics.Set("tamarackwing_quarantined_blocks",
+              static_cast<double>(this->dependencies.quarantine.Size()));
   metrics.Set("tamarackwing_ledger_operations",
               static_cast<double>(this->node->Ledger().Size()));
 }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -20,6 +20,7 @@
 #include "tamarackwing/control/control_node.h"
 #include "tamarackwing/gateway/active_requests.h"
 #include "tamarackwing/gateway/admission_gate.h"
+#include "tamarackwing/gateway/block_quarantine.h"
 #include "tamarackwing/gateway/operation_permits.h"
 #include "tamarackwing/gateway/server_directory.h"
 #include "tamarackwing/gateway/snapshot_holder.h"
@@ -50,6 +51,7 @@
   ChunkBudget& budget;
   LeasedRateBudget& rates;
   RegionTable& regions;
+  gateway::BlockQuarantine& quarantine;
 };
 
 //! The thread that owns the control state: it runs the control node, executes
@@ -131,6 +133,7 @@
   void HandleRegionStatus(const control::RegionStatusUpdate& update);
   void HandleProbeResult(const control::ProbeResult& probe_result);
   void ReportRates();
+  void ReportCrashes();
   void ShareSlots();
   void ProbeRegions();
   void PublishSnapshot();
@@ -181,7 +184,8 @@
   TimePoint share_at;
   TimePoint snapshot_at;
   TimePoint rates_at;
-  //! The leader that gets the rate reports, and since when.
+  TimePoint crashes_at;
+  //! The leader that gets the rate and crash reports, and since when.
   HostName rates_leader;
   TimePoint rates_leader_since;
   std::shared_ptr<const std::map<HostName, state::HostRecord>> known_hosts;
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -17,6 +17,7 @@
 #include "tamarackwing/callers/caller_listener.h"
 #include "tamarackwing/callers/refusal_response.h"
 #include "tamarackwing/gateway.h"
+#include "tamarackwing/gateway/block_quarantine.h"
 #include "tamarackwing/gateway/forward_listener.h"
 #include "tamarackwing/http/io_threads.h"
 #include "tamarackwing/http/server.h"
@@ -103,9 +104,10 @@
               policy::RateLeaseOptions(),
               settings.rate_tolerance),
         regions(freshness_clock, settings.servers.prefill_rate),
+        quarantine(freshness_clock, metrics),
         control(settings,
                 {freshness_clock, clock, metrics, snapshots, servers, gate,
-                 active, budget, rates, regions},
+                 active, budget, rates, regions, quarantine},
                 disk.get(),
                 bootstraps_log),
         gateway({MakeTrafficDependencies(budget), gate, active, control},
@@ -134,7 +136,7 @@
   gateway::TrafficDependencies MakeTrafficDependencies(
       gateway::TokenBudget& token_budget) {
     return {threads,   clock,   freshness_clock, metrics, spans,
-            snapshots, servers, token_budget,    regions};
+            snapshots, servers, token_budget,    regions, quarantine};
   }
 
   //! Opens an adapter listener if it has a handler and a port; returns false if
@@ -164,6 +166,7 @@
   ChunkBudget budget;
   LeasedRateBudget rates;
   RegionTable regions;
+  gateway::BlockQuarantine quarantine;
   ControlThread control;
   gateway::Gateway gateway;
   gateway::PathGateway path_gateway;
