gateway, http: a stream that ends inside an event is broken off; bounds on endless bytes

Callers saw streams with half of their last event that looked complete: a response with neither length nor chunks ends with its connection, and RelayStream passed on the rest of an event as if it were whole. A server that sent bytes without end in an event or in a chunk's extension was read for as long as it sent, and the bytes were kept.

Cause: the end of the body was taken for the end of the stream; the read buffer and the incomplete event had no limit. Change: a stream that ends inside an event counts as a broken connection (and may be resumed); an event has at most 1 MiB, the read buffer 80 KiB; bytes that are no HTTP are kMalformed, which is no evidence of a crash. Events may also end with CRLF. The same for streams of the system's own interface.

EventSplitter's test of TakeRest, which is gone, now checks the number of bytes left.

--- a/packages/gateway/src/backend_exchange.h
+++ b/packages/gateway/src/backend_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,9 @@
 inline constexpr TokenCount kServiceTokens = 1;
 //! Maximum number of servers tried for one request.
 inline constexpr int kMaxTries = 3;
+//! Maximum size of one server-sent event; bytes that are no event may come
+//! without end.
+inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 //! Content type of a stream of server-sent events.
 inline constexpr std::string_view kEventStream = "text/event-stream";
 
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "backend_exchange.h"
 #include "path_request.h"
 #include "refused_header.h"
 #include "tamarackwing/callers/caller_head.h"
@@ -267,8 +268,13 @@
     this->NoteLongAnswer(target, body_started);
     this->answer_stage = AnswerStage::kBody;
     const bool is_end = piece->empty();
-    const std::string complete_events =
-        is_end ? this->events.TakeRest() : this->events.Add(*piece);
+    const std::string complete_events = this->events.Add(*piece);
+    if (is_end && !this->events.IsBetweenEvents()) {
+      co_return this->HandleConnectionError(http::ConnectionError::kReadFailed);
+    }
+    if (this->events.RestBytes() > kMaxEventBytes) {
+      co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
+    }
     if (!complete_events.empty() || is_end) {
       if (!co_await this->WriteEvents(head, complete_events)) {
         this->caller_gone = true;
--- a/packages/gateway/src/served_stream.cc
+++ b/packages/gateway/src/served_stream.cc
@@ -73,8 +73,12 @@
     if (!piece) {
       co_return false;
     }
-    std::string complete_events =
-        piece->empty() ? this->events.TakeRest() : this->events.Add(*piece);
+    const std::string complete_events = this->events.Add(*piece);
+    const bool is_broken_off =
+        piece->empty() && !this->events.IsBetweenEvents();
+    if (is_broken_off || this->events.RestBytes() > kMaxEventBytes) {
+      co_return false;
+    }
     if (!complete_events.empty() &&
         !co_await this->writer.WritePiece(complete_events)) {
       gone = true;
--- a/packages/gateway/tests/event_splitter_tests.cc
+++ b/packages/gateway/tests/event_splitter_tests.cc
@@ -13,7 +13,24 @@
   EXPECT_EQ(splitter.Add("\ndata: b"), "data: a\n\n");
   EXPECT_EQ(splitter.Events(), 1U);
   splitter.DropRest();
-  EXPECT_EQ(splitter.TakeRest(), "");
+  EXPECT_EQ(splitter.RestBytes(), 0U);
+}
+
+TEST(EventSplitter, KnowsWhetherItStandsInsideAnEvent) {
+  EventSplitter splitter;
+  EXPECT_TRUE(splitter.IsBetweenEvents());
+  splitter.Add("data: a\n");
+  EXPECT_FALSE(splitter.IsBetweenEvents());
+  splitter.Add("\n\n");
+  EXPECT_TRUE(splitter.IsBetweenEvents());
+}
+
+TEST(EventSplitter, EventsMayEndWithCarriageReturns) {
+  EventSplitter splitter;
+  EXPECT_EQ(splitter.Add("data: a\r\n\r"), "");
+  EXPECT_EQ(splitter.Add("\ndata: b\r\n\r\nid"),
+            "data: a\r\n\r\ndata: b\r\n\r\n");
+  EXPECT_EQ(splitter.Events(), 2U);
 }
 
 RC_GTEST_PROP(EventSplitter, AnySplitOfStreamGivesSameEvents, ()) {
--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -40,7 +40,7 @@
   asio::awaitable<Expected<void, ConnectionError>> Send(Request request,
                                                         TimePoint deadline);
   //! Reads the head of the response. Precondition: a request was sent.
-  //! Errors: kReadFailed, kTimeout, kCancelled.
+  //! Errors: kReadFailed, kMalformed, kTimeout, kCancelled.
   asio::awaitable<Expected<ResponseHead, ConnectionError>> ReadHead(
       TimePoint deadline);
   //! Reads the next piece of the body; an empty piece means that the response
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -18,6 +18,8 @@
 
 constexpr std::size_t kPieceBytes = 16 * 1024;
 constexpr std::uint32_t kHeadBytes = 64 * 1024;
+//! Max unparsed bytes: a head, or framing between the pieces of a body.
+constexpr std::size_t kBufferBytes = kHeadBytes + kPieceBytes;
 constexpr unsigned kHttp11 = 11;
 constexpr std::chrono::milliseconds kUnackedTimeout{10'000};
 
@@ -40,11 +42,20 @@
     if (error == boost::beast::error::timeout) {
       return ConnectionError::kTimeout;
     }
+    const bool has_ended = error == beast_http::error::end_of_stream ||
+                           error == beast_http::error::partial_message;
+    const bool is_parse_error =
+        error.category() ==
+        beast_http::make_error_code(beast_http::error::end_of_stream)
+            .category();
+    if (is_parse_error && !has_ended) {
+      return ConnectionError::kMalformed;
+    }
     return default_error;
   }
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kBufferBytes};
   std::optional<Parser> parser;
   std::array<char, kPieceBytes> piece{};
   bool cancelled = false;
