policy, gateway: share the limit that a server names among the hosts of its region

Callers' requests went to servers far beyond the requests per second that these had named: 36 in 4 s at a limit of 3.1 (24 allowed). Nothing was refused to the servers' benefit.

Cause: nothing read the limit, and a host knows nothing of what the others send to a server. Class: a fleet-wide rate that each host would have to keep alone, as cold starts and retries.

Change: policy::ServerTable, through which every send to a server goes (first tries, retries, resumes, forwarded calls, the system's own interface), keeps a token bucket for each server that names a limit. The hosts that share it are chosen by rendezvous hashing among the live hosts of the region, as for cold servers, as many as the limit has requests per second but three at least, each with an equal part and two seconds of burst; a bucket starts empty. Hosts tell each other in their region status which limits they heard and when, the newest answer holds; a limit that nobody has heard for 10 s is forgotten. A request that no server may take goes to another region or is refused at once, with the time of the next permitted request. A limited server counts in a region's slots with what its limit lets it run.

--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -20,6 +20,7 @@
   kBackendServerFailed = 2004,
   kBackendServerBroke = 2005,
   kBackendServerCrashed = 2006,
+  kBackendServerLimit = 2007,
   kBlockQuarantined = 2101,
   kBlockReleased = 2102,
   kBlockTrial = 2103,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -102,6 +102,8 @@
       return "backend_server_broke";
     case Event::kBackendServerCrashed:
       return "backend_server_crashed";
+    case Event::kBackendServerLimit:
+      return "backend_server_limit";
     case Event::kBlockQuarantined:
       return "block_quarantined";
     case Event::kBlockReleased:
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -89,6 +89,15 @@
   TokenCount tokens = 0;
 };
 
+//! A server's limit as the sender last heard it.
+struct HeardLimit {
+  BackendServerName server;
+  //! Requests per 1000 seconds from all hosts; nullopt if it names none.
+  std::optional<std::uint64_t> per_kilosecond;
+  //! Time since the answer when the message was sent.
+  std::chrono::milliseconds age{0};
+};
+
 //! The status that a host sends to the others of its region, a few times a
 //! second.
 struct RegionStatus {
@@ -103,6 +112,7 @@
   std::vector<ServedTokens> served;
   //! Backend servers' reports that the sender received directly.
   std::vector<policy::ServerReport> servers;
+  std::vector<HeardLimit> limits;
 };
 
 //! Requests the load of the recipient's region.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -277,6 +277,7 @@
                                   std::vector<TargetLoad> loads) {
   RegionStatus& next = this->region_status;
   next.loads = std::move(status.loads);
+  next.limits = std::move(status.limits);
   next.served.insert(next.served.end(), status.served.begin(),
                      status.served.end());
   for (policy::ServerReport& report : status.servers) {
--- a/packages/gateway/include/tamarackwing/gateway/path_protocol.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_protocol.h
@@ -34,6 +34,11 @@
   //! The response contains the id of this call.
   bool is_for_call = false;
   bool is_stream = false;
+  //! Whether the head says how many requests the server takes: a limit, or
+  //! none. A head with a value that cannot be read says nothing.
+  bool tells_limit = false;
+  //! Requests per 1000 seconds from all hosts together.
+  std::optional<std::uint64_t> limit_per_kilosecond;
   //! The head to pass on to the caller.
   http::ResponseHead passed;
 };
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -54,6 +54,12 @@
               const std::string& request,
               policy::HealthSignal signal,
               TimePoint sent);
+  //! As for the methods of policy::ServerTable; `source` names who heard the
+  //! answer, for the log.
+  void NoteLimit(const policy::ServerLimit& limit, std::string_view source);
+  std::vector<policy::ServerLimit> Limits();
+  void SetSharers(const HostName& self, std::vector<HostName> hosts);
+  std::optional<Duration> NextAllowance(const std::string& target);
   //! Records that bytes arrived from a server.
   void NoteAlive(const BackendServerName& name);
   //! Returns the time of the directory's clock.
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -262,6 +262,10 @@
         co_await this->writer.Send(std::move(*this->held_response));
         co_return std::nullopt;
       }
+      const auto allowance = servers.NextAllowance(this->service);
+      if (allowance) {
+        this->retry_after = std::max(this->retry_after, CeilMs(*allowance));
+      }
       co_return this->StopRefusal(this->shed ? RefusalCode::kQueueFull
                                              : RefusalCode::kNoBackendServer);
     }
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -192,6 +192,15 @@
     // The response belongs to another request or to none.
     co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
   }
+  // An answer that was not run may lack the field and says nothing then.
+  const bool tells_limit = parsed.tells_limit && !parsed.other_server &&
+                           (parsed.limit_per_kilosecond || !parsed.not_run);
+  if (target.server && tells_limit) {
+    dependencies.servers.NoteLimit(
+        {target.server->name, parsed.limit_per_kilosecond,
+         dependencies.servers.Now()},
+        "answer");
+  }
   if (parsed.not_run || parsed.other_server) {
     // Read the body to its end, so that the connection can be reused. The
     // body is discarded: `held_response` keeps the response of an earlier
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -133,6 +133,7 @@
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
   this->table.NoteFirstOutput(name, prompt_tokens);
+  this->table.ReturnAllowance(name);
   this->table.NoteFinished(name, policy::HealthSignal::kInconclusive, now, now);
 }
 
@@ -164,6 +165,43 @@
       .first->second;
 }
 
+void ServerDirectory::NoteLimit(const policy::ServerLimit& limit,
+                                std::string_view source) {
+  bool is_change = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    is_change = this->table.NoteLimit(limit, this->clock.Now());
+  }
+  if (is_change) {
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(
+        this->clock.Now() - limit.heard);
+    LogEvent(
+        Event::kBackendServerLimit, LogLevel::kInfo,
+        {{"server", limit.server.Text()},
+         {"per_1000_s",
+          limit.per_kilosecond ? std::to_string(*limit.per_kilosecond) : ""},
+         {"source", std::string(source)},
+         {"age_ms", std::to_string(age.count())}});
+  }
+}
+
+std::vector<policy::ServerLimit> ServerDirectory::Limits() {
+  const std::lock_guard lock(this->mutex);
+  return this->table.Limits(this->clock.Now());
+}
+
+void ServerDirectory::SetSharers(const HostName& self,
+                                 std::vector<HostName> hosts) {
+  const std::lock_guard lock(this->mutex);
+  this->table.SetSharers(self, std::move(hosts));
+}
+
+std::optional<Duration> ServerDirectory::NextAllowance(
+    const std::string& target) {
+  const std::lock_guard lock(this->mutex);
+  return this->table.NextAllowance(target, this->clock.Now());
+}
+
 policy::OwnLoad ServerDirectory::LoadOf(const std::string& target) {
   const std::lock_guard lock(this->mutex);
   return this->table.LoadOf(target, this->clock.Now());
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -220,6 +220,13 @@
   coldMs @15 :Int64;
 }
 
+struct HeardLimit {
+  server @0 :Text;
+  # Requests per 1000 seconds; negative if the server names no limit.
+  perKilosecond @1 :Int64;
+  ageMs @2 :Int64;
+}
+
 struct RegionStatus {
   number @0 :UInt64;
   echo @1 :UInt64;
@@ -228,6 +235,7 @@
   loads @4 :List(TargetLoad);
   served @5 :List(ServedTokens);
   servers @6 :List(ServerReport);
+  limits @7 :List(HeardLimit);
 }
 
 struct ProbeReply {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -52,6 +52,7 @@
 CAPNP_DECLARE_SCHEMA(b7ae59bd2aba1f58);
 CAPNP_DECLARE_SCHEMA(dee867c786d48ef7);
 CAPNP_DECLARE_SCHEMA(c2d61d35340614e9);
+CAPNP_DECLARE_SCHEMA(d735796dd5548ab4);
 CAPNP_DECLARE_SCHEMA(b46a10f79bb2e486);
 CAPNP_DECLARE_SCHEMA(b04129bc28fb0554);
 CAPNP_DECLARE_SCHEMA(a40b44560d9320af);
@@ -579,6 +580,21 @@
   };
 };
 
+struct HeardLimit {
+  HeardLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d735796dd5548ab4, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RegionStatus {
   RegionStatus() = delete;
 
@@ -587,7 +603,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b46a10f79bb2e486, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b46a10f79bb2e486, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4066,6 +4082,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class HeardLimit::Reader {
+public:
+  typedef HeardLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::int64_t getPerKilosecond() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeardLimit::Builder {
+public:
+  typedef HeardLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::int64_t getPerKilosecond();
+  inline void setPerKilosecond( ::int64_t value);
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeardLimit::Pipeline {
+public:
+  typedef HeardLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RegionStatus::Reader {
 public:
   typedef RegionStatus Reads;
@@ -4100,6 +4207,9 @@
   inline bool hasServers() const;
   inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader getServers() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4161,6 +4271,13 @@
   inline void adoptServers(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> disownServers();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8862,6 +8979,68 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HeardLimit::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeardLimit::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HeardLimit::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HeardLimit::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeardLimit::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HeardLimit::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeardLimit::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HeardLimit::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t HeardLimit::Reader::getPerKilosecond() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeardLimit::Builder::getPerKilosecond() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeardLimit::Builder::setPerKilosecond( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HeardLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeardLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HeardLimit::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RegionStatus::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -9020,6 +9199,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool RegionStatus::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegionStatus::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RegionStatus::Builder::setLimits( ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void RegionStatus::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ProbeReply::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -284,6 +284,14 @@
   return report;
 }
 
+void Write(const control::HeardLimit& limit, wire::HeardLimit::Builder out) {
+  out.setServer(ToText(limit.server.Text()));
+  out.setPerKilosecond(limit.per_kilosecond
+                           ? static_cast<std::int64_t>(*limit.per_kilosecond)
+                           : -1);
+  out.setAgeMs(limit.age.count());
+}
+
 void Write(const policy::CrashSuspect& suspect,
            wire::CrashSuspect::Builder out) {
   out.setBlock(suspect.block);
@@ -482,6 +490,8 @@
               to.initServed(static_cast<unsigned>(value.served.size())));
     WriteList(value.servers,
               to.initServers(static_cast<unsigned>(value.servers.size())));
+    WriteList(value.limits,
+              to.initLimits(static_cast<unsigned>(value.limits.size())));
   }
   void operator()(const control::ProbeRequest& value) {
     this->out.setProbeRequest(value.number);
@@ -638,6 +648,14 @@
   for (const auto server : in.getServers()) {
     status.servers.push_back(Read(server));
   }
+  for (const auto limit : in.getLimits()) {
+    const std::int64_t rate = limit.getPerKilosecond();
+    status.limits.push_back(
+        {BackendServerName(ToString(limit.getServer())),
+         rate < 0 ? std::nullopt
+                  : std::optional(static_cast<std::uint64_t>(rate)),
+         ReadSpan(limit.getAgeMs())});
+  }
   return status;
 }
 
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -108,6 +108,16 @@
 //! Returns the signal's name in logs. Thread safety: reentrant.
 std::string_view HealthSignalName(HealthSignal signal);
 
+//! What a server's answer says about the requests per second that it takes
+//! from all hosts together.
+struct ServerLimit {
+  BackendServerName server;
+  //! Requests per 1000 seconds; nullopt if it names no limit (any more).
+  std::optional<std::uint64_t> per_kilosecond;
+  //! When the answer arrived at a host of this region.
+  TimePoint heard;
+};
+
 //! This host's load on the servers of a target.
 struct OwnLoad {
   //! Usable servers.
@@ -184,6 +194,21 @@
   void NoteRun(const std::string& target, Duration run);
   //! Sets how many requests other hosts have in flight for a target.
   void SetPeerLoad(const std::string& target, std::uint32_t running);
+  //! Applies what an answer to this or another host of the region says about
+  //! its server's limit, unless a newer answer is known. Returns whether the
+  //! server names a limit for the first time or names none any more.
+  bool NoteLimit(const ServerLimit& limit, TimePoint now);
+  //! Returns the recent limits, for the other hosts of the region.
+  std::vector<ServerLimit> Limits(TimePoint now) const;
+  //! Sets the hosts of the region that share the servers' limits; `self` may
+  //! be missing from `hosts` and has no share then.
+  void SetSharers(const HostName& self, std::vector<HostName> hosts);
+  //! Returns the time until a limit permits this host another request of a
+  //! target; nullopt if no limit is in the way or this host has no share.
+  std::optional<Duration> NextAllowance(const std::string& target,
+                                        TimePoint now) const;
+  //! Takes back a NoteSent: the request was not sent after all.
+  void ReturnAllowance(const BackendServerName& name);
   //! Returns this host's load on the servers of a target.
   OwnLoad LoadOf(const std::string& target, TimePoint now) const;
   //! Returns the slots of all usable servers of a target, slow start applied;
@@ -225,6 +250,10 @@
   std::vector<Candidate> Candidates(const ServerQuery& query,
                                     bool lapsed,
                                     TimePoint now) const;
+  //! Returns how many requests per second this host may send to a server that
+  //! names a limit.
+  double LimitShare(const BackendServerName& name,
+                    std::uint64_t per_kilosecond) const;
   //! Returns whether the limit on requests to a cold server permits another.
   static bool HasColdAllowance(const Server& server,
                                const ServerQuery& query,
@@ -234,6 +263,10 @@
   bool IsUsable(const Server& server, bool lapsed, TimePoint now) const;
   //! Returns the server's slots, slow start applied.
   std::uint32_t RampedSlots(const Server& server, TimePoint now) const;
+  //! Returns how many requests of a target a server that names a limit runs at
+  //! a time, all hosts together; the maximum if it names none.
+  std::uint32_t SlotsWithinLimit(const Server& server,
+                                 const std::string& target) const;
   double PrefillRate(const Server& server) const;
   double DecodeRate(const Server& server) const;
   //! Returns how long the next request of a target waits for a slot.
@@ -253,6 +286,9 @@
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
   std::unordered_map<std::string, TargetLoad> loads;
+  HostName self;
+  //! Hosts that share the servers' limits, in ascending order.
+  std::vector<HostName> sharers;
   //! The server that announced each address and port last.
   std::map<std::pair<std::string, std::uint16_t>, BackendServerName> by_address;
 };
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -9,6 +9,7 @@
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/policy/admission.h"
 #include "tamarackwing/policy/placement.h"
+#include "tamarackwing/policy/rendezvous.h"
 
 namespace tamarackwing::policy {
 namespace {
@@ -24,6 +25,19 @@
 constexpr int kRunAverageWeight = 32;
 //! The sliding window over which requests to a cold server are counted.
 constexpr std::chrono::seconds kColdSpan{1};
+//! A limit is forgotten if no host of the region has had an answer of its
+//! server for this long.
+constexpr std::chrono::seconds kLimitLife{10};
+//! Requests per second to a server that names a lower limit or zero, so that
+//! its answers can tell when that ends.
+constexpr double kMinLimit = 0.2;
+constexpr double kPerKilosecond = 1'000;
+//! Seconds of its share that a host may send at once after a pause.
+constexpr double kLimitBurst = 2;
+//! Hosts that share even a limit below one request per second each; few, since
+//! each may send one request at any moment.
+constexpr std::size_t kMinOwners = 3;
+constexpr double kMaxSlots = 1'000'000;
 
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
@@ -32,8 +46,37 @@
 
 }  // namespace
 
+//! A token bucket for this host's share of a server's limit.
+struct LimitBucket {
+  std::uint64_t per_kilosecond = 0;
+  //! Requests per second that this host may send.
+  double share = 0;
+  double level = 0;
+  TimePoint filled;
+
+  double LevelAt(TimePoint now) const {
+    if (this->share <= 0) {
+      return 0;
+    }
+    const double gained =
+        this->share * std::chrono::duration<double>(now - this->filled).count();
+    return std::min(std::max(1.0, kLimitBurst * this->share),
+                    this->level + gained);
+  }
+  void FillTo(TimePoint now) {
+    this->level = this->LevelAt(now);
+    this->filled = now;
+  }
+};
+
 struct ServerTable::Server {
   ServerReport report;
+  //! Set while the server names a limit.
+  std::optional<LimitBucket> limit;
+  //! When the last answer that told whether there is a limit arrived.
+  TimePoint limit_heard;
+  //! When its answers stopped naming a limit.
+  std::optional<TimePoint> limit_ended;
   TimePoint lease_until;
   //! When the load of the last report was measured, by this host's clock.
   TimePoint load_measured;
@@ -266,7 +309,11 @@
         !query.tried.empty() && query.tried.contains(server->report.name);
     const bool is_closed = query.closed != nullptr &&
                            query.closed->contains(server->report.data_centre);
-    if (!was_tried && !is_closed && this->IsUsable(*server, lapsed, now) &&
+    const bool is_at_limit = server->limit &&
+                             now - server->limit_heard <= kLimitLife &&
+                             server->limit->LevelAt(now) < 1;
+    if (!was_tried && !is_closed && !is_at_limit &&
+        this->IsUsable(*server, lapsed, now) &&
         HasColdAllowance(*server, query, now)) {
       const Duration slot = this->SlotWaitAt(*server, query.target, now);
       const Duration wait = slot + this->PrefillWaitAt(*server, now);
@@ -304,6 +351,10 @@
   server.own_running += 1;
   server.pending_prefill += prompt_tokens;
   server.sent.push_back(now);
+  if (server.limit) {
+    server.limit->FillTo(now);
+    server.limit->level = std::max(0.0, server.limit->level - 1);
+  }
   if (server.cold_until > now) {
     server.cold_sends.push_back(now);
     while (now - server.cold_sends.front() > kColdSpan) {
@@ -312,6 +363,104 @@
   }
 }
 
+void ServerTable::ReturnAllowance(const BackendServerName& name) {
+  Server* const server = this->Find(name);
+  if (server != nullptr && server->limit) {
+    server->limit->level += 1;
+  }
+}
+
+bool ServerTable::NoteLimit(const ServerLimit& limit, TimePoint now) {
+  Server* const server = this->Find(limit.server);
+  if (server == nullptr || limit.heard < server->limit_heard) {
+    return false;
+  }
+  server->limit_heard = limit.heard;
+  const bool had_limit = server->limit.has_value();
+  if (!limit.per_kilosecond) {
+    if (had_limit) {
+      server->limit.reset();
+      server->limit_ended = now;
+    }
+    return had_limit;
+  }
+  if (!had_limit) {
+    server->limit_ended.reset();
+    server->limit = LimitBucket();
+    server->limit->filled = now;
+  }
+  LimitBucket& bucket = *server->limit;
+  if (!had_limit || bucket.per_kilosecond != *limit.per_kilosecond) {
+    bucket.FillTo(now);
+    bucket.per_kilosecond = *limit.per_kilosecond;
+    bucket.share = this->LimitShare(limit.server, bucket.per_kilosecond);
+  }
+  return !had_limit;
+}
+
+std::vector<ServerLimit> ServerTable::Limits(TimePoint now) const {
+  std::vector<ServerLimit> known;
+  for (const auto& [name, server] : this->servers) {
+    if (server->limit && now - server->limit_heard <= kLimitLife) {
+      known.push_back(
+          {name, server->limit->per_kilosecond, server->limit_heard});
+    } else if (server->limit_ended &&
+               now - *server->limit_ended <= kLimitLife) {
+      known.push_back({name, std::nullopt, server->limit_heard});
+    }
+  }
+  return known;
+}
+
+void ServerTable::SetSharers(const HostName& own, std::vector<HostName> hosts) {
+  std::sort(hosts.begin(), hosts.end());
+  if (own == this->self && hosts == this->sharers) {
+    return;
+  }
+  this->self = own;
+  this->sharers = std::move(hosts);
+  for (const auto& [name, server] : this->servers) {
+    if (server->limit) {
+      server->limit->share =
+          this->LimitShare(name, server->limit->per_kilosecond);
+    }
+  }
+}
+
+double ServerTable::LimitShare(const BackendServerName& name,
+                               std::uint64_t per_kilosecond) const {
+  const double rate =
+      std::max(kMinLimit, static_cast<double>(per_kilosecond) / kPerKilosecond);
+  const std::size_t owners =
+      std::clamp(static_cast<std::size_t>(rate), kMinOwners,
+                 std::max(kMinOwners, this->sharers.size()));
+  const bool is_owner =
+      this->sharers.empty() || IsAmongOwners(RendezvousKey(name.Text()),
+                                             this->self, this->sharers, owners);
+  const std::size_t active =
+      std::max<std::size_t>(1, std::min(owners, this->sharers.size()));
+  return is_owner ? rate / static_cast<double>(active) : 0;
+}
+
+std::optional<Duration> ServerTable::NextAllowance(const std::string& target,
+                                                   TimePoint now) const {
+  std::optional<Duration> next;
+  const auto servers_of = this->by_target.find(target);
+  if (servers_of == this->by_target.end()) {
+    return next;
+  }
+  for (const Server* server : servers_of->second) {
+    if (!server->limit || server->limit->share <= 0 ||
+        !this->IsUsable(*server, false, now)) {
+      continue;
+    }
+    const double missing = std::max(0.0, 1 - server->limit->LevelAt(now));
+    const Duration wait = Seconds(missing / server->limit->share);
+    next = next ? std::min(*next, wait) : wait;
+  }
+  return next;
+}
+
 void ServerTable::NoteFirstOutput(const BackendServerName& name,
                                   TokenCount prompt_tokens) {
   Server* const server = this->Find(name);
@@ -423,7 +572,10 @@
     if (this->IsUsable(*server, false, now)) {
       // A cold server sustains a few requests per second only, however many
       // slots it has.
-      slots += server->cold_until > now ? 1 : this->RampedSlots(*server, now);
+      slots += server->cold_until > now
+                   ? 1
+                   : std::min(this->RampedSlots(*server, now),
+                              this->SlotsWithinLimit(*server, target));
     }
   }
   return slots;
@@ -447,6 +599,23 @@
   return server.failures == 0 || server.own_running == 0;
 }
 
+std::uint32_t ServerTable::SlotsWithinLimit(const Server& server,
+                                            const std::string& target) const {
+  if (!server.limit) {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+  const auto known = this->loads.find(target);
+  const double run =
+      known == this->loads.end()
+          ? 0
+          : std::chrono::duration<double>(known->second.run).count();
+  const double running = std::max(1.0, run) *
+                         static_cast<double>(server.limit->per_kilosecond) /
+                         kPerKilosecond;
+  return static_cast<std::uint32_t>(
+      std::clamp(std::ceil(running), 1.0, kMaxSlots));
+}
+
 std::uint32_t ServerTable::RampedSlots(const Server& server,
                                        TimePoint now) const {
   const auto since = now - server.usable_since;
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -121,7 +121,10 @@
 }
 
 void ControlThread::StartDrain() {
-  this->network->Post([this] { this->node->StartDrain(); });
+  this->network->Post([this] {
+    this->draining = true;
+    this->node->StartDrain();
+  });
 }
 
 void ControlThread::Stop() {
@@ -417,6 +420,12 @@
     this->dependencies.servers.ApplyRelayed(report);
   }
   const auto snapshot = this->dependencies.snapshots.Get();
+  const TimePoint now = this->dependencies.clock.Now();
+  for (const control::HeardLimit& limit : update.status.limits) {
+    this->dependencies.servers.NoteLimit(
+        {limit.server, limit.per_kilosecond, now - limit.age},
+        update.from.Text());
+  }
   for (const control::ServedTokens& tokens : update.status.served) {
     const auto workspace = snapshot->set->workspaces.find(tokens.workspace);
     const std::uint32_t weight = workspace == snapshot->set->workspaces.end()
@@ -530,10 +539,35 @@
     }
   }
   status.servers = std::exchange(this->announced, {});
+  this->ShareLimits(peers, status);
   this->dependencies.regions.NoteOwnLoads(region_loads);
   this->node->SetRegionStatus(std::move(status), std::move(region_loads));
 }
 
+void ControlThread::ShareLimits(
+    const std::map<HostName, const control::RegionStatus*>& peers,
+    control::RegionStatus& status) {
+  const TimePoint now = this->dependencies.clock.Now();
+  const auto& hosts = this->node->State().Hosts();
+  std::vector<HostName> sharers;
+  if (!this->draining) {
+    sharers.push_back(this->settings.gateway.host);
+  }
+  for (const auto& [name, peer_status] : peers) {
+    const auto host = hosts.find(name);
+    if (host != hosts.end() && host->second.IsEntryHost()) {
+      sharers.push_back(name);
+    }
+  }
+  this->dependencies.servers.SetSharers(this->settings.gateway.host,
+                                        std::move(sharers));
+  for (const policy::ServerLimit& limit : this->dependencies.servers.Limits()) {
+    status.limits.push_back(
+        {limit.server, limit.per_kilosecond,
+         std::chrono::ceil<milliseconds>(now - limit.heard)});
+  }
+}
+
 void ControlThread::ProbeRegions() {
   std::map<RegionName, std::vector<HostName>> by_region;
   for (const auto& [region, live] : this->node->State().Live()) {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -135,6 +135,11 @@
   void ReportRates();
   void ReportCrashes();
   void ShareSlots();
+  //! Sets which hosts share the servers' limits, and adds the limits that this
+  //! host knows to its status. `peers` has the region's other live hosts.
+  void ShareLimits(
+      const std::map<HostName, const control::RegionStatus*>& peers,
+      control::RegionStatus& status);
   void ProbeRegions();
   void PublishSnapshot();
   void PublishMetrics();
@@ -189,6 +194,7 @@
   HostName rates_leader;
   TimePoint rates_leader_since;
   std::shared_ptr<const std::map<HostName, state::HostRecord>> known_hosts;
+  bool draining = false;
   //! Number of entry hosts among `known_hosts`.
   std::uint32_t entry_hosts = 0;
 };
