policy: the judge of quarantines weighs its evidence at most ten times a second

With evidence at its bounds (64 crashes of 256 suspects), each report of a host made the leader weigh all of it again, so the cost grew with the number of hosts that report; found in reading the change, no run showed it. Benchmarks for the crash observer and the judge.

--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -47,6 +47,48 @@
 }
 BENCHMARK(RoutingDecision)->Arg(18)->Arg(69)->Arg(1'100);
 
+//! Measures what an answered request adds for the crash observer.
+void AnsweredBlocks(benchmark::State& state) {
+  ManualClock clock;
+  CrashObserver observer{CrashObserverOptions()};
+  SeededRandom random(1);
+  std::vector<BlockDigest> blocks(2);
+  for (auto _ : state) {
+    clock.Advance(std::chrono::microseconds(100));
+    blocks[0] = random.Below(4);
+    blocks[1] = random.Below(static_cast<std::uint64_t>(state.range(0)));
+    observer.NoteAnswered(blocks, clock.Now());
+  }
+  state.counters["remembered"] =
+      static_cast<double>(observer.RememberedAnswers());
+}
+BENCHMARK(AnsweredBlocks)->Arg(1'000)->Arg(1'000'000);
+
+//! Measures one evaluation with as much evidence as the judge keeps.
+void QuarantineDecisionAtItsBounds(benchmark::State& state) {
+  ManualClock clock;
+  const QuarantineOptions options;
+  QuarantineJudge judge{options};
+  clock.Advance(std::chrono::hours(1));
+  judge.StartTerm(clock.Now());
+  SeededRandom random(1);
+  for (std::size_t i = 0; i < options.max_crashes; ++i) {
+    CrashReport report;
+    ServerCrash crash{BackendServerName("i-" + std::to_string(i)), {}, {}};
+    for (std::size_t j = 0; j < options.max_suspects; ++j) {
+      crash.suspects.push_back({random.Below(100'000), random.Below(1 << 20)});
+    }
+    report.crashes.push_back(std::move(crash));
+    judge.Handle(report, clock.Now());
+    clock.Advance(std::chrono::milliseconds(150));
+  }
+  for (auto _ : state) {
+    clock.Advance(options.decide_interval);
+    benchmark::DoNotOptimize(judge.Due(clock.Now()));
+  }
+}
+BENCHMARK(QuarantineDecisionAtItsBounds);
+
 void BudgetDecisionWithAvailableChunk(benchmark::State& state) {
   ManualClock clock;
   BudgetHolder holder(std::chrono::hours(1));
--- a/packages/policy/include/tamarackwing/policy/quarantine_judge.h
+++ b/packages/policy/include/tamarackwing/policy/quarantine_judge.h
@@ -51,6 +51,9 @@
   std::chrono::milliseconds settle{3'000};
   //! Interval at which an unchanged quarantine is sent again.
   std::chrono::milliseconds repeat{1'000};
+  //! Min time between two evaluations of the evidence, however many reports
+  //! arrive.
+  std::chrono::milliseconds decide_interval{100};
   //! Min time between two notices to all hosts.
   std::chrono::milliseconds min_interval{200};
   std::size_t max_crashes = 64;
@@ -142,6 +145,7 @@
   std::map<BlockDigest, TimePoint> watched;
   std::vector<QuarantineVerdict> verdicts;
   bool changed = false;
+  TimePoint decided;
   TimePoint sent;
 };
 
--- a/packages/policy/src/quarantine_judge.cc
+++ b/packages/policy/src/quarantine_judge.cc
@@ -39,7 +39,6 @@
   for (const BlockAnswered& answer : report.answered) {
     this->AddAnswer(answer, now);
   }
-  this->Decide(now);
   QuarantineNotice notice = this->MakeNotice(now);
   notice.number = report.number;
   notice.trials = this->GrantTrials(report.refused, now);
@@ -72,8 +71,11 @@
 }
 
 std::optional<QuarantineNotice> QuarantineJudge::Due(TimePoint now) {
-  this->Expire(now);
-  this->Decide(now);
+  if (now - this->decided >= this->options.decide_interval) {
+    this->decided = now;
+    this->Expire(now);
+    this->Decide(now);
+  }
   const bool is_empty = this->quarantined.empty() && this->watched.empty();
   const bool repeats = !is_empty && now - this->sent >= this->options.repeat;
   const bool is_change_due =
