gateway: a server's own failure is passed on even if a retry is quarantined

Found in reading the change, no run showed it: a caller whose first try had ended with a server's complete 5xx got a 502 of ours if a block of its prompt was quarantined before the retry. The check came before the response that is held back; it now only forbids another try.

--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -247,11 +247,11 @@
       co_return this->StopRefusal(RefusalCode::kDeadlinePassed);
     }
     const Outcome quarantined = this->CheckQuarantine();
-    if (quarantined) {
+    if (quarantined && !this->held_response) {
       co_return quarantined;
     }
     const bool is_retry = this->plan->Sends() > 0;
-    const auto target = this->PickTarget();
+    const auto target = quarantined ? std::nullopt : this->PickTarget();
     const bool may_send =
         target && (!is_retry || servers.TryRetry(this->service));
     if (!may_send) {
