gateway: a shed request's retry delay no longer grows by the allowance of a limited server

Found in reading the change, no run showed it: a request that was shed because of its wait for a slot was told to come back when a limited server permits the next request, which has nothing to do with it.

--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -263,7 +263,7 @@
         co_return std::nullopt;
       }
       const auto allowance = servers.NextAllowance(this->service);
-      if (allowance) {
+      if (allowance && !this->shed) {
         this->retry_after = std::max(this->retry_after, CeilMs(*allowance));
       }
       co_return this->StopRefusal(this->shed ? RefusalCode::kQueueFull
