--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -47,6 +47,35 @@
 }
 BENCHMARK(RoutingDecision)->Arg(18)->Arg(69)->Arg(1'100);
 
+//! As RoutingDecision, with a limit named by every second server.
+void RoutingDecisionWithLimits(benchmark::State& state) {
+  ManualClock clock;
+  SeededRandom random(1);
+  ServerTable table{ServerTableLimits()};
+  clock.Advance(std::chrono::seconds(10));
+  std::vector<HostName> hosts;
+  for (int i = 0; i < 22; ++i) {
+    hosts.emplace_back("host-" + std::to_string(i));
+  }
+  table.SetSharers(hosts.front(), hosts);
+  for (int i = 0; i < state.range(0); ++i) {
+    table.Announce(Report(i), clock.Now());
+    if (i % 2 == 0) {
+      table.NoteLimit({Report(i).name, 5'000, clock.Now()}, clock.Now());
+    }
+  }
+  ServerQuery query;
+  query.target = "drafter@3";
+  query.prompt_tokens = 1'000;
+  query.output_tokens = 100;
+  query.data_centre = DataCentreName("a");
+  clock.Advance(std::chrono::seconds(1));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(table.Pick(query, clock.Now(), random));
+  }
+}
+BENCHMARK(RoutingDecisionWithLimits)->Arg(18)->Arg(69);
+
 //! Measures what an answered request adds for the crash observer.
 void AnsweredBlocks(benchmark::State& state) {
   ManualClock clock;
