--- a/packages/base/include/tamarackwing/base/digest.h
+++ b/packages/base/include/tamarackwing/base/digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,10 @@
 //! Thread safety: reentrant.
 std::string Sha256Hex(std::string_view bytes);
 
+//! Returns the first 64 bits of the SHA-256 digest of `bytes`.
+//! Thread safety: reentrant.
+std::uint64_t Sha256Prefix(std::string_view bytes);
+
 //! Returns the digest that identifies a caller's key. Thread safety: reentrant.
 KeyDigest DigestKey(std::string_view key);
 
--- a/packages/base/src/digest.cc
+++ b/packages/base/src/digest.cc
@@ -6,12 +6,22 @@
 #include <array>
 
 namespace tamarackwing {
+namespace {
 
-std::string Sha256Hex(std::string_view bytes) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+using Sha256Digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+Sha256Digest Sha256(std::string_view bytes) {
+  Sha256Digest digest{};
   SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
          digest.data());
+  return digest;
+}
+
+}  // namespace
+
+std::string Sha256Hex(std::string_view bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const Sha256Digest digest = Sha256(bytes);
   std::string text;
   text.reserve(2 * digest.size());
   for (const unsigned char byte : digest) {
@@ -21,6 +31,16 @@
   return text;
 }
 
+std::uint64_t Sha256Prefix(std::string_view bytes) {
+  constexpr unsigned kBitsPerByte = 8;
+  const Sha256Digest digest = Sha256(bytes);
+  std::uint64_t prefix = 0;
+  for (std::size_t i = 0; i < sizeof(prefix); ++i) {
+    prefix = (prefix << kBitsPerByte) | digest[i];
+  }
+  return prefix;
+}
+
 KeyDigest DigestKey(std::string_view key) {
   return KeyDigest(Sha256Hex(key));
 }
--- a/packages/gateway/include/tamarackwing/gateway/path_call.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_call.h
@@ -44,9 +44,6 @@
   //! Digests of the prompt's blocks that other requests can share, each by its
   //! content alone.
   std::vector<std::uint64_t> shared_blocks;
-  //! Digest of the block that is specific to the request or its session; zero
-  //! if there is none.
-  std::uint64_t own_block = 0;
 };
 
 //! Workspace and key on whose behalf a call forwarded by another host runs.
@@ -55,6 +52,12 @@
   KeyDigest key;
 };
 
+//! Returns a digest of what stays the same if a caller repeats a request: the
+//! workspace, the authority, the method, the target and the body. The id and
+//! other headers may differ. Thread safety: reentrant.
+std::uint64_t DigestContent(const WorkspaceName& workspace,
+                            const PathCall& call);
+
 //! Returns the path of a request target, without its query.
 //! Thread safety: as for `target`.
 std::string_view PathOf(std::string_view target);
--- a/packages/gateway/src/block_quarantine.cc
+++ b/packages/gateway/src/block_quarantine.cc
@@ -91,7 +91,9 @@
   }
   if (is_first) {
     LogEvent(Event::kBackendServerBroke, LogLevel::kInfo,
-             {{"server", server.Text()}, {"request", request_id}});
+             {{"server", server.Text()},
+              {"request", request_id},
+              {"content", ToHex(request)}});
   }
 }
 
--- a/packages/gateway/src/path_gateway.cc
+++ b/packages/gateway/src/path_gateway.cc
@@ -8,10 +8,6 @@
 
 namespace tamarackwing::gateway {
 
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
 PathGateway::PathGateway(PathGatewayDependencies dependencies,
                          GatewaySettings settings)
     : dependencies(dependencies),
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -116,6 +116,7 @@
   if (refusal) {
     co_return refusal;
   }
+  this->content = DigestContent(this->grant.workspace, this->call);
   this->ChooseService();
   if (!this->forwarded) {
     refusal = co_await this->ReserveTokens();
@@ -310,7 +311,7 @@
 }
 
 void PathRequest::NoteBlocks(const Target& target, TryOutcome try_outcome) {
-  if (!target.server || this->call.shared_blocks.empty()) {
+  if (!target.server) {
     return;
   }
   BlockQuarantine& quarantine = this->gateway.Dependencies().quarantine;
@@ -319,8 +320,8 @@
     quarantine.NoteAnswered(this->call.shared_blocks);
   } else if (try_outcome == TryOutcome::kLost && this->connection_broke &&
              !this->is_sound) {
-    quarantine.NoteBroken(target.server->name, this->call.id,
-                          this->call.own_block, this->call.shared_blocks);
+    quarantine.NoteBroken(target.server->name, this->call.id, this->content,
+                          this->call.shared_blocks);
   }
 }
 
@@ -381,6 +382,7 @@
             {"end", std::string(OutcomeName(try_outcome))},
             {"answer", std::string(StageName(this->answer_stage))},
             {"sent_ms", std::to_string(CeilMs(sent_for).count())},
+            {"content", ToHex(this->content)},
             {"blocks", ToHexList(this->call.shared_blocks, kLoggedBlocks)},
             {"left_ms", std::to_string(this->TimeLeft().count())}});
 }
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -143,6 +143,8 @@
   const state::PathRoute* route = nullptr;
   std::string service;
   Grant grant;
+  //! See DigestContent.
+  std::uint64_t content = 0;
   //! Tokens reserved from the workspace's budget; zero if it has no limit or
   //! the call was forwarded.
   TokenCount tokens = 0;
