policy, gateway: quarantine whole requests that crash server after server

Callers saw kinds of the plain service go unserved for seconds, again and again: one gauge-read, repeated by its caller at any host, ended a server in each region, and each of these again as soon as it was back.

Cause: the evidence of a crash was the shared blocks of prompts. A plain request has none, and what a model request shares with others is answered all the time; what its caller repeats, its path and body, accused nothing.

A host now reports the whole contents of the requests that a crashed server held beside their blocks. The same judge weighs both, with one notice and one gate: three crashes at distinct moments without an answer suffice for a whole request. A quarantined request explains its crashes to all others, but not to the blocks that it holds once these stand in a crash without it. The strongest suspects are watched first, since a crash may hold many requests, and an idle entry yields if the quarantine is full.

--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -103,7 +103,7 @@
   SeededRandom random(1);
   for (std::size_t i = 0; i < options.max_crashes; ++i) {
     CrashReport report;
-    ServerCrash crash{BackendServerName("i-" + std::to_string(i)), {}, {}};
+    ServerCrash crash{BackendServerName("i-" + std::to_string(i)), {}, {}, {}};
     for (std::size_t j = 0; j < options.max_suspects; ++j) {
       crash.suspects.push_back({random.Below(100'000), random.Below(1 << 20)});
     }
--- a/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
+++ b/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
@@ -28,17 +28,19 @@
   kTrial,
 };
 
-//! Why a request with a quarantined block is refused.
+//! Why a request that is quarantined, or holds a quarantined block, is refused.
 struct QuarantineRefusal {
+  //! The block, or the request's content.
   policy::BlockDigest block = 0;
-  //! Time until a trial may release the block.
+  //! Time until a trial may release it.
   std::chrono::milliseconds retry_after{0};
   //! Time since the leader last confirmed the quarantine.
   std::chrono::milliseconds age{0};
 };
 
-//! One host's part in keeping blocks that crash servers away from them: it
-//! collects what the host's requests show, and applies the leader's decisions.
+//! One host's part in keeping requests, and blocks of prompts, that crash
+//! servers away from them: it collects what the host's requests show, and
+//! applies the leader's decisions.
 //! Thread safety: callable from any thread.
 class BlockQuarantine {
  public:
@@ -46,24 +48,25 @@
   BlockQuarantine(const Clock& clock, Metrics& metrics);
   ~BlockQuarantine();
 
-  //! Decides whether a request with these shared blocks may be sent to a server
-  //! of this region; uses up a granted trial. To be called before each send.
+  //! Decides whether a request that holds this, its whole content included, may
+  //! be sent to a server of this region; uses up a granted trial. To be called
+  //! before each send.
   Expected<SendPermission, QuarantineRefusal> Check(
-      const std::vector<policy::BlockDigest>& blocks);
+      const std::vector<policy::BlockDigest>& held);
   //! As for the methods of policy::CrashObserver.
   void NoteBroken(const BackendServerName& server,
                   const std::string& request_id,
-                  std::uint64_t request,
+                  policy::BlockDigest request,
                   const std::vector<policy::BlockDigest>& blocks);
   void NoteAlive(const BackendServerName& server);
-  void NoteAnswered(const std::vector<policy::BlockDigest>& blocks);
+  void NoteAnswered(const std::vector<policy::BlockDigest>& held);
 
   //! Returns a report for the leader, or nullopt if there is nothing to
   //! report. `is_new_leader`: the leader may not know this host's quarantine.
   std::optional<policy::CrashReport> MakeReport(bool is_new_leader);
   //! Applies a notice of the leader.
   void Accept(const policy::QuarantineNotice& notice);
-  //! Returns the number of quarantined blocks.
+  //! Returns the number of quarantined blocks and requests.
   std::size_t Size() const;
 
  private:
--- a/packages/gateway/src/block_quarantine.cc
+++ b/packages/gateway/src/block_quarantine.cc
@@ -35,7 +35,8 @@
   LogEvent(Event::kBackendServerCrashed, LogLevel::kWarning,
            {{"server", crash.server.Text()},
             {"age_ms", std::to_string(crash.age.count())},
-            {"suspects", std::to_string(blocks.size())},
+            {"suspects", std::to_string(blocks.size() + crash.requests.size())},
+            {"contents", ToHexList(crash.requests, kLoggedSuspects)},
             {"blocks", ToHexList(blocks, kLoggedSuspects)}});
 }
 
@@ -49,25 +50,25 @@
 BlockQuarantine::~BlockQuarantine() = default;
 
 Expected<SendPermission, QuarantineRefusal> BlockQuarantine::Check(
-    const std::vector<BlockDigest>& blocks) {
+    const std::vector<BlockDigest>& held) {
   const std::lock_guard lock(this->mutex);
   if (this->entries.empty()) {
     return SendPermission::kFree;
   }
   const TimePoint now = this->clock.Now();
   Entry* trial = nullptr;
-  for (const BlockDigest block : blocks) {
-    const auto found = this->entries.find(block);
+  for (const BlockDigest content : held) {
+    const auto found = this->entries.find(content);
     if (found == this->entries.end()) {
       continue;
     }
     Entry& entry = found->second;
-    // A block is tried without other quarantined ones, one of which may be
-    // the cause.
+    // One is tried without others that are quarantined, one of which may be the
+    // cause.
     if (entry.trial_until <= now || trial != nullptr) {
       entry.refused = now;
       return unexpected(QuarantineRefusal{
-          block, Until(entry.next_trial, now),
+          content, Until(entry.next_trial, now),
           std::chrono::ceil<milliseconds>(now - entry.confirmed)});
     }
     trial = &entry;
@@ -81,7 +82,7 @@
 
 void BlockQuarantine::NoteBroken(const BackendServerName& server,
                                  const std::string& request_id,
-                                 std::uint64_t request,
+                                 BlockDigest request,
                                  const std::vector<BlockDigest>& blocks) {
   bool is_first = false;
   {
@@ -102,9 +103,9 @@
   this->observer.NoteAlive(server, this->clock.Now());
 }
 
-void BlockQuarantine::NoteAnswered(const std::vector<BlockDigest>& blocks) {
+void BlockQuarantine::NoteAnswered(const std::vector<BlockDigest>& held) {
   const std::lock_guard lock(this->mutex);
-  this->observer.NoteAnswered(blocks, this->clock.Now());
+  this->observer.NoteAnswered(held, this->clock.Now());
 }
 
 std::optional<policy::CrashReport> BlockQuarantine::MakeReport(
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -117,6 +117,8 @@
     co_return refusal;
   }
   this->content = DigestContent(this->grant.workspace, this->call);
+  this->held = this->call.shared_blocks;
+  this->held.push_back(this->content);
   this->ChooseService();
   if (!this->forwarded) {
     refusal = co_await this->ReserveTokens();
@@ -272,7 +274,7 @@
     }
     const TryOutcome try_outcome = co_await this->Try(*target);
     this->NotePrefillDone(*target);
-    this->NoteBlocks(*target, try_outcome);
+    this->NoteContents(*target, try_outcome);
     this->LogTry(*target, try_outcome);
     if (target->server) {
       servers.Finish(target->server->name, this->call.id, this->signal,
@@ -295,7 +297,7 @@
 
 PathRequest::Outcome PathRequest::CheckQuarantine() {
   const auto permission =
-      this->gateway.Dependencies().quarantine.Check(this->call.shared_blocks);
+      this->gateway.Dependencies().quarantine.Check(this->held);
   if (permission) {
     this->is_trial = *permission == SendPermission::kTrial;
     return std::nullopt;
@@ -310,14 +312,14 @@
   return this->StopRefusal(RefusalCode::kQuarantined);
 }
 
-void PathRequest::NoteBlocks(const Target& target, TryOutcome try_outcome) {
+void PathRequest::NoteContents(const Target& target, TryOutcome try_outcome) {
   if (!target.server) {
     return;
   }
   BlockQuarantine& quarantine = this->gateway.Dependencies().quarantine;
   if (try_outcome == TryOutcome::kServed ||
       try_outcome == TryOutcome::kFailed) {
-    quarantine.NoteAnswered(this->call.shared_blocks);
+    quarantine.NoteAnswered(this->held);
   } else if (try_outcome == TryOutcome::kLost && this->connection_broke &&
              !this->is_sound) {
     quarantine.NoteBroken(target.server->name, this->call.id, this->content,
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "event_splitter.h"
 #include "tamarackwing/backend_servers/connection_pool.h"
@@ -12,6 +13,7 @@
 #include "tamarackwing/gateway/authorizer.h"
 #include "tamarackwing/gateway/path_gateway.h"
 #include "tamarackwing/gateway/region_hosts.h"
+#include "tamarackwing/policy/crash_messages.h"
 #include "tamarackwing/policy/try_plan.h"
 
 namespace tamarackwing::gateway {
@@ -55,11 +57,11 @@
   bool MayRunIn(const RegionName& region) const;
   http::asio::awaitable<Outcome> ReserveTokens();
   http::asio::awaitable<Outcome> TryAll();
-  //! Refuses the call if a block of its prompt is quarantined.
+  //! Refuses the call if it, or a block of its prompt, is quarantined.
   Outcome CheckQuarantine();
   //! Reports to the quarantine what the end of a try at a server shows about
-  //! the call's blocks.
-  void NoteBlocks(const Target& target, policy::TryOutcome try_outcome);
+  //! the call and its blocks.
+  void NoteContents(const Target& target, policy::TryOutcome try_outcome);
   //! Chooses a server of this region, or a host of another region for spillover
   //! or as a fallback. Returns nothing if there is none or the call was shed.
   std::optional<Target> PickTarget();
@@ -120,8 +122,8 @@
   policy::TryOutcome HandleConnectionError(http::ConnectionError error);
   //! Records that bytes arrived from a server.
   void NoteAlive(const BackendServerName& server);
-  //! Records the call's blocks as sound if the answer, whose body began at
-  //! `started`, has gone on for long enough.
+  //! Records the call and its blocks as sound if the answer, whose body began
+  //! at `started`, has gone on for long enough.
   void NoteLongAnswer(const Target& target, TimePoint started);
   //! Records the arrival time of response bytes.
   void NoteBytes();
@@ -145,6 +147,8 @@
   Grant grant;
   //! See DigestContent.
   std::uint64_t content = 0;
+  //! What may crash servers: the whole content and the prompt's shared blocks.
+  std::vector<policy::BlockDigest> held;
   //! Tokens reserved from the workspace's budget; zero if it has no limit or
   //! the call was forwarded.
   TokenCount tokens = 0;
@@ -173,7 +177,7 @@
   bool connection_broke = false;
   //! Whether the call may be sent to one server of this region only.
   bool is_trial = false;
-  //! Whether the current try has shown that the call's blocks are sound.
+  //! Whether the current try has shown that the call and its blocks are sound.
   bool is_sound = false;
   //! What the last try shows about its server's health.
   policy::HealthSignal signal = policy::HealthSignal::kInconclusive;
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -310,8 +310,7 @@
   const bool is_long = this->last_byte_at - started >= kSoundAnswer;
   if (target.server && is_long && !this->is_sound) {
     this->is_sound = true;
-    this->gateway.Dependencies().quarantine.NoteAnswered(
-        this->call.shared_blocks);
+    this->gateway.Dependencies().quarantine.NoteAnswered(this->held);
   }
 }
 
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -299,6 +299,7 @@
   server @0 :Text;
   ageMs @1 :Int64;
   suspects @2 :List(CrashSuspect);
+  requests @3 :List(UInt64);
 }
 
 struct BlockAnswered {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -753,7 +753,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1695d1e50ede625, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c1695d1e50ede625, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5164,6 +5164,9 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool hasRequests() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRequests() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5209,6 +5212,14 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool hasRequests();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRequests();
+  inline void setRequests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRequests(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRequests(unsigned int size);
+  inline void adoptRequests(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRequests();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9931,6 +9942,44 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool ServerCrash::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerCrash::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ServerCrash::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ServerCrash::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ServerCrash::Builder::setRequests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void ServerCrash::Builder::setRequests(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ServerCrash::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ServerCrash::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ServerCrash::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t BlockAnswered::Reader::getBlock() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -306,6 +306,8 @@
   for (unsigned i = 0; i < crash.suspects.size(); ++i) {
     Write(crash.suspects[i], suspects[i]);
   }
+  WriteNumbers(crash.requests,
+               out.initRequests(static_cast<unsigned>(crash.requests.size())));
 }
 
 void Write(const policy::BlockAnswered& answer,
@@ -792,7 +794,8 @@
   for (const auto crash : in.getCrashes()) {
     policy::ServerCrash read{BackendServerName(ToString(crash.getServer())),
                              ReadSpan(crash.getAgeMs()),
-                             {}};
+                             {},
+                             ReadNumbers(crash.getRequests())};
     for (const auto suspect : crash.getSuspects()) {
       read.suspects.push_back({suspect.getBlock(), suspect.getRequest()});
     }
--- a/packages/policy/include/tamarackwing/policy/crash_messages.h
+++ b/packages/policy/include/tamarackwing/policy/crash_messages.h
@@ -8,14 +8,16 @@
 
 namespace tamarackwing::policy {
 
-//! Digest of the content of one block of a prompt, wherever the block stands.
+//! Digest of something that a request holds and that may crash servers: one
+//! block of its prompt, wherever the block stands, or the request's whole
+//! content, which stays the same if its caller repeats it.
 using BlockDigest = std::uint64_t;
 
 //! A block of a request that a server held when it crashed.
 struct CrashSuspect {
   BlockDigest block = 0;
-  //! Identifies the request's own content: the same for its retries.
-  std::uint64_t request = 0;
+  //! The request's whole content.
+  BlockDigest request = 0;
 };
 
 //! A crash of a backend server as one host saw it.
@@ -25,16 +27,18 @@
   std::chrono::milliseconds age{0};
   //! Shared blocks of the sender's requests at the server.
   std::vector<CrashSuspect> suspects;
+  //! Whole contents of the sender's requests at the server.
+  std::vector<BlockDigest> requests;
 };
 
-//! A request with this block was answered in full.
+//! A request with this block or content was answered in full.
 struct BlockAnswered {
   BlockDigest block = 0;
   //! Time since the answer when the message was sent.
   std::chrono::milliseconds age{0};
 };
 
-//! A block whose requests are refused because they crash servers.
+//! A block or content whose requests are refused because they crash servers.
 struct QuarantinedBlock {
   BlockDigest block = 0;
   //! Time until one request may be sent as a trial; zero if it is due.
--- a/packages/policy/include/tamarackwing/policy/crash_observer.h
+++ b/packages/policy/include/tamarackwing/policy/crash_observer.h
@@ -25,7 +25,7 @@
   std::chrono::milliseconds trusted{2'000};
   //! Max crashes that wait for confirmation or acknowledgement.
   std::size_t crashes = 32;
-  //! Max suspects of one crash.
+  //! Max suspected blocks, and max suspected requests, of one crash.
   std::size_t suspects = 64;
   //! Max blocks whose last answer is remembered.
   std::size_t answers = 4'096;
@@ -42,16 +42,17 @@
   ~CrashObserver();
 
   //! Records that the connection of a request broke before the answer was
-  //! complete. `blocks` are the request's shared blocks. Returns whether this
-  //! is the first broken connection of a possible crash.
+  //! complete. `request` is its whole content, `blocks` are its shared blocks.
+  //! Returns whether this is the first broken connection of a possible crash.
   bool NoteBroken(const BackendServerName& server,
-                  std::uint64_t request,
+                  BlockDigest request,
                   const std::vector<BlockDigest>& blocks,
                   TimePoint now);
   //! Records that bytes were received from a server.
   void NoteAlive(const BackendServerName& server, TimePoint now);
-  //! Records a complete answer, or one that went on long after its beginning.
-  void NoteAnswered(const std::vector<BlockDigest>& blocks, TimePoint now);
+  //! Records a complete answer, or one that went on long after its beginning,
+  //! to a request that holds `contents`.
+  void NoteAnswered(const std::vector<BlockDigest>& contents, TimePoint now);
   //! Sets the blocks whose answers are reported.
   void Watch(const std::vector<BlockDigest>& blocks);
   //! Adds confirmed crashes that are not acknowledged, and the last answers to
@@ -68,6 +69,7 @@
     TimePoint at;
     BackendServerName server;
     std::vector<CrashSuspect> suspects;
+    std::vector<BlockDigest> requests;
     //! Number of the last report that contained it; zero if none.
     std::uint64_t reported = 0;
   };
--- a/packages/policy/include/tamarackwing/policy/quarantine_judge.h
+++ b/packages/policy/include/tamarackwing/policy/quarantine_judge.h
@@ -15,15 +15,15 @@
 
 namespace tamarackwing::policy {
 
-//! When a block is quarantined and released.
+//! When a block of prompts, or a whole request, is quarantined and released.
 struct QuarantineOptions {
-  //! Crashes at distinct moments, with no answer to the block between, after
-  //! which it is quarantined, provided that requests of at least `requests`
-  //! distinct contents held it.
+  //! Crashes at distinct moments, with no answer between, after which a whole
+  //! request is quarantined, or a block that requests of at least `requests`
+  //! distinct contents held.
   std::size_t crashes = 3;
   std::size_t requests = 2;
-  //! As `crashes`, however few requests there were: more than one request can
-  //! reach with all its tries and one repetition.
+  //! As `crashes`, for a block of a single request that is not quarantined
+  //! itself.
   std::size_t crashes_of_one = 5;
   //! Crashes closer together than this count as one: a common cause, such as
   //! a loss of power, strikes servers at the same time.
@@ -44,6 +44,9 @@
   std::chrono::milliseconds trial_timeout{20'000};
   //! A quarantined block without requests for this long is forgotten.
   std::chrono::milliseconds forget{3'600'000};
+  //! One without requests for this long yields to a new one if there is no more
+  //! room.
+  std::chrono::milliseconds min_idle{10'000};
   //! How long a crash counts.
   std::chrono::milliseconds evidence{300'000};
   //! How long a new leader waits for the hosts' reports before it releases
@@ -66,8 +69,9 @@
 struct QuarantineVerdict {
   enum class Kind { kQuarantined, kReleased, kTrial, kTrialFailed };
   Kind kind = Kind::kQuarantined;
+  //! A block, or the content of a whole request.
   BlockDigest block = 0;
-  //! Crashes that the block explains.
+  //! Crashes that it explains.
   std::size_t crashes = 0;
   std::size_t requests = 0;
   //! Servers of these crashes, separated by commas.
@@ -76,9 +80,9 @@
   std::chrono::milliseconds age{0};
 };
 
-//! Decides, from the reports of all hosts, which blocks of prompts crash
-//! servers. A block that crashes each server is never answered; a sound block
-//! that merely stood in a crash soon is. Not thread-safe.
+//! Decides, from the reports of all hosts, which blocks of prompts and which
+//! whole requests crash servers. What crashes each server is never answered;
+//! what merely stood in a crash soon is. Not thread-safe.
 class QuarantineJudge {
  public:
   explicit QuarantineJudge(QuarantineOptions options);
@@ -96,11 +100,16 @@
   std::vector<QuarantineVerdict> TakeVerdicts();
 
  private:
+  //! A block or a whole request in one crash.
+  struct Suspect {
+    //! Contents of the requests that held it; a whole request holds itself.
+    std::set<BlockDigest> requests;
+    bool is_request = false;
+  };
   struct Crash {
     BackendServerName server;
     TimePoint at;
-    //! Requests that held each block.
-    std::map<BlockDigest, std::set<std::uint64_t>> suspects;
+    std::map<BlockDigest, Suspect> suspects;
   };
   struct Quarantined {
     TimePoint since;
@@ -109,16 +118,20 @@
     TimePoint last_refused;
     std::optional<TimePoint> trial_sent;
   };
-  //! The crashes that a block may have caused.
+  //! The crashes that a block or a whole request may have caused.
   struct Case {
     std::size_t moments = 0;
-    //! No host remembers an answer to a request with the block.
+    //! No host remembers an answer to it.
     bool never_answered = false;
-    std::set<std::uint64_t> requests;
+    bool is_request = false;
+    //! One of the crashes held no request that is quarantined as a whole.
+    bool stands_alone = false;
+    std::set<BlockDigest> requests;
     std::vector<const Crash*> crashes;
   };
 
   void AddCrash(const ServerCrash& crash, TimePoint now);
+  void AddSuspect(Crash& crash, BlockDigest content, BlockDigest request);
   void AddAnswer(const BlockAnswered& answer, TimePoint now);
   void Adopt(const QuarantinedBlock& held, TimePoint now);
   void NoteQuarantinedCrash(BlockDigest block, TimePoint at);
@@ -127,13 +140,18 @@
                                        TimePoint now);
   void Release(BlockDigest block, std::chrono::milliseconds age);
   void Expire(TimePoint now);
+  //! Releases, if there are `max_quarantined`, the one that has gone without
+  //! requests for longest. Returns whether there is room for another.
+  bool MakeRoom(TimePoint now);
   //! Quarantines blocks whose cases suffice and updates the watched ones.
   void Decide(TimePoint now);
-  //! Returns the cases of blocks by the crashes that no block in `explained`
-  //! accounts for.
+  //! Returns the cases by the crashes that nothing in `explained` accounts for.
+  //! A quarantined request does not account for the blocks that it holds.
   std::map<BlockDigest, Case> Cases(
       const std::set<BlockDigest>& explained) const;
   bool Suffices(const Case& one) const;
+  //! Returns whether `a` explains the crashes better than `b`.
+  static bool IsStronger(const Case& a, const Case& b);
   QuarantineNotice MakeNotice(TimePoint now) const;
 
   QuarantineOptions options;
@@ -141,7 +159,7 @@
   std::deque<Crash> crashes;
   std::map<BlockDigest, TimePoint> answered;
   std::map<BlockDigest, Quarantined> quarantined;
-  //! Suspected blocks, and since when they are watched.
+  //! Suspected blocks and requests, and since when they are watched.
   std::map<BlockDigest, TimePoint> watched;
   std::vector<QuarantineVerdict> verdicts;
   bool changed = false;
--- a/packages/policy/src/crash_observer.cc
+++ b/packages/policy/src/crash_observer.cc
@@ -17,7 +17,7 @@
 CrashObserver::~CrashObserver() = default;
 
 bool CrashObserver::NoteBroken(const BackendServerName& server,
-                               std::uint64_t request,
+                               BlockDigest request,
                                const std::vector<BlockDigest>& blocks,
                                TimePoint now) {
   auto crash =
@@ -28,7 +28,7 @@
     if (this->open.size() >= this->options.crashes) {
       return false;
     }
-    this->open.push_back({now, server, {}, 0});
+    this->open.push_back({now, server, {}, {}, 0});
     crash = std::prev(this->open.end());
   }
   for (const BlockDigest block : blocks) {
@@ -37,6 +37,13 @@
       crash->suspects.push_back({block, request});
     }
   }
+  const bool is_known =
+      std::find(crash->requests.begin(), crash->requests.end(), request) !=
+      crash->requests.end();
+  if (!is_known && crash->requests.size() < this->options.suspects &&
+      !this->IsTrusted(request, crash->at)) {
+    crash->requests.push_back(request);
+  }
   return is_new;
 }
 
@@ -50,10 +57,10 @@
   });
 }
 
-void CrashObserver::NoteAnswered(const std::vector<BlockDigest>& blocks,
+void CrashObserver::NoteAnswered(const std::vector<BlockDigest>& contents,
                                  TimePoint now) {
-  for (const BlockDigest block : blocks) {
-    this->answered[block] = now;
+  for (const BlockDigest content : contents) {
+    this->answered[content] = now;
   }
   if (this->answered.size() > this->options.answers) {
     std::erase_if(this->answered, [&](const auto& entry) {
@@ -81,7 +88,8 @@
   this->Confirm(now);
   std::vector<ServerCrash> first_time;
   for (Crash& crash : this->confirmed) {
-    ServerCrash seen{crash.server, AgeOf(crash.at, now), crash.suspects};
+    ServerCrash seen{crash.server, AgeOf(crash.at, now), crash.suspects,
+                     crash.requests};
     if (crash.reported == 0) {
       first_time.push_back(seen);
     }
@@ -116,8 +124,12 @@
     std::erase_if(crash.suspects, [&](const CrashSuspect& suspect) {
       return this->IsTrusted(suspect.block, crash.at);
     });
-    if (!crash.suspects.empty() &&
-        this->confirmed.size() < this->options.crashes) {
+    std::erase_if(crash.requests, [&](BlockDigest request) {
+      return this->IsTrusted(request, crash.at);
+    });
+    const bool has_suspects =
+        !crash.suspects.empty() || !crash.requests.empty();
+    if (has_suspects && this->confirmed.size() < this->options.crashes) {
       this->confirmed.push_back(std::move(crash));
     }
   }
--- a/packages/policy/src/quarantine_judge.cc
+++ b/packages/policy/src/quarantine_judge.cc
@@ -107,16 +107,23 @@
     this->crashes.push_back({crash.server, at, {}});
     known = std::prev(this->crashes.end());
   }
+  for (const BlockDigest request : crash.requests) {
+    this->AddSuspect(*known, request, request);
+  }
   for (const CrashSuspect& suspect : crash.suspects) {
-    const auto held = known->suspects.find(suspect.block);
-    if (held != known->suspects.end()) {
-      held->second.insert(suspect.request);
-      continue;
-    }
-    if (known->suspects.size() < this->options.max_suspects) {
-      known->suspects[suspect.block].insert(suspect.request);
-      this->NoteQuarantinedCrash(suspect.block, known->at);
-    }
+    this->AddSuspect(*known, suspect.block, suspect.request);
+  }
+}
+
+void QuarantineJudge::AddSuspect(Crash& crash,
+                                 BlockDigest content,
+                                 BlockDigest request) {
+  const auto held = crash.suspects.find(content);
+  if (held != crash.suspects.end()) {
+    held->second.requests.insert(request);
+  } else if (crash.suspects.size() < this->options.max_suspects) {
+    crash.suspects[content] = {{request}, content == request};
+    this->NoteQuarantinedCrash(content, crash.at);
   }
 }
 
@@ -195,34 +202,64 @@
   }
 }
 
+bool QuarantineJudge::MakeRoom(TimePoint now) {
+  if (this->quarantined.size() < this->options.max_quarantined) {
+    return true;
+  }
+  const auto idle =
+      std::min_element(this->quarantined.begin(), this->quarantined.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.last_refused < b.second.last_refused;
+                       });
+  if (now - idle->second.last_refused < this->options.min_idle) {
+    return false;
+  }
+  this->Release(idle->first, milliseconds(0));
+  return true;
+}
+
 std::map<BlockDigest, QuarantineJudge::Case> QuarantineJudge::Cases(
     const std::set<BlockDigest>& explained) const {
   std::map<BlockDigest, Case> cases;
   std::vector<const Crash*> in_order;
   for (const Crash& crash : this->crashes) {
-    const bool is_explained = std::any_of(
-        crash.suspects.begin(), crash.suspects.end(),
-        [&](const auto& suspect) { return explained.contains(suspect.first); });
-    if (!is_explained) {
-      in_order.push_back(&crash);
-    }
+    in_order.push_back(&crash);
   }
   std::sort(in_order.begin(), in_order.end(),
             [](const Crash* a, const Crash* b) { return a->at < b->at; });
   for (const Crash* crash : in_order) {
-    for (const auto& [block, requests] : crash->suspects) {
-      const auto last = this->answered.find(block);
-      if (last != this->answered.end() &&
-          crash->at <= last->second + this->options.trusted) {
+    // The quarantined requests that stood in the crash.
+    std::vector<BlockDigest> explaining;
+    bool is_explained = false;
+    for (const auto& [content, suspect] : crash->suspects) {
+      if (explained.contains(content)) {
+        explaining.push_back(content);
+        is_explained = is_explained || !suspect.is_request;
+      }
+    }
+    if (is_explained) {
+      continue;
+    }
+    for (const auto& [content, suspect] : crash->suspects) {
+      const auto last = this->answered.find(content);
+      const bool is_cleared = last != this->answered.end() &&
+                              crash->at <= last->second + this->options.trusted;
+      const auto& holders = suspect.requests;
+      const bool is_held_by_all =
+          std::all_of(explaining.begin(), explaining.end(),
+                      [&](BlockDigest one) { return holders.contains(one); });
+      if (is_cleared || explained.contains(content) || !is_held_by_all) {
         continue;
       }
-      Case& one = cases[block];
+      Case& one = cases[content];
       one.never_answered = last == this->answered.end();
+      one.is_request = suspect.is_request;
+      one.stands_alone = one.stands_alone || explaining.empty();
       if (one.crashes.empty() ||
           crash->at - one.crashes.back()->at >= this->options.moment) {
         one.moments += 1;
       }
-      one.requests.insert(requests.begin(), requests.end());
+      one.requests.insert(holders.begin(), holders.end());
       one.crashes.push_back(crash);
     }
   }
@@ -230,9 +267,20 @@
 }
 
 bool QuarantineJudge::Suffices(const Case& one) const {
-  return (one.moments >= this->options.crashes &&
-          one.requests.size() >= this->options.requests) ||
-         one.moments >= this->options.crashes_of_one;
+  const bool is_enough =
+      one.is_request || one.requests.size() >= this->options.requests;
+  return one.stands_alone &&
+         ((one.moments >= this->options.crashes && is_enough) ||
+          one.moments >= this->options.crashes_of_one);
+}
+
+bool QuarantineJudge::IsStronger(const Case& a, const Case& b) {
+  // Of a single request and its blocks, the request is the narrower cause.
+  const auto rank = [](const Case& one) {
+    return std::tuple(one.moments, one.never_answered, one.requests.size(),
+                      one.is_request);
+  };
+  return rank(a) > rank(b);
 }
 
 void QuarantineJudge::Decide(TimePoint now) {
@@ -246,42 +294,48 @@
   }
   while (true) {
     const auto cases = this->Cases(explained);
-    // Blocks that explain the most crashes come first: those that stood beside
-    // them in the same crashes are then no longer suspected.
+    // What explains the most crashes comes first: what stood beside it in the
+    // same crashes is then no longer suspected.
     const Case* strongest = nullptr;
-    const auto is_stronger = [](const Case& a, const Case& b) {
-      return std::tuple(a.moments, a.never_answered, a.requests.size()) >
-             std::tuple(b.moments, b.never_answered, b.requests.size());
-    };
     for (const auto& [block, one] : cases) {
       if (this->Suffices(one) &&
-          (strongest == nullptr || is_stronger(one, *strongest))) {
+          (strongest == nullptr || IsStronger(one, *strongest))) {
         strongest = &one;
       }
     }
-    std::map<BlockDigest, TimePoint> still_watched;
-    std::vector<BlockDigest> due;
+    std::vector<std::pair<BlockDigest, const Case*>> suspected;
     for (const auto& [block, one] : cases) {
-      if (one.moments < 2 ||
-          still_watched.size() >= this->options.max_watched) {
-        continue;
+      if (one.moments >= 2) {
+        suspected.emplace_back(block, &one);
       }
+    }
+    std::stable_sort(suspected.begin(), suspected.end(),
+                     [](const auto& a, const auto& b) {
+                       return IsStronger(*a.second, *b.second);
+                     });
+    suspected.resize(std::min(suspected.size(), this->options.max_watched));
+    std::map<BlockDigest, TimePoint> still_watched;
+    std::vector<BlockDigest> due;
+    for (const auto& [block, suspect] : suspected) {
+      const Case& one = *suspect;
       const auto known = this->watched.find(block);
       const bool is_new = known == this->watched.end();
       const TimePoint since = is_new ? now : known->second;
       this->changed = this->changed || is_new;
       still_watched[block] = since;
-      if (this->Suffices(one) && !is_stronger(*strongest, one) &&
+      if (this->Suffices(one) && !IsStronger(*strongest, one) &&
           now - since >= this->options.hearing) {
         due.push_back(block);
       }
     }
     this->watched = std::move(still_watched);
-    if (due.empty() ||
-        this->quarantined.size() >= this->options.max_quarantined) {
+    if (due.empty()) {
       return;
     }
     for (const BlockDigest block : due) {
+      if (!this->MakeRoom(now)) {
+        return;
+      }
       const Case& one = cases.at(block);
       this->quarantined[block] = {now, now + this->options.first_trial, 0, now,
                                   std::nullopt};
--- a/packages/policy/tests/crash_observer_tests.cc
+++ b/packages/policy/tests/crash_observer_tests.cc
@@ -47,6 +47,16 @@
   EXPECT_TRUE(this->Report().crashes.empty());
 }
 
+TEST_F(CrashObserverTest, RequestWithoutBlocksIsASuspectOfTheCrash) {
+  this->observer.NoteBroken(this->server, 7, {}, this->now);
+  this->observer.NoteBroken(this->server, 8, {}, this->now);
+  this->observer.NoteBroken(this->server, 7, {}, this->now);
+  this->Wait(milliseconds(250));
+  const CrashReport report = this->Report();
+  ASSERT_EQ(report.crashes.size(), 1U);
+  EXPECT_EQ(report.crashes[0].requests, std::vector<BlockDigest>({7, 8}));
+}
+
 TEST_F(CrashObserverTest, ServerThatSendsAfterABrokenConnectionHasNotCrashed) {
   this->observer.NoteBroken(this->server, 7, {kShared}, this->now);
   this->Wait(milliseconds(120));
--- a/packages/policy/tests/quarantine_judge_tests.cc
+++ b/packages/policy/tests/quarantine_judge_tests.cc
@@ -18,6 +18,8 @@
 constexpr BlockDigest kDeadly = 1;
 constexpr BlockDigest kPopular = 2;
 constexpr BlockDigest kRare = 3;
+constexpr BlockDigest kRequest = 10'000;
+constexpr BlockDigest kNeighbour = 20'000;
 
 class QuarantineJudgeTest : public testing::Test {
  protected:
@@ -31,7 +33,10 @@
              std::uint64_t request,
              milliseconds age = milliseconds(200)) {
     ServerCrash crash{
-        BackendServerName("i-" + std::to_string(this->next_server++)), age, {}};
+        BackendServerName("i-" + std::to_string(this->next_server++)),
+        age,
+        {},
+        {}};
     for (const BlockDigest block : blocks) {
       crash.suspects.push_back({block, request});
     }
@@ -40,6 +45,29 @@
     this->judge.Handle(report, this->now);
   }
 
+  //! Reports a crash of a new server that held these whole requests.
+  void CrashOf(const std::vector<BlockDigest>& requests,
+               milliseconds age = milliseconds(200)) {
+    CrashReport report;
+    report.crashes.push_back(
+        {BackendServerName("i-" + std::to_string(this->next_server++)),
+         age,
+         {},
+         requests});
+    this->judge.Handle(report, this->now);
+  }
+
+  //! Reports a crash of a new server that held one request with one block.
+  void CrashOfRequestWithBlock(BlockDigest request, BlockDigest block) {
+    CrashReport report;
+    report.crashes.push_back(
+        {BackendServerName("i-" + std::to_string(this->next_server++)),
+         milliseconds(200),
+         {{block, request}},
+         {request}});
+    this->judge.Handle(report, this->now);
+  }
+
   void Answer(BlockDigest block, milliseconds age = milliseconds(0)) {
     CrashReport report;
     report.answered.push_back({block, age});
@@ -238,6 +266,104 @@
   EXPECT_EQ(later->quarantined.size(), 1U);
 }
 
+TEST_F(QuarantineJudgeTest, RequestThatCrashedThreeServersIsQuarantined) {
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_FALSE(this->IsQuarantined(kRequest));
+    this->CrashOf({kRequest});
+    this->Wait(milliseconds(250));
+  }
+  this->Wait(seconds(1));
+  EXPECT_TRUE(this->IsQuarantined(kRequest));
+}
+
+TEST_F(QuarantineJudgeTest, RequestsBesideTheCauseAreNotQuarantinedWithIt) {
+  this->CrashOf({kRequest, kNeighbour});
+  this->Wait(milliseconds(300));
+  this->CrashOf({kRequest, kNeighbour + 1});
+  this->Wait(milliseconds(300));
+  this->CrashOf({kRequest, kNeighbour, kNeighbour + 1});
+  this->Wait(milliseconds(300));
+  this->CrashOf({kRequest, kNeighbour, kNeighbour + 1});
+  this->Wait(seconds(2));
+  EXPECT_TRUE(this->IsQuarantined(kRequest));
+  EXPECT_FALSE(this->IsQuarantined(kNeighbour));
+  EXPECT_FALSE(this->IsQuarantined(kNeighbour + 1));
+}
+
+TEST_F(QuarantineJudgeTest, NeighbourInEachCrashIsClearedByItsAnswer) {
+  for (int i = 0; i < 4; ++i) {
+    this->CrashOf({kRequest, kNeighbour});
+    this->Wait(milliseconds(300));
+  }
+  this->Answer(kNeighbour);
+  this->Wait(seconds(2));
+  EXPECT_TRUE(this->IsQuarantined(kRequest));
+  EXPECT_FALSE(this->IsQuarantined(kNeighbour));
+}
+
+TEST_F(QuarantineJudgeTest, TwoRequestsAtOnceAreBothQuarantined) {
+  for (int i = 0; i < 3; ++i) {
+    this->CrashOf({kRequest});
+    this->Wait(milliseconds(150));
+    this->CrashOf({kNeighbour});
+    this->Wait(milliseconds(150));
+  }
+  this->Wait(seconds(2));
+  EXPECT_TRUE(this->IsQuarantined(kRequest));
+  EXPECT_TRUE(this->IsQuarantined(kNeighbour));
+}
+
+TEST_F(QuarantineJudgeTest, BlockOfOneQuarantinedRequestIsNotAccused) {
+  for (int i = 0; i < 8; ++i) {
+    this->CrashOfRequestWithBlock(kRequest, kRare);
+    this->Wait(milliseconds(300));
+  }
+  this->Wait(seconds(2));
+  EXPECT_TRUE(this->IsQuarantined(kRequest));
+  EXPECT_FALSE(this->IsQuarantined(kRare));
+}
+
+TEST_F(QuarantineJudgeTest, BlockIsFoundThoughARequestWithItWasQuarantined) {
+  for (int i = 0; i < 3; ++i) {
+    this->CrashOfRequestWithBlock(kRequest, kDeadly);
+    this->Wait(milliseconds(300));
+  }
+  this->Wait(seconds(1));
+  ASSERT_TRUE(this->IsQuarantined(kRequest));
+  ASSERT_FALSE(this->IsQuarantined(kDeadly));
+  this->CrashOfRequestWithBlock(kNeighbour, kDeadly);
+  this->Wait(seconds(1));
+  EXPECT_TRUE(this->IsQuarantined(kDeadly));
+}
+
+TEST_F(QuarantineJudgeTest, CauseIsWatchedHoweverManyOthersStoodInTwoCrashes) {
+  const QuarantineOptions options;
+  std::vector<BlockDigest> requests = {kRequest + 1'000};
+  for (std::size_t i = 0; i < 2 * options.max_watched; ++i) {
+    requests.push_back(kRequest + i);
+  }
+  this->CrashOf(requests);
+  this->Wait(milliseconds(300));
+  this->CrashOf(requests);
+  this->Wait(milliseconds(300));
+  this->CrashOf({kRequest + 1'000});
+  this->Wait(seconds(2));
+  EXPECT_TRUE(this->IsQuarantined(kRequest + 1'000));
+}
+
+TEST_F(QuarantineJudgeTest, IdleRequestsMakeRoomForNewOnes) {
+  const QuarantineOptions options;
+  for (std::size_t i = 0; i <= options.max_quarantined; ++i) {
+    for (int crash = 0; crash < 3; ++crash) {
+      this->CrashOf({kRequest + i});
+      this->Wait(milliseconds(150));
+    }
+    this->Wait(seconds(1));
+    EXPECT_TRUE(this->IsQuarantined(kRequest + i)) << i;
+  }
+  EXPECT_EQ(this->last.quarantined.size(), options.max_quarantined);
+}
+
 //! A fleet with sound blocks, servers that crash for other reasons, and one
 //! deadly block.
 class RandomFleet {
@@ -292,7 +418,7 @@
 
   void Crash(CrashReport& report, bool is_deadly) {
     ServerCrash crash{
-        BackendServerName("i-" + std::to_string(this->request)), {}, {}};
+        BackendServerName("i-" + std::to_string(this->request)), {}, {}, {}};
     if (is_deadly) {
       crash.suspects.push_back({kDeadly, this->request++});
       this->deadly_sent += 1;
