policy, gateway: a new leader learns of the crashes and trials before it

A host forgot a crash once the leader had acknowledged it, so that after a change of leader three more servers had to crash before a verdict. And a trial under way was known to the leader only: the next one took the hosts' time of the next trial, which was past, and granted another.

Hosts keep acknowledged crashes for five minutes, 32 at most, and report them again to a new leader. A granted trial moves the next one at once, as if it had failed, and that time goes to the hosts; a new leader adopts the latest that any host holds.

CrashObserverTest.CrashesAreReportedAgainToANewLeader does not compile before; QuarantineJudgeTest.NewLeaderRepeatsNoTrialThatIsUnderWay fails without the change of the judge.

--- a/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
+++ b/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
@@ -86,6 +86,7 @@
   policy::CrashObserver observer;
   std::map<policy::BlockDigest, Entry> entries;
   std::uint64_t number = 0;
+  bool had_new_leader = false;
 };
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/block_quarantine.cc
+++ b/packages/gateway/src/block_quarantine.cc
@@ -119,6 +119,10 @@
       return now - entry.second.confirmed > kHold;
     });
     report.number = ++this->number;
+    if (is_new_leader && !this->had_new_leader) {
+      this->observer.ReportAgain();
+    }
+    this->had_new_leader = is_new_leader;
     new_crashes = this->observer.AddTo(report, now);
     for (auto& [block, entry] : this->entries) {
       if (entry.refused && now - *entry.refused <= kDemand) {
--- a/packages/policy/include/tamarackwing/policy/crash_observer.h
+++ b/packages/policy/include/tamarackwing/policy/crash_observer.h
@@ -23,8 +23,10 @@
   std::chrono::milliseconds settle{50};
   //! A block with an answer this recently before a crash is no suspect.
   std::chrono::milliseconds trusted{2'000};
-  //! Max crashes that wait for confirmation or acknowledgement.
+  //! Max crashes that wait for confirmation, and max confirmed ones.
   std::size_t crashes = 32;
+  //! How long an acknowledged crash is kept for a new leader.
+  std::chrono::milliseconds kept{300'000};
   //! Max suspected blocks, and max suspected requests, of one crash.
   std::size_t suspects = 64;
   //! Max blocks whose last answer is remembered.
@@ -59,8 +61,11 @@
   //! requests with watched blocks: recent ones repeatedly, older ones once.
   //! Returns the crashes that this report contains for the first time.
   std::vector<ServerCrash> AddTo(CrashReport& report, TimePoint now);
-  //! Drops the crashes that report `number` and earlier ones contained.
+  //! Ends the repetition of the crashes that report `number` and earlier ones
+  //! contained.
   void Acknowledge(std::uint64_t number);
+  //! Reports all recent crashes again: a new leader does not know them.
+  void ReportAgain();
   //! Returns the number of blocks whose last answer is remembered.
   std::size_t RememberedAnswers() const { return this->answered.size(); }
 
@@ -72,10 +77,14 @@
     std::vector<BlockDigest> requests;
     //! Number of the last report that contained it; zero if none.
     std::uint64_t reported = 0;
+    bool acknowledged = false;
   };
 
   //! Moves crashes from `open` to `confirmed` or drops them.
   void Confirm(TimePoint now);
+  //! Drops an acknowledged crash if there are too many. Returns whether there
+  //! is room for another.
+  bool MakeRoom();
   bool IsTrusted(BlockDigest block, TimePoint at) const;
 
   CrashObserverOptions options;
--- a/packages/policy/include/tamarackwing/policy/quarantine_judge.h
+++ b/packages/policy/include/tamarackwing/policy/quarantine_judge.h
@@ -134,6 +134,8 @@
   void AddSuspect(Crash& crash, BlockDigest content, BlockDigest request);
   void AddAnswer(const BlockAnswered& answer, TimePoint now);
   void Adopt(const QuarantinedBlock& held, TimePoint now);
+  //! Returns the time until the trial after this number of failed ones.
+  std::chrono::milliseconds TrialDelay(std::uint32_t failed_trials) const;
   void NoteQuarantinedCrash(BlockDigest block, TimePoint at);
   //! Returns those of the refused blocks for which the host may try a request.
   std::vector<BlockDigest> GrantTrials(const std::vector<BlockDigest>& refused,
--- a/packages/policy/src/crash_observer.cc
+++ b/packages/policy/src/crash_observer.cc
@@ -28,7 +28,7 @@
     if (this->open.size() >= this->options.crashes) {
       return false;
     }
-    this->open.push_back({now, server, {}, {}, 0});
+    this->open.push_back({now, server, {}, {}, 0, false});
     crash = std::prev(this->open.end());
   }
   for (const BlockDigest block : blocks) {
@@ -87,7 +87,13 @@
                                               TimePoint now) {
   this->Confirm(now);
   std::vector<ServerCrash> first_time;
+  std::erase_if(this->confirmed, [&](const Crash& crash) {
+    return crash.acknowledged && now - crash.at > this->options.kept;
+  });
   for (Crash& crash : this->confirmed) {
+    if (crash.acknowledged) {
+      continue;
+    }
     ServerCrash seen{crash.server, AgeOf(crash.at, now), crash.suspects,
                      crash.requests};
     if (crash.reported == 0) {
@@ -108,9 +114,17 @@
 }
 
 void CrashObserver::Acknowledge(std::uint64_t number) {
-  std::erase_if(this->confirmed, [&](const Crash& crash) {
-    return crash.reported != 0 && crash.reported <= number;
-  });
+  for (Crash& crash : this->confirmed) {
+    if (crash.reported != 0 && crash.reported <= number) {
+      crash.acknowledged = true;
+    }
+  }
+}
+
+void CrashObserver::ReportAgain() {
+  for (Crash& crash : this->confirmed) {
+    crash.acknowledged = false;
+  }
 }
 
 void CrashObserver::Confirm(TimePoint now) {
@@ -129,13 +143,27 @@
     });
     const bool has_suspects =
         !crash.suspects.empty() || !crash.requests.empty();
-    if (has_suspects && this->confirmed.size() < this->options.crashes) {
+    if (has_suspects && this->MakeRoom()) {
       this->confirmed.push_back(std::move(crash));
     }
   }
   std::erase_if(this->open, is_due);
 }
 
+bool CrashObserver::MakeRoom() {
+  if (this->confirmed.size() < this->options.crashes) {
+    return true;
+  }
+  const auto oldest =
+      std::find_if(this->confirmed.begin(), this->confirmed.end(),
+                   [](const Crash& crash) { return crash.acknowledged; });
+  if (oldest == this->confirmed.end()) {
+    return false;
+  }
+  this->confirmed.erase(oldest);
+  return true;
+}
+
 bool CrashObserver::IsTrusted(BlockDigest block, TimePoint at) const {
   const auto last = this->answered.find(block);
   return last != this->answered.end() &&
--- a/packages/policy/src/quarantine_judge.cc
+++ b/packages/policy/src/quarantine_judge.cc
@@ -62,6 +62,9 @@
       continue;
     }
     entry.trial_sent = now;
+    // A leader that takes over meanwhile learns this time from the hosts.
+    entry.next_trial = now + this->TrialDelay(entry.failed_trials + 1);
+    this->changed = true;
     trials.push_back(block);
     this->verdicts.push_back({QuarantineVerdict::Kind::kTrial, block,
                               entry.failed_trials, 0, "",
@@ -139,17 +142,21 @@
   }
   entry.trial_sent.reset();
   entry.failed_trials += 1;
-  milliseconds wait = this->options.first_trial;
-  for (std::uint32_t i = 0;
-       i < entry.failed_trials && wait < this->options.max_trial; ++i) {
-    wait *= this->options.trial_factor;
-  }
-  entry.next_trial = at + std::min(wait, this->options.max_trial);
+  entry.next_trial = at + this->TrialDelay(entry.failed_trials);
   this->changed = true;
   this->verdicts.push_back({QuarantineVerdict::Kind::kTrialFailed, block,
                             entry.failed_trials, 0, "", milliseconds(0)});
 }
 
+milliseconds QuarantineJudge::TrialDelay(std::uint32_t failed_trials) const {
+  milliseconds wait = this->options.first_trial;
+  for (std::uint32_t i = 0; i < failed_trials && wait < this->options.max_trial;
+       ++i) {
+    wait *= this->options.trial_factor;
+  }
+  return std::min(wait, this->options.max_trial);
+}
+
 void QuarantineJudge::AddAnswer(const BlockAnswered& answer, TimePoint now) {
   const TimePoint at = now - answer.age;
   const auto held = this->quarantined.find(answer.block);
@@ -168,7 +175,14 @@
 
 void QuarantineJudge::Adopt(const QuarantinedBlock& held, TimePoint now) {
   const bool is_settling = now - this->term_start <= this->options.settle;
-  if (!is_settling || this->quarantined.contains(held.block) ||
+  const auto known = this->quarantined.find(held.block);
+  if (is_settling && known != this->quarantined.end()) {
+    Quarantined& entry = known->second;
+    entry.next_trial = std::max(entry.next_trial, now + held.next_trial);
+    entry.failed_trials = std::max(entry.failed_trials, held.failed_trials);
+    return;
+  }
+  if (!is_settling ||
       this->quarantined.size() >= this->options.max_quarantined) {
     return;
   }
--- a/packages/policy/tests/crash_observer_tests.cc
+++ b/packages/policy/tests/crash_observer_tests.cc
@@ -57,6 +57,21 @@
   EXPECT_EQ(report.crashes[0].requests, std::vector<BlockDigest>({7, 8}));
 }
 
+TEST_F(CrashObserverTest, CrashesAreReportedAgainToANewLeader) {
+  this->observer.NoteBroken(this->server, 7, {}, this->now);
+  this->Wait(milliseconds(250));
+  ASSERT_EQ(this->Report().crashes.size(), 1U);
+  this->observer.Acknowledge(this->number);
+  ASSERT_TRUE(this->Report().crashes.empty());
+  this->observer.ReportAgain();
+  EXPECT_EQ(this->Report().crashes.size(), 1U);
+  this->observer.Acknowledge(this->number);
+  this->Wait(CrashObserverOptions().kept);
+  this->Report();
+  this->observer.ReportAgain();
+  EXPECT_TRUE(this->Report().crashes.empty());
+}
+
 TEST_F(CrashObserverTest, ServerThatSendsAfterABrokenConnectionHasNotCrashed) {
   this->observer.NoteBroken(this->server, 7, {kShared}, this->now);
   this->Wait(milliseconds(120));
--- a/packages/policy/tests/quarantine_judge_tests.cc
+++ b/packages/policy/tests/quarantine_judge_tests.cc
@@ -364,6 +364,20 @@
   EXPECT_EQ(this->last.quarantined.size(), options.max_quarantined);
 }
 
+TEST_F(QuarantineJudgeTest, NewLeaderRepeatsNoTrialThatIsUnderWay) {
+  this->ThreeCrashes({kDeadly});
+  this->Wait(seconds(5));
+  ASSERT_TRUE(this->Refuse(kDeadly));
+  this->Wait(milliseconds(250));
+  QuarantineJudge next{QuarantineOptions()};
+  next.StartTerm(this->now);
+  CrashReport report;
+  // A host that missed the last notice, and one that did not.
+  report.held = {{kDeadly, seconds(0), 0}, this->last.quarantined.at(0)};
+  report.refused = {kDeadly};
+  EXPECT_TRUE(next.Handle(report, this->now + seconds(5)).trials.empty());
+}
+
 //! A fleet with sound blocks, servers that crash for other reasons, and one
 //! deadly block.
 class RandomFleet {
