policy: the judge of quarantines forgets answers with the crashes they are about

An answer is now forgotten with the last crash in which its suspect stood.

QuarantineJudgeTest.AnswersAreForgottenWithTheirLastCrash before: 1000 remembered against the bound of 64 crashes with one suspect each; now it passes.

--- a/packages/policy/include/tamarackwing/policy/quarantine_judge.h
+++ b/packages/policy/include/tamarackwing/policy/quarantine_judge.h
@@ -98,6 +98,8 @@
   std::optional<QuarantineNotice> Due(TimePoint now);
   //! Returns the decisions since the last call.
   std::vector<QuarantineVerdict> TakeVerdicts();
+  //! Returns the number of suspects whose last answer is remembered.
+  std::size_t RememberedAnswers() const { return this->answered.size(); }
 
  private:
   //! A block or a whole request in one crash.
--- a/packages/policy/src/quarantine_judge.cc
+++ b/packages/policy/src/quarantine_judge.cc
@@ -202,9 +202,12 @@
   std::erase_if(this->crashes, [&](const Crash& crash) {
     return now - crash.at > this->options.evidence;
   });
-  if (this->crashes.empty()) {
-    this->answered.clear();
-  }
+  std::erase_if(this->answered, [&](const auto& answer) {
+    return std::none_of(this->crashes.begin(), this->crashes.end(),
+                        [&](const Crash& crash) {
+                          return crash.suspects.contains(answer.first);
+                        });
+  });
   std::vector<BlockDigest> idle;
   for (const auto& [block, entry] : this->quarantined) {
     if (now - entry.last_refused > this->options.forget) {
--- a/packages/policy/tests/quarantine_judge_tests.cc
+++ b/packages/policy/tests/quarantine_judge_tests.cc
@@ -378,6 +378,16 @@
   EXPECT_TRUE(next.Handle(report, this->now + seconds(5)).trials.empty());
 }
 
+TEST_F(QuarantineJudgeTest, AnswersAreForgottenWithTheirLastCrash) {
+  const QuarantineOptions options;
+  for (BlockDigest request = kRequest; request < kRequest + 1'000; ++request) {
+    this->CrashOf({request});
+    this->Answer(request);
+    this->Wait(milliseconds(150));
+  }
+  EXPECT_LE(this->judge.RememberedAnswers(), options.max_crashes);
+}
+
 //! A fleet with sound blocks, servers that crash for other reasons, and one
 //! deadly block.
 class RandomFleet {
