--- a/packages/policy/tests/quarantine_judge_tests.cc
+++ b/packages/policy/tests/quarantine_judge_tests.cc
@@ -371,11 +371,14 @@
   this->Wait(milliseconds(250));
   QuarantineJudge next{QuarantineOptions()};
   next.StartTerm(this->now);
+  const milliseconds passed = seconds(2);
+  QuarantinedBlock held = this->last.quarantined.at(0);
+  held.next_trial = std::max(milliseconds(0), held.next_trial - passed);
   CrashReport report;
   // A host that missed the last notice, and one that did not.
-  report.held = {{kDeadly, seconds(0), 0}, this->last.quarantined.at(0)};
+  report.held = {{kDeadly, seconds(0), 0}, held};
   report.refused = {kDeadly};
-  EXPECT_TRUE(next.Handle(report, this->now + seconds(5)).trials.empty());
+  EXPECT_TRUE(next.Handle(report, this->now + passed).trials.empty());
 }
 
 TEST_F(QuarantineJudgeTest, AnswersAreForgottenWithTheirLastCrash) {
