gateway: a server's failure does not show that a request is sound

Such an answer cleared the request and its blocks of the crashes before it and released a quarantine, so that one failing server lets what crashes the others pass again. Only a complete answer below 500, or one that went on long after its beginning, now counts.

EndToEndTest.FailuresDoNotClearARequestThatCrashesServers before: not refused after 6 s; now it passes.

--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -317,8 +317,8 @@
     return;
   }
   BlockQuarantine& quarantine = this->gateway.Dependencies().quarantine;
-  if (try_outcome == TryOutcome::kServed ||
-      try_outcome == TryOutcome::kFailed) {
+  // A failure may come before the server has begun what crashes it.
+  if (try_outcome == TryOutcome::kServed) {
     quarantine.NoteAnswered(this->held);
   } else if (try_outcome == TryOutcome::kLost && this->connection_broke &&
              !this->is_sound) {
