logs: name the software version of servers and the stream that a call goes on with

Reports' version was not read at all.

Reports carry the version between hosts, in a new field that older hosts ignore; a version that is not text makes a report unreadable, like other fields of a wrong type.

--- a/packages/gateway/include/tamarackwing/gateway/path_call.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_call.h
@@ -39,6 +39,9 @@
   std::optional<std::chrono::milliseconds> caller_timeout;
   //! Id of the last event of this stream that the caller has received.
   std::optional<std::uint64_t> last_event;
+  //! Id of the attempt that brought the first event of the stream that this
+  //! call goes on with; empty if the caller named none.
+  std::string resumes;
   //! Set for a request to a model.
   std::optional<PromptShape> prompt;
   //! Digests of the prompt's blocks that other requests can share, each by its
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -170,6 +170,9 @@
   EventSplitter events;
   std::optional<std::uint64_t> last_event;
   std::string peer;
+  //! Software version of the server of the last try; empty if the try went to
+  //! another host.
+  std::string software;
   //! When the last try began.
   TimePoint try_started;
   AnswerStage answer_stage = AnswerStage::kNone;
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -102,6 +102,7 @@
 http::asio::awaitable<TryOutcome> PathRequest::Try(const Target& target) {
   this->peer =
       target.server ? target.server->name.Text() : target.host->host.Text();
+  this->software = target.server ? target.server->software : "";
   this->try_started = this->gateway.Dependencies().clock.Now();
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
   const milliseconds max_idle =
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -232,7 +232,7 @@
   }
   if (is_new) {
     LogEvent(Event::kBackendServerAnnounced, LogLevel::kInfo,
-             {{"server", report.name.Text()}});
+             {{"server", report.name.Text()}, {"software", report.software}});
   }
   if (report.leaving) {
     LogEvent(Event::kBackendServerLeft, LogLevel::kDebug,
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -218,6 +218,7 @@
   startedMs @13 :Int64;
   sequence @14 :UInt64;
   coldMs @15 :Int64;
+  software @16 :Text;
 }
 
 struct HeardLimit {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -573,7 +573,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2d61d35340614e9, 8, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c2d61d35340614e9, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3959,6 +3959,9 @@
 
   inline  ::int64_t getColdMs() const;
 
+  inline bool hasSoftware() const;
+  inline  ::capnp::Text::Reader getSoftware() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4056,6 +4059,13 @@
   inline  ::int64_t getColdMs();
   inline void setColdMs( ::int64_t value);
 
+  inline bool hasSoftware();
+  inline  ::capnp::Text::Builder getSoftware();
+  inline void setSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftware(unsigned int size);
+  inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8990,6 +9000,40 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerReport::Reader::hasSoftware() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerReport::Builder::hasSoftware() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerReport::Reader::getSoftware() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerReport::Builder::getSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ServerReport::Builder::setSoftware( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerReport::Builder::initSoftware(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ServerReport::Builder::adoptSoftware(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerReport::Builder::disownSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool HeardLimit::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -259,6 +259,7 @@
   out.setStartedMs(report.started.count());
   out.setSequence(report.sequence);
   out.setColdMs(report.cold_for.count());
+  out.setSoftware(ToText(report.software));
 }
 
 policy::ServerReport Read(wire::ServerReport::Reader in) {
@@ -281,6 +282,7 @@
   report.started = milliseconds(in.getStartedMs());
   report.sequence = in.getSequence();
   report.cold_for = milliseconds(in.getColdMs());
+  report.software = ToString(in.getSoftware());
   return report;
 }
 
--- a/packages/policy/include/tamarackwing/policy/server_report.h
+++ b/packages/policy/include/tamarackwing/policy/server_report.h
@@ -20,6 +20,8 @@
   std::uint16_t port = 0;
   //! Model versions or services that it serves.
   std::vector<std::string> targets;
+  //! Version of its software, without an order; empty if not reported.
+  std::string software;
   //! Requests it can run concurrently.
   std::uint32_t slots = 1;
   std::uint32_t running = 0;
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -139,6 +139,8 @@
   std::uint32_t load = 0;
   //! Expected wait for a free slot.
   Duration slot_wait{};
+  //! See ServerReport.
+  std::string software;
 };
 
 //! One host's view of a region's backend servers: their leases, their failures,
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -291,7 +291,8 @@
                       report.port,
                       chosen.cost,
                       chosen.server->own_running,
-                      chosen.slot_wait};
+                      chosen.slot_wait,
+                      report.software};
 }
 
 std::vector<ServerTable::Candidate> ServerTable::Candidates(
