--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -46,6 +46,7 @@
   kTokensRefused = 5005,
   kTurnedAway = 5006,
   kQuarantineRefused = 5007,
+  kStreamTakenUp = 5008,
   kReportRejected = 5101,
   kOrderTaken = 5102,
   kDirectoryDetour = 5103,
--- a/packages/base/include/tamarackwing/base/refusal.h
+++ b/packages/base/include/tamarackwing/base/refusal.h
@@ -36,6 +36,7 @@
   kTooManyConnections,
   kTooSlow,
   kUnknownRoute,
+  kVersionGone,
 };
 
 //! Whether a refused request may have run on a backend server.
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -148,6 +148,8 @@
       return "turned_away";
     case Event::kQuarantineRefused:
       return "quarantine_refused";
+    case Event::kStreamTakenUp:
+      return "stream_taken_up";
     case Event::kRequestEnded:
       return "request_ended";
     case Event::kReportRejected:
--- a/packages/base/src/refusal.cc
+++ b/packages/base/src/refusal.cc
@@ -43,6 +43,7 @@
     RefusalInfo{RefusalCode::kTooManyConnections, "too_many_connections", 503},
     RefusalInfo{RefusalCode::kTooSlow, "too_slow", 408},
     RefusalInfo{RefusalCode::kUnknownRoute, "unknown_route", 404},
+    RefusalInfo{RefusalCode::kVersionGone, "version_gone", 503},
 };
 
 const RefusalInfo& Find(RefusalCode code) {
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -13,6 +13,7 @@
 #include "tamarackwing/policy/crash_messages.h"
 #include "tamarackwing/policy/rate_messages.h"
 #include "tamarackwing/policy/server_report.h"
+#include "tamarackwing/policy/stream_origin.h"
 #include "tamarackwing/state/control_state.h"
 #include "tamarackwing/state/host_record.h"
 #include "tamarackwing/state/ledger_message.h"
@@ -174,7 +175,10 @@
                                  policy::RateReport,
                                  policy::RateGrant,
                                  policy::CrashReport,
-                                 policy::QuarantineNotice>;
+                                 policy::QuarantineNotice,
+                                 policy::StreamBegun,
+                                 policy::StreamQuestion,
+                                 policy::StreamAnswer>;
 
 //! A message and its recipient.
 struct PeerSend {
--- a/packages/gateway/include/tamarackwing/gateway/forward_headers.h
+++ b/packages/gateway/include/tamarackwing/gateway/forward_headers.h
@@ -5,6 +5,7 @@
 
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/http/message.h"
+#include "tamarackwing/policy/stream_origin.h"
 
 namespace tamarackwing::gateway {
 
@@ -18,6 +19,8 @@
   KeyDigest key;
   //! The forwarding host.
   HostName origin;
+  //! Where the stream began that the request goes on with, if it does.
+  std::optional<policy::StreamOrigin> stream;
 };
 
 //! Adds the headers of a forwarded request. Thread safety: reentrant.
@@ -28,4 +31,17 @@
 std::optional<ForwardHeaders> ReadForwardHeaders(const http::Headers& headers,
                                                  const std::string& secret);
 
+//! Adds to a response where its stream begins, for the forwarding host.
+//! Thread safety: reentrant.
+void AddStreamOrigin(const policy::StreamOrigin& origin,
+                     http::Headers& headers);
+
+//! Reads the header of AddStreamOrigin. Thread safety: reentrant.
+std::optional<policy::StreamOrigin> ReadStreamOrigin(
+    const http::Headers& headers);
+
+//! Returns the headers without that of AddStreamOrigin. Thread safety:
+//! reentrant.
+http::Headers WithoutStreamOrigin(const http::Headers& headers);
+
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/include/tamarackwing/gateway/path_call.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_call.h
@@ -9,6 +9,7 @@
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/http/message.h"
 #include "tamarackwing/policy/server_table.h"
+#include "tamarackwing/policy/stream_origin.h"
 
 namespace tamarackwing::gateway {
 
@@ -53,6 +54,8 @@
 struct ForwardedCall {
   WorkspaceName workspace;
   KeyDigest key;
+  //! Where the stream began that the call goes on with, if it does.
+  std::optional<policy::StreamOrigin> stream;
 };
 
 //! Returns a digest of what stays the same if a caller repeats a request: the
--- a/packages/gateway/include/tamarackwing/gateway/traffic_dependencies.h
+++ b/packages/gateway/include/tamarackwing/gateway/traffic_dependencies.h
@@ -16,6 +16,7 @@
 class RegionHosts;
 class ServerDirectory;
 class SnapshotHolder;
+class StreamOrigins;
 class TokenBudget;
 
 //! Dependencies of every gateway; all of them must outlive it.
@@ -33,6 +34,7 @@
   TokenBudget& budget;
   RegionHosts& regions;
   BlockQuarantine& quarantine;
+  StreamOrigins& streams;
 };
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -4,9 +4,11 @@
 #include <utility>
 
 #include "refused_header.h"
+#include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/base/hex.h"
 #include "tamarackwing/gateway/block_quarantine.h"
+#include "tamarackwing/gateway/stream_origins.h"
 #include "tamarackwing/gateway/token_budget.h"
 #include "tamarackwing/http/handoff.h"
 #include "tamarackwing/policy/rendezvous.h"
@@ -24,6 +26,10 @@
 //! Retry delay while draining: another host can serve the call immediately.
 constexpr milliseconds kOtherHostRetryDelay{10};
 
+//! Max time to wait for the hosts that know where a stream began: a few round
+//! trips between regions.
+constexpr milliseconds kMaxOriginWait{700};
+
 //! Max blocks of a prompt in a log line.
 constexpr std::size_t kLoggedBlocks = 8;
 
@@ -119,6 +125,10 @@
   this->content = DigestContent(this->grant.workspace, this->call);
   this->held = this->call.shared_blocks;
   this->held.push_back(this->content);
+  refusal = co_await this->FindOrigin();
+  if (refusal) {
+    co_return refusal;
+  }
   this->ChooseService();
   if (!this->forwarded) {
     refusal = co_await this->ReserveTokens();
@@ -189,7 +199,79 @@
   return std::nullopt;
 }
 
+http::asio::awaitable<PathRequest::Outcome> PathRequest::FindOrigin() {
+  const bool goes_on = this->call.last_event &&
+                       this->route->kind == state::PathKind::kStream &&
+                       this->route->resumable;
+  if (!goes_on) {
+    co_return std::nullopt;
+  }
+  this->has_begun = true;
+  if (this->forwarded) {
+    this->origin = this->forwarded->stream;
+  } else if (!this->call.resumes.empty()) {
+    using Found = std::optional<policy::StreamOrigin>;
+    const auto handoff = std::make_shared<http::Handoff<Found>>(this->executor);
+    this->gateway.Dependencies().streams.Find(
+        DigestStream(this->grant.workspace, this->call.resumes),
+        [handoff](Found found) { handoff->Set(std::move(found)); });
+    const auto found = co_await handoff->Wait(
+        std::min(this->deadline, this->started + kMaxOriginWait));
+    this->origin = found.value_or(std::nullopt);
+  }
+  const bool is_served =
+      this->origin &&
+      std::any_of(this->route->services.begin(), this->route->services.end(),
+                  [&](const state::ServiceShare& share) {
+                    return Sha256Prefix(share.service.Text()) ==
+                           this->origin->service;
+                  });
+  LogEvent(Event::kStreamTakenUp,
+           is_served ? LogLevel::kInfo : LogLevel::kWarning,
+           {{"request", this->call.id},
+            {"resumes", this->call.resumes},
+            {"last_event", std::to_string(*this->call.last_event)},
+            {"known", this->origin ? "yes" : "no"},
+            {"software", this->origin ? ToHex(this->origin->software) : ""},
+            {"region", this->origin ? this->origin->region.Text() : ""},
+            {"asked_ms",
+             std::to_string(CeilMs(this->gateway.Dependencies().clock.Now() -
+                                   this->started)
+                                .count())}});
+  if (!is_served) {
+    this->gateway.Dependencies().metrics.Count(
+        "tamarackwing_streams_not_taken_up_total");
+    co_return RefuseNotRun(RefusalCode::kVersionGone, kServerRetryDelay);
+  }
+  co_return std::nullopt;
+}
+
+void PathRequest::NoteBegun(const Target& target) {
+  if (this->has_begun) {
+    return;
+  }
+  this->has_begun = true;
+  if (target.server) {
+    this->origin = policy::StreamOrigin{Sha256Prefix(this->service),
+                                        target.server->software_digest,
+                                        this->gateway.Settings().region};
+  } else {
+    this->origin = this->forwarded_origin;
+  }
+  if (this->IsRepeatable() && this->origin && !this->forwarded) {
+    this->gateway.Dependencies().streams.NoteBegun(
+        DigestStream(this->grant.workspace, this->call.id), *this->origin);
+  }
+}
+
 void PathRequest::ChooseService() {
+  for (const state::ServiceShare& share : this->route->services) {
+    if (this->origin &&
+        Sha256Prefix(share.service.Text()) == this->origin->service) {
+      this->service = share.service.Text();
+      return;
+    }
+  }
   std::uint64_t total = 0;
   for (const state::ServiceShare& share : this->route->services) {
     total += share.weight;
@@ -269,8 +351,9 @@
       if (allowance && !this->shed) {
         this->retry_after = std::max(this->retry_after, CeilMs(*allowance));
       }
-      co_return this->StopRefusal(this->shed ? RefusalCode::kQueueFull
-                                             : RefusalCode::kNoBackendServer);
+      const RefusalCode none = this->has_begun ? RefusalCode::kVersionGone
+                                               : RefusalCode::kNoBackendServer;
+      co_return this->StopRefusal(this->shed ? RefusalCode::kQueueFull : none);
     }
     const TryOutcome try_outcome = co_await this->Try(*target);
     this->NotePrefillDone(*target);
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -52,8 +52,14 @@
   http::asio::awaitable<Outcome> Serve();
   Outcome FindRoute();
   Outcome Authorize();
-  //! Chooses one of the route's services by their weights.
+  //! For a call that goes on with a stream: finds where the stream began, or
+  //! refuses the call if that is unknown.
+  http::asio::awaitable<Outcome> FindOrigin();
+  //! Chooses the service at which the stream began, if the call goes on with
+  //! one, or one of the route's services by their weights.
   void ChooseService();
+  //! Records where the stream begins, with its first event.
+  void NoteBegun(const Target& target);
   bool MayRunIn(const RegionName& region) const;
   http::asio::awaitable<Outcome> ReserveTokens();
   http::asio::awaitable<Outcome> TryAll();
@@ -68,6 +74,8 @@
   //! Returns the best host of another region that may serve this call and has
   //! not been tried.
   std::optional<ForwardTarget> BestCandidate();
+  //! Moves the hosts of the region where the call's stream began to the front.
+  void PreferOrigin(std::vector<ForwardTarget>& targets) const;
   //! Returns a host of another region if no server of this region can be used.
   std::optional<ForwardTarget> PickHost();
   //! Returns a host of another region if it is expected to serve this call
@@ -104,7 +112,8 @@
       const Target& target,
       http::Connection& connection,
       const http::ResponseHead& head);
-  http::asio::awaitable<bool> WriteEvents(const http::ResponseHead& head,
+  http::asio::awaitable<bool> WriteEvents(const Target& target,
+                                          const http::ResponseHead& head,
                                           const std::string& events);
   http::Request MakeRequest(const Target& target) const;
   //! Returns when to stop waiting for the first byte of a response.
@@ -169,6 +178,13 @@
   std::optional<http::Response> held_response;
   EventSplitter events;
   std::optional<std::uint64_t> last_event;
+  //! Whether the caller has got an event, in this response or before.
+  bool has_begun = false;
+  //! Where the stream began; if unknown, a stream that has begun is not
+  //! resumed.
+  std::optional<policy::StreamOrigin> origin;
+  //! Where the stream begins if the other host's response is passed on.
+  std::optional<policy::StreamOrigin> forwarded_origin;
   std::string peer;
   //! Software version of the server of the last try; empty if the try went to
   //! another host.
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -25,8 +25,14 @@
 
 std::optional<PathRequest::Target> PathRequest::PickTarget() {
   Target target;
+  if (this->has_begun && !this->origin) {
+    return std::nullopt;
+  }
   const bool may_run_here = this->MayRunIn(this->gateway.Settings().region);
-  if (may_run_here && !this->forwarded && !this->is_trial) {
+  // Other regions may not have the version that began a stream.
+  const bool may_spill =
+      !this->forwarded && !this->is_trial && !this->has_begun;
+  if (may_run_here && may_spill) {
     target.host = this->PickSpill();
   }
   if (may_run_here && !target.host) {
@@ -58,8 +64,10 @@
 }
 
 std::optional<ForwardTarget> PathRequest::BestCandidate() {
-  for (ForwardTarget& candidate :
-       this->gateway.Dependencies().regions.Candidates(this->service)) {
+  std::vector<ForwardTarget> candidates =
+      this->gateway.Dependencies().regions.Candidates(this->service);
+  this->PreferOrigin(candidates);
+  for (ForwardTarget& candidate : candidates) {
     if (this->MayRunIn(candidate.region) &&
         this->MayForwardTo(candidate.host)) {
       return std::move(candidate);
@@ -103,7 +111,20 @@
   if (others.empty()) {
     return std::nullopt;
   }
-  return others[this->gateway.NextNumber() % others.size()];
+  const ForwardTarget any = others[this->gateway.NextNumber() % others.size()];
+  this->PreferOrigin(others);
+  const bool is_preferred =
+      this->origin && others.front().region == this->origin->region;
+  return is_preferred ? others.front() : any;
+}
+
+void PathRequest::PreferOrigin(std::vector<ForwardTarget>& targets) const {
+  if (this->origin) {
+    std::stable_partition(targets.begin(), targets.end(),
+                          [&](const ForwardTarget& target) {
+                            return target.region == this->origin->region;
+                          });
+  }
 }
 
 bool PathRequest::TryAdmit(Duration wait) {
@@ -147,6 +168,9 @@
   query.data_centre = this->gateway.Settings().data_centre;
   query.tried = this->tried;
   query.closed = &this->snapshot->closed_data_centres;
+  if (this->has_begun && this->origin) {
+    query.software = this->origin->software;
+  }
   if (this->call.prompt) {
     const PromptShape& prompt = *this->call.prompt;
     query.prompt_tokens = prompt.prompt_tokens;
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -7,6 +7,7 @@
 #include "backend_exchange.h"
 #include "path_request.h"
 #include "refused_header.h"
+#include "tamarackwing/base/digest.h"
 #include "tamarackwing/callers/caller_head.h"
 #include "tamarackwing/gateway/block_quarantine.h"
 #include "tamarackwing/gateway/forward_headers.h"
@@ -82,6 +83,9 @@
     headers.workspace = this->grant.workspace;
     headers.key = this->grant.key;
     headers.origin = this->gateway.Settings().host;
+    if (this->has_begun) {
+      headers.stream = this->origin;
+    }
     AddForwardHeaders(headers, request.head.headers);
     request.head.headers.Add(callers::kHopHeader,
                              this->gateway.Settings().host.Text());
@@ -189,6 +193,10 @@
     }
   }
   PathResponse parsed = dependencies.protocol.ReadResponse(this->call, *head);
+  if (target.host) {
+    this->forwarded_origin = ReadStreamOrigin(head->headers);
+  }
+  parsed.passed.headers = WithoutStreamOrigin(parsed.passed.headers);
   if (!parsed.is_for_call && !parsed.not_run && !parsed.other_server) {
     // The response belongs to another request or to none.
     co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
@@ -286,7 +294,7 @@
       co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
     }
     if (!complete_events.empty() || is_end) {
-      if (!co_await this->WriteEvents(head, complete_events)) {
+      if (!co_await this->WriteEvents(target, head, complete_events)) {
         this->caller_gone = true;
         co_return TryOutcome::kLost;
       }
@@ -316,14 +324,24 @@
 }
 
 http::asio::awaitable<bool> PathRequest::WriteEvents(
+    const Target& target,
     const http::ResponseHead& head,
     const std::string& events) {
+  if (!events.empty()) {
+    this->NoteBegun(target);
+  }
   // The head is sent with the first event: until then another server may be
   // tried.
   if (!this->writer.HasStarted()) {
     // Drop the error response of an earlier server.
     this->held_response.reset();
     http::ResponseHead passed = head;
+    if (this->forwarded && target.server) {
+      AddStreamOrigin(
+          {Sha256Prefix(this->service), target.server->software_digest,
+           this->gateway.Settings().region},
+          passed.headers);
+    }
     const bool started = co_await this->writer.StartStream(std::move(passed));
     if (!started) {
       co_return false;
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -330,6 +330,28 @@
   trials @4 :List(UInt64);
 }
 
+struct StreamOrigin {
+  service @0 :UInt64;
+  software @1 :UInt64;
+  region @2 :Text;
+}
+
+struct StreamBegun {
+  stream @0 :UInt64;
+  origin @1 :StreamOrigin;
+}
+
+struct StreamQuestion {
+  number @0 :UInt64;
+  stream @1 :UInt64;
+}
+
+struct StreamAnswer {
+  number @0 :UInt64;
+  # Null if the sender does not know the stream.
+  origin @1 :StreamOrigin;
+}
+
 struct PeerMessage {
   union {
     voteRequest @0 :VoteRequest;
@@ -363,5 +385,8 @@
     rateGrant @28 :RateGrant;
     crashReport @29 :CrashReport;
     quarantineNotice @30 :QuarantineNotice;
+    streamBegun @31 :StreamBegun;
+    streamQuestion @32 :StreamQuestion;
+    streamAnswer @33 :StreamAnswer;
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -68,6 +68,10 @@
 CAPNP_DECLARE_SCHEMA(f2cedf8c0b35b660);
 CAPNP_DECLARE_SCHEMA(c599e415db806885);
 CAPNP_DECLARE_SCHEMA(d5055214dee5ffe9);
+CAPNP_DECLARE_SCHEMA(adc60c715e507e43);
+CAPNP_DECLARE_SCHEMA(c86ca25a46fa43a2);
+CAPNP_DECLARE_SCHEMA(d4d553d0e9143dfb);
+CAPNP_DECLARE_SCHEMA(83bd492a3772e63f);
 CAPNP_DECLARE_SCHEMA(e83335c9258f671c);
 
 }  // namespace schemas
@@ -820,6 +824,66 @@
   };
 };
 
+struct StreamOrigin {
+  StreamOrigin() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(adc60c715e507e43, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamBegun {
+  StreamBegun() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c86ca25a46fa43a2, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamQuestion {
+  StreamQuestion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d4d553d0e9143dfb, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamAnswer {
+  StreamAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(83bd492a3772e63f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerMessage {
   PeerMessage() = delete;
 
@@ -858,6 +922,9 @@
     RATE_GRANT,
     CRASH_REPORT,
     QUARANTINE_NOTICE,
+    STREAM_BEGUN,
+    STREAM_QUESTION,
+    STREAM_ANSWER,
   };
 
   struct _capnpPrivate {
@@ -5564,11 +5631,375 @@
   inline bool hasWatched() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWatched() const;
 
-  inline bool hasQuarantined() const;
-  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
+  inline bool hasTrials() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTrials() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuarantineNotice::Builder {
+public:
+  typedef QuarantineNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+  inline bool hasWatched();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWatched();
+  inline void setWatched( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWatched(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWatched(unsigned int size);
+  inline void adoptWatched(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWatched();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
+  inline bool hasTrials();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTrials();
+  inline void setTrials( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTrials(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTrials(unsigned int size);
+  inline void adoptTrials(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTrials();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuarantineNotice::Pipeline {
+public:
+  typedef QuarantineNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOrigin::Reader {
+public:
+  typedef StreamOrigin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint64_t getSoftware() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOrigin::Builder {
+public:
+  typedef StreamOrigin Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint64_t getSoftware();
+  inline void setSoftware( ::uint64_t value);
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOrigin::Pipeline {
+public:
+  typedef StreamOrigin Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamBegun::Reader {
+public:
+  typedef StreamBegun Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasOrigin() const;
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Reader getOrigin() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamBegun::Builder {
+public:
+  typedef StreamBegun Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasOrigin();
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder getOrigin();
+  inline void setOrigin( ::tamarackwing::hosts::wire::StreamOrigin::Reader value);
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder initOrigin();
+  inline void adoptOrigin(::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin> disownOrigin();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamBegun::Pipeline {
+public:
+  typedef StreamBegun Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Pipeline getOrigin();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamQuestion::Reader {
+public:
+  typedef StreamQuestion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getStream() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamQuestion::Builder {
+public:
+  typedef StreamQuestion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamQuestion::Pipeline {
+public:
+  typedef StreamQuestion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamAnswer::Reader {
+public:
+  typedef StreamAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
 
-  inline bool hasTrials() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTrials() const;
+  inline bool hasOrigin() const;
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Reader getOrigin() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5582,9 +6013,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QuarantineNotice::Builder {
+class StreamAnswer::Builder {
 public:
-  typedef QuarantineNotice Builds;
+  typedef StreamAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5601,31 +6032,12 @@
   inline  ::uint64_t getNumber();
   inline void setNumber( ::uint64_t value);
 
-  inline bool getComplete();
-  inline void setComplete(bool value);
-
-  inline bool hasWatched();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWatched();
-  inline void setWatched( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setWatched(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWatched(unsigned int size);
-  inline void adoptWatched(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWatched();
-
-  inline bool hasQuarantined();
-  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
-  inline void setQuarantined( ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
-  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::QuarantinedBlock,  ::capnp::Kind::STRUCT>> disownQuarantined();
-
-  inline bool hasTrials();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTrials();
-  inline void setTrials( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTrials(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTrials(unsigned int size);
-  inline void adoptTrials(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTrials();
+  inline bool hasOrigin();
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder getOrigin();
+  inline void setOrigin( ::tamarackwing::hosts::wire::StreamOrigin::Reader value);
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder initOrigin();
+  inline void adoptOrigin(::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin> disownOrigin();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5637,14 +6049,15 @@
 };
 
 #if !CAPNP_LITE
-class QuarantineNotice::Pipeline {
+class StreamAnswer::Pipeline {
 public:
-  typedef QuarantineNotice Pipelines;
+  typedef StreamAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::tamarackwing::hosts::wire::StreamOrigin::Pipeline getOrigin();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5793,6 +6206,18 @@
   inline bool hasQuarantineNotice() const;
   inline  ::tamarackwing::hosts::wire::QuarantineNotice::Reader getQuarantineNotice() const;
 
+  inline bool isStreamBegun() const;
+  inline bool hasStreamBegun() const;
+  inline  ::tamarackwing::hosts::wire::StreamBegun::Reader getStreamBegun() const;
+
+  inline bool isStreamQuestion() const;
+  inline bool hasStreamQuestion() const;
+  inline  ::tamarackwing::hosts::wire::StreamQuestion::Reader getStreamQuestion() const;
+
+  inline bool isStreamAnswer() const;
+  inline bool hasStreamAnswer() const;
+  inline  ::tamarackwing::hosts::wire::StreamAnswer::Reader getStreamAnswer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6063,6 +6488,30 @@
   inline void adoptQuarantineNotice(::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice> disownQuarantineNotice();
 
+  inline bool isStreamBegun();
+  inline bool hasStreamBegun();
+  inline  ::tamarackwing::hosts::wire::StreamBegun::Builder getStreamBegun();
+  inline void setStreamBegun( ::tamarackwing::hosts::wire::StreamBegun::Reader value);
+  inline  ::tamarackwing::hosts::wire::StreamBegun::Builder initStreamBegun();
+  inline void adoptStreamBegun(::capnp::Orphan< ::tamarackwing::hosts::wire::StreamBegun>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamBegun> disownStreamBegun();
+
+  inline bool isStreamQuestion();
+  inline bool hasStreamQuestion();
+  inline  ::tamarackwing::hosts::wire::StreamQuestion::Builder getStreamQuestion();
+  inline void setStreamQuestion( ::tamarackwing::hosts::wire::StreamQuestion::Reader value);
+  inline  ::tamarackwing::hosts::wire::StreamQuestion::Builder initStreamQuestion();
+  inline void adoptStreamQuestion(::capnp::Orphan< ::tamarackwing::hosts::wire::StreamQuestion>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamQuestion> disownStreamQuestion();
+
+  inline bool isStreamAnswer();
+  inline bool hasStreamAnswer();
+  inline  ::tamarackwing::hosts::wire::StreamAnswer::Builder getStreamAnswer();
+  inline void setStreamAnswer( ::tamarackwing::hosts::wire::StreamAnswer::Reader value);
+  inline  ::tamarackwing::hosts::wire::StreamAnswer::Builder initStreamAnswer();
+  inline void adoptStreamAnswer(::capnp::Orphan< ::tamarackwing::hosts::wire::StreamAnswer>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamAnswer> disownStreamAnswer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10386,6 +10835,202 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StreamOrigin::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOrigin::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOrigin::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamOrigin::Reader::getSoftware() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOrigin::Builder::getSoftware() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamOrigin::Builder::setSoftware( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOrigin::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamBegun::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamBegun::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamBegun::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamBegun::Reader::hasOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBegun::Builder::hasOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Reader StreamBegun::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder StreamBegun::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Pipeline StreamBegun::Pipeline::getOrigin() {
+  return  ::tamarackwing::hosts::wire::StreamOrigin::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StreamBegun::Builder::setOrigin( ::tamarackwing::hosts::wire::StreamOrigin::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder StreamBegun::Builder::initOrigin() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamBegun::Builder::adoptOrigin(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin> StreamBegun::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamQuestion::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamQuestion::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamQuestion::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamQuestion::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamQuestion::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamQuestion::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamAnswer::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamAnswer::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamAnswer::Reader::hasOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamAnswer::Builder::hasOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Reader StreamAnswer::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder StreamAnswer::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Pipeline StreamAnswer::Pipeline::getOrigin() {
+  return  ::tamarackwing::hosts::wire::StreamOrigin::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StreamAnswer::Builder::setOrigin( ::tamarackwing::hosts::wire::StreamOrigin::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::StreamOrigin::Builder StreamAnswer::Builder::initOrigin() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamAnswer::Builder::adoptOrigin(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamOrigin> StreamAnswer::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamOrigin>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::tamarackwing::hosts::wire::PeerMessage::Which PeerMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -12019,6 +12664,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isStreamBegun() const {
+  return which() == PeerMessage::STREAM_BEGUN;
+}
+inline bool PeerMessage::Builder::isStreamBegun() {
+  return which() == PeerMessage::STREAM_BEGUN;
+}
+inline bool PeerMessage::Reader::hasStreamBegun() const {
+  if (which() != PeerMessage::STREAM_BEGUN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamBegun() {
+  if (which() != PeerMessage::STREAM_BEGUN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::StreamBegun::Reader PeerMessage::Reader::getStreamBegun() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_BEGUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamBegun>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::StreamBegun::Builder PeerMessage::Builder::getStreamBegun() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_BEGUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamBegun>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamBegun( ::tamarackwing::hosts::wire::StreamBegun::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_BEGUN);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamBegun>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::StreamBegun::Builder PeerMessage::Builder::initStreamBegun() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_BEGUN);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamBegun>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamBegun(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamBegun>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_BEGUN);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamBegun>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamBegun> PeerMessage::Builder::disownStreamBegun() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_BEGUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamBegun>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isStreamQuestion() const {
+  return which() == PeerMessage::STREAM_QUESTION;
+}
+inline bool PeerMessage::Builder::isStreamQuestion() {
+  return which() == PeerMessage::STREAM_QUESTION;
+}
+inline bool PeerMessage::Reader::hasStreamQuestion() const {
+  if (which() != PeerMessage::STREAM_QUESTION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamQuestion() {
+  if (which() != PeerMessage::STREAM_QUESTION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::StreamQuestion::Reader PeerMessage::Reader::getStreamQuestion() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamQuestion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::StreamQuestion::Builder PeerMessage::Builder::getStreamQuestion() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamQuestion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamQuestion( ::tamarackwing::hosts::wire::StreamQuestion::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_QUESTION);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamQuestion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::StreamQuestion::Builder PeerMessage::Builder::initStreamQuestion() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_QUESTION);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamQuestion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamQuestion(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamQuestion>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_QUESTION);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamQuestion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamQuestion> PeerMessage::Builder::disownStreamQuestion() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamQuestion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isStreamAnswer() const {
+  return which() == PeerMessage::STREAM_ANSWER;
+}
+inline bool PeerMessage::Builder::isStreamAnswer() {
+  return which() == PeerMessage::STREAM_ANSWER;
+}
+inline bool PeerMessage::Reader::hasStreamAnswer() const {
+  if (which() != PeerMessage::STREAM_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamAnswer() {
+  if (which() != PeerMessage::STREAM_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::StreamAnswer::Reader PeerMessage::Reader::getStreamAnswer() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::StreamAnswer::Builder PeerMessage::Builder::getStreamAnswer() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamAnswer( ::tamarackwing::hosts::wire::StreamAnswer::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ANSWER);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::StreamAnswer::Builder PeerMessage::Builder::initStreamAnswer() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ANSWER);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamAnswer(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamAnswer>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ANSWER);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamAnswer> PeerMessage::Builder::disownStreamAnswer() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::StreamAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -286,6 +286,18 @@
   return report;
 }
 
+void Write(const policy::StreamOrigin& origin,
+           wire::StreamOrigin::Builder out) {
+  out.setService(origin.service);
+  out.setSoftware(origin.software);
+  out.setRegion(ToText(origin.region.Text()));
+}
+
+policy::StreamOrigin Read(wire::StreamOrigin::Reader in) {
+  return {in.getService(), in.getSoftware(),
+          RegionName(ToString(in.getRegion()))};
+}
+
 void Write(const control::HeardLimit& limit, wire::HeardLimit::Builder out) {
   out.setServer(ToText(limit.server.Text()));
   out.setPerKilosecond(limit.per_kilosecond
@@ -588,6 +600,23 @@
     WriteNumbers(value.trials,
                  to.initTrials(static_cast<unsigned>(value.trials.size())));
   }
+  void operator()(const policy::StreamBegun& value) {
+    auto to = this->out.initStreamBegun();
+    to.setStream(value.stream);
+    Write(value.origin, to.initOrigin());
+  }
+  void operator()(const policy::StreamQuestion& value) {
+    auto to = this->out.initStreamQuestion();
+    to.setNumber(value.number);
+    to.setStream(value.stream);
+  }
+  void operator()(const policy::StreamAnswer& value) {
+    auto to = this->out.initStreamAnswer();
+    to.setNumber(value.number);
+    if (value.origin) {
+      Write(*value.origin, to.initOrigin());
+    }
+  }
   void operator()(const control::ServerReports& value) {
     WriteList(value.reports, this->out.initServerNews(
                                  static_cast<unsigned>(value.reports.size())));
@@ -883,6 +912,20 @@
       return ReadRateMessage(in);
     case Wire::CRASH_REPORT:
       return ReadCrashReport(in.getCrashReport());
+    case Wire::STREAM_BEGUN:
+      return policy::StreamBegun{in.getStreamBegun().getStream(),
+                                 Read(in.getStreamBegun().getOrigin())};
+    case Wire::STREAM_QUESTION:
+      return policy::StreamQuestion{in.getStreamQuestion().getNumber(),
+                                    in.getStreamQuestion().getStream()};
+    case Wire::STREAM_ANSWER: {
+      const auto from = in.getStreamAnswer();
+      policy::StreamAnswer answer{from.getNumber(), std::nullopt};
+      if (from.hasOrigin()) {
+        answer.origin = Read(from.getOrigin());
+      }
+      return answer;
+    }
     case Wire::QUARANTINE_NOTICE:
       return ReadQuarantineNotice(in.getQuarantineNotice());
     case Wire::SERVER_NEWS: {
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -81,6 +81,8 @@
   std::function<std::uint32_t(const BackendServerName&)> cold_allowance;
   //! Data centres closed for new requests; null for none.
   const std::set<DataCentreName>* closed = nullptr;
+  //! Digest of the software version that the server must have; nullopt for any.
+  std::optional<std::uint64_t> software;
   //! The data centre of the choosing host.
   DataCentreName data_centre;
   //! Servers to skip because this request has already tried them.
@@ -141,6 +143,8 @@
   Duration slot_wait{};
   //! See ServerReport.
   std::string software;
+  //! Digest of `software`.
+  std::uint64_t software_digest = 0;
 };
 
 //! One host's view of a region's backend servers: their leases, their failures,
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -6,6 +6,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/policy/admission.h"
 #include "tamarackwing/policy/placement.h"
@@ -71,6 +72,8 @@
 
 struct ServerTable::Server {
   ServerReport report;
+  //! Digest of the version of its software.
+  std::uint64_t software = 0;
   //! Set while the server names a limit.
   std::optional<LimitBucket> limit;
   //! When the last answer that told whether there is a limit arrived.
@@ -232,6 +235,10 @@
       slot->usable_since = now;
     }
   }
+  if (is_new || slot->report.software != report.software ||
+      slot->software == 0) {
+    slot->software = Sha256Prefix(report.software);
+  }
   slot->report = report;
   slot->cold_until = now + report.cold_for;
   slot->lease_until = now + this->limits.lease;
@@ -292,7 +299,8 @@
                       chosen.cost,
                       chosen.server->own_running,
                       chosen.slot_wait,
-                      report.software};
+                      report.software,
+                      chosen.server->software};
 }
 
 std::vector<ServerTable::Candidate> ServerTable::Candidates(
@@ -313,7 +321,9 @@
     const bool is_at_limit = server->limit &&
                              now - server->limit_heard <= kLimitLife &&
                              server->limit->LevelAt(now) < 1;
-    if (!was_tried && !is_closed && !is_at_limit &&
+    const bool is_other_version =
+        query.software && *query.software != server->software;
+    if (!was_tried && !is_closed && !is_at_limit && !is_other_version &&
         this->IsUsable(*server, lapsed, now) &&
         HasColdAllowance(*server, query, now)) {
       const Duration slot = this->SlotWaitAt(*server, query.target, now);
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -10,6 +10,7 @@
 #include "disk_thread.h"
 #include "region_demand.h"
 #include "tamarackwing/base/event.h"
+#include "tamarackwing/control/stream_keepers.h"
 #include "tamarackwing/policy/slot_share.h"
 
 namespace tamarackwing::daemon {
@@ -30,6 +31,8 @@
 constexpr milliseconds kRateReportInterval{300};
 //! Short against the time that a crashed server takes to come back.
 constexpr milliseconds kCrashReportInterval{200};
+//! How long the answers about a stream are waited for.
+constexpr milliseconds kStreamTimeout{2'000};
 //! Time during which a host without demand also reports to a new leader; long
 //! enough for several reports, because some may be lost.
 constexpr milliseconds kNewLeaderPeriod{3'000};
@@ -220,8 +223,61 @@
 
 void ControlThread::HandleMessage(const HostName& from,
                                   control::PeerMessage message) {
-  this->Execute(
-      this->node->Receive(from, message, this->dependencies.clock.Now()));
+  if (const auto* begun = std::get_if<policy::StreamBegun>(&message)) {
+    this->dependencies.streams.Keep(*begun);
+  } else if (const auto* question =
+                 std::get_if<policy::StreamQuestion>(&message)) {
+    this->network->Send(
+        from, policy::StreamAnswer{
+                  question->number,
+                  this->dependencies.streams.Known(question->stream)});
+  } else if (const auto* answer = std::get_if<policy::StreamAnswer>(&message)) {
+    this->HandleStreamAnswer(*answer);
+  } else {
+    this->Execute(
+        this->node->Receive(from, message, this->dependencies.clock.Now()));
+  }
+}
+
+void ControlThread::TellKeepers(const policy::StreamBegun& begun) {
+  for (const HostName& keeper :
+       control::StreamKeepers(begun.stream, this->node->State().Hosts())) {
+    if (keeper != this->settings.gateway.host) {
+      this->network->Send(keeper, begun);
+    }
+  }
+}
+
+void ControlThread::AskKeepers(std::uint64_t stream,
+                               gateway::StreamOrigins::Callback callback) {
+  const std::uint64_t number = this->next_stream++;
+  std::size_t asked = 0;
+  for (const HostName& keeper :
+       control::StreamKeepers(stream, this->node->State().Hosts())) {
+    if (keeper != this->settings.gateway.host) {
+      this->network->Send(keeper, policy::StreamQuestion{number, stream});
+      asked += 1;
+    }
+  }
+  if (asked == 0) {
+    callback(std::nullopt);
+    return;
+  }
+  this->streams[number] = {std::move(callback), asked,
+                           this->dependencies.clock.Now()};
+}
+
+void ControlThread::HandleStreamAnswer(const policy::StreamAnswer& answer) {
+  const auto waiting = this->streams.find(answer.number);
+  if (waiting == this->streams.end()) {
+    return;
+  }
+  waiting->second.unanswered -= 1;
+  if (answer.origin || waiting->second.unanswered == 0) {
+    const auto callback = std::move(waiting->second.callback);
+    this->streams.erase(waiting);
+    callback(answer.origin);
+  }
 }
 
 Expected<control::RecoveredControl, ControlError> ControlThread::Recover() {
@@ -668,6 +724,13 @@
     entry.second.callback({});
     return true;
   });
+  std::erase_if(this->streams, [&](auto& entry) {
+    if (now - entry.second.since < kStreamTimeout) {
+      return false;
+    }
+    entry.second.callback(std::nullopt);
+    return true;
+  });
   std::erase_if(this->statuses, [&](auto& entry) {
     if (now - entry.second.since < std::chrono::seconds(2)) {
       return false;
@@ -678,6 +741,18 @@
 }
 
 void ControlThread::SetUpCallbacks() {
+  gateway::StreamOrigins::Keepers keepers;
+  keepers.tell = [this](const policy::StreamBegun& begun) {
+    this->network->Post([this, begun] { this->TellKeepers(begun); });
+  };
+  keepers.ask = [this](std::uint64_t stream,
+                       gateway::StreamOrigins::Callback callback) {
+    this->network->Post(
+        [this, stream, callback = std::move(callback)]() mutable {
+          this->AskKeepers(stream, std::move(callback));
+        });
+  };
+  this->dependencies.streams.SetKeepers(std::move(keepers));
   ChunkBudget::TokenSources sources;
   sources.request = [this](policy::ChunkRequest request) {
     this->network->Post([this, request = std::move(request)] {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -24,6 +24,7 @@
 #include "tamarackwing/gateway/operation_permits.h"
 #include "tamarackwing/gateway/server_directory.h"
 #include "tamarackwing/gateway/snapshot_holder.h"
+#include "tamarackwing/gateway/stream_origins.h"
 #include "tamarackwing/hosts/peer_handler.h"
 #include "tamarackwing/hosts/peer_network.h"
 #include "tamarackwing/operators/operator_service.h"
@@ -52,6 +53,7 @@
   LeasedRateBudget& rates;
   RegionTable& regions;
   gateway::BlockQuarantine& quarantine;
+  gateway::StreamOrigins& streams;
 };
 
 //! The thread that owns the control state: it runs the control node, executes
@@ -123,8 +125,19 @@
     TimePoint since;
   };
 
+  //! A question about a stream that waits for its keepers' answers.
+  struct PendingStream {
+    gateway::StreamOrigins::Callback callback;
+    std::size_t unanswered = 0;
+    TimePoint since;
+  };
+
   void HandleMessage(const HostName& from,
                      control::PeerMessage message) override;
+  void TellKeepers(const policy::StreamBegun& begun);
+  void AskKeepers(std::uint64_t stream,
+                  gateway::StreamOrigins::Callback callback);
+  void HandleStreamAnswer(const policy::StreamAnswer& answer);
   Expected<control::RecoveredControl, ControlError> Recover();
   void Run(control::RecoveredControl recovered,
            const std::function<void(bool)>& started);
@@ -174,6 +187,9 @@
   std::map<std::uint64_t, OperationPermits::Callback> permits;
   std::map<std::uint64_t, PendingChange> changes;
   std::map<std::uint64_t, PendingStatus> statuses;
+  //! Pending questions about streams, by number.
+  std::map<std::uint64_t, PendingStream> streams;
+  std::uint64_t next_stream = 1;
   //! The last status of each other host of this region, and when it arrived.
   std::map<HostName, control::RegionStatus> region_statuses;
   std::map<HostName, TimePoint> status_received_at;
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -19,6 +19,7 @@
 #include "tamarackwing/gateway.h"
 #include "tamarackwing/gateway/block_quarantine.h"
 #include "tamarackwing/gateway/forward_listener.h"
+#include "tamarackwing/gateway/stream_origins.h"
 #include "tamarackwing/http/io_threads.h"
 #include "tamarackwing/http/server.h"
 #include "tamarackwing/operators/operator_listener.h"
@@ -105,9 +106,10 @@
               settings.rate_tolerance),
         regions(freshness_clock, settings.servers.prefill_rate),
         quarantine(freshness_clock, metrics),
+        streams(freshness_clock),
         control(settings,
                 {freshness_clock, clock, metrics, snapshots, servers, gate,
-                 active, budget, rates, regions, quarantine},
+                 active, budget, rates, regions, quarantine, streams},
                 disk.get(),
                 bootstraps_log),
         gateway({MakeTrafficDependencies(budget), gate, active, control},
@@ -135,8 +137,9 @@
   //! of one of them.
   gateway::TrafficDependencies MakeTrafficDependencies(
       gateway::TokenBudget& token_budget) {
-    return {threads,   clock,   freshness_clock, metrics, spans,
-            snapshots, servers, token_budget,    regions, quarantine};
+    return {threads, clock,      freshness_clock, metrics,
+            spans,   snapshots,  servers,         token_budget,
+            regions, quarantine, streams};
   }
 
   //! Opens an adapter listener if it has a handler and a port; returns false if
@@ -167,6 +170,7 @@
   LeasedRateBudget rates;
   RegionTable regions;
   gateway::BlockQuarantine quarantine;
+  gateway::StreamOrigins streams;
   ControlThread control;
   gateway::Gateway gateway;
   gateway::PathGateway path_gateway;
