gateway, policy: a stream whose attempt is not named goes on while servers have one version

Such a call is now bound to the version of the region's servers of its service if the reports of the last minute name one only, and refused as not run otherwise: nothing tells which of several began the stream.

--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -60,6 +60,7 @@
   std::vector<policy::ServerLimit> Limits();
   void SetSharers(const HostName& self, std::vector<HostName> hosts);
   std::optional<Duration> NextAllowance(const std::string& target);
+  std::optional<std::uint64_t> SoleSoftware(const std::string& target);
   //! Records that bytes arrived from a server.
   void NoteAlive(const BackendServerName& name);
   //! Returns the time of the directory's clock.
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -218,6 +218,17 @@
     const auto found = co_await handoff->Wait(
         std::min(this->deadline, this->started + kMaxOriginWait));
     this->origin = found.value_or(std::nullopt);
+  } else {
+    // The caller does not say which stream it is. If all servers have one
+    // version, it began at that one.
+    this->ChooseService();
+    const auto software =
+        this->gateway.Dependencies().servers.SoleSoftware(this->service);
+    if (software) {
+      this->origin =
+          policy::StreamOrigin{Sha256Prefix(this->service), *software,
+                               this->gateway.Settings().region};
+    }
   }
   const bool is_served =
       this->origin &&
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -202,6 +202,12 @@
   return this->table.NextAllowance(target, this->clock.Now());
 }
 
+std::optional<std::uint64_t> ServerDirectory::SoleSoftware(
+    const std::string& target) {
+  const std::lock_guard lock(this->mutex);
+  return this->table.SoleSoftware(target, this->clock.Now());
+}
+
 policy::OwnLoad ServerDirectory::LoadOf(const std::string& target) {
   const std::lock_guard lock(this->mutex);
   return this->table.LoadOf(target, this->clock.Now());
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -220,6 +220,10 @@
   //! Returns the slots of all usable servers of a target, slow start applied;
   //! a server that is warming up counts as one slot.
   std::uint32_t Slots(const std::string& target, TimePoint now) const;
+  //! Returns the digest of the software version of a target's servers; nullopt
+  //! if the reports of the last minute named several or none.
+  std::optional<std::uint64_t> SoleSoftware(const std::string& target,
+                                            TimePoint now) const;
   //! Returns the number of known servers.
   std::size_t Count() const { return this->servers.size(); }
 
@@ -249,6 +253,9 @@
   //! Assigns the report's address to its server and removes the server that
   //! had it before.
   void AssignAddress(const ServerReport& report);
+  void NoteSoftware(const std::vector<std::string>& targets,
+                    std::uint64_t software,
+                    TimePoint now);
   //! Returns whether a report is older than the known state.
   bool IsStale(const ServerReport& report) const;
   //! Returns the usable servers for a request with their costs; `lapsed` also
@@ -291,6 +298,8 @@
   ServerTableLimits limits;
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
+  //! When a report last named each software version of a target's servers.
+  std::map<std::string, std::map<std::uint64_t, TimePoint>> software_seen;
   std::unordered_map<std::string, TargetLoad> loads;
   HostName self;
   //! Hosts that share the servers' limits, in ascending order.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -39,6 +39,8 @@
 //! each may send one request at any moment.
 constexpr std::size_t kMinOwners = 3;
 constexpr double kMaxSlots = 1'000'000;
+//! How long a reported software version counts: longer than a stream lasts.
+constexpr std::chrono::seconds kSoftwareSpan{60};
 
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
@@ -240,6 +242,7 @@
     slot->software = Sha256Prefix(report.software);
   }
   slot->report = report;
+  this->NoteSoftware(report.targets, slot->software, now);
   slot->cold_until = now + report.cold_for;
   slot->lease_until = now + this->limits.lease;
   slot->load_measured = now - report.age;
@@ -248,6 +251,38 @@
   return is_new;
 }
 
+void ServerTable::NoteSoftware(const std::vector<std::string>& targets,
+                               std::uint64_t software,
+                               TimePoint now) {
+  for (const std::string& target : targets) {
+    auto& seen = this->software_seen[target];
+    seen[software] = now;
+    std::erase_if(seen, [&](const auto& version) {
+      return now - version.second > kSoftwareSpan;
+    });
+  }
+}
+
+std::optional<std::uint64_t> ServerTable::SoleSoftware(
+    const std::string& target,
+    TimePoint now) const {
+  const auto seen = this->software_seen.find(target);
+  if (seen == this->software_seen.end()) {
+    return std::nullopt;
+  }
+  std::optional<std::uint64_t> sole;
+  for (const auto& [software, at] : seen->second) {
+    if (now - at > kSoftwareSpan) {
+      continue;
+    }
+    if (sole) {
+      return std::nullopt;
+    }
+    sole = software;
+  }
+  return sole;
+}
+
 std::vector<BackendServerName> ServerTable::Expire(TimePoint now) {
   std::vector<BackendServerName> expired;
   for (const auto& [name, server] : this->servers) {
--- a/packages/policy/tests/server_table_tests.cc
+++ b/packages/policy/tests/server_table_tests.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 
+#include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/random_source.h"
 
 namespace tamarackwing::policy {
@@ -58,6 +59,38 @@
   ServerTable table{Limits()};
 };
 
+TEST_F(ServerTableTest, StreamGoesOnOnlyAtServersOfItsSoftwareVersion) {
+  ServerReport first = Report("x");
+  first.software = "v1";
+  ServerReport second = Report("y");
+  second.software = "v2";
+  this->table.Announce(first, this->clock.Now());
+  this->table.Announce(second, this->clock.Now());
+  ServerQuery query = Query();
+  query.software = Sha256Prefix("v1");
+  EXPECT_EQ(this->PickMany(query, 20), (std::map<std::string, int>{{"x", 20}}));
+  // A new process of the same name may have another version.
+  first.software = "v2";
+  first.started = milliseconds(1);
+  this->table.Announce(first, this->clock.Now());
+  EXPECT_TRUE(this->PickMany(query, 20).empty());
+}
+
+TEST_F(ServerTableTest, SoftwareVersionIsSoleAMinuteAfterTheLastOfAnother) {
+  ServerReport report = Report("x");
+  EXPECT_FALSE(this->table.SoleSoftware("drafter@3", this->clock.Now()));
+  for (const char* version : {"v1", "v2"}) {
+    report.software = version;
+    report.started += milliseconds(1);
+    this->table.Announce(report, this->clock.Now());
+  }
+  EXPECT_FALSE(this->table.SoleSoftware("drafter@3", this->clock.Now()));
+  this->clock.Advance(std::chrono::seconds(61));
+  this->table.Announce(report, this->clock.Now());
+  EXPECT_EQ(this->table.SoleSoftware("drafter@3", this->clock.Now()),
+            Sha256Prefix("v2"));
+}
+
 TEST_F(ServerTableTest, PrefersIdleServerOverBusyOne) {
   this->table.Announce(Report("idle"), this->clock.Now());
   this->table.Announce(Report("busy", 40), this->clock.Now());
