policy, gateway: hosts report their quarantine and crashes at the start of each term

A host that leads again in a new term has the same name but begins with neither crashes nor a quarantine: once it had settled, its next notice would have released everything, and the crashes were lost. So would those of a second change within three seconds. The class: the state of a term is identified by a host's name.

Notices carry the leader's term, in a field that older hosts ignore. A leader sends one at the start of its term and each second until it has settled; a host that sees another term reports its crashes again, and its quarantine while the leader awaits them.

QuarantineJudgeTest.LeaderAsksTheHostsAtTheBeginningOfEachTerm and BlockQuarantineTest.LeaderOfANewTermLearnsQuarantineAndCrashes fail with the decisions taken out by hand and pass with them. StartTerm's new argument is the only change to the tests that existed.

--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -99,7 +99,7 @@
   const QuarantineOptions options;
   QuarantineJudge judge{options};
   clock.Advance(std::chrono::hours(1));
-  judge.StartTerm(clock.Now());
+  judge.StartTerm(1, clock.Now());
   SeededRandom random(1);
   for (std::size_t i = 0; i < options.max_crashes; ++i) {
     CrashReport report;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -503,7 +503,7 @@
     this->was_leader = true;
     this->leader_tasks.StartTerm(now);
     this->rates.StartTerm(this->EntryHosts(), now);
-    this->judge.StartTerm(now);
+    this->judge.StartTerm(this->log.CurrentTerm(), now);
     this->pending_tasks.clear();
     this->proposals.ClearForwarded();
     LogEvent(Event::kLeaderElected, LogLevel::kInfo,
--- a/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
+++ b/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
@@ -86,7 +86,10 @@
   policy::CrashObserver observer;
   std::map<policy::BlockDigest, Entry> entries;
   std::uint64_t number = 0;
-  bool had_new_leader = false;
+  //! Term of the leader that the last notice came from.
+  std::uint64_t term = 0;
+  //! Whether that leader awaits the hosts' quarantines.
+  bool is_awaited = false;
 };
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/block_quarantine.cc
+++ b/packages/gateway/src/block_quarantine.cc
@@ -119,16 +119,12 @@
       return now - entry.second.confirmed > kHold;
     });
     report.number = ++this->number;
-    if (is_new_leader && !this->had_new_leader) {
-      this->observer.ReportAgain();
-    }
-    this->had_new_leader = is_new_leader;
     new_crashes = this->observer.AddTo(report, now);
     for (auto& [block, entry] : this->entries) {
       if (entry.refused && now - *entry.refused <= kDemand) {
         report.refused.push_back(block);
       }
-      if (is_new_leader) {
+      if (is_new_leader || this->is_awaited) {
         report.held.push_back(
             {block, Until(entry.next_trial, now), entry.failed_trials});
       }
@@ -146,7 +142,13 @@
 void BlockQuarantine::Accept(const policy::QuarantineNotice& notice) {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
-  this->observer.Acknowledge(notice.number);
+  this->is_awaited = !notice.complete;
+  if (notice.term == this->term) {
+    this->observer.Acknowledge(notice.number);
+  } else {
+    this->term = notice.term;
+    this->observer.ReportAgain();
+  }
   this->observer.Watch(notice.watched);
   std::set<BlockDigest> listed;
   for (const policy::QuarantinedBlock& block : notice.quarantined) {
--- a/packages/gateway/tests/block_quarantine_tests.cc
+++ b/packages/gateway/tests/block_quarantine_tests.cc
@@ -84,6 +84,31 @@
   EXPECT_EQ(report->held[0].next_trial, seconds(5));
 }
 
+TEST_F(BlockQuarantineTest, LeaderOfANewTermLearnsQuarantineAndCrashes) {
+  this->Quarantine();
+  this->quarantine.NoteBroken(BackendServerName("i-1"), "a", kSound, {});
+  this->clock.Advance(milliseconds(250));
+  policy::QuarantineNotice notice;
+  notice.complete = true;
+  notice.number = this->quarantine.MakeReport(false)->number;
+  notice.quarantined = {{kDeadly, seconds(5), 0}};
+  this->quarantine.Accept(notice);
+  ASSERT_FALSE(this->quarantine.MakeReport(false).has_value());
+  // The same host may lead again, and twice within moments.
+  for (const std::uint64_t term : {7U, 8U}) {
+    policy::QuarantineNotice of_term;
+    of_term.term = term;
+    this->quarantine.Accept(of_term);
+    const auto report = this->quarantine.MakeReport(false);
+    ASSERT_TRUE(report.has_value());
+    EXPECT_EQ(report->held.size(), 1U);
+    EXPECT_EQ(report->crashes.size(), 1U);
+    of_term.number = report->number;
+    this->quarantine.Accept(of_term);
+    EXPECT_TRUE(this->quarantine.MakeReport(false)->crashes.empty());
+  }
+}
+
 TEST_F(BlockQuarantineTest, HostWithoutLeaderKeepsItsQuarantineForMinutes) {
   this->Quarantine();
   this->clock.Advance(std::chrono::minutes(9));
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -328,6 +328,7 @@
   watched @2 :List(UInt64);
   quarantined @3 :List(QuarantinedBlock);
   trials @4 :List(UInt64);
+  term @5 :UInt64;
 }
 
 struct StreamOrigin {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -817,7 +817,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5055214dee5ffe9, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d5055214dee5ffe9, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5637,6 +5637,8 @@
   inline bool hasTrials() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTrials() const;
 
+  inline  ::uint64_t getTerm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5694,6 +5696,9 @@
   inline void adoptTrials(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTrials();
 
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10835,6 +10840,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t QuarantineNotice::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineNotice::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StreamOrigin::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -599,6 +599,7 @@
         to.initQuarantined(static_cast<unsigned>(value.quarantined.size())));
     WriteNumbers(value.trials,
                  to.initTrials(static_cast<unsigned>(value.trials.size())));
+    to.setTerm(value.term);
   }
   void operator()(const policy::StreamBegun& value) {
     auto to = this->out.initStreamBegun();
@@ -848,6 +849,7 @@
   notice.watched = ReadNumbers(in.getWatched());
   notice.quarantined = ReadQuarantined(in.getQuarantined());
   notice.trials = ReadNumbers(in.getTrials());
+  notice.term = in.getTerm();
   return notice;
 }
 
--- a/packages/policy/include/tamarackwing/policy/crash_messages.h
+++ b/packages/policy/include/tamarackwing/policy/crash_messages.h
@@ -64,6 +64,9 @@
 struct QuarantineNotice {
   //! Number of the report that it acknowledges; zero if none.
   std::uint64_t number = 0;
+  //! Term of the leader, which began it with neither crashes nor a quarantine;
+  //! zero if unknown.
+  std::uint64_t term = 0;
   //! Whether blocks that are not listed are released. A new leader does not
   //! know the quarantine until the hosts have reported it.
   bool complete = false;
--- a/packages/policy/include/tamarackwing/policy/quarantine_judge.h
+++ b/packages/policy/include/tamarackwing/policy/quarantine_judge.h
@@ -88,13 +88,15 @@
   explicit QuarantineJudge(QuarantineOptions options);
   ~QuarantineJudge();
 
-  //! Starts a leader's term with neither evidence nor a quarantine.
-  void StartTerm(TimePoint now);
+  //! Starts a leader's term with neither evidence nor a quarantine, and asks
+  //! the hosts for theirs.
+  void StartTerm(std::uint64_t term, TimePoint now);
   //! Applies a host's report and returns the reply, which may grant the host a
   //! trial.
   QuarantineNotice Handle(const CrashReport& report, TimePoint now);
   //! Returns the notice that is due for all hosts, if any: after a change at
-  //! once, otherwise at intervals while blocks are watched or quarantined.
+  //! once, otherwise at intervals while blocks are watched or quarantined, or
+  //! the hosts' reports are awaited.
   std::optional<QuarantineNotice> Due(TimePoint now);
   //! Returns the decisions since the last call.
   std::vector<QuarantineVerdict> TakeVerdicts();
@@ -158,7 +160,10 @@
   static bool IsStronger(const Case& a, const Case& b);
   QuarantineNotice MakeNotice(TimePoint now) const;
 
+  bool IsSettling(TimePoint now) const;
+
   QuarantineOptions options;
+  std::uint64_t term = 0;
   TimePoint term_start;
   std::deque<Crash> crashes;
   std::map<BlockDigest, TimePoint> answered;
--- a/packages/policy/src/quarantine_judge.cc
+++ b/packages/policy/src/quarantine_judge.cc
@@ -20,8 +20,10 @@
 
 QuarantineJudge::~QuarantineJudge() = default;
 
-void QuarantineJudge::StartTerm(TimePoint now) {
+void QuarantineJudge::StartTerm(std::uint64_t new_term, TimePoint now) {
+  this->term = new_term;
   this->term_start = now;
+  this->changed = true;
   this->crashes.clear();
   this->answered.clear();
   this->quarantined.clear();
@@ -79,8 +81,9 @@
     this->Expire(now);
     this->Decide(now);
   }
-  const bool is_empty = this->quarantined.empty() && this->watched.empty();
-  const bool repeats = !is_empty && now - this->sent >= this->options.repeat;
+  const bool is_needed = !this->quarantined.empty() || !this->watched.empty() ||
+                         this->IsSettling(now);
+  const bool repeats = is_needed && now - this->sent >= this->options.repeat;
   const bool is_change_due =
       this->changed && now - this->sent >= this->options.min_interval;
   if (!is_change_due && !repeats) {
@@ -174,7 +177,7 @@
 }
 
 void QuarantineJudge::Adopt(const QuarantinedBlock& held, TimePoint now) {
-  const bool is_settling = now - this->term_start <= this->options.settle;
+  const bool is_settling = this->IsSettling(now);
   const auto known = this->quarantined.find(held.block);
   if (is_settling && known != this->quarantined.end()) {
     Quarantined& entry = known->second;
@@ -370,9 +373,14 @@
   }
 }
 
+bool QuarantineJudge::IsSettling(TimePoint now) const {
+  return now - this->term_start <= this->options.settle;
+}
+
 QuarantineNotice QuarantineJudge::MakeNotice(TimePoint now) const {
   QuarantineNotice notice;
-  notice.complete = now - this->term_start > this->options.settle;
+  notice.term = this->term;
+  notice.complete = !this->IsSettling(now);
   for (const auto& [block, since] : this->watched) {
     notice.watched.push_back(block);
   }
--- a/packages/policy/tests/quarantine_judge_tests.cc
+++ b/packages/policy/tests/quarantine_judge_tests.cc
@@ -24,7 +24,7 @@
 class QuarantineJudgeTest : public testing::Test {
  protected:
   QuarantineJudgeTest() {
-    this->judge.StartTerm(this->now);
+    this->judge.StartTerm(1, this->now);
     this->Wait(seconds(10));
   }
 
@@ -251,7 +251,7 @@
 TEST_F(QuarantineJudgeTest, NewLeaderAdoptsTheQuarantineOfTheHosts) {
   this->ThreeCrashes({kDeadly});
   QuarantineJudge next{QuarantineOptions()};
-  next.StartTerm(this->now);
+  next.StartTerm(1, this->now);
   const auto early = next.Handle({}, this->now);
   EXPECT_FALSE(early.complete);
   CrashReport report;
@@ -364,13 +364,24 @@
   EXPECT_EQ(this->last.quarantined.size(), options.max_quarantined);
 }
 
+TEST_F(QuarantineJudgeTest, LeaderAsksTheHostsAtTheBeginningOfEachTerm) {
+  this->ThreeCrashes({kDeadly});
+  this->judge.StartTerm(2, this->now);
+  const auto first = this->judge.Due(this->now + milliseconds(50));
+  ASSERT_TRUE(first.has_value());
+  EXPECT_EQ(first->term, 2U);
+  EXPECT_FALSE(first->complete);
+  const auto second = this->judge.Due(this->now + seconds(2));
+  EXPECT_TRUE(second.has_value()) << "the first may be lost";
+}
+
 TEST_F(QuarantineJudgeTest, NewLeaderRepeatsNoTrialThatIsUnderWay) {
   this->ThreeCrashes({kDeadly});
   this->Wait(seconds(5));
   ASSERT_TRUE(this->Refuse(kDeadly));
   this->Wait(milliseconds(250));
   QuarantineJudge next{QuarantineOptions()};
-  next.StartTerm(this->now);
+  next.StartTerm(1, this->now);
   const milliseconds passed = seconds(2);
   QuarantinedBlock held = this->last.quarantined.at(0);
   held.next_trial = std::max(milliseconds(0), held.next_trial - passed);
@@ -399,7 +410,7 @@
   static constexpr milliseconds kTrialLife{8'000};
 
   explicit RandomFleet(std::uint64_t seed) : random(seed) {
-    this->judge.StartTerm(this->now);
+    this->judge.StartTerm(1, this->now);
     this->now += seconds(10);
   }
 
