policy: software versions of targets that are gone are forgotten

ServerTable kept when each version of a target was last reported, and removed old ones only when the same target was reported again: targets that servers no longer name stayed for ever. Expire now drops them.

ServerTableTest.VersionsOfTargetsThatAreGoneAreForgotten is new; it needs the new count and so does not compile before. A header's name of the users' platform is gone from the gateway's tests.

--- a/packages/gateway/tests/path_call_tests.cc
+++ b/packages/gateway/tests/path_call_tests.cc
@@ -22,7 +22,7 @@
 TEST(ContentDigest, IsTheSameForEachTryOfACaller) {
   PathCall repeated = Call();
   repeated.id = "a2";
-  repeated.passed.Add("Length-Hint", "12");
+  repeated.passed.Add("X-Estimate", "12");
   repeated.caller_timeout = std::chrono::milliseconds(700);
   repeated.shared_blocks = {1, 2};
   EXPECT_EQ(DigestContent(kWorkspace, Call()),
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -226,6 +226,8 @@
                                             TimePoint now) const;
   //! Returns the number of known servers.
   std::size_t Count() const { return this->servers.size(); }
+  //! Returns the number of targets whose servers' versions are remembered.
+  std::size_t RememberedTargets() const { return this->software_seen.size(); }
 
  private:
   struct Server;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -255,11 +255,7 @@
                                std::uint64_t software,
                                TimePoint now) {
   for (const std::string& target : targets) {
-    auto& seen = this->software_seen[target];
-    seen[software] = now;
-    std::erase_if(seen, [&](const auto& version) {
-      return now - version.second > kSoftwareSpan;
-    });
+    this->software_seen[target][software] = now;
   }
 }
 
@@ -304,6 +300,13 @@
     }
     this->servers.erase(name);
   }
+  for (auto& [target, versions] : this->software_seen) {
+    std::erase_if(versions, [&](const auto& version) {
+      return now - version.second > kSoftwareSpan;
+    });
+  }
+  std::erase_if(this->software_seen,
+                [](const auto& target) { return target.second.empty(); });
   return expired;
 }
 
--- a/packages/policy/tests/server_table_tests.cc
+++ b/packages/policy/tests/server_table_tests.cc
@@ -76,6 +76,18 @@
   EXPECT_TRUE(this->PickMany(query, 20).empty());
 }
 
+TEST_F(ServerTableTest, VersionsOfTargetsThatAreGoneAreForgotten) {
+  for (int i = 0; i < 100; ++i) {
+    ServerReport report = Report("x" + std::to_string(i));
+    report.targets = {"target-" + std::to_string(i)};
+    this->table.Announce(report, this->clock.Now());
+  }
+  ASSERT_EQ(this->table.RememberedTargets(), 100U);
+  this->clock.Advance(std::chrono::seconds(61));
+  this->table.Expire(this->clock.Now());
+  EXPECT_EQ(this->table.RememberedTargets(), 0U);
+}
+
 TEST_F(ServerTableTest, SoftwareVersionIsSoleAMinuteAfterTheLastOfAnother) {
   ServerReport report = Report("x");
   EXPECT_FALSE(this->table.SoleSoftware("drafter@3", this->clock.Now()));
