gateway: a stream that its caller goes on with is not shed

ShouldAdmit sheds streams by the wait for a slot, but not calls that a server may already have run. A caller that goes on with a stream has got its beginning, and was shed like a new one; bound to the servers of one version, it also waits longer than new ones. It is now completed like the others.

A call with a stream that ends for want of a retry, with a server in reach, is again logged as no_backend_server, not as version_gone.

No test of its own: the shedding of path calls has none below the bench.

--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -362,8 +362,9 @@
       if (allowance && !this->shed) {
         this->retry_after = std::max(this->retry_after, CeilMs(*allowance));
       }
-      const RefusalCode none = this->has_begun ? RefusalCode::kVersionGone
-                                               : RefusalCode::kNoBackendServer;
+      const RefusalCode none = this->has_begun && !target
+                                   ? RefusalCode::kVersionGone
+                                   : RefusalCode::kNoBackendServer;
       co_return this->StopRefusal(this->shed ? RefusalCode::kQueueFull : none);
     }
     const TryOutcome try_outcome = co_await this->Try(*target);
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -128,10 +128,10 @@
 }
 
 bool PathRequest::TryAdmit(Duration wait) {
-  // Only streams are shed. A call that may already have run is completed
-  // wherever possible.
+  // Only streams are shed. A call that may already have run, or whose caller
+  // has got the beginning of its stream, is completed wherever possible.
   if (this->route->kind != state::PathKind::kStream ||
-      this->plan->MayHaveRun()) {
+      this->plan->MayHaveRun() || this->has_begun) {
     return true;
   }
   const milliseconds latency_target =
