gateway: the origin of a stream is remembered while the stream goes on

Where a stream began was recorded once, with its first event, and forgotten after two minutes: a stream that lasts longer, or one that its callers go on with for longer, could then not be resumed by its caller, though nothing had failed. The class: state that expires by age, not by use.

The host that serves the caller records it again each minute while events pass, and when it takes the stream up, under the attempt that began it.

StreamOriginsTest.StreamThatGoesOnIsNotForgotten does not compile before (kLife was private). The interval itself is seen by no test: none lasts a minute.

--- a/packages/gateway/include/tamarackwing/gateway/stream_origins.h
+++ b/packages/gateway/include/tamarackwing/gateway/stream_origins.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -21,7 +22,8 @@
                            const std::string& attempt);
 
 //! Where streams began, on this host and on others that told it: a caller may
-//! go on with a stream at any host. Bounded; the oldest are forgotten.
+//! go on with a stream at any host. Bounded; streams are forgotten some time
+//! after the last word about them.
 //! Thread safety: callable from any thread.
 class StreamOrigins {
  public:
@@ -33,6 +35,8 @@
     std::function<void(std::uint64_t stream, Callback)> ask;
   };
 
+  //! Time since the last word about a stream after which it is forgotten.
+  static constexpr std::chrono::seconds kLife{120};
   //! Max streams that are remembered.
   static constexpr std::size_t kMaxStreams = 65'536;
 
@@ -41,7 +45,8 @@
 
   //! Precondition: called before traffic starts.
   void SetKeepers(Keepers others);
-  //! Records where a stream of this host began and tells its keepers.
+  //! Records where a stream of this host began and tells its keepers. To be
+  //! repeated within kLife while the stream goes on.
   void NoteBegun(std::uint64_t stream, const policy::StreamOrigin& origin);
   //! Records what another host told.
   void Keep(const policy::StreamBegun& begun);
@@ -56,11 +61,16 @@
   //! Forgets old streams. Precondition: `mutex` is locked.
   void Expire(TimePoint now);
 
+  struct Entry {
+    policy::StreamOrigin origin;
+    TimePoint heard;
+  };
+
   const Clock& clock;
   Keepers keepers;
   mutable std::mutex mutex;
-  std::unordered_map<std::uint64_t, policy::StreamOrigin> origins;
-  //! The streams and when they were recorded, oldest first.
+  std::unordered_map<std::uint64_t, Entry> origins;
+  //! Each word about a stream, oldest first.
   std::deque<std::pair<TimePoint, std::uint64_t>> order;
 };
 
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -212,8 +212,9 @@
   } else if (!this->call.resumes.empty()) {
     using Found = std::optional<policy::StreamOrigin>;
     const auto handoff = std::make_shared<http::Handoff<Found>>(this->executor);
+    this->stream = DigestStream(this->grant.workspace, this->call.resumes);
     this->gateway.Dependencies().streams.Find(
-        DigestStream(this->grant.workspace, this->call.resumes),
+        *this->stream,
         [handoff](Found found) { handoff->Set(std::move(found)); });
     const auto found = co_await handoff->Wait(
         std::min(this->deadline, this->started + kMaxOriginWait));
@@ -257,21 +258,26 @@
   co_return std::nullopt;
 }
 
-void PathRequest::NoteBegun(const Target& target) {
-  if (this->has_begun) {
-    return;
-  }
-  this->has_begun = true;
-  if (target.server) {
-    this->origin = policy::StreamOrigin{Sha256Prefix(this->service),
-                                        target.server->software_digest,
-                                        this->gateway.Settings().region};
-  } else {
-    this->origin = this->forwarded_origin;
+void PathRequest::NoteEvents(const Target& target) {
+  if (!this->has_begun) {
+    this->has_begun = true;
+    this->stream = DigestStream(this->grant.workspace, this->call.id);
+    if (target.server) {
+      this->origin = policy::StreamOrigin{Sha256Prefix(this->service),
+                                          target.server->software_digest,
+                                          this->gateway.Settings().region};
+    } else {
+      this->origin = this->forwarded_origin;
+    }
   }
-  if (this->IsRepeatable() && this->origin && !this->forwarded) {
-    this->gateway.Dependencies().streams.NoteBegun(
-        DigestStream(this->grant.workspace, this->call.id), *this->origin);
+  const TimePoint now = this->gateway.Dependencies().clock.Now();
+  const bool is_due = !this->origin_noted ||
+                      now - *this->origin_noted >= StreamOrigins::kLife / 2;
+  if (this->IsRepeatable() && this->origin && this->stream &&
+      !this->forwarded && is_due) {
+    this->origin_noted = now;
+    this->gateway.Dependencies().streams.NoteBegun(*this->stream,
+                                                   *this->origin);
   }
 }
 
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -58,8 +58,9 @@
   //! Chooses the service at which the stream began, if the call goes on with
   //! one, or one of the route's services by their weights.
   void ChooseService();
-  //! Records where the stream begins, with its first event.
-  void NoteBegun(const Target& target);
+  //! Records where the stream began, with its first event and at intervals
+  //! while it goes on.
+  void NoteEvents(const Target& target);
   bool MayRunIn(const RegionName& region) const;
   http::asio::awaitable<Outcome> ReserveTokens();
   http::asio::awaitable<Outcome> TryAll();
@@ -183,6 +184,11 @@
   //! Where the stream began; if unknown, a stream that has begun is not
   //! resumed.
   std::optional<policy::StreamOrigin> origin;
+  //! Identifies the stream (see DigestStream); nullopt if it is unknown which
+  //! one the call goes on with.
+  std::optional<std::uint64_t> stream;
+  //! When the stream's origin was last recorded.
+  std::optional<TimePoint> origin_noted;
   //! Where the stream begins if the other host's response is passed on.
   std::optional<policy::StreamOrigin> forwarded_origin;
   std::string peer;
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -328,7 +328,7 @@
     const http::ResponseHead& head,
     const std::string& events) {
   if (!events.empty()) {
-    this->NoteBegun(target);
+    this->NoteEvents(target);
   }
   // The head is sent with the first event: until then another server may be
   // tried.
--- a/packages/gateway/src/stream_origins.cc
+++ b/packages/gateway/src/stream_origins.cc
@@ -5,13 +5,6 @@
 #include "tamarackwing/base/digest.h"
 
 namespace tamarackwing::gateway {
-namespace {
-
-//! Longer than a caller goes on with a stream.
-constexpr std::chrono::seconds kLife{120};
-
-}  // namespace
-
 std::uint64_t DigestStream(const WorkspaceName& workspace,
                            const std::string& attempt) {
   std::string identity = workspace.Text();
@@ -39,9 +32,10 @@
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
   // The first word stands: an attempt begins one stream.
-  if (this->origins.emplace(begun.stream, begun.origin).second) {
-    this->order.emplace_back(now, begun.stream);
-  }
+  const auto entry =
+      this->origins.try_emplace(begun.stream, Entry{begun.origin, now}).first;
+  entry->second.heard = now;
+  this->order.emplace_back(now, begun.stream);
   this->Expire(now);
 }
 
@@ -51,7 +45,7 @@
   if (found == this->origins.end()) {
     return std::nullopt;
   }
-  return found->second;
+  return found->second.origin;
 }
 
 void StreamOrigins::Find(std::uint64_t stream, Callback callback) {
@@ -71,8 +65,12 @@
 void StreamOrigins::Expire(TimePoint now) {
   while (!this->order.empty() && (this->order.size() > kMaxStreams ||
                                   now - this->order.front().first > kLife)) {
-    this->origins.erase(this->order.front().second);
+    const auto [at, stream] = this->order.front();
     this->order.pop_front();
+    const auto entry = this->origins.find(stream);
+    if (entry != this->origins.end() && entry->second.heard == at) {
+      this->origins.erase(entry);
+    }
   }
 }
 
--- a/packages/gateway/tests/stream_origins_tests.cc
+++ b/packages/gateway/tests/stream_origins_tests.cc
@@ -57,6 +57,17 @@
             DigestStream(WorkspaceName("voje"), "a1"));
 }
 
+TEST_F(StreamOriginsTest, StreamThatGoesOnIsNotForgotten) {
+  for (int i = 0; i < 10; ++i) {
+    this->origins.Keep({7, kOrigin});
+    this->origins.Keep({100U + static_cast<std::uint64_t>(i), kOther});
+    this->clock.Advance(StreamOrigins::kLife / 2);
+  }
+  EXPECT_EQ(this->Find(7), kOrigin);
+  EXPECT_FALSE(this->Find(100).has_value());
+  EXPECT_LE(this->origins.Size(), 4U);
+}
+
 TEST_F(StreamOriginsTest, MemoryIsBoundedByNumberAndTime) {
   for (std::uint64_t i = 0; i < StreamOrigins::kMaxStreams + 100; ++i) {
     this->origins.Keep({i, kOrigin});
