gateway: log and count how the bodies of answers were framed and how they ended

The record of broken-off answers cannot tell whether a connection ended inside an event, between two, or was reset: a stream that was passed on as complete left the same line in each case. 5003 and 5004 now name the framing and the end of the last answer's body, and tamarackwing_answers_total counts both (3 x 5 values).

The four places that read an answer's body to its end (streams and other answers of path routes, of the own interface, and operations) read it through AnswerReader, which holds the decision that stood twice. No answer is judged otherwise than before.

--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -477,18 +477,21 @@
   }
   const Duration sent_for =
       this->gateway.Dependencies().clock.Now() - this->try_started;
-  LogEvent(Event::kTryEnded, LogLevel::kInfo,
-           {{"request", this->call.id},
-            {"service", this->service},
-            {"peer", this->peer},
-            {"software", this->software},
-            {"forwarded", target.host ? "yes" : "no"},
-            {"end", std::string(OutcomeName(try_outcome))},
-            {"answer", std::string(StageName(this->answer_stage))},
-            {"sent_ms", std::to_string(CeilMs(sent_for).count())},
-            {"content", ToHex(this->content)},
-            {"blocks", ToHexList(this->call.shared_blocks, kLoggedBlocks)},
-            {"left_ms", std::to_string(this->TimeLeft().count())}});
+  LogEvent(
+      Event::kTryEnded, LogLevel::kInfo,
+      {{"request", this->call.id},
+       {"service", this->service},
+       {"peer", this->peer},
+       {"software", this->software},
+       {"forwarded", target.host ? "yes" : "no"},
+       {"end", std::string(OutcomeName(try_outcome))},
+       {"answer", std::string(StageName(this->answer_stage))},
+       {"body", std::string(AnswerEndName(this->answer_end))},
+       {"framing", std::string(http::BodyFramingName(this->answer_framing))},
+       {"sent_ms", std::to_string(CeilMs(sent_for).count())},
+       {"content", ToHex(this->content)},
+       {"blocks", ToHexList(this->call.shared_blocks, kLoggedBlocks)},
+       {"left_ms", std::to_string(this->TimeLeft().count())}});
 }
 
 void PathRequest::Finish(const Outcome& refusal) {
@@ -503,30 +506,33 @@
                              outcome + "\"}");
   dependencies.metrics.Record("tamarackwing_path_call_seconds", took);
   const std::size_t sends = this->plan ? this->plan->Sends() : 0;
-  LogEvent(Event::kRequestEnded, LogLevel::kInfo,
-           {{"request", this->call.id},
-            {"outcome", outcome},
-            {"ran", refusal && refusal->ran == Ran::kNo ? "no" : "maybe"},
-            {"route", this->route == nullptr ? "" : this->route->name.Text()},
-            {"workspace", this->grant.workspace.Text()},
-            {"tokens", std::to_string(this->tokens)},
-            {"set", std::to_string(this->snapshot->set_number)},
-            {"word_age_ms", std::to_string(this->leader_contact_age.count())},
-            {"peer", this->peer},
-            {"software", this->software},
-            {"resumes", this->call.resumes},
-            {"sends", std::to_string(sends)},
-            {"load", std::to_string(this->server_load)},
-            {"wait_ms", std::to_string(CeilMs(this->slot_wait).count())},
-            {"first_ms",
-             this->first_byte_at
-                 ? std::to_string(
-                       CeilMs(*this->first_byte_at - this->started).count())
-                 : ""},
-            {"gap_ms", std::to_string(CeilMs(this->longest_gap).count())},
-            {"last_event",
-             this->last_event ? std::to_string(*this->last_event) : ""},
-            {"ms", std::to_string(CeilMs(took).count())}});
+  LogEvent(
+      Event::kRequestEnded, LogLevel::kInfo,
+      {{"request", this->call.id},
+       {"outcome", outcome},
+       {"ran", refusal && refusal->ran == Ran::kNo ? "no" : "maybe"},
+       {"route", this->route == nullptr ? "" : this->route->name.Text()},
+       {"workspace", this->grant.workspace.Text()},
+       {"tokens", std::to_string(this->tokens)},
+       {"set", std::to_string(this->snapshot->set_number)},
+       {"word_age_ms", std::to_string(this->leader_contact_age.count())},
+       {"peer", this->peer},
+       {"software", this->software},
+       {"resumes", this->call.resumes},
+       {"body", std::string(AnswerEndName(this->answer_end))},
+       {"framing", std::string(http::BodyFramingName(this->answer_framing))},
+       {"sends", std::to_string(sends)},
+       {"load", std::to_string(this->server_load)},
+       {"wait_ms", std::to_string(CeilMs(this->slot_wait).count())},
+       {"first_ms",
+        this->first_byte_at
+            ? std::to_string(
+                  CeilMs(*this->first_byte_at - this->started).count())
+            : ""},
+       {"gap_ms", std::to_string(CeilMs(this->longest_gap).count())},
+       {"last_event",
+        this->last_event ? std::to_string(*this->last_event) : ""},
+       {"ms", std::to_string(CeilMs(took).count())}});
   Span span;
   span.context = this->trace;
   span.name = this->forwarded ? "serve forwarded path" : "serve path";
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "answer_reader.h"
 #include "event_splitter.h"
 #include "tamarackwing/backend_servers/connection_pool.h"
 #include "tamarackwing/base/trace_context.h"
@@ -104,6 +105,8 @@
   http::asio::awaitable<std::optional<http::Response>> ReadFullResponse(
       http::Connection& connection,
       http::ResponseHead head);
+  //! Records how the body of an answer ended, if it has.
+  void NoteEnd(const http::Connection& connection, AnswerEnd end);
   //! Reads a complete response into `held_response`.
   http::asio::awaitable<policy::TryOutcome> BufferResponse(
       http::Connection& connection,
@@ -198,6 +201,9 @@
   //! When the last try began.
   TimePoint try_started;
   AnswerStage answer_stage = AnswerStage::kNone;
+  //! How the body of the last try's answer ended, and how it was framed.
+  AnswerEnd answer_end = AnswerEnd::kOpen;
+  http::BodyFraming answer_framing = http::BodyFraming::kLength;
   //! Whether the last try ended because its connection broke.
   bool connection_broke = false;
   //! Whether the call may be sent to one server of this region only.
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -114,6 +114,7 @@
   auto acquired =
       co_await pool.Acquire(target.endpoint, this->deadline, max_idle);
   this->answer_stage = AnswerStage::kNone;
+  this->answer_end = AnswerEnd::kOpen;
   this->connection_broke = false;
   this->is_sound = false;
   this->signal = policy::HealthSignal::kInconclusive;
@@ -232,24 +233,38 @@
                               http::ResponseHead head) {
   http::Response response;
   response.head = std::move(head);
+  AnswerReader reader(connection, nullptr);
   while (true) {
-    auto piece = co_await connection.ReadPiece(this->deadline);
+    auto piece = co_await reader.Read(this->deadline);
     const std::size_t max_bytes = this->gateway.Settings().answer_bytes;
+    this->NoteEnd(connection, reader.End());
     if (!piece) {
       this->HandleConnectionError(piece.error());
       co_return std::nullopt;
     }
-    if (response.body.size() + piece->size() > max_bytes) {
+    if (response.body.size() + piece->bytes.size() > max_bytes) {
       this->HandleConnectionError(http::ConnectionError::kMalformed);
       co_return std::nullopt;
     }
-    if (piece->empty()) {
+    if (piece->is_end) {
       co_return response;
     }
-    response.body += *piece;
+    response.body += piece->bytes;
   }
 }
 
+void PathRequest::NoteEnd(const http::Connection& connection, AnswerEnd end) {
+  if (end == AnswerEnd::kOpen) {
+    return;
+  }
+  this->answer_end = end;
+  this->answer_framing = connection.Framing();
+  this->gateway.Dependencies().metrics.Count(
+      "tamarackwing_answers_total{framing=\"" +
+      std::string(http::BodyFramingName(this->answer_framing)) + "\",end=\"" +
+      std::string(AnswerEndName(end)) + "\"}");
+}
+
 http::asio::awaitable<TryOutcome> PathRequest::BufferResponse(
     http::Connection& connection,
     http::ResponseHead head) {
@@ -272,10 +287,12 @@
       std::max(kMinGapTimeout, kGapMultiple * this->route->target_gap);
   this->events.DropRest();
   const TimePoint body_started = this->gateway.Dependencies().clock.Now();
+  AnswerReader reader(connection, &this->events);
   while (true) {
     const TimePoint now = this->gateway.Dependencies().clock.Now();
-    auto piece = co_await connection.ReadPiece(
-        std::min(this->deadline, now + gap_timeout));
+    auto piece =
+        co_await reader.Read(std::min(this->deadline, now + gap_timeout));
+    this->NoteEnd(connection, reader.End());
     if (!piece) {
       co_return this->HandleConnectionError(piece.error());
     }
@@ -285,21 +302,13 @@
     this->NoteBytes();
     this->NoteLongAnswer(target, body_started);
     this->answer_stage = AnswerStage::kBody;
-    const bool is_end = piece->empty();
-    const std::string complete_events = this->events.Add(*piece);
-    if (is_end && !this->events.IsBetweenEvents()) {
-      co_return this->HandleConnectionError(http::ConnectionError::kReadFailed);
-    }
-    if (this->events.RestBytes() > kMaxEventBytes) {
-      co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
-    }
-    if (!complete_events.empty() || is_end) {
-      if (!co_await this->WriteEvents(target, head, complete_events)) {
+    if (!piece->bytes.empty() || piece->is_end) {
+      if (!co_await this->WriteEvents(target, head, piece->bytes)) {
         this->caller_gone = true;
         co_return TryOutcome::kLost;
       }
     }
-    if (is_end) {
+    if (piece->is_end) {
       if (target.server && this->first_byte_at) {
         this->gateway.Dependencies().servers.NoteRun(
             this->service, this->last_byte_at - *this->first_byte_at);
--- a/packages/gateway/src/served_operation.cc
+++ b/packages/gateway/src/served_operation.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "answer_reader.h"
 #include "backend_exchange.h"
 #include "served_request.h"
 #include "tamarackwing/base/digest.h"
@@ -131,19 +132,20 @@
     if (sent) {
       auto head = co_await connection.ReadHead(until);
       OperationAnswer answer;
+      AnswerReader reader(connection, nullptr);
       while (head) {
-        auto piece = co_await connection.ReadPiece(until);
-        if (!piece || answer.body.size() + piece->size() >
+        auto piece = co_await reader.Read(until);
+        if (!piece || answer.body.size() + piece->bytes.size() >
                           this->gateway.Settings().answer_bytes) {
           break;
         }
-        if (piece->empty()) {
+        if (piece->is_end) {
           answer.status = head->status;
           answer.content_type = ContentType(*head);
           complete = true;
           break;
         }
-        answer.body += *piece;
+        answer.body += piece->bytes;
       }
       this->operation_answer = std::move(answer);
     }
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "answer_reader.h"
 #include "backend_exchange.h"
 #include "backend_request.h"
 #include "tamarackwing/base/digest.h"
@@ -431,23 +432,24 @@
                                  http::ResponseHead head) {
   http::Response response;
   response.head = RelayedHead(head);
+  AnswerReader reader(connection, nullptr);
   while (true) {
-    auto piece = co_await connection.ReadPiece(this->deadline);
+    auto piece = co_await reader.Read(this->deadline);
     if (!piece) {
       const bool gave_up = this->cancelled || this->caller_gone;
       co_return TryOutcome{gave_up ? TryResult::kDone : TryResult::kTryAnother,
                            this->ConnectionErrorRefusal(piece.error())};
     }
-    if (piece->empty()) {
+    if (piece->is_end) {
       break;
     }
-    if (response.body.size() + piece->size() >
+    if (response.body.size() + piece->bytes.size() >
         this->gateway.Settings().answer_bytes) {
       connection.Cancel();
       co_return TryOutcome{TryResult::kDone,
                            RefuseOutcomeUnknown(RefusalCode::kTooLarge)};
     }
-    response.body += *piece;
+    response.body += piece->bytes;
   }
   const TokenCount reserved = this->RequestedTokens();
   this->used_tokens = UsedTokens(response.body, reserved);
--- a/packages/gateway/src/served_stream.cc
+++ b/packages/gateway/src/served_stream.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "answer_reader.h"
 #include "backend_exchange.h"
 #include "served_request.h"
 #include "tamarackwing/callers/caller_head.h"
@@ -66,21 +67,16 @@
     http::Connection& connection,
     bool& gone) {
   const auto silence = this->gateway.Settings().stream_silence;
+  AnswerReader reader(connection, &this->events);
   while (true) {
     const TimePoint until = std::min(
         this->deadline, this->gateway.Dependencies().clock.Now() + silence);
-    auto piece = co_await connection.ReadPiece(until);
+    auto piece = co_await reader.Read(until);
     if (!piece) {
       co_return false;
     }
-    const std::string complete_events = this->events.Add(*piece);
-    const bool is_broken_off =
-        piece->empty() && !this->events.IsBetweenEvents();
-    if (is_broken_off || this->events.RestBytes() > kMaxEventBytes) {
-      co_return false;
-    }
-    if (!complete_events.empty() &&
-        !co_await this->writer.WritePiece(complete_events)) {
+    if (!piece->bytes.empty() &&
+        !co_await this->writer.WritePiece(piece->bytes)) {
       gone = true;
       co_return false;
     }
@@ -89,7 +85,7 @@
       this->used_tokens =
           this->call->prompt_tokens + std::min(sent, this->call->output_tokens);
     }
-    if (piece->empty()) {
+    if (piece->is_end) {
       co_return true;
     }
   }
--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/expected.h"
@@ -23,6 +24,13 @@
   kCancelled,
 };
 
+//! How the end of a response's body is marked: by a declared length, which may
+//! be zero, by chunks, or only by the end of the connection.
+enum class BodyFraming { kLength, kChunked, kConnectionEnd };
+
+//! Returns the framing's name in logs and metrics. Thread safety: reentrant.
+std::string_view BodyFramingName(BodyFraming framing);
+
 //! HTTP/1.1 client connection that carries one request at a time.
 //! Thread safety: only the thread of its io_context may use it.
 class Connection {
@@ -49,6 +57,9 @@
   //! Errors: as for ReadHead.
   asio::awaitable<Expected<std::string, ConnectionError>> ReadPiece(
       TimePoint deadline);
+  //! Returns how the body of the response is framed. Precondition: the head was
+  //! read.
+  BodyFraming Framing() const;
   //! Returns whether the last response was read completely and the connection
   //! can carry another request.
   bool IsReusable() const;
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -31,6 +31,18 @@
 
 }  // namespace
 
+std::string_view BodyFramingName(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kConnectionEnd:
+      return "connection_end";
+  }
+  return "unknown";
+}
+
 struct Connection::State {
   explicit State(asio::io_context& context) : stream(context) {}
 
@@ -160,6 +172,14 @@
   co_return std::string();
 }
 
+BodyFraming Connection::Framing() const {
+  const Parser& parser = *this->state->parser;
+  if (parser.chunked()) {
+    return BodyFraming::kChunked;
+  }
+  return parser.need_eof() ? BodyFraming::kConnectionEnd : BodyFraming::kLength;
+}
+
 bool Connection::IsReusable() const {
   return this->state->response_complete && !this->state->cancelled &&
          this->state->buffer.size() == 0 &&
