gateway: an answer that ends with its connection is whole only if its sender goes on

Callers got a complete response to a stream that a crashed server had broken off between two events, or before the first one, and to other bodies cut by a crash, if the server's answer had neither a length nor chunks. An operation of the own interface was stored with such a body as its answer.

Cause: the kernel closes the connections of a process that ends in order, so the end of such an answer looks the same for a crash as for an end.

A stream without framing that brought no event is broken off. For other answers that end with their connection, the host opens the connection that replaces it in the pool at once: a sender that accepts none is gone, and the answer is not whole. It is then resumed, tried again or cut like any other broken answer. A server that has announced its shutdown is not asked, since it may refuse connections while it completes answers. Framed answers, which are nearly all, cost nothing more.

--- a/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
+++ b/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
@@ -51,6 +51,10 @@
   Acquire(http::Endpoint endpoint,
           TimePoint deadline,
           std::chrono::milliseconds max_idle);
+  //! Opens a connection and keeps it as an idle one. Returns whether the server
+  //! accepted it by `deadline`.
+  http::asio::awaitable<bool> Replenish(http::Endpoint endpoint,
+                                        TimePoint deadline);
   //! Returns a connection to the pool. Closes it if its last response was not
   //! read completely, if it cannot be reused or if the pool is full.
   void Release(const http::Endpoint& endpoint, PooledConnection connection);
--- a/packages/backend_servers/src/connection_pool.cc
+++ b/packages/backend_servers/src/connection_pool.cc
@@ -42,6 +42,15 @@
   co_return PooledConnection{std::move(connection), false};
 }
 
+http::asio::awaitable<bool> ConnectionPool::Replenish(http::Endpoint endpoint,
+                                                      TimePoint deadline) {
+  auto opened = co_await this->Acquire(endpoint, deadline, kFresh);
+  if (opened) {
+    this->Release(endpoint, std::move(*opened));
+  }
+  co_return opened.has_value();
+}
+
 void ConnectionPool::Release(const http::Endpoint& endpoint,
                              PooledConnection connection) {
   std::deque<Idle>& connections = this->idle[endpoint];
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -63,6 +63,7 @@
   std::optional<std::uint64_t> SoleSoftware(const std::string& target);
   //! Records that bytes arrived from a server.
   void NoteAlive(const BackendServerName& name);
+  bool IsLeaving(const BackendServerName& name);
   //! Returns the time of the directory's clock.
   TimePoint Now() const { return this->clock.Now(); }
   //! Records that a server's cache now holds a prompt prefix.
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -103,12 +103,15 @@
   //! Reads the body of a response to its end. Returns nothing on a connection
   //! error or if the body is too large, and sets `signal` accordingly.
   http::asio::awaitable<std::optional<http::Response>> ReadFullResponse(
+      const Target& target,
       http::Connection& connection,
       http::ResponseHead head);
+  ConnectionCheck CheckOf(const Target& target);
   //! Records how the body of an answer ended, if it has.
   void NoteEnd(const http::Connection& connection, AnswerEnd end);
   //! Reads a complete response into `held_response`.
   http::asio::awaitable<policy::TryOutcome> BufferResponse(
+      const Target& target,
       http::Connection& connection,
       http::ResponseHead head);
   //! Relays complete server-sent events to the caller as they arrive.
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -215,7 +215,8 @@
     // Read the body to its end, so that the connection can be reused. The
     // body is discarded: `held_response` keeps the response of an earlier
     // server that failed, if there was one.
-    co_await this->ReadFullResponse(connection, std::move(parsed.passed));
+    co_await this->ReadFullResponse(target, connection,
+                                    std::move(parsed.passed));
     co_return TryOutcome::kNotRun;
   }
   if (target.server && this->call.prompt) {
@@ -225,15 +226,18 @@
   if (parsed.is_stream && parsed.passed.status < kBadRequest) {
     co_return co_await this->RelayStream(target, connection, parsed.passed);
   }
-  co_return co_await this->BufferResponse(connection, std::move(parsed.passed));
+  co_return co_await this->BufferResponse(target, connection,
+                                          std::move(parsed.passed));
 }
 
 http::asio::awaitable<std::optional<http::Response>>
-PathRequest::ReadFullResponse(http::Connection& connection,
+PathRequest::ReadFullResponse(const Target& target,
+                              http::Connection& connection,
                               http::ResponseHead head) {
   http::Response response;
   response.head = std::move(head);
-  AnswerReader reader(connection, nullptr);
+  ConnectionCheck sender = this->CheckOf(target);
+  AnswerReader reader(connection, nullptr, sender);
   while (true) {
     auto piece = co_await reader.Read(this->deadline);
     const std::size_t max_bytes = this->gateway.Settings().answer_bytes;
@@ -265,10 +269,19 @@
       std::string(AnswerEndName(end)) + "\"}");
 }
 
+ConnectionCheck PathRequest::CheckOf(const Target& target) {
+  const bool is_leaving =
+      target.server &&
+      this->gateway.Dependencies().servers.IsLeaving(target.server->name);
+  return {this->gateway.PoolOf(this->executor), target.endpoint, is_leaving};
+}
+
 http::asio::awaitable<TryOutcome> PathRequest::BufferResponse(
+    const Target& target,
     http::Connection& connection,
     http::ResponseHead head) {
-  auto response = co_await this->ReadFullResponse(connection, std::move(head));
+  auto response =
+      co_await this->ReadFullResponse(target, connection, std::move(head));
   // A stream that has started can't be continued by a response without events.
   if (!response || this->writer.HasStarted()) {
     co_return TryOutcome::kLost;
@@ -287,7 +300,8 @@
       std::max(kMinGapTimeout, kGapMultiple * this->route->target_gap);
   this->events.DropRest();
   const TimePoint body_started = this->gateway.Dependencies().clock.Now();
-  AnswerReader reader(connection, &this->events);
+  ConnectionCheck sender = this->CheckOf(target);
+  AnswerReader reader(connection, &this->events, sender);
   while (true) {
     const TimePoint now = this->gateway.Dependencies().clock.Now();
     auto piece =
--- a/packages/gateway/src/served_forward.cc
+++ b/packages/gateway/src/served_forward.cc
@@ -98,7 +98,7 @@
     outcome = co_await this->RelayStream(choice, *connection.connection,
                                          std::move(*head));
   } else {
-    outcome = co_await this->RelayFullResponse(*connection.connection,
+    outcome = co_await this->RelayFullResponse(endpoint, *connection.connection,
                                                std::move(*head));
   }
   this->current_connection = nullptr;
--- a/packages/gateway/src/served_operation.cc
+++ b/packages/gateway/src/served_operation.cc
@@ -132,7 +132,9 @@
     if (sent) {
       auto head = co_await connection.ReadHead(until);
       OperationAnswer answer;
-      AnswerReader reader(connection, nullptr);
+      ConnectionCheck sender(this->gateway.PoolOf(this->executor), endpoint,
+                             this->IsLeaving());
+      AnswerReader reader(connection, nullptr, sender);
       while (head) {
         auto piece = co_await reader.Read(until);
         if (!piece || answer.body.size() + piece->bytes.size() >
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -423,16 +423,19 @@
     co_return co_await this->RelayStream(choice, *connection.connection,
                                          std::move(head));
   }
-  co_return co_await this->RelayFullResponse(*connection.connection,
-                                             std::move(head));
+  co_return co_await this->RelayFullResponse(
+      EndpointOf(choice), *connection.connection, std::move(head));
 }
 
 http::asio::awaitable<ServedRequest::TryOutcome>
-ServedRequest::RelayFullResponse(http::Connection& connection,
+ServedRequest::RelayFullResponse(http::Endpoint endpoint,
+                                 http::Connection& connection,
                                  http::ResponseHead head) {
   http::Response response;
   response.head = RelayedHead(head);
-  AnswerReader reader(connection, nullptr);
+  ConnectionCheck sender(this->gateway.PoolOf(this->executor),
+                         std::move(endpoint), this->IsLeaving());
+  AnswerReader reader(connection, nullptr, sender);
   while (true) {
     auto piece = co_await reader.Read(this->deadline);
     if (!piece) {
@@ -457,6 +460,11 @@
   co_return TryOutcome{};
 }
 
+bool ServedRequest::IsLeaving() const {
+  return this->gateway.Dependencies().servers.IsLeaving(
+      BackendServerName(this->peer));
+}
+
 Refusal ServedRequest::ConnectionErrorRefusal(ConnectionError error) const {
   const bool not_sent = error == ConnectionError::kConnectFailed;
   RefusalCode code = RefusalCode::kBackendServerFailed;
--- a/packages/gateway/src/served_request.h
+++ b/packages/gateway/src/served_request.h
@@ -78,6 +78,7 @@
       http::ResponseHead head);
   //! Reads a complete response, then sends it to the caller.
   http::asio::awaitable<TryOutcome> RelayFullResponse(
+      http::Endpoint endpoint,
       http::Connection& connection,
       http::ResponseHead head);
   //! Relays server-sent events as they arrive, and resumes a broken stream.
@@ -87,7 +88,8 @@
       http::ResponseHead head);
   //! Relays events until the stream ends; returns false if it breaks or if the
   //! caller disconnects.
-  http::asio::awaitable<bool> RelayEvents(http::Connection& connection,
+  http::asio::awaitable<bool> RelayEvents(http::Endpoint endpoint,
+                                          http::Connection& connection,
                                           bool& caller_gone);
   //! Reopens a stream at the next event; returns null if that fails.
   http::asio::awaitable<std::unique_ptr<http::Connection>> ResumeStream(
@@ -106,6 +108,8 @@
   bool ShouldForward();
   void PickForwardTarget();
   //! Returns the refusal for a try that ended with a connection error.
+  //! Returns whether the last server has announced its shutdown.
+  bool IsLeaving() const;
   Refusal ConnectionErrorRefusal(http::ConnectionError error) const;
   //! Returns the prompt tokens plus the maximum output tokens.
   TokenCount RequestedTokens() const;
--- a/packages/gateway/src/served_stream.cc
+++ b/packages/gateway/src/served_stream.cc
@@ -32,7 +32,8 @@
   http::Connection* source = &connection;
   for (int resumes = 0;; ++resumes) {
     bool gone = false;
-    const bool finished = co_await this->RelayEvents(*source, gone);
+    const bool finished =
+        co_await this->RelayEvents(EndpointOf(choice), *source, gone);
     if (gone) {
       this->caller_gone = true;
       source->Cancel();
@@ -64,10 +65,13 @@
 }
 
 http::asio::awaitable<bool> ServedRequest::RelayEvents(
+    http::Endpoint endpoint,
     http::Connection& connection,
     bool& gone) {
   const auto silence = this->gateway.Settings().stream_silence;
-  AnswerReader reader(connection, &this->events);
+  ConnectionCheck sender(this->gateway.PoolOf(this->executor),
+                         std::move(endpoint), this->IsLeaving());
+  AnswerReader reader(connection, &this->events, sender);
   while (true) {
     const TimePoint until = std::min(
         this->deadline, this->gateway.Dependencies().clock.Now() + silence);
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -208,6 +208,11 @@
   return this->table.SoleSoftware(target, this->clock.Now());
 }
 
+bool ServerDirectory::IsLeaving(const BackendServerName& name) {
+  const std::lock_guard lock(this->mutex);
+  return this->table.IsLeaving(name);
+}
+
 policy::OwnLoad ServerDirectory::LoadOf(const std::string& target) {
   const std::lock_guard lock(this->mutex);
   return this->table.LoadOf(target, this->clock.Now());
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -224,6 +224,8 @@
   //! if the reports of the last minute named several or none.
   std::optional<std::uint64_t> SoleSoftware(const std::string& target,
                                             TimePoint now) const;
+  //! Returns whether a server has announced its shutdown.
+  bool IsLeaving(const BackendServerName& name) const;
   //! Returns the number of known servers.
   std::size_t Count() const { return this->servers.size(); }
   //! Returns the number of targets whose servers' versions are remembered.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -519,6 +519,11 @@
   }
 }
 
+bool ServerTable::IsLeaving(const BackendServerName& name) const {
+  const auto found = this->servers.find(name);
+  return found != this->servers.end() && found->second->report.leaving;
+}
+
 OwnLoad ServerTable::LoadOf(const std::string& target, TimePoint now) const {
   OwnLoad load;
   const auto servers_of = this->by_target.find(target);
