http: callers without chunks see a response that was broken off as reset

A caller of HTTP/1.0 got the chunks' framing as part of the text, and a stream that was broken off ended for it like a complete one.

Cause: Session framed every stream in chunks, whatever the request's version. Such callers now get the body without framing, on a connection that closes after it; if the response is aborted the connection is reset, since an orderly close would be its end.

WireFaultTest.CallerWithoutChunksSeesBrokenOffAnswerAsReset walks the same 31 ends and failed before for all streams: by chunks in the text, and by an orderly close for those that are broken off.

--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -144,6 +144,7 @@
     co_return false;
   }
   this->Reset(parser.get().keep_alive());
+  this->knows_chunks = parser.get().version() >= kHttp11;
   RequestHead head = ReadHead(parser.get());
   if (parser.content_length()) {
     head.content_length = *parser.content_length();
@@ -212,8 +213,9 @@
 asio::awaitable<bool> Session::StartStream(ResponseHead head) {
   this->stream_response = std::make_unique<StreamResponse>();
   WriteHead(head, *this->stream_response);
+  this->keep_alive = this->keep_alive && this->knows_chunks;
   this->stream_response->keep_alive(this->KeepsAlive());
-  this->stream_response->chunked(true);
+  this->stream_response->chunked(this->knows_chunks);
   this->stream_response->body().data = nullptr;
   this->stream_response->body().more = true;
   this->serializer = std::make_unique<StreamSerializer>(*this->stream_response);
@@ -256,6 +258,12 @@
 void Session::Abort() {
   this->keep_alive = false;
   this->finished = false;
+  if (!this->knows_chunks) {
+    // An orderly close would look like the end of the response.
+    boost::system::error_code ignored;
+    this->stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                     ignored);
+  }
   this->stream.close();
 }
 
--- a/packages/http/src/session.h
+++ b/packages/http/src/session.h
@@ -99,6 +99,8 @@
   bool watching = false;
   //! The current request allows the connection to stay open.
   bool keep_alive = false;
+  //! The peer understands chunked responses.
+  bool knows_chunks = true;
   //! Sending a response has begun.
   bool started = false;
   //! A complete response has been written.
