policy: a host that missed reports does not name a sole software version

Callers that named no attempt could get a text joined from two software versions: a host that had just started, or had heard no report for a while, took the first version that it heard of for the only one, and went on with the stream of another version, whose servers had left meanwhile.

Cause: absence of evidence was taken for evidence. SoleSoftware asked whether the reports of the last minute named several versions, and not whether they had come for a minute. The table now watches each target's reports: after a start, or a pause longer than a lease, no version is the sole one until reports have come for the whole span.

ServerTableTest.HostThatMissedReportsNamesNoSoleSoftwareVersion failed before (120 times at the first look, in each of the 60 s after a start and after a pause).

--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -44,6 +44,10 @@
   //! server with a lease is left: it may be healthy while its reports do not
   //! get through.
   std::chrono::milliseconds lapsed{0};
+  //! How long a software version counts as in service after the last report that
+  //! named it, and for how long reports must have come before the only version
+  //! that they named is taken for the only one: longer than a stream lasts.
+  std::chrono::milliseconds software_span{60'000};
   //! Assumed prompt tokens per second of a server that reports no rate.
   double prefill_rate = 2'000;
   //! Assumed output tokens per second and request of a server that reports no
@@ -220,8 +224,10 @@
   //! Returns the slots of all usable servers of a target, slow start applied;
   //! a server that is warming up counts as one slot.
   std::uint32_t Slots(const std::string& target, TimePoint now) const;
-  //! Returns the digest of the software version of a target's servers; nullopt
-  //! if the reports of the last minute named several or none.
+  //! Returns the digest of the only software version that a target's servers
+  //! have had in the last `software_span`; nullopt if they had several, or if
+  //! reports have not come for all of that time: those that did not arrive, for
+  //! example before this host started, may have named another version.
   std::optional<std::uint64_t> SoleSoftware(const std::string& target,
                                             TimePoint now) const;
   //! Returns whether a server has announced its shutdown.
@@ -248,6 +254,14 @@
     //! `wait` and the request's own prefill and decode time.
     Duration cost{};
   };
+  //! The software versions of a target's servers.
+  struct SoftwareWatch {
+    //! Since when reports have come without a pause longer than a lease.
+    TimePoint since;
+    TimePoint last_report;
+    //! When a report last named each version.
+    std::map<std::uint64_t, TimePoint> seen;
+  };
   //! Returns the server of that name; null if unknown.
   Server* Find(const BackendServerName& name);
   //! Marks a server as shutting down, unless the report is from another
@@ -302,8 +316,7 @@
   ServerTableLimits limits;
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
-  //! When a report last named each software version of a target's servers.
-  std::map<std::string, std::map<std::uint64_t, TimePoint>> software_seen;
+  std::map<std::string, SoftwareWatch> software_seen;
   std::unordered_map<std::string, TargetLoad> loads;
   HostName self;
   //! Hosts that share the servers' limits, in ascending order.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -39,8 +39,6 @@
 //! each may send one request at any moment.
 constexpr std::size_t kMinOwners = 3;
 constexpr double kMaxSlots = 1'000'000;
-//! How long a reported software version counts: longer than a stream lasts.
-constexpr std::chrono::seconds kSoftwareSpan{60};
 
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
@@ -255,20 +253,31 @@
                                std::uint64_t software,
                                TimePoint now) {
   for (const std::string& target : targets) {
-    this->software_seen[target][software] = now;
+    SoftwareWatch& watch = this->software_seen[target];
+    if (watch.seen.empty() || now - watch.last_report > this->limits.lease) {
+      watch.since = now;
+    }
+    watch.last_report = now;
+    watch.seen[software] = now;
   }
 }
 
 std::optional<std::uint64_t> ServerTable::SoleSoftware(
     const std::string& target,
     TimePoint now) const {
-  const auto seen = this->software_seen.find(target);
-  if (seen == this->software_seen.end()) {
+  const auto found = this->software_seen.find(target);
+  if (found == this->software_seen.end()) {
+    return std::nullopt;
+  }
+  const SoftwareWatch& watch = found->second;
+  const auto span = this->limits.software_span;
+  if (now - watch.since < span ||
+      now - watch.last_report > this->limits.lease) {
     return std::nullopt;
   }
   std::optional<std::uint64_t> sole;
-  for (const auto& [software, at] : seen->second) {
-    if (now - at > kSoftwareSpan) {
+  for (const auto& [software, at] : watch.seen) {
+    if (now - at > span) {
       continue;
     }
     if (sole) {
@@ -300,13 +309,13 @@
     }
     this->servers.erase(name);
   }
-  for (auto& [target, versions] : this->software_seen) {
-    std::erase_if(versions, [&](const auto& version) {
-      return now - version.second > kSoftwareSpan;
+  for (auto& [target, watch] : this->software_seen) {
+    std::erase_if(watch.seen, [&](const auto& version) {
+      return now - version.second > this->limits.software_span;
     });
   }
   std::erase_if(this->software_seen,
-                [](const auto& target) { return target.second.empty(); });
+                [](const auto& target) { return target.second.seen.empty(); });
   return expired;
 }
 
--- a/packages/policy/tests/server_table_tests.cc
+++ b/packages/policy/tests/server_table_tests.cc
@@ -96,13 +96,35 @@
     report.started += milliseconds(1);
     this->table.Announce(report, this->clock.Now());
   }
-  EXPECT_FALSE(this->table.SoleSoftware("drafter@3", this->clock.Now()));
-  this->clock.Advance(std::chrono::seconds(61));
-  this->table.Announce(report, this->clock.Now());
+  for (int i = 0; i < 61; ++i) {
+    EXPECT_FALSE(this->table.SoleSoftware("drafter@3", this->clock.Now()));
+    this->clock.Advance(std::chrono::seconds(1));
+    this->table.Announce(report, this->clock.Now());
+  }
   EXPECT_EQ(this->table.SoleSoftware("drafter@3", this->clock.Now()),
             Sha256Prefix("v2"));
 }
 
+TEST_F(ServerTableTest, HostThatMissedReportsNamesNoSoleSoftwareVersion) {
+  ServerReport report = Report("x");
+  report.software = "v2";
+  // The host may have started, or been cut off, while another version served.
+  for (const milliseconds missed :
+       {milliseconds(0), Limits().lease + milliseconds(1)}) {
+    this->clock.Advance(missed);
+    for (int i = 0; i < 60; ++i) {
+      this->table.Announce(report, this->clock.Now());
+      EXPECT_FALSE(this->table.SoleSoftware("drafter@3", this->clock.Now()));
+      this->clock.Advance(std::chrono::seconds(1));
+    }
+    this->table.Announce(report, this->clock.Now());
+    EXPECT_EQ(this->table.SoleSoftware("drafter@3", this->clock.Now()),
+              Sha256Prefix("v2"));
+  }
+  this->clock.Advance(Limits().lease + milliseconds(1));
+  EXPECT_FALSE(this->table.SoleSoftware("drafter@3", this->clock.Now()));
+}
+
 TEST_F(ServerTableTest, PrefersIdleServerOverBusyOne) {
   this->table.Announce(Report("idle"), this->clock.Now());
   this->table.Announce(Report("busy", 40), this->clock.Now());
