gateway: a host without links to servers serves its callers through neighbours

Cause: a host judged each server by itself and had no way through the hosts beside it, which reach the servers; hosts did not know of each other which of them do. Class: what all observations have in common, the observer, was not among the suspects.

While its links are down a host now forwards calls to hosts of its own region whose links are up, else to other regions, else uses connections that still answer, else refuses at once. Statuses and the replies to probes carry links_down, and a change is sent at once. A forwarded call that reaches such a host is refused at once; a refusal without a send is not charged as a retry. Such a host leaves its share of servers' limits to the others. When the links are back the servers' ejections end: they were not the cause.

--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -109,6 +109,8 @@
   //! The epoch of the membership view that the sender uses.
   std::uint64_t epoch = 0;
   bool draining = false;
+  //! Whether the sender's links to all backend servers are down.
+  bool links_down = false;
   std::vector<TargetLoad> loads;
   std::vector<ServedTokens> served;
   //! Backend servers' reports that the sender received directly.
@@ -126,6 +128,9 @@
   std::uint64_t number = 0;
   RegionName region;
   std::vector<TargetLoad> loads;
+  //! Whether the links of the host that replies to all backend servers are
+  //! down, so that nothing should be forwarded to it.
+  bool links_down = false;
 };
 
 //! Asks the leader which version is in force on each host.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -278,6 +278,10 @@
   RegionStatus& next = this->region_status;
   next.loads = std::move(status.loads);
   next.limits = std::move(status.limits);
+  if (next.links_down != status.links_down) {
+    next.links_down = status.links_down;
+    this->region_report_at = TimePoint();
+  }
   next.served.insert(next.served.end(), status.served.begin(),
                      status.served.end());
   for (policy::ServerReport& report : status.servers) {
@@ -795,6 +799,7 @@
     reply.number = probe->number;
     reply.region = this->options.self.region;
     reply.loads = this->region_loads;
+    reply.links_down = this->region_status.links_down;
     effects.sends.push_back({from, std::move(reply)});
   } else if (const auto* probe_reply = std::get_if<ProbeReply>(&message)) {
     effects.probes.push_back({from, *probe_reply});
--- a/packages/gateway/include/tamarackwing/gateway/region_hosts.h
+++ b/packages/gateway/include/tamarackwing/gateway/region_hosts.h
@@ -9,7 +9,7 @@
 
 namespace tamarackwing::gateway {
 
-//! A host of another region to which a request can be forwarded.
+//! A host to which a request can be forwarded.
 struct ForwardTarget {
   HostName host;
   RegionName region;
@@ -18,7 +18,8 @@
   Duration expected{};
 };
 
-//! Interface: expected waits in this region and in others.
+//! Interface: expected waits in this region and in others, and the hosts that
+//! can serve forwarded requests.
 //! Thread safety: every method is callable from any thread.
 class RegionHosts {
  public:
@@ -28,6 +29,9 @@
   virtual Duration OwnWait(const std::string& target) = 0;
   //! Returns live hosts of other regions with slots for `target`, best first.
   virtual std::vector<ForwardTarget> Candidates(const std::string& target) = 0;
+  //! Returns the live entry hosts of this host's own region that reach backend
+  //! servers, without this host, in order of their names.
+  virtual std::vector<ForwardTarget> Neighbours() = 0;
 };
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -106,7 +106,8 @@
     } else {
       http::Response response = dependencies.protocol.EncodeRefusal(*refusal);
       if (this->forwarded) {
-        AddRefusedHeader(*refusal, response.head.headers);
+        AddRefusedHeader(*refusal, this->plan ? this->plan->Sends() : 0,
+                         response.head.headers);
       }
       co_await this->writer.Send(std::move(response));
     }
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -42,8 +42,8 @@
   //! How much of a try's response had arrived when the try ended.
   enum class AnswerStage { kNone, kHead, kBody };
   static std::string_view StageName(AnswerStage stage);
-  //! Destination of one try: a backend server of this region or an entry host
-  //! of another region.
+  //! Destination of one try: a backend server of this region or another entry
+  //! host.
   struct Target {
     std::optional<policy::ServerChoice> server;
     std::optional<ForwardTarget> host;
@@ -78,6 +78,17 @@
   std::optional<ForwardTarget> BestCandidate();
   //! Moves the hosts of the region where the call's stream began to the front.
   void PreferOrigin(std::vector<ForwardTarget>& targets) const;
+  //! Chooses where to send the call while this host's links to the servers are
+  //! down: to a host of this region that reaches them, to another region, or to
+  //! a server to which a connection may still be open.
+  std::optional<Target> PickDetour(bool may_run_here);
+  //! Returns a host of this region that reaches servers and has not been tried.
+  std::optional<ForwardTarget> PickNeighbour();
+  //! Chooses a server of this region, unless there is none or the call was
+  //! shed.
+  std::optional<Target> PickServer();
+  //! Records that a host is tried, and returns it as a target.
+  Target ForwardTo(ForwardTarget host);
   //! Returns a host of another region if no server of this region can be used.
   std::optional<ForwardTarget> PickHost();
   //! Returns a host of another region if it is expected to serve this call
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -24,45 +24,90 @@
 }  // namespace
 
 std::optional<PathRequest::Target> PathRequest::PickTarget() {
-  Target target;
   if (this->has_begun && !this->origin) {
     return std::nullopt;
   }
   const bool may_run_here = this->MayRunIn(this->gateway.Settings().region);
+  if (this->gateway.Dependencies().servers.LinksAreDown()) {
+    return this->PickDetour(may_run_here);
+  }
   // Other regions may not have the version that began a stream.
   const bool may_spill =
       !this->forwarded && !this->is_trial && !this->has_begun;
+  std::optional<ForwardTarget> host;
   if (may_run_here && may_spill) {
-    target.host = this->PickSpill();
-  }
-  if (may_run_here && !target.host) {
-    target.server = this->gateway.Dependencies().servers.Choose(this->Query());
-    if (target.server && !this->TryAdmit(target.server->slot_wait)) {
-      this->gateway.Dependencies().servers.Release(target.server->name,
-                                                   this->PromptTokens());
-      target.server.reset();
-    }
-    if (target.server) {
-      target.endpoint = EndpointOf(*target.server);
-      this->tried.insert(target.server->name);
-      this->server_load = target.server->load;
-      this->slot_wait = target.server->slot_wait;
-      this->sent_at = this->gateway.Dependencies().servers.Now();
-      this->pending_prefill = this->PromptTokens();
+    host = this->PickSpill();
+  }
+  if (may_run_here && !host) {
+    auto target = this->PickServer();
+    if (target) {
       return target;
     }
   }
-  if (!this->forwarded && !target.host && !this->is_trial) {
-    target.host = this->PickHost();
+  if (!this->forwarded && !host && !this->is_trial) {
+    host = this->PickHost();
+  }
+  return host ? std::optional(this->ForwardTo(std::move(*host))) : std::nullopt;
+}
+
+std::optional<PathRequest::Target> PathRequest::PickDetour(bool may_run_here) {
+  if (!this->forwarded && !this->is_trial) {
+    std::optional<ForwardTarget> host;
+    if (may_run_here) {
+      host = this->PickNeighbour();
+    }
+    if (!host) {
+      host = this->PickHost();
+    }
+    if (host) {
+      return this->ForwardTo(std::move(*host));
+    }
   }
-  if (!target.host) {
+  const bool may_reach_server =
+      may_run_here && this->gateway.Dependencies().servers.KeepsConnections();
+  return may_reach_server ? this->PickServer() : std::nullopt;
+}
+
+std::optional<PathRequest::Target> PathRequest::PickServer() {
+  ServerDirectory& servers = this->gateway.Dependencies().servers;
+  Target target;
+  target.server = servers.Choose(this->Query());
+  if (!target.server) {
+    return std::nullopt;
+  }
+  if (!this->TryAdmit(target.server->slot_wait)) {
+    servers.Release(target.server->name, this->PromptTokens());
     return std::nullopt;
   }
-  target.endpoint = target.host->endpoint;
-  this->tried_hosts.insert(target.host->host);
+  target.endpoint = EndpointOf(*target.server);
+  this->tried.insert(target.server->name);
+  this->server_load = target.server->load;
+  this->slot_wait = target.server->slot_wait;
+  this->sent_at = servers.Now();
+  this->pending_prefill = this->PromptTokens();
   return target;
 }
 
+PathRequest::Target PathRequest::ForwardTo(ForwardTarget host) {
+  Target target;
+  target.endpoint = host.endpoint;
+  this->tried_hosts.insert(host.host);
+  target.host = std::move(host);
+  return target;
+}
+
+std::optional<ForwardTarget> PathRequest::PickNeighbour() {
+  std::vector<ForwardTarget> neighbours =
+      this->gateway.Dependencies().regions.Neighbours();
+  std::erase_if(neighbours, [this](const ForwardTarget& neighbour) {
+    return !this->MayForwardTo(neighbour.host);
+  });
+  if (neighbours.empty()) {
+    return std::nullopt;
+  }
+  return neighbours[this->gateway.NextNumber() % neighbours.size()];
+}
+
 std::optional<ForwardTarget> PathRequest::BestCandidate() {
   std::vector<ForwardTarget> candidates =
       this->gateway.Dependencies().regions.Candidates(this->service);
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -32,6 +32,10 @@
 constexpr int kGapMultiple = 5;
 constexpr milliseconds kMinGapTimeout{2'000};
 
+//! Max time to open a connection to a server while this host's links to the
+//! servers are down.
+constexpr milliseconds kDownConnectTimeout{300};
+
 //! A server that has streamed an answer for this long does not crash because
 //! it began to write it.
 constexpr milliseconds kSoundAnswer{1'000};
@@ -111,8 +115,14 @@
   backend_servers::ConnectionPool& pool = this->gateway.PoolOf(this->executor);
   const milliseconds max_idle =
       this->IsRepeatable() ? backend_servers::kAnyIdle : kSingleRunMaxIdle;
+  TimePoint connect_deadline = this->deadline;
+  if (target.server && this->gateway.Dependencies().servers.LinksAreDown()) {
+    // A new connection is not expected to open.
+    connect_deadline =
+        std::min(connect_deadline, this->try_started + kDownConnectTimeout);
+  }
   auto acquired =
-      co_await pool.Acquire(target.endpoint, this->deadline, max_idle);
+      co_await pool.Acquire(target.endpoint, connect_deadline, max_idle);
   this->answer_stage = AnswerStage::kNone;
   this->answer_end = AnswerEnd::kOpen;
   this->connection_broke = false;
@@ -192,8 +202,10 @@
     const auto refused = ReadRefusedHeader(head->headers);
     if (refused) {
       this->retry_after = refused->retry_after;
-      co_return refused->ran == Ran::kNo ? TryOutcome::kNotRun
-                                         : TryOutcome::kLost;
+      if (refused->ran != Ran::kNo) {
+        co_return TryOutcome::kLost;
+      }
+      co_return refused->was_sent ? TryOutcome::kNotRun : TryOutcome::kNotSent;
     }
   }
   PathResponse parsed = dependencies.protocol.ReadResponse(this->call, *head);
--- a/packages/gateway/src/refused_header.cc
+++ b/packages/gateway/src/refused_header.cc
@@ -8,25 +8,31 @@
 
 constexpr const char* kRefusedHeader = "Tamarackwing-Refused";
 constexpr const char* kRetryHeader = "Tamarackwing-Retry-After-Ms";
+constexpr const char* kSentHeader = "Tamarackwing-Sent";
+constexpr std::string_view kNothingSent = "0";
 constexpr std::string_view kNotRun = "not-run";
 constexpr std::string_view kUnknown = "unknown";
 
 }  // namespace
 
-void AddRefusedHeader(const Refusal& refusal, http::Headers& headers) {
+void AddRefusedHeader(const Refusal& refusal,
+                      std::size_t sends,
+                      http::Headers& headers) {
   headers.Add(kRefusedHeader,
               std::string(refusal.ran == Ran::kNo ? kNotRun : kUnknown));
   headers.Add(kRetryHeader, std::to_string(refusal.retry_after.count()));
+  headers.Add(kSentHeader, std::to_string(sends));
 }
 
-std::optional<Refusal> ReadRefusedHeader(const http::Headers& headers) {
+std::optional<ForwardRefusal> ReadRefusedHeader(const http::Headers& headers) {
   const auto mark = headers.Find(kRefusedHeader);
   if (!mark) {
     return std::nullopt;
   }
-  Refusal refusal;
-  refusal.code = RefusalCode::kNoBackendServer;
+  ForwardRefusal refusal;
   refusal.ran = *mark == kNotRun ? Ran::kNo : Ran::kUnknown;
+  // Hosts of earlier versions do not add the header.
+  refusal.was_sent = headers.Find(kSentHeader) != kNothingSent;
   const std::string_view wait = headers.Find(kRetryHeader).value_or("");
   std::int64_t ms = 0;
   const auto read = std::from_chars(wait.data(), wait.data() + wait.size(), ms);
--- a/packages/gateway/src/refused_header.h
+++ b/packages/gateway/src/refused_header.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <optional>
 
 #include "tamarackwing/base/refusal.h"
@@ -7,14 +9,23 @@
 
 namespace tamarackwing::gateway {
 
-//! Marks the response to a forwarded call as a refusal by this system, so that
-//! the forwarding host does not mistake it for a backend server's response.
-//! Thread safety: reentrant.
-void AddRefusedHeader(const Refusal& refusal, http::Headers& headers);
+//! What a host that refused a forwarded call tells the forwarding host.
+struct ForwardRefusal {
+  Ran ran = Ran::kUnknown;
+  //! Whether the call was sent to a backend server, which may have rejected it.
+  bool was_sent = true;
+  std::chrono::milliseconds retry_after{0};
+};
+
+//! Marks the response to a forwarded call, which was sent to backend servers
+//! `sends` times, as a refusal by this system, so that the forwarding host does
+//! not mistake it for a backend server's response. Thread safety: reentrant.
+void AddRefusedHeader(const Refusal& refusal,
+                      std::size_t sends,
+                      http::Headers& headers);
 
-//! Reads the mark: whether the call ran, and when to retry. Returns nothing if
-//! the response is not a refusal.
+//! Reads the mark. Returns nothing if the response is not a refusal.
 //! Thread safety: reentrant.
-std::optional<Refusal> ReadRefusedHeader(const http::Headers& headers);
+std::optional<ForwardRefusal> ReadRefusedHeader(const http::Headers& headers);
 
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -158,6 +158,7 @@
              {{"failed", std::to_string(this->links.FailedServers())},
               {"known", std::to_string(this->table.Count())}});
   } else if (was_down && !is_down) {
+    this->table.ForgiveFailures(now);
     LogEvent(
         Event::kLinksRegained, LogLevel::kInfo,
         {{"known", std::to_string(this->table.Count())},
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -237,12 +237,14 @@
   served @5 :List(ServedTokens);
   servers @6 :List(ServerReport);
   limits @7 :List(HeardLimit);
+  linksDown @8 :Bool;
 }
 
 struct ProbeReply {
   number @0 :UInt64;
   region @1 :Text;
   loads @2 :List(TargetLoad);
+  linksDown @3 :Bool;
 }
 
 struct Chunk {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -622,7 +622,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b04129bc28fb0554, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b04129bc28fb0554, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4287,6 +4287,8 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool getLinksDown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4355,6 +4357,9 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HeardLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool getLinksDown();
+  inline void setLinksDown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4406,6 +4411,8 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline bool getLinksDown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4451,6 +4458,9 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::TargetLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline bool getLinksDown();
+  inline void setLinksDown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9742,6 +9752,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool RegionStatus::Reader::getLinksDown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool RegionStatus::Builder::getLinksDown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void RegionStatus::Builder::setLinksDown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ProbeReply::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -9824,6 +9848,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool ProbeReply::Reader::getLinksDown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ProbeReply::Builder::getLinksDown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ProbeReply::Builder::setLinksDown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Chunk::Reader::getChunk() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -500,6 +500,7 @@
     to.setEcho(value.echo);
     to.setEpoch(value.epoch);
     to.setDraining(value.draining);
+    to.setLinksDown(value.links_down);
     WriteList(value.loads,
               to.initLoads(static_cast<unsigned>(value.loads.size())));
     WriteList(value.served,
@@ -515,6 +516,7 @@
   void operator()(const control::ProbeReply& value) {
     auto to = this->out.initProbeReply();
     to.setNumber(value.number);
+    to.setLinksDown(value.links_down);
     to.setRegion(ToText(value.region.Text()));
     WriteList(value.loads,
               to.initLoads(static_cast<unsigned>(value.loads.size())));
@@ -673,6 +675,7 @@
   status.echo = in.getEcho();
   status.epoch = in.getEpoch();
   status.draining = in.getDraining();
+  status.links_down = in.getLinksDown();
   status.loads = ReadLoads(in.getLoads());
   for (const auto served : in.getServed()) {
     status.served.push_back({ToString(served.getTarget()),
@@ -897,9 +900,9 @@
       return control::ProbeRequest{in.getProbeRequest()};
     case Wire::PROBE_REPLY: {
       const auto from = in.getProbeReply();
-      return control::ProbeReply{from.getNumber(),
-                                 RegionName(ToString(from.getRegion())),
-                                 ReadLoads(from.getLoads())};
+      return control::ProbeReply{
+          from.getNumber(), RegionName(ToString(from.getRegion())),
+          ReadLoads(from.getLoads()), from.getLinksDown()};
     }
     case Wire::CHUNK_REQUEST:
     case Wire::CHUNK_GRANT:
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -596,23 +596,47 @@
     }
   }
   status.servers = std::exchange(this->announced, {});
+  status.links_down = this->dependencies.servers.LinksAreDown();
+  this->FindNeighbours(peers);
   this->ShareLimits(peers, status);
   this->dependencies.regions.NoteOwnLoads(region_loads);
   this->node->SetRegionStatus(std::move(status), std::move(region_loads));
 }
 
+void ControlThread::FindNeighbours(
+    const std::map<HostName, const control::RegionStatus*>& peers) {
+  const auto& hosts = this->node->State().Hosts();
+  std::vector<gateway::ForwardTarget> neighbours;
+  for (const auto& [name, peer_status] : peers) {
+    const auto host = hosts.find(name);
+    const bool is_entry_host =
+        host != hosts.end() && host->second.IsEntryHost();
+    if (is_entry_host && !peer_status->links_down) {
+      neighbours.push_back(
+          {name,
+           host->second.region,
+           {host->second.peer_address, host->second.forward_port},
+           Duration::zero()});
+    }
+  }
+  this->dependencies.regions.SetNeighbours(std::move(neighbours));
+}
+
 void ControlThread::ShareLimits(
     const std::map<HostName, const control::RegionStatus*>& peers,
     control::RegionStatus& status) {
   const TimePoint now = this->dependencies.clock.Now();
   const auto& hosts = this->node->State().Hosts();
+  // A host that reaches no server leaves its share to the others.
   std::vector<HostName> sharers;
-  if (!this->draining) {
+  if (!this->draining && !status.links_down) {
     sharers.push_back(this->settings.gateway.host);
   }
   for (const auto& [name, peer_status] : peers) {
     const auto host = hosts.find(name);
-    if (host != hosts.end() && host->second.IsEntryHost()) {
+    const bool is_entry_host =
+        host != hosts.end() && host->second.IsEntryHost();
+    if (is_entry_host && !peer_status->links_down) {
       sharers.push_back(name);
     }
   }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -150,6 +150,10 @@
   void ReportRates();
   void ReportCrashes();
   void ShareSlots();
+  //! Tells the region table which of this region's entry hosts reach servers.
+  //! `peers` has the region's other live hosts.
+  void FindNeighbours(
+      const std::map<HostName, const control::RegionStatus*>& peers);
   //! Sets which hosts share the servers' limits, and adds the limits that this
   //! host knows to its status. `peers` has the region's other live hosts.
   void ShareLimits(
--- a/programs/tamarackwingd/src/region_table.cc
+++ b/programs/tamarackwingd/src/region_table.cc
@@ -1,6 +1,7 @@
 #include "region_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarackwing::daemon {
 namespace {
@@ -46,6 +47,13 @@
                             const control::ProbeReply& reply,
                             Duration round_trip) {
   const std::lock_guard lock(this->mutex);
+  if (reply.links_down) {
+    const auto known = this->regions.find(reply.region);
+    if (known != this->regions.end() && known->second.host.name == host.name) {
+      this->regions.erase(known);
+    }
+    return;
+  }
   Region& region = this->regions[reply.region];
   region.host = host;
   region.round_trip = round_trip;
@@ -56,6 +64,16 @@
   }
 }
 
+void RegionTable::SetNeighbours(std::vector<gateway::ForwardTarget> hosts) {
+  const std::lock_guard lock(this->mutex);
+  this->neighbours = std::move(hosts);
+}
+
+std::vector<gateway::ForwardTarget> RegionTable::Neighbours() {
+  const std::lock_guard lock(this->mutex);
+  return this->neighbours;
+}
+
 std::vector<gateway::ForwardTarget> RegionTable::Candidates(
     const std::string& target) {
   std::vector<gateway::ForwardTarget> candidates;
--- a/programs/tamarackwingd/src/region_table.h
+++ b/programs/tamarackwingd/src/region_table.h
@@ -29,8 +29,11 @@
   //! Replaces the loads of this host's own region.
   void NoteOwnLoads(const std::vector<control::TargetLoad>& loads);
   Duration OwnWait(const std::string& target) override;
+  //! Replaces the neighbours.
+  void SetNeighbours(std::vector<gateway::ForwardTarget> hosts);
   std::vector<gateway::ForwardTarget> Candidates(
       const std::string& target) override;
+  std::vector<gateway::ForwardTarget> Neighbours() override;
 
  private:
   //! The last probe reply from another region.
@@ -53,6 +56,7 @@
   //! Loads of this region, by target.
   std::map<std::string, control::TargetLoad> own_loads;
   std::map<RegionName, Region> regions;
+  std::vector<gateway::ForwardTarget> neighbours;
 };
 
 }  // namespace tamarackwing::daemon
