gateway: connections lost with a host's links are not reported as crashes

While the links are suspect no crashes are reported, and once they are down those not reported yet are dropped. Crashes seen by hosts with links are reported as before.

--- a/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
+++ b/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
@@ -60,6 +60,7 @@
                   const std::vector<policy::BlockDigest>& blocks);
   void NoteAlive(const BackendServerName& server);
   void NoteAnswered(const std::vector<policy::BlockDigest>& held);
+  void DropUnreported();
 
   //! Returns a report for the leader, or nullopt if there is nothing to
   //! report. `is_new_leader`: the leader may not know this host's quarantine.
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -62,9 +62,11 @@
   void SetSharers(const HostName& self, std::vector<HostName> hosts);
   std::optional<Duration> NextAllowance(const std::string& target);
   std::optional<std::uint64_t> SoleSoftware(const std::string& target);
+  //! Returns what this host believes of its links to the servers.
+  policy::LinkState Links();
   //! Returns whether this host believes that its links to all servers are
   //! down, so that it can open no connection to any.
-  bool LinksAreDown();
+  bool LinksAreDown() { return this->Links() == policy::LinkState::kDown; }
   //! Returns whether servers still answered on connections opened before the
   //! links went down, a moment ago.
   bool KeepsConnections();
--- a/packages/gateway/src/block_quarantine.cc
+++ b/packages/gateway/src/block_quarantine.cc
@@ -108,6 +108,11 @@
   this->observer.NoteAnswered(held, this->clock.Now());
 }
 
+void BlockQuarantine::DropUnreported() {
+  const std::lock_guard lock(this->mutex);
+  this->observer.DropUnreported();
+}
+
 std::optional<policy::CrashReport> BlockQuarantine::MakeReport(
     bool is_new_leader) {
   policy::CrashReport report;
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -102,9 +102,9 @@
   this->table.NoteFinished(name, signal, sent, this->clock.Now());
 }
 
-bool ServerDirectory::LinksAreDown() {
+policy::LinkState ServerDirectory::Links() {
   const std::lock_guard lock(this->mutex);
-  return this->links.State() == policy::LinkState::kDown;
+  return this->links.State();
 }
 
 bool ServerDirectory::KeepsConnections() {
--- a/packages/policy/include/tamarackwing/policy/crash_observer.h
+++ b/packages/policy/include/tamarackwing/policy/crash_observer.h
@@ -64,6 +64,9 @@
   //! Ends the repetition of the crashes that report `number` and earlier ones
   //! contained.
   void Acknowledge(std::uint64_t number);
+  //! Drops the crashes that no report has contained yet: they had another
+  //! cause.
+  void DropUnreported();
   //! Reports all recent crashes again: a new leader does not know them.
   void ReportAgain();
   //! Returns the number of blocks whose last answer is remembered.
--- a/packages/policy/src/crash_observer.cc
+++ b/packages/policy/src/crash_observer.cc
@@ -121,6 +121,12 @@
   }
 }
 
+void CrashObserver::DropUnreported() {
+  this->open.clear();
+  std::erase_if(this->confirmed,
+                [](const Crash& crash) { return crash.reported == 0; });
+}
+
 void CrashObserver::ReportAgain() {
   for (Crash& crash : this->confirmed) {
     crash.acknowledged = false;
--- a/packages/policy/tests/crash_observer_tests.cc
+++ b/packages/policy/tests/crash_observer_tests.cc
@@ -72,6 +72,22 @@
   EXPECT_TRUE(this->Report().crashes.empty());
 }
 
+TEST_F(CrashObserverTest, ConnectionsLostWithTheHostsLinksAreNoCrashes) {
+  this->observer.NoteBroken(this->server, 7, {kShared}, this->now);
+  this->Wait(milliseconds(250));
+  ASSERT_EQ(this->Report().crashes.size(), 1U);
+  for (const char* other : {"i-2", "i-3", "i-4"}) {
+    this->observer.NoteBroken(BackendServerName(other), 8, {kShared},
+                              this->now);
+  }
+  this->Wait(milliseconds(150));
+  this->observer.DropUnreported();
+  this->Wait(milliseconds(100));
+  const CrashReport report = this->Report();
+  ASSERT_EQ(report.crashes.size(), 1U);
+  EXPECT_EQ(report.crashes[0].server, this->server);
+}
+
 TEST_F(CrashObserverTest, ServerThatSendsAfterABrokenConnectionHasNotCrashed) {
   this->observer.NoteBroken(this->server, 7, {kShared}, this->now);
   this->Wait(milliseconds(120));
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -527,6 +527,14 @@
 
 void ControlThread::ReportCrashes() {
   const TimePoint now = this->dependencies.clock.Now();
+  // Connections that break because this host loses its links are no crashes.
+  const policy::LinkState links = this->dependencies.servers.Links();
+  if (links == policy::LinkState::kSuspect) {
+    return;
+  }
+  if (links == policy::LinkState::kDown) {
+    this->dependencies.quarantine.DropUnreported();
+  }
   // A new leader does not know the quarantine.
   const bool is_new_leader = now - this->rates_leader_since < kNewLeaderPeriod;
   const auto report = this->dependencies.quarantine.MakeReport(is_new_leader);
