gateway: hosts without links to servers spill calls to other regions as others do

Such a host sent every call to a neighbour, however long its region's wait, and counted ejected servers out of that wait. It now spills by the same rule as other hosts, and ejections end when the links go down, too: the servers were not their cause.

--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -28,9 +28,6 @@
     return std::nullopt;
   }
   const bool may_run_here = this->MayRunIn(this->gateway.Settings().region);
-  if (this->gateway.Dependencies().servers.LinksAreDown()) {
-    return this->PickDetour(may_run_here);
-  }
   // Other regions may not have the version that began a stream.
   const bool may_spill =
       !this->forwarded && !this->is_trial && !this->has_begun;
@@ -38,6 +35,9 @@
   if (may_run_here && may_spill) {
     host = this->PickSpill();
   }
+  if (!host && this->gateway.Dependencies().servers.LinksAreDown()) {
+    return this->PickDetour(may_run_here);
+  }
   if (may_run_here && !host) {
     auto target = this->PickServer();
     if (target) {
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -152,13 +152,15 @@
   const TimePoint now = this->clock.Now();
   const bool was_down = before == policy::LinkState::kDown;
   const bool is_down = this->links.State() == policy::LinkState::kDown;
+  if (is_down != was_down) {
+    this->table.ForgiveFailures(now);
+  }
   if (is_down && !was_down) {
     this->links_down_since = now;
     LogEvent(Event::kLinksLost, LogLevel::kWarning,
              {{"failed", std::to_string(this->links.FailedServers())},
               {"known", std::to_string(this->table.Count())}});
   } else if (was_down && !is_down) {
-    this->table.ForgiveFailures(now);
     LogEvent(
         Event::kLinksRegained, LogLevel::kInfo,
         {{"known", std::to_string(this->table.Count())},
