gateway, policy: servers that fall over if they reject many requests get fewer

A server that says Server-Brittle: N falls over if it has to turn away more than N requests a second (LIMIT). The field was not read: callers' requests went on to a full server at the rate at which they came, from every host.

It is decoded beside the server's limit, into one kind of statement, and enters the server table as what the server says of itself; the table asks it before each choice, first tries, retries and forwarded calls alike. Such a server gets no more than its slots, as the host estimates them with its region's load, and after a rejection nothing for hosts / (N / 2) seconds, then one request at a time until one is accepted; a call with no other server is refused with that time. No messages between hosts: each hears it in its own answers. The statement ends with an answer that lacks it, or after 10 s.

--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -23,6 +23,7 @@
   kBackendServerLimit = 2007,
   kLinksLost = 2008,
   kLinksRegained = 2009,
+  kBackendServerBrittle = 2010,
   kBlockQuarantined = 2101,
   kBlockReleased = 2102,
   kBlockTrial = 2103,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -108,6 +108,8 @@
       return "links_lost";
     case Event::kLinksRegained:
       return "links_regained";
+    case Event::kBackendServerBrittle:
+      return "backend_server_brittle";
     case Event::kBlockQuarantined:
       return "block_quarantined";
     case Event::kBlockReleased:
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -59,6 +59,9 @@
   //! answer, for the log.
   void NoteLimit(const policy::ServerLimit& limit, std::string_view source);
   std::vector<policy::ServerLimit> Limits();
+  void NoteTolerance(const policy::ServerTolerance& tolerance);
+  void NoteRejected(const BackendServerName& name);
+  void NoteAccepted(const BackendServerName& name);
   void SetSharers(const HostName& self, std::vector<HostName> hosts);
   std::optional<Duration> NextAllowance(const std::string& target);
   std::optional<std::uint64_t> SoleSoftware(const std::string& target);
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -217,14 +217,8 @@
     // The response belongs to another request or to none.
     co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
   }
-  // An answer that was not run may lack the field and says nothing then.
-  const bool tells_limit = parsed.tells_limit && !parsed.other_server &&
-                           (parsed.limit_per_kilosecond || !parsed.not_run);
-  if (target.server && tells_limit) {
-    dependencies.servers.NoteLimit(
-        {target.server->name, parsed.limit_per_kilosecond,
-         dependencies.servers.Now()},
-        "answer");
+  if (target.server && !parsed.other_server) {
+    this->NoteStatements(target.server->name, parsed);
   }
   if (parsed.not_run || parsed.other_server) {
     // Read the body to its end, so that the connection can be reused. The
@@ -245,6 +239,30 @@
                                           std::move(parsed.passed));
 }
 
+void PathRequest::NoteStatements(const BackendServerName& server,
+                                 const PathResponse& response) {
+  const PathGatewayDependencies& dependencies = this->gateway.Dependencies();
+  // An answer that was not run may lack a field and says nothing then.
+  const auto is_said = [&](const ServerStatement& statement) {
+    return statement.is_made && (statement.per_kilosecond || !response.not_run);
+  };
+  if (is_said(response.limit)) {
+    dependencies.servers.NoteLimit(
+        {server, response.limit.per_kilosecond, dependencies.servers.Now()},
+        "answer");
+  }
+  if (is_said(response.tolerance)) {
+    dependencies.servers.NoteTolerance(
+        {server, response.tolerance.per_kilosecond});
+  }
+  if (response.is_rejection) {
+    dependencies.metrics.Count("tamarackwing_server_rejections_total");
+    dependencies.servers.NoteRejected(server);
+  } else if (!response.not_run) {
+    dependencies.servers.NoteAccepted(server);
+  }
+}
+
 http::asio::awaitable<std::optional<http::Response>>
 PathRequest::ReadFullResponse(const Target& target,
                               http::Connection& connection,
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -259,6 +259,31 @@
   }
 }
 
+void ServerDirectory::NoteTolerance(const policy::ServerTolerance& tolerance) {
+  bool is_change = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    is_change = this->table.NoteTolerance(tolerance, this->clock.Now());
+  }
+  if (is_change) {
+    LogEvent(Event::kBackendServerBrittle, LogLevel::kInfo,
+             {{"server", tolerance.server.Text()},
+              {"per_1000_s", tolerance.per_kilosecond
+                                 ? std::to_string(*tolerance.per_kilosecond)
+                                 : ""}});
+  }
+}
+
+void ServerDirectory::NoteRejected(const BackendServerName& name) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteRejected(name, this->clock.Now());
+}
+
+void ServerDirectory::NoteAccepted(const BackendServerName& name) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteAccepted(name);
+}
+
 std::vector<policy::ServerLimit> ServerDirectory::Limits() {
   const std::lock_guard lock(this->mutex);
   return this->table.Limits(this->clock.Now());
--- a/packages/policy/include/tamarackwing/policy.h
+++ b/packages/policy/include/tamarackwing/policy.h
@@ -16,6 +16,7 @@
 #include "tamarackwing/policy/rate_holder.h"
 #include "tamarackwing/policy/rate_leases.h"
 #include "tamarackwing/policy/rate_messages.h"
+#include "tamarackwing/policy/rejection_gate.h"
 #include "tamarackwing/policy/rendezvous.h"
 #include "tamarackwing/policy/residency.h"
 #include "tamarackwing/policy/retry_budget.h"
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -125,6 +125,14 @@
   TimePoint heard;
 };
 
+//! What a server's answer says about the requests that it can reject without
+//! falling over.
+struct ServerTolerance {
+  BackendServerName server;
+  //! Rejections per 1000 seconds; nullopt if it names none (any more).
+  std::optional<std::uint64_t> per_kilosecond;
+};
+
 //! This host's load on the servers of a target.
 struct OwnLoad {
   //! Usable servers.
@@ -238,6 +246,14 @@
   //! example before this host started, may have named another version.
   std::optional<std::uint64_t> SoleSoftware(const std::string& target,
                                             TimePoint now) const;
+  //! Records how many rejections a server says that it bears. Until it stops to
+  //! say so, and for some seconds after the last answer, hosts send it no more
+  //! than it has slots for, and let rejections pass before they send more.
+  //! Returns whether it did not say so before, or does not any more.
+  bool NoteTolerance(const ServerTolerance& tolerance, TimePoint now);
+  //! Records that a server rejected a request for lack of room, or accepted it.
+  void NoteRejected(const BackendServerName& name, TimePoint now);
+  void NoteAccepted(const BackendServerName& name);
   //! Returns the servers with a lease that have not announced their shutdown,
   //! ejected ones too, in order of their names.
   std::vector<ServerEndpoint> Endpoints(TimePoint now) const;
@@ -299,6 +315,15 @@
   //! names a limit.
   double LimitShare(const BackendServerName& name,
                     std::uint64_t per_kilosecond) const;
+  //! Returns whether a server that falls over if it rejects requests is
+  //! expected to accept one; true for other servers.
+  bool HasRoom(const Server& server,
+               const std::string& target,
+               TimePoint now) const;
+  //! Returns how long no request may be sent to a server because of what it
+  //! says of itself; nullopt if it says nothing, or the time is unknown.
+  static std::optional<Duration> AllowanceWait(const Server& server,
+                                               TimePoint now);
   //! Returns whether the limit on requests to a cold server permits another.
   static bool HasColdAllowance(const Server& server,
                                const ServerQuery& query,
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -10,6 +10,7 @@
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/policy/admission.h"
 #include "tamarackwing/policy/placement.h"
+#include "tamarackwing/policy/rejection_gate.h"
 #include "tamarackwing/policy/rendezvous.h"
 
 namespace tamarackwing::policy {
@@ -70,6 +71,14 @@
   }
 };
 
+//! What a server has said of the rejections that it bears.
+struct BrittleServer {
+  std::uint64_t per_kilosecond = 0;
+  //! When it last said so.
+  TimePoint heard;
+  RejectionGate gate;
+};
+
 struct ServerTable::Server {
   ServerReport report;
   //! Digest of the version of its software.
@@ -80,6 +89,8 @@
   TimePoint limit_heard;
   //! When its answers stopped naming a limit.
   std::optional<TimePoint> limit_ended;
+  //! Set while the server says that rejections make it fall over.
+  std::optional<BrittleServer> brittle;
   TimePoint lease_until;
   //! When the load of the last report was measured, by this host's clock.
   TimePoint load_measured;
@@ -372,6 +383,7 @@
         query.software && *query.software != server->software;
     if (!was_tried && !is_closed && !is_at_limit && !is_other_version &&
         this->IsUsable(*server, lapsed, now) &&
+        this->HasRoom(*server, query.target, now) &&
         HasColdAllowance(*server, query, now)) {
       const Duration slot = this->SlotWaitAt(*server, query.target, now);
       const Duration wait = slot + this->PrefillWaitAt(*server, now);
@@ -382,6 +394,16 @@
   return usable;
 }
 
+bool ServerTable::HasRoom(const Server& server,
+                          const std::string& target,
+                          TimePoint now) const {
+  const bool is_brittle =
+      server.brittle && now - server.brittle->heard <= kLimitLife;
+  return !is_brittle ||
+         (server.brittle->gate.MaySend(now) &&
+          this->SlotWaitAt(server, target, now) == Duration::zero());
+}
+
 bool ServerTable::HasColdAllowance(const Server& server,
                                    const ServerQuery& query,
                                    TimePoint now) {
@@ -413,6 +435,9 @@
     server.limit->FillTo(now);
     server.limit->level = std::max(0.0, server.limit->level - 1);
   }
+  if (server.brittle) {
+    server.brittle->gate.NoteSent();
+  }
   if (server.cold_until > now) {
     server.cold_sends.push_back(now);
     while (now - server.cold_sends.front() > kColdSpan) {
@@ -428,6 +453,42 @@
   }
 }
 
+bool ServerTable::NoteTolerance(const ServerTolerance& tolerance,
+                                TimePoint now) {
+  Server* const server = this->Find(tolerance.server);
+  if (server == nullptr) {
+    return false;
+  }
+  const bool was_brittle = server->brittle.has_value();
+  if (!tolerance.per_kilosecond) {
+    server->brittle.reset();
+    return was_brittle;
+  }
+  if (!was_brittle) {
+    server->brittle.emplace();
+  }
+  server->brittle->per_kilosecond = *tolerance.per_kilosecond;
+  server->brittle->heard = now;
+  server->brittle->gate.SetTolerance(
+      *tolerance.per_kilosecond,
+      std::max<std::size_t>(1, this->sharers.size()));
+  return !was_brittle;
+}
+
+void ServerTable::NoteRejected(const BackendServerName& name, TimePoint now) {
+  Server* const server = this->Find(name);
+  if (server != nullptr && server->brittle) {
+    server->brittle->gate.NoteRejected(now);
+  }
+}
+
+void ServerTable::NoteAccepted(const BackendServerName& name) {
+  Server* const server = this->Find(name);
+  if (server != nullptr && server->brittle) {
+    server->brittle->gate.NoteAccepted();
+  }
+}
+
 bool ServerTable::NoteLimit(const ServerLimit& limit, TimePoint now) {
   Server* const server = this->Find(limit.server);
   if (server == nullptr || limit.heard < server->limit_heard) {
@@ -500,6 +561,21 @@
   return is_owner ? rate / static_cast<double>(active) : 0;
 }
 
+std::optional<Duration> ServerTable::AllowanceWait(const Server& server,
+                                                   TimePoint now) {
+  std::optional<Duration> wait;
+  if (server.limit && server.limit->share > 0) {
+    const double missing = std::max(0.0, 1 - server.limit->LevelAt(now));
+    wait = Seconds(missing / server.limit->share);
+  }
+  const auto gate =
+      server.brittle ? server.brittle->gate.Wait(now) : std::nullopt;
+  if (gate && *gate > Duration::zero()) {
+    wait = std::max(wait.value_or(Duration::zero()), *gate);
+  }
+  return wait;
+}
+
 std::optional<Duration> ServerTable::NextAllowance(const std::string& target,
                                                    TimePoint now) const {
   std::optional<Duration> next;
@@ -508,13 +584,12 @@
     return next;
   }
   for (const Server* server : servers_of->second) {
-    if (!server->limit || server->limit->share <= 0 ||
-        !this->IsUsable(*server, false, now)) {
-      continue;
+    const auto wait = this->IsUsable(*server, false, now)
+                          ? AllowanceWait(*server, now)
+                          : std::nullopt;
+    if (wait) {
+      next = next ? std::min(*next, *wait) : *wait;
     }
-    const double missing = std::max(0.0, 1 - server->limit->LevelAt(now));
-    const Duration wait = Seconds(missing / server->limit->share);
-    next = next ? std::min(*next, wait) : wait;
   }
   return next;
 }
@@ -582,6 +657,9 @@
   }
   Server& server = *found;
   server.own_running -= std::min(server.own_running, 1U);
+  if (server.brittle) {
+    server.brittle->gate.NoteEnded();
+  }
   switch (signal) {
     case HealthSignal::kAnswered:
       server.failures = 0;
