gateway, policy: a server that says it leaves gets no new requests

A server that is shutting down says so in its answers (Server-Leaving). The field was not read: callers' requests went on to it until a report of its own said so, and reports that came late or from another writer brought it back. So did any late report once the lease of a deregistered server had expired, since its record was gone with it. What an answer says about its server (leaving, limit, tolerance, whether it accepted) is now decoded once, into policy::ServerStatement, and enters the server table by one method. The table is asked before each choice and once more when the connection is open: first tries, retries, resumptions by host or caller, forwarded calls and trials alike. A process that has said that it leaves, in an answer or in a report, is remembered by its start time for a minute after its last report; its reports of being ready are dropped until another process has the name. An answer of an earlier process under the same name says nothing of the next one. Other hosts of the region hear of it as of a deregistration.

--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -76,6 +76,25 @@
 }
 BENCHMARK(RoutingDecisionWithLimits)->Arg(18)->Arg(69);
 
+//! Measures what an answer adds that says nothing special about its server.
+void StatementOfAnAnswer(benchmark::State& state) {
+  ManualClock clock;
+  ServerTable table{ServerTableLimits()};
+  for (int i = 0; i < state.range(0); ++i) {
+    table.Announce(Report(i), clock.Now());
+  }
+  ServerChoice chosen;
+  chosen.name = Report(0).name;
+  ServerStatement statement;
+  statement.limit.is_made = true;
+  statement.tolerance.is_made = true;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(
+        table.NoteStatement(chosen, statement, clock.Now()));
+  }
+}
+BENCHMARK(StatementOfAnAnswer)->Arg(18)->Arg(1'100);
+
 //! Measures what an answered request adds for the crash observer.
 void AnsweredBlocks(benchmark::State& state) {
   ManualClock clock;
--- a/packages/gateway/include/tamarackwing/gateway/path_protocol.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_protocol.h
@@ -8,6 +8,7 @@
 #include "tamarackwing/base/refusal.h"
 #include "tamarackwing/gateway/path_call.h"
 #include "tamarackwing/http/message.h"
+#include "tamarackwing/policy/server_statement.h"
 
 namespace tamarackwing::gateway {
 
@@ -24,13 +25,6 @@
   std::optional<std::uint64_t> last_event;
 };
 
-//! What a head says about a rate of its server: its value, or that there is
-//! none. A head with a value that cannot be read says nothing.
-struct ServerStatement {
-  bool is_made = false;
-  std::optional<std::uint64_t> per_kilosecond;
-};
-
 //! Contents of the head of a response.
 struct PathResponse {
   //! The server reports that it did not run the request.
@@ -41,12 +35,8 @@
   //! The response contains the id of this call.
   bool is_for_call = false;
   bool is_stream = false;
-  //! The server had no room for the request; `not_run` is set, too.
-  bool is_rejection = false;
-  //! Requests per 1000 seconds that the server takes from all hosts together.
-  ServerStatement limit;
-  //! Rejections per 1000 seconds that the server bears without falling over.
-  ServerStatement tolerance;
+  //! What the server says about itself.
+  policy::ServerStatement statement;
   //! The head to pass on to the caller.
   http::ResponseHead passed;
 };
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -59,9 +59,13 @@
   //! answer, for the log.
   void NoteLimit(const policy::ServerLimit& limit, std::string_view source);
   std::vector<policy::ServerLimit> Limits();
-  void NoteTolerance(const policy::ServerTolerance& tolerance);
-  void NoteRejected(const BackendServerName& name);
-  void NoteAccepted(const BackendServerName& name);
+  //! Applies and logs what the answer to `request` says about its server. The
+  //! other hosts of the region hear of a server that is shutting down as they
+  //! hear of one that has deregistered.
+  void NoteStatement(const policy::ServerChoice& server,
+                     const policy::ServerStatement& statement,
+                     const std::string& request);
+  bool MaySendTo(const policy::ServerChoice& server);
   void SetSharers(const HostName& self, std::vector<HostName> hosts);
   std::optional<Duration> NextAllowance(const std::string& target);
   std::optional<std::uint64_t> SoleSoftware(const std::string& target);
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -112,9 +112,9 @@
       const Target& target,
       http::Connection& connection);
   //! Passes on to the server directory what a server's response says of the
-  //! requests that the server can take.
-  void NoteStatements(const BackendServerName& server,
-                      const PathResponse& response);
+  //! server.
+  void NoteStatement(const policy::ServerChoice& server,
+                     const policy::ServerStatement& statement);
   //! Reads the body of a response to its end. Returns nothing on a connection
   //! error or if the body is too large, and sets `signal` accordingly.
   http::asio::awaitable<std::optional<http::Response>> ReadFullResponse(
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -138,6 +138,12 @@
   if (target.server && !connection.reused) {
     this->gateway.Dependencies().servers.NoteConnected();
   }
+  if (target.server &&
+      !this->gateway.Dependencies().servers.MaySendTo(*target.server)) {
+    // It has said so in another answer while the connection opened.
+    pool.Release(target.endpoint, std::move(connection));
+    co_return TryOutcome::kNotSent;
+  }
   this->current_connection = connection.connection.get();
   http::Request request = this->MakeRequest(target);
   const auto sent =
@@ -218,7 +224,7 @@
     co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
   }
   if (target.server && !parsed.other_server) {
-    this->NoteStatements(target.server->name, parsed);
+    this->NoteStatement(*target.server, parsed.statement);
   }
   if (parsed.not_run || parsed.other_server) {
     // Read the body to its end, so that the connection can be reused. The
@@ -239,28 +245,16 @@
                                           std::move(parsed.passed));
 }
 
-void PathRequest::NoteStatements(const BackendServerName& server,
-                                 const PathResponse& response) {
+void PathRequest::NoteStatement(const policy::ServerChoice& server,
+                                const policy::ServerStatement& statement) {
   const PathGatewayDependencies& dependencies = this->gateway.Dependencies();
-  // An answer that was not run may lack a field and says nothing then.
-  const auto is_said = [&](const ServerStatement& statement) {
-    return statement.is_made && (statement.per_kilosecond || !response.not_run);
-  };
-  if (is_said(response.limit)) {
-    dependencies.servers.NoteLimit(
-        {server, response.limit.per_kilosecond, dependencies.servers.Now()},
-        "answer");
-  }
-  if (is_said(response.tolerance)) {
-    dependencies.servers.NoteTolerance(
-        {server, response.tolerance.per_kilosecond});
-  }
-  if (response.is_rejection) {
+  if (statement.acceptance == policy::Acceptance::kRejected) {
     dependencies.metrics.Count("tamarackwing_server_rejections_total");
-    dependencies.servers.NoteRejected(server);
-  } else if (!response.not_run) {
-    dependencies.servers.NoteAccepted(server);
   }
+  if (statement.unreadable > 0) {
+    dependencies.metrics.Count("tamarackwing_server_unreadable_fields_total");
+  }
+  dependencies.servers.NoteStatement(server, statement, this->call.id);
 }
 
 http::asio::awaitable<std::optional<http::Response>>
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -14,6 +14,47 @@
 //! Default size of a target's retry budget.
 constexpr std::uint32_t kRetryReserve = 20;
 
+std::string RateText(const std::optional<std::uint64_t>& per_kilosecond) {
+  return per_kilosecond ? std::to_string(*per_kilosecond) : "";
+}
+
+void LogLimit(const policy::ServerLimit& limit,
+              std::string_view source,
+              TimePoint now) {
+  const auto age =
+      std::chrono::ceil<std::chrono::milliseconds>(now - limit.heard);
+  LogEvent(Event::kBackendServerLimit, LogLevel::kInfo,
+           {{"server", limit.server.Text()},
+            {"per_1000_s", RateText(limit.per_kilosecond)},
+            {"source", std::string(source)},
+            {"age_ms", std::to_string(age.count())}});
+}
+
+void LogStatement(const BackendServerName& server,
+                  const policy::ServerStatement& statement,
+                  const policy::StatementChanges& changes,
+                  const std::string& request,
+                  TimePoint now) {
+  if (changes.limit) {
+    LogLimit({server, statement.limit.per_kilosecond, now}, "answer", now);
+  }
+  if (changes.tolerance) {
+    LogEvent(Event::kBackendServerBrittle, LogLevel::kInfo,
+             {{"server", server.Text()},
+              {"per_1000_s", RateText(statement.tolerance.per_kilosecond)}});
+  }
+  if (changes.leaving) {
+    LogEvent(Event::kBackendServerLeft, LogLevel::kInfo,
+             {{"server", server.Text()}, {"request", request}});
+  }
+  if (statement.unreadable > 0) {
+    LogEvent(Event::kBackendServerUnreadable, LogLevel::kWarning,
+             {{"server", server.Text()},
+              {"request", request},
+              {"fields", std::to_string(statement.unreadable)}});
+  }
+}
+
 }  // namespace
 
 ServerDirectory::ServerDirectory(RegionName region,
@@ -247,41 +288,33 @@
     is_change = this->table.NoteLimit(limit, this->clock.Now());
   }
   if (is_change) {
-    const auto age = std::chrono::ceil<std::chrono::milliseconds>(
-        this->clock.Now() - limit.heard);
-    LogEvent(
-        Event::kBackendServerLimit, LogLevel::kInfo,
-        {{"server", limit.server.Text()},
-         {"per_1000_s",
-          limit.per_kilosecond ? std::to_string(*limit.per_kilosecond) : ""},
-         {"source", std::string(source)},
-         {"age_ms", std::to_string(age.count())}});
+    LogLimit(limit, source, this->clock.Now());
   }
 }
 
-void ServerDirectory::NoteTolerance(const policy::ServerTolerance& tolerance) {
-  bool is_change = false;
+void ServerDirectory::NoteStatement(const policy::ServerChoice& server,
+                                    const policy::ServerStatement& statement,
+                                    const std::string& request) {
+  const TimePoint now = this->clock.Now();
+  policy::StatementChanges changes;
   {
     const std::lock_guard lock(this->mutex);
-    is_change = this->table.NoteTolerance(tolerance, this->clock.Now());
+    changes = this->table.NoteStatement(server, statement, now);
   }
-  if (is_change) {
-    LogEvent(Event::kBackendServerBrittle, LogLevel::kInfo,
-             {{"server", tolerance.server.Text()},
-              {"per_1000_s", tolerance.per_kilosecond
-                                 ? std::to_string(*tolerance.per_kilosecond)
-                                 : ""}});
+  if (statement.leaving && this->on_announced) {
+    policy::ServerReport report;
+    report.name = server.name;
+    report.region = this->region;
+    report.started = server.started;
+    report.leaving = true;
+    this->on_announced(report);
   }
+  LogStatement(server.name, statement, changes, request, now);
 }
 
-void ServerDirectory::NoteRejected(const BackendServerName& name) {
-  const std::lock_guard lock(this->mutex);
-  this->table.NoteRejected(name, this->clock.Now());
-}
-
-void ServerDirectory::NoteAccepted(const BackendServerName& name) {
+bool ServerDirectory::MaySendTo(const policy::ServerChoice& server) {
   const std::lock_guard lock(this->mutex);
-  this->table.NoteAccepted(name);
+  return this->table.MaySendTo(server);
 }
 
 std::vector<policy::ServerLimit> ServerDirectory::Limits() {
--- a/packages/policy/include/tamarackwing/policy.h
+++ b/packages/policy/include/tamarackwing/policy.h
@@ -21,6 +21,7 @@
 #include "tamarackwing/policy/residency.h"
 #include "tamarackwing/policy/retry_budget.h"
 #include "tamarackwing/policy/server_report.h"
+#include "tamarackwing/policy/server_statement.h"
 #include "tamarackwing/policy/server_table.h"
 #include "tamarackwing/policy/slot_share.h"
 #include "tamarackwing/policy/spill.h"
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -16,6 +16,7 @@
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/policy/server_report.h"
+#include "tamarackwing/policy/server_statement.h"
 
 namespace tamarackwing {
 class RandomSource;
@@ -125,12 +126,15 @@
   TimePoint heard;
 };
 
-//! What a server's answer says about the requests that it can reject without
-//! falling over.
-struct ServerTolerance {
-  BackendServerName server;
-  //! Rejections per 1000 seconds; nullopt if it names none (any more).
-  std::optional<std::uint64_t> per_kilosecond;
+//! What an answer changed in what is believed of its server.
+struct StatementChanges {
+  //! The server names a limit for the first time, or none any more.
+  bool limit = false;
+  //! It says for the first time that rejections make it fall over, or does not
+  //! say so any more.
+  bool tolerance = false;
+  //! It says for the first time that it is shutting down.
+  bool leaving = false;
 };
 
 //! This host's load on the servers of a target.
@@ -158,6 +162,8 @@
   std::string software;
   //! Digest of `software`.
   std::uint64_t software_digest = 0;
+  //! Start time of the server's process; see ServerReport.
+  std::chrono::milliseconds started{0};
 };
 
 //! Where a server accepts connections.
@@ -220,6 +226,14 @@
   void NoteRun(const std::string& target, Duration run);
   //! Sets how many requests other hosts have in flight for a target.
   void SetPeerLoad(const std::string& target, std::uint32_t running);
+  //! Applies what an answer to this host says about the server that was chosen
+  //! for its request, and whether the server accepted it. A server that says
+  //! that it is shutting down gets no new requests, whatever its reports say,
+  //! until another process has its name. Rejections of a server that falls over
+  //! when it has to reject too many are followed by pauses.
+  StatementChanges NoteStatement(const ServerChoice& server,
+                                 const ServerStatement& statement,
+                                 TimePoint now);
   //! Applies what an answer to this or another host of the region says about
   //! its server's limit, unless a newer answer is known. Returns whether the
   //! server names a limit for the first time or names none any more.
@@ -229,8 +243,9 @@
   //! Sets the hosts of the region that share the servers' limits; `self` may
   //! be missing from `hosts` and has no share then.
   void SetSharers(const HostName& self, std::vector<HostName> hosts);
-  //! Returns the time until a limit permits this host another request of a
-  //! target; nullopt if no limit is in the way or this host has no share.
+  //! Returns the time until what a target's servers say of themselves permits
+  //! this host another request; nullopt if nothing of that is in the way or
+  //! this host has no share of a limit.
   std::optional<Duration> NextAllowance(const std::string& target,
                                         TimePoint now) const;
   //! Takes back a NoteSent: the request was not sent after all.
@@ -246,21 +261,17 @@
   //! example before this host started, may have named another version.
   std::optional<std::uint64_t> SoleSoftware(const std::string& target,
                                             TimePoint now) const;
-  //! Records how many rejections a server says that it bears. Until it stops to
-  //! say so, and for some seconds after the last answer, hosts send it no more
-  //! than it has slots for, and let rejections pass before they send more.
-  //! Returns whether it did not say so before, or does not any more.
-  bool NoteTolerance(const ServerTolerance& tolerance, TimePoint now);
-  //! Records that a server rejected a request for lack of room, or accepted it.
-  void NoteRejected(const BackendServerName& name, TimePoint now);
-  void NoteAccepted(const BackendServerName& name);
+  //! Returns whether a request may still be sent to the server that was chosen
+  //! for it: it has not said since that it wants none.
+  bool MaySendTo(const ServerChoice& server) const;
   //! Returns the servers with a lease that have not announced their shutdown,
   //! ejected ones too, in order of their names.
   std::vector<ServerEndpoint> Endpoints(TimePoint now) const;
   //! Ends all ejections, without slow start, and forgets all failures: the
   //! servers were not their cause.
   void ForgiveFailures(TimePoint now);
-  //! Returns whether a server has announced its shutdown.
+  //! Returns whether a server has announced its shutdown, in a report or in an
+  //! answer.
   bool IsLeaving(const BackendServerName& name) const;
   //! Returns the number of known servers.
   std::size_t Count() const { return this->servers.size(); }
@@ -294,9 +305,24 @@
   };
   //! Returns the server of that name; null if unknown.
   Server* Find(const BackendServerName& name);
+  //! A server's process that has announced its shutdown.
+  struct Departed {
+    std::chrono::milliseconds started{};
+    //! How long the process is remembered.
+    TimePoint until;
+  };
   //! Marks a server as shutting down, unless the report is from another
   //! process than the known one.
-  void MarkLeaving(const ServerReport& report);
+  void MarkLeaving(const ServerReport& report, TimePoint now);
+  void NoteDeparted(const BackendServerName& name,
+                    std::chrono::milliseconds started,
+                    TimePoint now);
+  //! Returns whether a report is from a process that has announced its shutdown
+  //! but says that it accepts requests.
+  bool IsFromDeparted(const ServerReport& report) const;
+  bool ApplyTolerance(Server& server,
+                      const RateStatement& tolerance,
+                      TimePoint now);
   void Eject(Server& server, TimePoint sent, TimePoint now);
   //! Assigns the report's address to its server and removes the server that
   //! had it before.
@@ -315,8 +341,8 @@
   //! names a limit.
   double LimitShare(const BackendServerName& name,
                     std::uint64_t per_kilosecond) const;
-  //! Returns whether a server that falls over if it rejects requests is
-  //! expected to accept one; true for other servers.
+  //! Returns whether a server that has sent requests away, or falls over if it
+  //! rejects many, is expected to accept one; true for other servers.
   bool HasRoom(const Server& server,
                const std::string& target,
                TimePoint now) const;
@@ -355,6 +381,7 @@
   ServerTableLimits limits;
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
+  std::unordered_map<BackendServerName, Departed> departed;
   std::map<std::string, SoftwareWatch> software_seen;
   std::unordered_map<std::string, TargetLoad> loads;
   HostName self;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -40,6 +40,9 @@
 //! each may send one request at any moment.
 constexpr std::size_t kMinOwners = 3;
 constexpr double kMaxSlots = 1'000'000;
+//! How long a process that has announced its shutdown is remembered after its
+//! last report, so that a late one does not bring it back.
+constexpr std::chrono::seconds kDepartedLife{60};
 
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
@@ -71,14 +74,6 @@
   }
 };
 
-//! What a server has said of the rejections that it bears.
-struct BrittleServer {
-  std::uint64_t per_kilosecond = 0;
-  //! When it last said so.
-  TimePoint heard;
-  RejectionGate gate;
-};
-
 struct ServerTable::Server {
   ServerReport report;
   //! Digest of the version of its software.
@@ -89,8 +84,10 @@
   TimePoint limit_heard;
   //! When its answers stopped naming a limit.
   std::optional<TimePoint> limit_ended;
-  //! Set while the server says that rejections make it fall over.
-  std::optional<BrittleServer> brittle;
+  //! When the server last said that rejections make it fall over; nullopt once
+  //! it does not say so any more.
+  std::optional<TimePoint> brittle_heard;
+  RejectionGate gate;
   TimePoint lease_until;
   //! When the load of the last report was measured, by this host's clock.
   TimePoint load_measured;
@@ -172,7 +169,7 @@
   return found == this->servers.end() ? nullptr : found->second.get();
 }
 
-void ServerTable::MarkLeaving(const ServerReport& report) {
+void ServerTable::MarkLeaving(const ServerReport& report, TimePoint now) {
   Server* const known = this->Find(report.name);
   const auto zero = std::chrono::milliseconds(0);
   if (known == nullptr) {
@@ -181,9 +178,29 @@
   ServerReport& last = known->report;
   if (report.started == zero || report.started == last.started) {
     last.leaving = true;
+    this->NoteDeparted(last.name, last.started, now);
   }
 }
 
+void ServerTable::NoteDeparted(const BackendServerName& name,
+                               std::chrono::milliseconds started,
+                               TimePoint now) {
+  // Without a start time, a new process cannot be told from the old one.
+  if (started == std::chrono::milliseconds(0)) {
+    return;
+  }
+  Departed& process = this->departed[name];
+  if (started >= process.started) {
+    process = {started, now + kDepartedLife};
+  }
+}
+
+bool ServerTable::IsFromDeparted(const ServerReport& report) const {
+  const auto process = this->departed.find(report.name);
+  return process != this->departed.end() && !report.leaving &&
+         report.started <= process->second.started;
+}
+
 bool ServerTable::IsStale(const ServerReport& report) const {
   const auto at = this->by_address.find({report.address, report.port});
   if (at != this->by_address.end() && at->second != report.name) {
@@ -225,13 +242,25 @@
 }
 
 bool ServerTable::Announce(const ServerReport& report, TimePoint now) {
+  if (this->IsFromDeparted(report)) {
+    Departed& process = this->departed.at(report.name);
+    if (process.started == report.started) {
+      process.until = now + kDepartedLife;
+    }
+    return false;
+  }
   if (this->IsStale(report)) {
     return false;
   }
   if (report.address.empty() && report.leaving) {
-    this->MarkLeaving(report);
+    this->MarkLeaving(report, now);
     return false;
   }
+  if (report.leaving) {
+    this->NoteDeparted(report.name, report.started, now);
+  } else {
+    this->departed.erase(report.name);
+  }
   this->AssignAddress(report);
   std::unique_ptr<Server>& slot = this->servers[report.name];
   const bool is_new = !slot;
@@ -320,6 +349,9 @@
     }
     this->servers.erase(name);
   }
+  std::erase_if(this->departed, [&](const auto& process) {
+    return process.second.until <= now;
+  });
   for (auto& [target, watch] : this->software_seen) {
     std::erase_if(watch.seen, [&](const auto& version) {
       return now - version.second > this->limits.software_span;
@@ -358,7 +390,8 @@
                       chosen.server->own_running,
                       chosen.slot_wait,
                       report.software,
-                      chosen.server->software};
+                      chosen.server->software,
+                      report.started};
 }
 
 std::vector<ServerTable::Candidate> ServerTable::Candidates(
@@ -398,10 +431,10 @@
                           const std::string& target,
                           TimePoint now) const {
   const bool is_brittle =
-      server.brittle && now - server.brittle->heard <= kLimitLife;
-  return !is_brittle ||
-         (server.brittle->gate.MaySend(now) &&
-          this->SlotWaitAt(server, target, now) == Duration::zero());
+      server.brittle_heard && now - *server.brittle_heard <= kLimitLife;
+  const bool has_slot =
+      !is_brittle || this->SlotWaitAt(server, target, now) == Duration::zero();
+  return has_slot && server.gate.MaySend(now);
 }
 
 bool ServerTable::HasColdAllowance(const Server& server,
@@ -435,9 +468,7 @@
     server.limit->FillTo(now);
     server.limit->level = std::max(0.0, server.limit->level - 1);
   }
-  if (server.brittle) {
-    server.brittle->gate.NoteSent();
-  }
+  server.gate.NoteSent();
   if (server.cold_until > now) {
     server.cold_sends.push_back(now);
     while (now - server.cold_sends.front() > kColdSpan) {
@@ -453,40 +484,63 @@
   }
 }
 
-bool ServerTable::NoteTolerance(const ServerTolerance& tolerance,
-                                TimePoint now) {
-  Server* const server = this->Find(tolerance.server);
-  if (server == nullptr) {
-    return false;
+StatementChanges ServerTable::NoteStatement(const ServerChoice& chosen,
+                                            const ServerStatement& statement,
+                                            TimePoint now) {
+  StatementChanges changes;
+  if (statement.leaving) {
+    this->NoteDeparted(chosen.name, chosen.started, now);
   }
-  const bool was_brittle = server->brittle.has_value();
-  if (!tolerance.per_kilosecond) {
-    server->brittle.reset();
-    return was_brittle;
+  Server* const found = this->Find(chosen.name);
+  if (found == nullptr || found->report.started != chosen.started) {
+    return changes;
   }
-  if (!was_brittle) {
-    server->brittle.emplace();
+  Server& server = *found;
+  changes.leaving = statement.leaving && !server.report.leaving;
+  server.report.leaving = server.report.leaving || statement.leaving;
+  const bool was_accepted = statement.acceptance == Acceptance::kAccepted;
+  // An answer that was not run may lack a field and says nothing then.
+  const auto is_said = [&](const RateStatement& rate) {
+    return rate.is_made && (rate.per_kilosecond || was_accepted);
+  };
+  if (is_said(statement.limit)) {
+    changes.limit = this->NoteLimit(
+        {chosen.name, statement.limit.per_kilosecond, now}, now);
   }
-  server->brittle->per_kilosecond = *tolerance.per_kilosecond;
-  server->brittle->heard = now;
-  server->brittle->gate.SetTolerance(
-      *tolerance.per_kilosecond,
-      std::max<std::size_t>(1, this->sharers.size()));
-  return !was_brittle;
+  if (is_said(statement.tolerance)) {
+    changes.tolerance = this->ApplyTolerance(server, statement.tolerance, now);
+  }
+  if (statement.acceptance == Acceptance::kRejected && server.brittle_heard) {
+    server.gate.NoteRejected(now);
+  }
+  if (was_accepted) {
+    server.gate.NoteAccepted();
+  }
+  return changes;
 }
 
-void ServerTable::NoteRejected(const BackendServerName& name, TimePoint now) {
-  Server* const server = this->Find(name);
-  if (server != nullptr && server->brittle) {
-    server->brittle->gate.NoteRejected(now);
+bool ServerTable::ApplyTolerance(Server& server,
+                                 const RateStatement& tolerance,
+                                 TimePoint now) {
+  const bool was_brittle = server.brittle_heard.has_value();
+  if (!tolerance.per_kilosecond) {
+    server.brittle_heard.reset();
+    return was_brittle;
   }
+  server.brittle_heard = now;
+  server.gate.SetTolerance(*tolerance.per_kilosecond,
+                           std::max<std::size_t>(1, this->sharers.size()));
+  return !was_brittle;
 }
 
-void ServerTable::NoteAccepted(const BackendServerName& name) {
-  Server* const server = this->Find(name);
-  if (server != nullptr && server->brittle) {
-    server->brittle->gate.NoteAccepted();
+bool ServerTable::MaySendTo(const ServerChoice& chosen) const {
+  const auto process = this->departed.find(chosen.name);
+  if (process != this->departed.end() &&
+      chosen.started <= process->second.started) {
+    return false;
   }
+  const auto found = this->servers.find(chosen.name);
+  return found == this->servers.end() || !found->second->report.leaving;
 }
 
 bool ServerTable::NoteLimit(const ServerLimit& limit, TimePoint now) {
@@ -568,8 +622,7 @@
     const double missing = std::max(0.0, 1 - server.limit->LevelAt(now));
     wait = Seconds(missing / server.limit->share);
   }
-  const auto gate =
-      server.brittle ? server.brittle->gate.Wait(now) : std::nullopt;
+  const auto gate = server.gate.Wait(now);
   if (gate && *gate > Duration::zero()) {
     wait = std::max(wait.value_or(Duration::zero()), *gate);
   }
@@ -630,7 +683,8 @@
 
 bool ServerTable::IsLeaving(const BackendServerName& name) const {
   const auto found = this->servers.find(name);
-  return found != this->servers.end() && found->second->report.leaving;
+  return found == this->servers.end() ? this->departed.contains(name)
+                                      : found->second->report.leaving;
 }
 
 OwnLoad ServerTable::LoadOf(const std::string& target, TimePoint now) const {
@@ -657,9 +711,7 @@
   }
   Server& server = *found;
   server.own_running -= std::min(server.own_running, 1U);
-  if (server.brittle) {
-    server.brittle->gate.NoteEnded();
-  }
+  server.gate.NoteEnded();
   switch (signal) {
     case HealthSignal::kAnswered:
       server.failures = 0;
--- a/tests/test_host.cc
+++ b/tests/test_host.cc
@@ -34,6 +34,7 @@
     co_return result;
   }
   result.status = head->status;
+  result.headers = head->headers;
   while (true) {
     const auto piece = co_await connection.ReadPiece(until);
     if (!piece) {
--- a/tests/test_host.h
+++ b/tests/test_host.h
@@ -53,6 +53,7 @@
 struct CallResult {
   //! Zero if no response head was received.
   unsigned status = 0;
+  http::Headers headers;
   std::string body;
   //! Whether the response was received to its end.
   bool complete = false;
