gateway, policy: a server that asks for a pause gets no requests until it ends

A server that turns a request away with 503 may say for how long it wants nothing from that host (Retry-After). The field was not read: callers' requests went on to it, each at the cost of a retry, and calls for which no server was left were told to come back after 0.4 s. It is decoded with what else a server says of itself and enters the server table, which gives it no request until the pause ends, then one at a time until one is accepted, and slow start after that. A host returns after up to a quarter of the pause more, one second at most, by lot, so that the hosts that were sent away together do not return together. The pause is no failure: it ejects nothing and costs no retry beyond what was sent; the server's slots leave the region's expected wait, so that calls spill. Calls for which no server is left are refused at once with the time of the first return.

--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -79,6 +79,7 @@
 //! Measures what an answer adds that says nothing special about its server.
 void StatementOfAnAnswer(benchmark::State& state) {
   ManualClock clock;
+  SeededRandom random(1);
   ServerTable table{ServerTableLimits()};
   for (int i = 0; i < state.range(0); ++i) {
     table.Announce(Report(i), clock.Now());
@@ -90,7 +91,7 @@
   statement.tolerance.is_made = true;
   for (auto _ : state) {
     benchmark::DoNotOptimize(
-        table.NoteStatement(chosen, statement, clock.Now()));
+        table.NoteStatement(chosen, statement, clock.Now(), random));
   }
 }
 BENCHMARK(StatementOfAnAnswer)->Arg(18)->Arg(1'100);
--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -24,6 +24,7 @@
   kLinksLost = 2008,
   kLinksRegained = 2009,
   kBackendServerBrittle = 2010,
+  kBackendServerPaused = 2011,
   kBackendServerUnreadable = 2012,
   kBlockQuarantined = 2101,
   kBlockReleased = 2102,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -110,6 +110,8 @@
       return "links_regained";
     case Event::kBackendServerBrittle:
       return "backend_server_brittle";
+    case Event::kBackendServerPaused:
+      return "backend_server_paused";
     case Event::kBackendServerUnreadable:
       return "backend_server_unreadable";
     case Event::kBlockQuarantined:
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -251,6 +251,9 @@
   if (statement.acceptance == policy::Acceptance::kRejected) {
     dependencies.metrics.Count("tamarackwing_server_rejections_total");
   }
+  if (statement.pause) {
+    dependencies.metrics.Count("tamarackwing_server_pauses_total");
+  }
   if (statement.unreadable > 0) {
     dependencies.metrics.Count("tamarackwing_server_unreadable_fields_total");
   }
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -47,6 +47,15 @@
     LogEvent(Event::kBackendServerLeft, LogLevel::kInfo,
              {{"server", server.Text()}, {"request", request}});
   }
+  if (changes.paused_until) {
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+        *changes.paused_until - now);
+    LogEvent(Event::kBackendServerPaused, LogLevel::kInfo,
+             {{"server", server.Text()},
+              {"request", request},
+              {"asked_ms", std::to_string(statement.pause->count())},
+              {"paused_ms", std::to_string(left.count())}});
+  }
   if (statement.unreadable > 0) {
     LogEvent(Event::kBackendServerUnreadable, LogLevel::kWarning,
              {{"server", server.Text()},
@@ -299,7 +308,7 @@
   policy::StatementChanges changes;
   {
     const std::lock_guard lock(this->mutex);
-    changes = this->table.NoteStatement(server, statement, now);
+    changes = this->table.NoteStatement(server, statement, now, this->random);
   }
   if (statement.leaving && this->on_announced) {
     policy::ServerReport report;
@@ -314,7 +323,7 @@
 
 bool ServerDirectory::MaySendTo(const policy::ServerChoice& server) {
   const std::lock_guard lock(this->mutex);
-  return this->table.MaySendTo(server);
+  return this->table.MaySendTo(server, this->clock.Now());
 }
 
 std::vector<policy::ServerLimit> ServerDirectory::Limits() {
--- a/packages/policy/include/tamarackwing/policy/rejection_gate.h
+++ b/packages/policy/include/tamarackwing/policy/rejection_gate.h
@@ -7,10 +7,10 @@
 
 namespace tamarackwing::policy {
 
-//! One host's part in keeping the rejections of a server below the number per
-//! second at which it falls over. After a rejection the host sends it nothing
-//! for a pause that grows with the number of hosts, then one request at a time
-//! until one is accepted. Not thread-safe.
+//! One host's part in sparing a server that rejects requests. After a pause the
+//! host sends it one request at a time until one is accepted. The pause is what
+//! the server asks for, or, if the server falls over when it has to reject too
+//! many, one that grows with the number of hosts. Not thread-safe.
 class RejectionGate {
  public:
   //! Sets the rejections per 1000 seconds that the server bears, from `hosts`
@@ -25,14 +25,18 @@
   void NoteSent();
   //! Records that a request ended. Precondition: it was sent.
   void NoteEnded();
-  //! Records that the server accepted or rejected a request.
-  void NoteAccepted();
+  //! Records that the server accepted a request. Returns whether that ends a
+  //! pause.
+  bool NoteAccepted();
+  //! Records that a server whose tolerance is set rejected a request.
   void NoteRejected(TimePoint now);
+  //! Sends nothing before `until`; does not shorten a longer pause.
+  void PauseUntil(TimePoint until);
 
  private:
   Duration pause{};
-  //! Set from a rejection until a request is accepted: until when nothing is
-  //! sent.
+  //! Set from a pause's start until a request is accepted: until when nothing
+  //! is sent.
   std::optional<TimePoint> paused_until;
   //! Whether the request that decides is in flight.
   bool is_probing = false;
--- a/packages/policy/include/tamarackwing/policy/server_statement.h
+++ b/packages/policy/include/tamarackwing/policy/server_statement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -26,6 +27,8 @@
   Acceptance acceptance = Acceptance::kAccepted;
   //! The server is shutting down and wants no new requests.
   bool leaving = false;
+  //! For how long the server wants no requests from this host; positive.
+  std::optional<std::chrono::milliseconds> pause;
   //! Requests per 1000 seconds that the server takes from all hosts together.
   RateStatement limit;
   //! Rejections per 1000 seconds that the server bears without falling over.
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -135,6 +135,8 @@
   bool tolerance = false;
   //! It says for the first time that it is shutting down.
   bool leaving = false;
+  //! It gets no requests until then.
+  std::optional<TimePoint> paused_until;
 };
 
 //! This host's load on the servers of a target.
@@ -229,11 +231,14 @@
   //! Applies what an answer to this host says about the server that was chosen
   //! for its request, and whether the server accepted it. A server that says
   //! that it is shutting down gets no new requests, whatever its reports say,
-  //! until another process has its name. Rejections of a server that falls over
-  //! when it has to reject too many are followed by pauses.
+  //! until another process has its name. One that asks for a pause gets none
+  //! until the pause ends, then one at a time until one is accepted; the hosts
+  //! that it sent away return at random moments. Rejections of a server that
+  //! falls over when it has to reject too many are followed by pauses, too.
   StatementChanges NoteStatement(const ServerChoice& server,
                                  const ServerStatement& statement,
-                                 TimePoint now);
+                                 TimePoint now,
+                                 RandomSource& random);
   //! Applies what an answer to this or another host of the region says about
   //! its server's limit, unless a newer answer is known. Returns whether the
   //! server names a limit for the first time or names none any more.
@@ -263,7 +268,7 @@
                                             TimePoint now) const;
   //! Returns whether a request may still be sent to the server that was chosen
   //! for it: it has not said since that it wants none.
-  bool MaySendTo(const ServerChoice& server) const;
+  bool MaySendTo(const ServerChoice& server, TimePoint now) const;
   //! Returns the servers with a lease that have not announced their shutdown,
   //! ejected ones too, in order of their names.
   std::vector<ServerEndpoint> Endpoints(TimePoint now) const;
@@ -320,6 +325,10 @@
   //! Returns whether a report is from a process that has announced its shutdown
   //! but says that it accepts requests.
   bool IsFromDeparted(const ServerReport& report) const;
+  static void ApplyPause(Server& server,
+                         std::chrono::milliseconds pause,
+                         TimePoint now,
+                         RandomSource& random);
   bool ApplyTolerance(Server& server,
                       const RateStatement& tolerance,
                       TimePoint now);
@@ -354,8 +363,10 @@
   static bool HasColdAllowance(const Server& server,
                                const ServerQuery& query,
                                TimePoint now);
-  //! Returns whether a server may get a new request; `lapsed` disregards its
-  //! lease.
+  //! Returns whether a server may get a new request now or after a pause;
+  //! `lapsed` disregards its lease.
+  bool IsServing(const Server& server, bool lapsed, TimePoint now) const;
+  //! Returns whether a server may get a new request now.
   bool IsUsable(const Server& server, bool lapsed, TimePoint now) const;
   //! Returns the server's slots, slow start applied.
   std::uint32_t RampedSlots(const Server& server, TimePoint now) const;
--- a/packages/policy/src/rejection_gate.cc
+++ b/packages/policy/src/rejection_gate.cc
@@ -53,15 +53,21 @@
   this->is_probing = false;
 }
 
-void RejectionGate::NoteAccepted() {
-  if (this->is_probing) {
+bool RejectionGate::NoteAccepted() {
+  const bool ends_pause = this->is_probing;
+  if (ends_pause) {
     this->paused_until.reset();
     this->is_probing = false;
   }
+  return ends_pause;
 }
 
 void RejectionGate::NoteRejected(TimePoint now) {
-  this->paused_until = now + this->pause;
+  this->PauseUntil(now + this->pause);
+}
+
+void RejectionGate::PauseUntil(TimePoint until) {
+  this->paused_until = std::max(this->paused_until.value_or(until), until);
   this->is_probing = false;
 }
 
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -43,6 +43,11 @@
 //! How long a process that has announced its shutdown is remembered after its
 //! last report, so that a late one does not bring it back.
 constexpr std::chrono::seconds kDepartedLife{60};
+//! A host returns after a pause within this part of it, and within
+//! kMaxReturnSpread, so that the hosts that were sent away together do not
+//! return together.
+constexpr int kReturnSpreadPart = 4;
+constexpr std::chrono::milliseconds kMaxReturnSpread{1'000};
 
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
@@ -88,6 +93,9 @@
   //! it does not say so any more.
   std::optional<TimePoint> brittle_heard;
   RejectionGate gate;
+  //! Set from a pause that the server asked for until it accepts a request:
+  //! until when it gets none.
+  std::optional<TimePoint> paused_until;
   TimePoint lease_until;
   //! When the load of the last report was measured, by this host's clock.
   TimePoint load_measured;
@@ -486,7 +494,8 @@
 
 StatementChanges ServerTable::NoteStatement(const ServerChoice& chosen,
                                             const ServerStatement& statement,
-                                            TimePoint now) {
+                                            TimePoint now,
+                                            RandomSource& random) {
   StatementChanges changes;
   if (statement.leaving) {
     this->NoteDeparted(chosen.name, chosen.started, now);
@@ -513,12 +522,29 @@
   if (statement.acceptance == Acceptance::kRejected && server.brittle_heard) {
     server.gate.NoteRejected(now);
   }
-  if (was_accepted) {
-    server.gate.NoteAccepted();
+  if (was_accepted && server.gate.NoteAccepted() && server.paused_until) {
+    server.paused_until.reset();
+    server.usable_since = now;
+  }
+  if (statement.pause) {
+    ApplyPause(server, *statement.pause, now, random);
+    changes.paused_until = server.paused_until;
   }
   return changes;
 }
 
+void ServerTable::ApplyPause(Server& server,
+                             std::chrono::milliseconds pause,
+                             TimePoint now,
+                             RandomSource& random) {
+  const auto spread = std::min(pause / kReturnSpreadPart, kMaxReturnSpread);
+  const std::chrono::milliseconds extra(
+      random.Below(static_cast<std::uint64_t>(spread.count()) + 1));
+  const TimePoint until = now + pause + extra;
+  server.paused_until = std::max(server.paused_until.value_or(until), until);
+  server.gate.PauseUntil(until);
+}
+
 bool ServerTable::ApplyTolerance(Server& server,
                                  const RateStatement& tolerance,
                                  TimePoint now) {
@@ -533,14 +559,19 @@
   return !was_brittle;
 }
 
-bool ServerTable::MaySendTo(const ServerChoice& chosen) const {
+bool ServerTable::MaySendTo(const ServerChoice& chosen, TimePoint now) const {
   const auto process = this->departed.find(chosen.name);
   if (process != this->departed.end() &&
       chosen.started <= process->second.started) {
     return false;
   }
   const auto found = this->servers.find(chosen.name);
-  return found == this->servers.end() || !found->second->report.leaving;
+  if (found == this->servers.end()) {
+    return true;
+  }
+  const Server& server = *found->second;
+  return !server.report.leaving &&
+         (!server.paused_until || *server.paused_until <= now);
 }
 
 bool ServerTable::NoteLimit(const ServerLimit& limit, TimePoint now) {
@@ -637,7 +668,7 @@
     return next;
   }
   for (const Server* server : servers_of->second) {
-    const auto wait = this->IsUsable(*server, false, now)
+    const auto wait = this->IsServing(*server, false, now)
                           ? AllowanceWait(*server, now)
                           : std::nullopt;
     if (wait) {
@@ -802,6 +833,13 @@
 bool ServerTable::IsUsable(const Server& server,
                            bool lapsed,
                            TimePoint now) const {
+  const bool is_paused = server.paused_until && *server.paused_until > now;
+  return !is_paused && this->IsServing(server, lapsed, now);
+}
+
+bool ServerTable::IsServing(const Server& server,
+                            bool lapsed,
+                            TimePoint now) const {
   const bool has_lease = lapsed || server.lease_until > now;
   if (server.report.leaving || !has_lease || server.ejected_until > now) {
     return false;
--- a/packages/policy/tests/server_statement_tests.cc
+++ b/packages/policy/tests/server_statement_tests.cc
@@ -1,4 +1,5 @@
-//! Tests of servers that say in their answers that they shut down.
+//! Tests of servers that say in their answers that they shut down, or that they
+//! want no requests for a while.
 
 #include "tamarackwing/policy/server_statement.h"
 
@@ -37,6 +38,13 @@
   return statement;
 }
 
+ServerStatement Pause(milliseconds pause) {
+  ServerStatement statement;
+  statement.acceptance = Acceptance::kRejected;
+  statement.pause = pause;
+  return statement;
+}
+
 class ServerStatementTest : public testing::Test {
  protected:
   std::optional<ServerChoice> Choose(ServerTable& at) {
@@ -47,7 +55,8 @@
   std::optional<ServerChoice> Choose() { return this->Choose(this->table); }
   StatementChanges Note(const ServerChoice& server,
                         const ServerStatement& statement) {
-    return this->table.NoteStatement(server, statement, this->now);
+    return this->table.NoteStatement(server, statement, this->now,
+                                     this->random);
   }
 
   TimePoint now{seconds(100)};
@@ -62,7 +71,7 @@
   const ServerChoice chosen = this->Choose().value();
   EXPECT_TRUE(this->Note(chosen, Leaving()).leaving);
   EXPECT_FALSE(this->Note(chosen, Leaving()).leaving);
-  EXPECT_FALSE(this->table.MaySendTo(chosen));
+  EXPECT_FALSE(this->table.MaySendTo(chosen, this->now));
   // It goes on reporting that it is ready, for longer than a lease.
   for (int i = 0; i < 200; ++i) {
     this->now += seconds(1);
@@ -100,6 +109,7 @@
   report.started += milliseconds(1);
   this->table.Announce(report, this->now);
   EXPECT_FALSE(this->Note(earlier, Leaving()).leaving);
+  this->Note(earlier, Pause(seconds(5)));
   EXPECT_TRUE(this->Choose().has_value());
   this->now += seconds(1);
   this->table.Announce(report, this->now);
@@ -115,5 +125,95 @@
   EXPECT_FALSE(this->table.IsLeaving(report.name));
 }
 
+TEST_F(ServerStatementTest, PausedServerGetsNothingThenOneRequest) {
+  ServerReport report = Report("x");
+  this->table.Announce(report, this->now);
+  const ServerChoice chosen = this->Choose().value();
+  const auto changes = this->Note(chosen, Pause(seconds(2)));
+  ASSERT_TRUE(changes.paused_until.has_value());
+  EXPECT_GE(*changes.paused_until, this->now + seconds(2));
+  EXPECT_LE(*changes.paused_until, this->now + milliseconds(2'500));
+  // A shorter time that is named later does not shorten the pause.
+  this->Note(chosen, Pause(milliseconds(10)));
+  const TimePoint start = this->now;
+  for (; this->now < start + seconds(2); this->now += milliseconds(10)) {
+    this->table.Announce(report, this->now);
+    EXPECT_FALSE(this->Choose().has_value());
+    EXPECT_FALSE(this->table.MaySendTo(chosen, this->now));
+    EXPECT_GE(this->table.NextAllowance("drafter", this->now),
+              start + seconds(2) - this->now);
+  }
+  this->now = *changes.paused_until;
+  this->table.Announce(report, this->now);
+  EXPECT_TRUE(this->table.MaySendTo(chosen, this->now));
+  ASSERT_TRUE(this->Choose().has_value());
+  this->table.NoteSent(chosen.name, 0, this->now);
+  EXPECT_FALSE(this->Choose().has_value());
+  this->Note(chosen, ServerStatement());
+  EXPECT_TRUE(this->Choose().has_value());
+}
+
+TEST_F(ServerStatementTest, PauseIsNoFailureAndItsCapacityIsNotCounted) {
+  this->table.Announce(Report("x"), this->now);
+  this->table.Announce(Report("y"), this->now);
+  this->now += ServerTableLimits().ramp;
+  this->table.Announce(Report("x"), this->now);
+  this->table.Announce(Report("y"), this->now);
+  ASSERT_EQ(this->table.Slots("drafter", this->now), 8U);
+  const ServerChoice chosen = this->Choose().value();
+  this->table.NoteSent(chosen.name, 0, this->now);
+  const auto changes = this->Note(chosen, Pause(milliseconds(400)));
+  this->table.NoteFinished(chosen.name, HealthSignal::kAnswered, this->now,
+                           this->now);
+  EXPECT_EQ(this->table.Slots("drafter", this->now), 4U);
+  EXPECT_EQ(this->table.LoadOf("drafter", this->now).servers, 1U);
+  EXPECT_EQ(this->table.Endpoints(this->now).size(), 2U);
+  this->now = changes.paused_until.value();
+  EXPECT_EQ(this->table.Slots("drafter", this->now), 8U);
+}
+
+TEST_F(ServerStatementTest, CallIsServedByServersThatAskForNoPause) {
+  for (int i = 0; i < 30; ++i) {
+    this->table.Announce(Report("s-" + std::to_string(i)), this->now);
+  }
+  // All but one ask for a pause.
+  for (int i = 0; i < 29; ++i) {
+    this->Note(this->Choose().value(), Pause(seconds(2)));
+  }
+  const ServerChoice last = this->Choose().value();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(this->Choose().value().name, last.name);
+  }
+  this->Note(last, Pause(seconds(1)));
+  EXPECT_FALSE(this->Choose().has_value());
+  // The first that returns.
+  const auto wait = this->table.NextAllowance("drafter", this->now);
+  ASSERT_TRUE(wait.has_value());
+  EXPECT_GE(*wait, seconds(1));
+  EXPECT_LE(*wait, milliseconds(1'250));
+}
+
+TEST_F(ServerStatementTest, HostsSentAwayTogetherDoNotReturnTogether) {
+  constexpr int kHosts = 50;
+  std::vector<TimePoint> returns;
+  for (int i = 0; i < kHosts; ++i) {
+    ServerTable host{ServerTableLimits()};
+    SeededRandom own_random(static_cast<std::uint64_t>(i));
+    host.Announce(Report("x"), this->now);
+    const ServerChoice chosen = this->Choose(host).value();
+    returns.push_back(
+        host.NoteStatement(chosen, Pause(seconds(2)), this->now, own_random)
+            .paused_until.value());
+  }
+  std::sort(returns.begin(), returns.end());
+  EXPECT_GE(returns.front(), this->now + seconds(2));
+  // No more than half of the hosts within a fifth of the spread.
+  for (auto first = returns.begin(); first != returns.end(); ++first) {
+    const auto end =
+        std::upper_bound(first, returns.end(), *first + milliseconds(100));
+    EXPECT_LE(end - first, kHosts / 2);
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::policy
