control: a host that was drained serves again after its start

Callers of a host that had been stopped by SIGTERM and started again on its data were refused with draining for good, by this system's own interface; after a whole cluster was stopped, by all hosts (known in docs/limitations.md). The agreed state still held the record of the host's last process when the new one applied it, and the order in it was taken for one to the new process: an order was matched by the host's name alone. It is now matched by the process too; the leader replaces the record when the new process joins, as before.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -123,6 +123,9 @@
                                TimePoint now);
   //! Announces from now on that this host drains.
   void StartDrain();
+  //! Returns whether the agreed state says that this host drains. That an
+  //! earlier process of the host drained says nothing of this one.
+  bool IsDraining() const;
 
   //! Returns the control state that the traffic threads use from `now` on.
   std::shared_ptr<const state::Snapshot> MakeSnapshot(TimePoint now) const;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -410,6 +410,12 @@
   this->draining = true;
 }
 
+bool ControlNode::IsDraining() const {
+  const auto self = this->state.Hosts().find(this->options.self.name);
+  return self != this->state.Hosts().end() && self->second.draining &&
+         self->second.incarnation == this->options.self.incarnation;
+}
+
 std::shared_ptr<const state::Snapshot> ControlNode::MakeSnapshot(
     TimePoint now) const {
   auto snapshot = std::make_shared<state::Snapshot>();
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -699,8 +699,7 @@
 
 void ControlThread::ApplyHosts(
     const std::map<HostName, state::HostRecord>& hosts) {
-  const auto self = hosts.find(this->settings.gateway.host);
-  if (self != hosts.end() && self->second.draining) {
+  if (this->node->IsDraining()) {
     this->drain_requested.store(true);
   }
   std::vector<state::HostRecord> records;
--- a/tests/cluster_tests.cc
+++ b/tests/cluster_tests.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <future>
+#include <vector>
 
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/state/set_parser.h"
@@ -71,6 +72,37 @@
     return server;
   }
 
+  //! Drains and stops hosts together.
+  void DrainAndStop(const std::vector<std::size_t>& indices) {
+    std::vector<std::future<bool>> drained;
+    drained.reserve(indices.size());
+    for (const std::size_t index : indices) {
+      drained.push_back(std::async(std::launch::async, [this, index] {
+        return this->hosts[index]->Drain();
+      }));
+    }
+    for (std::future<bool>& host : drained) {
+      EXPECT_TRUE(host.get());
+    }
+    for (const std::size_t index : indices) {
+      this->hosts[index].reset();
+    }
+  }
+
+  //! Returns whether a host that has just started serves, and has never refused
+  //! a call because it drains.
+  bool ServesAfterStart(std::size_t index) {
+    bool refused = false;
+    const bool serves = WaitFor([&] {
+      this->hosts[index]->Poll();
+      const CallResult result =
+          this->Send(index, ModelRequest("desk-key", 1, false));
+      refused = refused || result.body.find("draining") != std::string::npos;
+      return refused || result.status == 200;
+    });
+    return serves && !refused;
+  }
+
   CallResult Send(std::size_t host, http::Request request) {
     const daemon::Settings settings =
         ClusterSettings(host, kPort, this->folders[host].Path());
@@ -132,5 +164,39 @@
   EXPECT_EQ(this->service->Runs().at("two-domes"), 1U);
 }
 
+TEST_F(ClusterTest, HostsThatWereDrainedServeAgainAfterTheirStart) {
+  ASSERT_TRUE(this->ServesAfterStart(1));
+  this->DrainAndStop({1});
+  this->Start(1, false);
+  EXPECT_TRUE(this->ServesAfterStart(1));
+  // The leader is one of the others, unless it was drained before.
+  for (const std::size_t gone : {0U, 2U}) {
+    this->DrainAndStop({1, gone});
+    this->Start(1, false);
+    if (gone == 2) {
+      EXPECT_TRUE(this->ServesAfterStart(1));
+    }
+    this->Start(gone, false);
+    EXPECT_TRUE(this->ServesAfterStart(1));
+  }
+  this->DrainAndStop({0, 1, 2});
+  for (std::size_t i = 0; i < 3; ++i) {
+    this->Start(i, false);
+  }
+  EXPECT_TRUE(this->ServesAfterStart(0));
+  EXPECT_TRUE(this->ServesAfterStart(1));
+}
+
+TEST_F(ClusterTest, HostThatWasOrderedToDrainRefuses) {
+  this->hosts[1]->Operators().Change(
+      state::DrainHost{HostName("sohar-1"), true},
+      [](const operators::OrderResult&) {});
+  EXPECT_TRUE(WaitFor([&] {
+    this->hosts[1]->Poll();
+    return this->Send(1, ModelRequest("desk-key", 1, false))
+               .body.find("draining") != std::string::npos;
+  }));
+}
+
 }  // namespace
 }  // namespace tamarackwing::tests
