gateway, http: calls do not wait for servers that their connection no longer reaches

Callers left calls that may run once after six seconds without an answer, and their runs went on at the servers (GONE, 5 of 5 and 9 of 9 in the users' record). Cause: the host before the server had lost its links after the call was sent, so it waited for an answer that could not come until its caller gave up, and its close did not reach the server. Class: silence of the transport was taken for slowness of the peer. Connections to servers now send keep-alive probes while they are silent, with a user timeout of 2.5 s: a call on one that acknowledges nothing ends after about three seconds, with the truth that its outcome is not known, or is tried elsewhere. A server that takes long acknowledges the probes; one that is silent for less than two seconds is not given up. Such an end counts as a server's silence, not as a broken connection, so that it accuses no request of a crash.

--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -137,6 +137,7 @@
   backend_servers::PooledConnection connection = std::move(*acquired);
   if (target.server && !connection.reused) {
     this->gateway.Dependencies().servers.NoteConnected();
+    connection.connection->StartProbing();
   }
   if (target.server &&
       !this->gateway.Dependencies().servers.MaySendTo(*target.server)) {
--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -57,6 +57,10 @@
   //! Errors: as for ReadHead.
   asio::awaitable<Expected<std::string, ConnectionError>> ReadPiece(
       TimePoint deadline);
+  //! Makes pending calls end with kTimeout if the peer's kernel acknowledges
+  //! nothing for about three seconds, however long their deadline is. A peer
+  //! that only takes long to respond is not given up. Precondition: connected.
+  void StartProbing();
   //! Returns how the body of the response is framed. Precondition: the head was
   //! read.
   BodyFraming Framing() const;
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -22,6 +22,10 @@
 constexpr std::size_t kBufferBytes = kHeadBytes + kPieceBytes;
 constexpr unsigned kHttp11 = 11;
 constexpr std::chrono::milliseconds kUnackedTimeout{10'000};
+//! Probes of a peer from which a response is awaited. A peer that is silent for
+//! up to two seconds is not given up.
+constexpr std::chrono::seconds kProbeInterval{1};
+constexpr std::chrono::milliseconds kProbeTimeout{2'500};
 
 using Parser = beast_http::response_parser<beast_http::buffer_body>;
 
@@ -51,7 +55,9 @@
     if (this->cancelled) {
       return ConnectionError::kCancelled;
     }
-    if (error == boost::beast::error::timeout) {
+    // The kernel reports a peer that acknowledges nothing as timed out.
+    if (error == boost::beast::error::timeout ||
+        error == asio::error::timed_out) {
       return ConnectionError::kTimeout;
     }
     const bool has_ended = error == beast_http::error::end_of_stream ||
@@ -172,6 +178,11 @@
   co_return std::string();
 }
 
+void Connection::StartProbing() {
+  StartKeepAliveProbes(this->state->stream.socket(), kProbeInterval,
+                       kProbeTimeout);
+}
+
 BodyFraming Connection::Framing() const {
   const Parser& parser = *this->state->parser;
   if (parser.chunked()) {
--- a/packages/http/src/socket_options.cc
+++ b/packages/http/src/socket_options.cc
@@ -21,15 +21,33 @@
   return would_block ? PendingInput::kNothing : PendingInput::kClosed;
 }
 
+void SetTcpOption(asio::ip::tcp::socket& socket, int name, int value) {
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value,
+               sizeof(value));
+}
+
 }  // namespace
 
 void SetSocketOptions(asio::ip::tcp::socket& socket,
                       std::chrono::milliseconds unacked_timeout) {
   boost::system::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  const auto timeout = static_cast<unsigned>(unacked_timeout.count());
-  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-               sizeof(timeout));
+  SetTcpOption(socket, TCP_USER_TIMEOUT,
+               static_cast<int>(unacked_timeout.count()));
+}
+
+void StartKeepAliveProbes(asio::ip::tcp::socket& socket,
+                          std::chrono::seconds interval,
+                          std::chrono::milliseconds unacked_timeout) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetTcpOption(socket, TCP_KEEPIDLE, static_cast<int>(interval.count()));
+  SetTcpOption(socket, TCP_KEEPINTVL, static_cast<int>(interval.count()));
+  // Linux gives up by the user timeout if it is set, others by the count.
+  SetTcpOption(socket, TCP_KEEPCNT,
+               static_cast<int>(unacked_timeout / interval));
+  SetTcpOption(socket, TCP_USER_TIMEOUT,
+               static_cast<int>(unacked_timeout.count()));
 }
 
 bool IsPeerClosed(asio::ip::tcp::socket& socket) {
--- a/packages/http/src/socket_options.h
+++ b/packages/http/src/socket_options.h
@@ -11,6 +11,14 @@
 void SetSocketOptions(asio::ip::tcp::socket& socket,
                       std::chrono::milliseconds unacked_timeout);
 
+//! Starts to send keep-alive probes at `interval` while the connection is
+//! silent, so that the kernel closes it when the peer acknowledges nothing for
+//! `unacked_timeout`.
+//! Precondition: `unacked_timeout` is longer than `interval`.
+void StartKeepAliveProbes(asio::ip::tcp::socket& socket,
+                          std::chrono::seconds interval,
+                          std::chrono::milliseconds unacked_timeout);
+
 //! Returns whether the peer has closed or reset the connection.
 //! Precondition: the socket is readable.
 bool IsPeerClosed(asio::ip::tcp::socket& socket);
