--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -316,7 +316,10 @@
     }
   }
   LogEvent(Event::kJournalRecovered, LogLevel::kInfo,
-           {{"entries", std::to_string(log->entries.size())},
+           {{"term", std::to_string(log->vote.term)},
+            {"snapshot", std::to_string(log->snapshot.index)},
+            {"commit", std::to_string(log->commit)},
+            {"entries", std::to_string(log->entries.size())},
             {"operations", std::to_string(ledger->records.size())}});
   recovered.log = std::move(*log);
   recovered.ledger = std::move(*ledger);
