policy: a pause outlives the record of its server

What the table remembers of a process now includes an unfinished pause, by its start time, until it ends; another process under the name has none. ServerStatementTest.PauseOutlivesTheLeaseOfItsServer failed before (the server was chosen 30 s into a pause of 60 s).

--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -310,10 +310,9 @@
   };
   //! Returns the server of that name; null if unknown.
   Server* Find(const BackendServerName& name);
-  //! A server's process that has announced its shutdown.
-  struct Departed {
+  //! A server's process that is remembered even if its record is gone.
+  struct Process {
     std::chrono::milliseconds started{};
-    //! How long the process is remembered.
     TimePoint until;
   };
   //! Marks a server as shutting down, unless the report is from another
@@ -329,6 +328,9 @@
                          std::chrono::milliseconds pause,
                          TimePoint now,
                          RandomSource& random);
+  //! Goes on with a pause that the server's process asked for before its record
+  //! expired.
+  void RestorePause(Server& server, TimePoint now);
   bool ApplyTolerance(Server& server,
                       const RateStatement& tolerance,
                       TimePoint now);
@@ -392,7 +394,11 @@
   ServerTableLimits limits;
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
-  std::unordered_map<BackendServerName, Departed> departed;
+  //! Processes that have announced their shutdown, until they are forgotten.
+  std::unordered_map<BackendServerName, Process> departed;
+  //! Processes whose records expired during a pause that they asked for, until
+  //! the pause ends.
+  std::unordered_map<BackendServerName, Process> paused;
   std::map<std::string, SoftwareWatch> software_seen;
   std::unordered_map<std::string, TargetLoad> loads;
   HostName self;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -197,7 +197,7 @@
   if (started == std::chrono::milliseconds(0)) {
     return;
   }
-  Departed& process = this->departed[name];
+  Process& process = this->departed[name];
   if (started >= process.started) {
     process = {started, now + kDepartedLife};
   }
@@ -251,7 +251,7 @@
 
 bool ServerTable::Announce(const ServerReport& report, TimePoint now) {
   if (this->IsFromDeparted(report)) {
-    Departed& process = this->departed.at(report.name);
+    Process& process = this->departed.at(report.name);
     if (process.started == report.started) {
       process.until = now + kDepartedLife;
     }
@@ -288,6 +288,9 @@
     slot->software = Sha256Prefix(report.software);
   }
   slot->report = report;
+  if (is_new) {
+    this->RestorePause(*slot, now);
+  }
   this->NoteSoftware(report.targets, slot->software, now);
   slot->cold_until = now + report.cold_for;
   slot->lease_until = now + this->limits.lease;
@@ -349,6 +352,9 @@
   }
   for (const BackendServerName& name : expired) {
     const Server& server = *this->servers.at(name);
+    if (server.paused_until && *server.paused_until > now) {
+      this->paused[name] = {server.report.started, *server.paused_until};
+    }
     this->Unindex(server);
     const auto at =
         this->by_address.find({server.report.address, server.report.port});
@@ -357,9 +363,11 @@
     }
     this->servers.erase(name);
   }
-  std::erase_if(this->departed, [&](const auto& process) {
-    return process.second.until <= now;
-  });
+  for (auto* const processes : {&this->departed, &this->paused}) {
+    std::erase_if(*processes, [&](const auto& process) {
+      return process.second.until <= now;
+    });
+  }
   for (auto& [target, watch] : this->software_seen) {
     std::erase_if(watch.seen, [&](const auto& version) {
       return now - version.second > this->limits.software_span;
@@ -545,6 +553,19 @@
   server.gate.PauseUntil(until);
 }
 
+void ServerTable::RestorePause(Server& server, TimePoint now) {
+  const auto process = this->paused.find(server.report.name);
+  if (process == this->paused.end()) {
+    return;
+  }
+  const auto [started, until] = process->second;
+  this->paused.erase(process);
+  if (started == server.report.started && until > now) {
+    server.paused_until = until;
+    server.gate.PauseUntil(until);
+  }
+}
+
 bool ServerTable::ApplyTolerance(Server& server,
                                  const RateStatement& tolerance,
                                  TimePoint now) {
@@ -567,7 +588,9 @@
   }
   const auto found = this->servers.find(chosen.name);
   if (found == this->servers.end()) {
-    return true;
+    const auto pause = this->paused.find(chosen.name);
+    return pause == this->paused.end() || pause->second.until <= now ||
+           pause->second.started != chosen.started;
   }
   const Server& server = *found->second;
   return !server.report.leaving &&
--- a/packages/policy/tests/server_statement_tests.cc
+++ b/packages/policy/tests/server_statement_tests.cc
@@ -5,10 +5,9 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <optional>
+#include <set>
 #include <string>
-#include <vector>
 
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/policy/server_table.h"
@@ -153,6 +152,31 @@
   EXPECT_TRUE(this->Choose().has_value());
 }
 
+TEST_F(ServerStatementTest, PauseOutlivesTheLeaseOfItsServer) {
+  ServerReport report = Report("x");
+  this->table.Announce(report, this->now);
+  const ServerChoice chosen = this->Choose().value();
+  const TimePoint until =
+      this->Note(chosen, Pause(seconds(60))).paused_until.value();
+  this->now += seconds(30);
+  this->table.Expire(this->now);
+  ASSERT_EQ(this->table.Count(), 0U);
+  EXPECT_FALSE(this->table.MaySendTo(chosen, this->now));
+  // Its reports come through again.
+  this->table.Announce(report, this->now);
+  EXPECT_FALSE(this->Choose().has_value());
+  this->now = until;
+  this->table.Announce(report, this->now);
+  EXPECT_TRUE(this->Choose().has_value());
+  // Another process under the name has asked for nothing.
+  this->Note(this->Choose().value(), Pause(seconds(60)));
+  this->now += seconds(30);
+  this->table.Expire(this->now);
+  report.started += milliseconds(1);
+  this->table.Announce(report, this->now);
+  EXPECT_TRUE(this->Choose().has_value());
+}
+
 TEST_F(ServerStatementTest, PauseIsNoFailureAndItsCapacityIsNotCounted) {
   this->table.Announce(Report("x"), this->now);
   this->table.Announce(Report("y"), this->now);
@@ -195,24 +219,25 @@
 
 TEST_F(ServerStatementTest, HostsSentAwayTogetherDoNotReturnTogether) {
   constexpr int kHosts = 50;
-  std::vector<TimePoint> returns;
+  // A quarter of the pause.
+  constexpr milliseconds kSpread{500};
+  constexpr int kParts = 5;
+  std::set<int> parts;
   for (int i = 0; i < kHosts; ++i) {
     ServerTable host{ServerTableLimits()};
     SeededRandom own_random(static_cast<std::uint64_t>(i));
     host.Announce(Report("x"), this->now);
     const ServerChoice chosen = this->Choose(host).value();
-    returns.push_back(
+    const TimePoint until =
         host.NoteStatement(chosen, Pause(seconds(2)), this->now, own_random)
-            .paused_until.value());
-  }
-  std::sort(returns.begin(), returns.end());
-  EXPECT_GE(returns.front(), this->now + seconds(2));
-  // No more than half of the hosts within a fifth of the spread.
-  for (auto first = returns.begin(); first != returns.end(); ++first) {
-    const auto end =
-        std::upper_bound(first, returns.end(), *first + milliseconds(100));
-    EXPECT_LE(end - first, kHosts / 2);
+            .paused_until.value();
+    const Duration extra = until - this->now - seconds(2);
+    EXPECT_GE(extra, Duration::zero());
+    EXPECT_LE(extra, kSpread);
+    parts.insert(static_cast<int>(extra * kParts / (kSpread + Duration(1))));
   }
+  // Some hosts return in each part of the spread.
+  EXPECT_EQ(parts.size(), static_cast<std::size_t>(kParts));
 }
 
 }  // namespace
