settings: limits that a deployment states may have fractions

Callers saw nothing: no host started. Class of fault: a stricter type than that of the source. Of the figures that the template passes on, the limits on retries and tokens, the window of the latter, the time of a key's withdrawal and that of a stop may have fractions; rounded down, each is kept. Ports and counts of the operator's own stay whole. Settings.HostStartsWithStatedLimitsThatHaveFractions failed before (limits.fleet_retries).

--- a/packages/config/include/tamarackwing/config/table_reader.h
+++ b/packages/config/include/tamarackwing/config/table_reader.h
@@ -32,6 +32,13 @@
                       std::int64_t max_value,
                       std::int64_t default_value,
                       bool required);
+  //! Reads an optional integer, or a number with a fraction, rounded down, in
+  //! [`min_value`, `max_value`]; returns `default_value` if it is missing or
+  //! invalid.
+  std::int64_t RoundedDown(std::string_view field,
+                           std::int64_t min_value,
+                           std::int64_t max_value,
+                           std::int64_t default_value);
   //! Reads an optional boolean; returns `default_value` if it is missing or
   //! invalid.
   bool Flag(std::string_view field, bool default_value);
--- a/packages/config/src/table_reader.cc
+++ b/packages/config/src/table_reader.cc
@@ -1,6 +1,7 @@
 #include "tamarackwing/config/table_reader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -52,6 +53,26 @@
   return *value;
 }
 
+std::int64_t TableReader::RoundedDown(std::string_view field,
+                                      std::int64_t min_value,
+                                      std::int64_t max_value,
+                                      std::int64_t default_value) {
+  const toml::node* node = this->Find(field, false);
+  const auto value =
+      node == nullptr ? std::nullopt : node->value_exact<double>();
+  if (!value) {
+    return this->Number(field, min_value, max_value, default_value, false);
+  }
+  // NaN is in no range either.
+  const bool is_in_range = *value >= static_cast<double>(min_value) &&
+                           *value <= static_cast<double>(max_value);
+  if (!is_in_range) {
+    this->AddNodeFault(FaultCode::kOutOfRange, field, *node);
+    return default_value;
+  }
+  return static_cast<std::int64_t>(std::floor(*value));
+}
+
 bool TableReader::Flag(std::string_view field, bool default_value) {
   const toml::node* node = this->Find(field, false);
   if (node == nullptr) {
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -34,6 +34,16 @@
       field, 0, kMaxCount, static_cast<std::int64_t>(fallback), false));
 }
 
+//! Reads a limit that a deployment states for all hosts together, which may
+//! have a fraction. Rounded down, it is still kept.
+template <typename Count>
+Count ReadStatedLimit(TableReader& reader,
+                      std::string_view field,
+                      Count fallback) {
+  return static_cast<Count>(reader.RoundedDown(
+      field, 0, kMaxCount, static_cast<std::int64_t>(fallback)));
+}
+
 //! Reads a field of the form ADDRESS:PORT.
 http::Endpoint ReadAddressAndPort(TableReader& reader, std::string_view field) {
   auto endpoint = http::ParseEndpoint(reader.Text(field, true));
@@ -172,7 +182,7 @@
   limits.connections = ReadCount(*reader, "connections", limits.connections);
   settings.open_rate = ReadCount(*reader, "open_rate", settings.open_rate);
   settings.fleet_retries =
-      ReadCount(*reader, "fleet_retries", settings.fleet_retries);
+      ReadStatedLimit(*reader, "fleet_retries", settings.fleet_retries);
   policy::ServerTableLimits& servers = settings.servers;
   servers.prefill_rate =
       std::max(1.0, ReadCount(*reader, "prefill_rate", servers.prefill_rate));
@@ -180,11 +190,11 @@
       std::max(1.0, ReadCount(*reader, "decode_rate", servers.decode_rate));
   RateTolerance& tolerance = settings.rate_tolerance;
   tolerance.tokens =
-      ReadCount(*reader, "rate_tolerance_tokens", tolerance.tokens);
+      ReadStatedLimit(*reader, "rate_tolerance_tokens", tolerance.tokens);
   tolerance.percent =
       ReadCount(*reader, "rate_tolerance_percent", tolerance.percent);
-  tolerance.span = std::chrono::seconds(
-      ReadCount(*reader, "rate_tolerance_span_s", tolerance.span.count()));
+  tolerance.span = std::chrono::seconds(ReadStatedLimit(
+      *reader, "rate_tolerance_span_s", tolerance.span.count()));
   gateway::GatewaySettings& gateway = settings.gateway;
   gateway.queue_capacity = std::max<std::size_t>(
       1, ReadCount(*reader, "queue", gateway.queue_capacity));
@@ -240,11 +250,13 @@
     // Keeps a fifth of the time in reserve: a request that a caller sent before
     // its key was withdrawn may arrive after the withdrawal.
     times.key_freshness =
-        ReadTime(*reader, "key_withdrawn_ms", times.key_freshness) * 4 / 5;
+        std::chrono::milliseconds(reader->RoundedDown(
+            "key_withdrawn_ms", 1, kMaxTimeMs, times.key_freshness.count())) *
+        4 / 5;
   }
   if (reader->Has("stop_grace_s")) {
     const std::chrono::seconds grace(
-        reader->Number("stop_grace_s", 1, kMaxTimeMs / 1'000, 8, false));
+        reader->RoundedDown("stop_grace_s", 1, kMaxTimeMs / 1'000, 8));
     settings.drain_limit = std::chrono::milliseconds(grace) * 15 / 16;
     settings.drain_serves = std::chrono::milliseconds(grace) * 3 / 8;
   }
--- a/programs/tamarackwingd/tests/settings_tests.cc
+++ b/programs/tamarackwingd/tests/settings_tests.cc
@@ -59,6 +59,30 @@
   EXPECT_TRUE(has(config::FaultCode::kOutOfRange, "callers.port", 5));
 }
 
+TEST(Settings, HostStartsWithStatedLimitsThatHaveFractions) {
+  const auto settings = ParseSettings(
+      std::string(kValidSettings) +
+      "[limits]\nfleet_retries = 36.47\nrate_tolerance_tokens = 109999.9\n"
+      "rate_tolerance_span_s = 8.5\n"
+      "[times]\nkey_withdrawn_ms = 5000.9\nstop_grace_s = 8.75\n");
+  ASSERT_TRUE(settings.has_value()) << settings.error().front().path;
+  EXPECT_EQ(settings->fleet_retries, 36U);
+  EXPECT_EQ(settings->rate_tolerance.tokens, 109'999);
+  EXPECT_EQ(settings->rate_tolerance.span, std::chrono::seconds(8));
+  EXPECT_EQ(settings->times.key_freshness, std::chrono::milliseconds(4'000));
+  EXPECT_EQ(settings->drain_limit, std::chrono::milliseconds(7'500));
+}
+
+TEST(Settings, RejectsFractionsOutOfRangeAndOfCounts) {
+  for (const char* field :
+       {"fleet_retries = -0.5", "fleet_retries = nan", "fleet_retries = inf",
+        "fleet_retries = 1e300", "connections = 10.5"}) {
+    const auto settings = ParseSettings(std::string(kValidSettings) +
+                                        "[limits]\n" + field + "\n");
+    EXPECT_FALSE(settings.has_value()) << field;
+  }
+}
+
 RC_GTEST_PROP(Settings, RejectsArbitraryBytes, (const std::string& bytes)) {
   RC_ASSERT(!ParseSettings(bytes).has_value());
 }
