--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -88,6 +88,12 @@
       return "word_lost";
     case Event::kWordRegained:
       return "word_regained";
+    case Event::kVoteWithheld:
+      return "vote_withheld";
+    case Event::kLeaderFound:
+      return "leader_found";
+    case Event::kControlLate:
+      return "control_late";
     case Event::kSettingsReloaded:
       return "settings_reloaded";
     case Event::kBackendServerAnnounced:
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -264,6 +264,7 @@
   TimePoint leader_tasks_at;
   TimePoint relay_at;
   bool region_replied = false;
+  bool had_leader_contact = false;
   std::optional<TimePoint> contact_lost_at;
   ProposalTracker proposals;
   std::map<std::string, LogIndex> pending_tasks;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -37,6 +37,28 @@
   return Event::kBlockQuarantined;
 }
 
+std::string_view RefusalName(state::VoteRefusal refusal) {
+  switch (refusal) {
+    case state::VoteRefusal::kLeaderContact:
+      return "leader_contact";
+    case state::VoteRefusal::kLeads:
+      return "leads";
+    case state::VoteRefusal::kCatchingUp:
+      return "catching_up";
+    case state::VoteRefusal::kOldLog:
+      return "old_log";
+    case state::VoteRefusal::kOldTerm:
+      return "old_term";
+    case state::VoteRefusal::kVoted:
+      return "voted";
+  }
+  return "voted";
+}
+
+std::string MillisecondsText(Duration time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
 state::RecoveredLedger MoveLedger(RecoveredControl& recovered) {
   return std::move(recovered.ledger);
 }
@@ -499,6 +521,13 @@
   for (state::LogBatch& batch : log_effects.batches) {
     effects.log_batches.push_back(std::move(batch));
   }
+  for (const state::WithheldVote& vote : log_effects.withheld) {
+    LogEvent(Event::kVoteWithheld, LogLevel::kInfo,
+             {{"candidate", vote.candidate.Text()},
+              {"term", std::to_string(vote.term)},
+              {"pre_vote", vote.is_pre_vote ? "yes" : "no"},
+              {"reason", std::string(RefusalName(vote.refusal))}});
+  }
   if (log_effects.installed) {
     this->InstallSnapshot(*log_effects.installed, now, effects);
   }
@@ -518,7 +547,8 @@
     this->proposals.ClearForwarded();
     LogEvent(Event::kLeaderElected, LogLevel::kInfo,
              {{"host", this->options.self.name.Text()},
-              {"term", std::to_string(this->log.CurrentTerm())}});
+              {"term", std::to_string(this->log.CurrentTerm())},
+              {"since_start_ms", MillisecondsText(now - this->started)}});
   }
 }
 
@@ -1000,13 +1030,17 @@
   const bool has_leader_contact =
       leader_contact && now - *leader_contact <= this->options.key_freshness;
   if (has_leader_contact) {
+    if (!this->had_leader_contact) {
+      this->had_leader_contact = true;
+      LogEvent(Event::kLeaderFound, LogLevel::kInfo,
+               {{"leader", this->Leader().Text()},
+                {"since_start_ms", MillisecondsText(now - this->started)},
+                {"applied", std::to_string(this->state.Applied())}});
+    }
     if (this->contact_lost_at) {
-      LogEvent(
-          Event::kWordRegained, LogLevel::kInfo,
-          {{"leader", this->Leader().Text()},
-           {"gone_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                          now - *this->contact_lost_at)
-                                          .count())}});
+      LogEvent(Event::kWordRegained, LogLevel::kInfo,
+               {{"leader", this->Leader().Text()},
+                {"gone_ms", MillisecondsText(now - *this->contact_lost_at)}});
     }
     this->contact_lost_at.reset();
   } else if (this->ready && !this->contact_lost_at) {
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -67,6 +67,28 @@
   LogMessage message;
 };
 
+//! Why a host did not vote for a candidate.
+enum class VoteRefusal {
+  //! It may still be led: it heard of a leader, or started, less than an
+  //! election timeout ago.
+  kLeaderContact,
+  kLeads,
+  //! It has lost its disk and does not hold all committed entries yet.
+  kCatchingUp,
+  //! The candidate's log lacks entries that it holds.
+  kOldLog,
+  kOldTerm,
+  kVoted
+};
+
+//! A vote that was requested of this host and withheld.
+struct WithheldVote {
+  HostName candidate;
+  Term term = 0;
+  bool is_pre_vote = false;
+  VoteRefusal refusal = VoteRefusal::kVoted;
+};
+
 //! Actions that the caller must carry out. Their order is free, except that
 //! batches are written in order and acknowledged by their tickets.
 struct LogEffects {
@@ -76,6 +98,8 @@
   std::vector<LogEntry> committed;
   //! Snapshot received from the leader, which replaces the control state.
   std::optional<LogSnapshot> installed;
+  //! For the caller's log.
+  std::vector<WithheldVote> withheld;
 };
 
 //! Reason why the log did not accept a change.
@@ -186,6 +210,11 @@
   void ResetElectionTimer(TimePoint now);
   bool HasQuorum(const std::set<HostName>& hosts) const;
   bool IsUpToDate(LogIndex last_index, Term last_term) const;
+  //! Returns why this host may vote for no candidate now; nullopt if it may.
+  std::optional<VoteRefusal> RefusesToVote(TimePoint now) const;
+  //! Returns why it does not vote for `from`, apart from RefusesToVote.
+  std::optional<VoteRefusal> RefusesCandidate(const HostName& from,
+                                              const VoteRequest& request) const;
 
   void HandleVoteRequest(const HostName& from,
                          const VoteRequest& request,
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -352,37 +352,34 @@
                                   const VoteRequest& request,
                                   TimePoint now,
                                   LogEffects& effects) {
-  // A host with recent leader contact grants no vote: the leader's lease relies
-  // on this. Nor does a host that lost its disk, and with it the record of
-  // earlier votes and acknowledgements.
-  const bool has_leader_contact =
-      now - this->leader_contact < this->options.election_timeout;
-  if (has_leader_contact || this->role == Role::kLeader ||
-      this->vote.catching_up) {
+  std::optional<VoteRefusal> refusal = this->RefusesToVote(now);
+  if (refusal) {
+    effects.withheld.push_back(
+        {from, request.term, request.is_pre_vote, *refusal});
     effects.sends.push_back(
         {from, VoteReply{this->vote.term, false, request.is_pre_vote}});
     return;
   }
-  if (request.is_pre_vote) {
-    const bool granted =
-        request.term > this->vote.term &&
-        this->IsUpToDate(request.last_index, request.last_term);
-    const Term answered = granted ? request.term : this->vote.term;
-    effects.sends.push_back({from, VoteReply{answered, granted, true}});
-    return;
-  }
   const VoteRecord before = this->vote;
-  if (request.term > this->vote.term) {
+  if (!request.is_pre_vote && request.term > this->vote.term) {
     this->BecomeFollower(request.term, HostName(), now);
   }
-  const bool granted = request.term == this->vote.term &&
-                       (this->vote.vote.IsEmpty() || this->vote.vote == from) &&
-                       this->IsUpToDate(request.last_index, request.last_term);
-  if (granted) {
+  refusal = this->RefusesCandidate(from, request);
+  if (refusal) {
+    effects.withheld.push_back(
+        {from, request.term, request.is_pre_vote, *refusal});
+  }
+  if (request.is_pre_vote) {
+    const Term answered = refusal ? this->vote.term : request.term;
+    effects.sends.push_back(
+        {from, VoteReply{answered, !refusal.has_value(), true}});
+    return;
+  }
+  if (!refusal) {
     this->vote.vote = from;
     this->ResetElectionTimer(now);
   }
-  LogSend reply{from, VoteReply{this->vote.term, granted, false}};
+  LogSend reply{from, VoteReply{this->vote.term, !refusal.has_value(), false}};
   if (this->vote == before) {
     this->SendAfter(this->next_ticket - 1, std::move(reply), effects);
     return;
@@ -393,6 +390,41 @@
   this->SendAfter(ticket, std::move(reply), effects);
 }
 
+std::optional<VoteRefusal> AgreedLog::RefusesToVote(TimePoint now) const {
+  // A host with recent leader contact grants no vote: the leader's lease relies
+  // on this. Nor does a host that lost its disk, and with it the record of
+  // earlier votes and acknowledgements.
+  if (this->role == Role::kLeader) {
+    return VoteRefusal::kLeads;
+  }
+  if (now - this->leader_contact < this->options.election_timeout) {
+    return VoteRefusal::kLeaderContact;
+  }
+  if (this->vote.catching_up) {
+    return VoteRefusal::kCatchingUp;
+  }
+  return std::nullopt;
+}
+
+std::optional<VoteRefusal> AgreedLog::RefusesCandidate(
+    const HostName& from,
+    const VoteRequest& request) const {
+  // A pre-vote is for a term that has not begun yet.
+  const bool is_old_term = request.is_pre_vote ? request.term <= this->vote.term
+                                               : request.term < this->vote.term;
+  if (is_old_term) {
+    return VoteRefusal::kOldTerm;
+  }
+  const bool has_voted = !this->vote.vote.IsEmpty() && this->vote.vote != from;
+  if (!request.is_pre_vote && has_voted) {
+    return VoteRefusal::kVoted;
+  }
+  if (!this->IsUpToDate(request.last_index, request.last_term)) {
+    return VoteRefusal::kOldLog;
+  }
+  return std::nullopt;
+}
+
 void AgreedLog::HandleVoteReply(const HostName& from,
                                 const VoteReply& reply,
                                 TimePoint now,
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -223,6 +223,8 @@
 
 void ControlThread::HandleMessage(const HostName& from,
                                   control::PeerMessage message) {
+  const TurnWatch::Turn turn(this->turns, this->dependencies.clock,
+                             MessageKind(message));
   if (const auto* begun = std::get_if<policy::StreamBegun>(&message)) {
     this->dependencies.streams.Keep(*begun);
   } else if (const auto* question =
@@ -375,7 +377,21 @@
   this->network.reset();
 }
 
+void ControlThread::WatchTurns() {
+  const auto late = this->turns.NoteTick(this->dependencies.clock.Now());
+  if (late) {
+    LogEvent(Event::kControlLate, LogLevel::kWarning,
+             {{"gap_ms", std::to_string(late->gap.count())},
+              {"turns", std::to_string(late->turns)},
+              {"busy_ms", std::to_string(late->busy.count())},
+              {"longest_ms", std::to_string(late->longest.count())},
+              {"longest", std::string(late->longest_kind)}});
+  }
+}
+
 void ControlThread::Tick() {
+  this->WatchTurns();
+  const TurnWatch::Turn turn(this->turns, this->dependencies.clock, "tick");
   this->Execute(this->node->Tick(this->dependencies.clock.Now()));
   const TimePoint now = this->dependencies.clock.Now();
   this->dependencies.servers.Expire();
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -31,6 +31,7 @@
 #include "tamarackwing/operators/operator_service.h"
 #include "tamarackwing/state/disk.h"
 #include "tamarackwing/state/log_store.h"
+#include "turn_watch.h"
 
 namespace tamarackwing::daemon {
 
@@ -144,6 +145,8 @@
   void Run(control::RecoveredControl recovered,
            const std::function<void(bool)>& started);
   void Tick();
+  //! Logs if the previous tick was long ago.
+  void WatchTurns();
   void Execute(control::ControlEffects effects);
   void HandleRegionStatus(const control::RegionStatusUpdate& update);
   void HandleProbeResult(const control::ProbeResult& probe_result);
@@ -185,6 +188,7 @@
   std::unique_ptr<DiskThread> disk_thread;
   std::unique_ptr<hosts::PeerNetwork> network;
   std::thread thread;
+  TurnWatch turns;
   std::atomic<bool> updates_acknowledged{false};
   std::atomic<bool> failed{false};
   std::atomic<bool> drain_requested{false};
--- /dev/null
+++ b/programs/tamarackwingd/src/turn_watch.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/control/peer_message.h"
+
+namespace tamarackwing::daemon {
+
+//! Returns the name of the message's type, for logs.
+std::string_view MessageKind(const control::PeerMessage& message);
+
+//! What the control thread did between two ticks that are far apart.
+struct LateTick {
+  std::chrono::milliseconds gap{0};
+  std::size_t turns = 0;
+  //! Time spent in all turns, and in the longest.
+  std::chrono::milliseconds busy{0};
+  std::chrono::milliseconds longest{0};
+  std::string_view longest_kind;
+};
+
+//! Measures the turns of the control thread. Not thread-safe.
+class TurnWatch {
+ public:
+  //! Measures one turn from its construction to its destruction.
+  //! Preconditions: `watch`, `clock` and the text behind `kind` outlive it.
+  class Turn {
+   public:
+    Turn(TurnWatch& watch, const Clock& clock, std::string_view kind);
+    ~Turn();
+    Turn(const Turn&) = delete;
+    Turn& operator=(const Turn&) = delete;
+
+   private:
+    TurnWatch& watch;
+    const Clock& clock;
+    std::string_view kind;
+    TimePoint start;
+  };
+
+  //! Returns what happened since the previous tick if that is long ago.
+  std::optional<LateTick> NoteTick(TimePoint now);
+
+ private:
+  void NoteTurn(std::string_view kind, Duration took);
+
+  std::optional<TimePoint> last_tick;
+  std::size_t turns = 0;
+  Duration busy{0};
+  Duration longest{0};
+  std::string_view longest_kind;
+};
+
+}  // namespace tamarackwing::daemon
