hosts: timers run while messages keep coming

The event loop of the control thread looks at timers only when no event is ready; it now looks after 64 events. Why it works: heartbeats, elections and time-outs are run by the tick, whose timer is now looked at every 64 events, whatever waits to be read. PeerNetwork.TimersRunWhileMessagesKeepComing failed before (999 turns without a tick, 100 allowed), and fails with the line switched off by hand.

--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -24,6 +24,9 @@
 //! Limit, in words of 8 bytes, of the size of one received message and of the
 //! data that reading it may traverse.
 constexpr std::uint64_t kMaxMessageWords = 64ULL * 1024 * 1024;
+//! Number of events after which a busy event loop looks for new I/O and due
+//! timers. Without it, timers run only once no event is ready.
+constexpr unsigned kEventsPerPoll = 64;
 
 capnp::ReaderOptions MakeReaderOptions() {
   capnp::ReaderOptions options;
@@ -121,7 +124,9 @@
       : options(std::move(given)),
         handler(handler),
         io(kj::setupAsyncIo()),
-        tasks(*this) {}
+        tasks(*this) {
+    this->io.waitScope.setBusyPollInterval(kEventsPerPoll);
+  }
 
   //! Another host and the connection to it.
   struct Peer {
