control: a starting host asks one source for the state, and waits for it

This is what kept the control threads busy. A host that started asked every source that it knew for the state, every 300 ms and again before any could have replied; a source that had restarted, too, held no entries and encoded its whole state for each request. Class of fault: unanswered work is asked for again, without a bound and without reuse. Now a starting host has one request for entries under way, for four report intervals at most; from the other sources, four in an interval, it asks only how far they are (a request whose `next` lies beyond every entry, which former builds answer the same way). It is ready without leader contact only after it has asked all of them, so the floor of a region that is cut off holds; before, only the first reply of each round counted. A source keeps the state as encoded, with the entries since, while hosts ask for it. Hosts that know no leader begin with different sources.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -218,6 +218,10 @@
   void SendReports(TimePoint now, ControlEffects& effects);
   void ReportToRegion(TimePoint now, ControlEffects& effects);
   void SendFeedRequest(TimePoint now, ControlEffects& effects);
+  //! Asks a source for the entries that this host lacks.
+  void RequestEntries(const HostName& source,
+                      TimePoint now,
+                      ControlEffects& effects);
   void SendServerReports(TimePoint now, ControlEffects& effects);
   FeedKnowledge Knowledge(TimePoint now) const;
   void RunLeaderTasks(TimePoint now, ControlEffects& effects);
@@ -264,6 +268,10 @@
   TimePoint leader_tasks_at;
   TimePoint relay_at;
   bool region_replied = false;
+  //! Number of probes sent to sources since the start, and whether each source
+  //! has got one.
+  std::size_t probed_sources = 0;
+  bool probed_all = false;
   bool had_leader_contact = false;
   std::optional<TimePoint> contact_lost_at;
   ProposalTracker proposals;
--- a/packages/control/include/tamarackwing/control/feed_follower.h
+++ b/packages/control/include/tamarackwing/control/feed_follower.h
@@ -28,6 +28,11 @@
                          TimePoint now);
   //! Returns the next request, without statuses.
   FeedRequest MakeRequest(LogIndex next, TimePoint now);
+  //! Returns a request, without statuses, that asks only how far a source is.
+  FeedRequest MakeProbe(TimePoint now);
+  //! Returns whether a request for entries waits for its reply, and not for so
+  //! long that the source must be considered silent.
+  bool AwaitsEntries(TimePoint now) const;
   //! Handles a reply after its entries have been applied; `applied` is the
   //! index of the last applied entry. Returns false if the reply matches no
   //! pending request of this host.
@@ -48,6 +53,8 @@
   HostName source_leader;
   std::uint64_t number = 0;
   std::map<std::uint64_t, TimePoint> sent;
+  //! The last request for entries.
+  std::uint64_t entries_request = 0;
   TimePoint last_reply;
   TimePoint leader_contact;
   LogIndex commit = 0;
--- a/packages/control/include/tamarackwing/control/feed_source.h
+++ b/packages/control/include/tamarackwing/control/feed_source.h
@@ -37,14 +37,16 @@
   //! Buffers an applied entry. Precondition: entries are added in log order.
   void Keep(const state::LogEntry& entry) { this->buffer.Add(entry); }
   //! Discards the buffered entries; to be called when a snapshot is installed.
-  void Clear() { this->buffer.Clear(); }
-  //! Returns the reply to a request. The sender receives updates from now on.
+  void Clear();
+  //! Returns the reply to a request. The sender receives updates from now on,
+  //! unless it asked for no entries.
   FeedReply HandleRequest(const HostName& from,
                           const FeedRequest& request,
                           const FeedKnowledge& knowledge);
   //! Returns updates with the entries that have not been sent to followers yet.
   std::vector<FeedUpdate> PendingUpdates(const FeedKnowledge& knowledge);
-  //! Drops the followers whose last request arrived before `since`.
+  //! Drops the followers whose last request arrived before `since`, and the
+  //! encoded state if it was last sent before.
   void DropSilent(TimePoint since);
 
  private:
@@ -52,10 +54,16 @@
     LogIndex next = 1;
     TimePoint last_request;
   };
-  FeedReply MakeReply(LogIndex next, const FeedKnowledge& knowledge) const;
+  FeedReply MakeReply(LogIndex next, const FeedKnowledge& knowledge);
+  //! Adds the state to a reply, as a snapshot and the entries applied since.
+  void AddState(const FeedKnowledge& knowledge, FeedReply& reply);
 
   FeedBuffer buffer;
   std::map<HostName, Follower> followers;
+  //! The state as it was last encoded. Hosts that start together need the same,
+  //! and encoding it takes long.
+  std::optional<state::LogSnapshot> encoded;
+  TimePoint encoded_used;
 };
 
 }  // namespace tamarackwing::control
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,19 +36,24 @@
 
 //! Requests committed entries from a source and forwards host statuses to it.
 struct FeedRequest {
+  //! Value of `next` that asks for no entries, only how far the source is.
+  static constexpr LogIndex kNoEntries = std::numeric_limits<LogIndex>::max();
+
   //! Counts the sender's requests.
   std::uint64_t number = 0;
+  //! First entry that the sender lacks.
   LogIndex next = 1;
   std::vector<HostStatus> statuses;
 };
 
-//! Either a snapshot or committed entries: all that the follower lacks, or only
-//! the first of them.
+//! A snapshot, committed entries, or a snapshot and the entries after it: all
+//! that the follower lacks, or only the first of them.
 struct FeedReply {
   //! Number of the request; zero for an update without a request.
   std::uint64_t number = 0;
   std::vector<state::LogEntry> entries;
-  //! Set if the entries are no longer held, or are too large to send.
+  //! Set if the entries are no longer held, or are too large to send. Comes
+  //! before `entries`.
   std::optional<state::LogSnapshot> snapshot;
   LogIndex commit = 0;
   //! Time since the source's last leader contact; nullopt if it never had one.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -22,6 +22,9 @@
 //! the peer echoes them; an echo confirms the membership view that the peer
 //! uses.
 constexpr std::size_t kMaxUnechoedReports = 32;
+//! Maximum number of sources that a starting host asks in one interval how far
+//! they are.
+constexpr std::size_t kMaxProbedSources = 4;
 
 Event EventOf(policy::QuarantineVerdict::Kind kind) {
   switch (kind) {
@@ -710,6 +713,7 @@
                                   const FeedReply& reply,
                                   TimePoint now,
                                   ControlEffects& effects) {
+  const LogIndex before = this->state.Applied();
   if (reply.snapshot) {
     this->InstallSnapshot(*reply.snapshot, now, effects);
   }
@@ -725,8 +729,13 @@
         this->region_replied ||
         (host != nullptr && host->region == this->options.self.region);
   }
-  if (this->state.Applied() < reply.commit && reply.number != 0) {
-    this->report_at = now;
+  const bool is_behind =
+      this->state.Applied() < reply.commit && reply.number != 0;
+  // Without progress, asking for the same again at once would not end.
+  const bool may_advance = this->state.Applied() > before ||
+                           (!reply.snapshot && reply.entries.empty());
+  if (is_behind && may_advance && !this->follower.AwaitsEntries(now)) {
+    this->RequestEntries(from, now, effects);
   }
   const auto leader_contact = this->LeaderContact(now);
   if (leader_contact) {
@@ -919,19 +928,46 @@
   if (sources.empty()) {
     return;
   }
-  const HostName& source = this->follower.Choose(sources, this->Leader(), now);
-  FeedRequest request =
-      this->follower.MakeRequest(this->state.Applied() + 1, now);
-  request.statuses = this->monitor.Recent(now);
   if (this->ready) {
-    effects.sends.push_back({source, std::move(request)});
+    const HostName& source =
+        this->follower.Choose(sources, this->Leader(), now);
+    this->RequestEntries(source, now, effects);
     return;
   }
-  // A starting host asks all sources, so that it does not begin to serve with
-  // an older state than its region has.
-  for (const HostName& host : sources) {
-    effects.sends.push_back({host, request});
+  if (this->Leader().IsEmpty()) {
+    // Hosts that start together begin with different sources.
+    const std::size_t first =
+        std::hash<std::string>{}(this->options.self.name.Text()) %
+        sources.size();
+    std::rotate(sources.begin(),
+                sources.begin() + static_cast<std::ptrdiff_t>(first),
+                sources.end());
   }
+  const HostName& source = this->follower.Choose(sources, this->Leader(), now);
+  if (!this->follower.AwaitsEntries(now)) {
+    this->RequestEntries(source, now, effects);
+  }
+  // A starting host asks all sources how far they are, so that it does not
+  // begin to serve with an older state than its region has.
+  const std::size_t probes = std::min(sources.size(), kMaxProbedSources);
+  for (std::size_t i = 0; i < probes; ++i) {
+    const HostName& probed = sources[this->probed_sources++ % sources.size()];
+    if (probed != source) {
+      FeedRequest probe = this->follower.MakeProbe(now);
+      probe.statuses = this->monitor.Recent(now);
+      effects.sends.push_back({probed, std::move(probe)});
+    }
+  }
+  this->probed_all = this->probed_all || this->probed_sources >= sources.size();
+}
+
+void ControlNode::RequestEntries(const HostName& source,
+                                 TimePoint now,
+                                 ControlEffects& effects) {
+  FeedRequest request =
+      this->follower.MakeRequest(this->state.Applied() + 1, now);
+  request.statuses = this->monitor.Recent(now);
+  effects.sends.push_back({source, std::move(request)});
 }
 
 FeedKnowledge ControlNode::Knowledge(TimePoint now) const {
@@ -1068,7 +1104,7 @@
   // it has the newest state known in this region.
   const bool is_region_caught_up =
       now - this->started >= this->options.catch_up_wait &&
-      this->region_replied &&
+      this->region_replied && this->probed_all &&
       this->state.Applied() >= this->follower.Commit() &&
       this->state.Applied() > 0;
   if ((is_listed && is_fresh) || is_region_caught_up) {
--- a/packages/control/src/feed_follower.cc
+++ b/packages/control/src/feed_follower.cc
@@ -1,7 +1,6 @@
 #include "tamarackwing/control/feed_follower.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace tamarackwing::control {
 namespace {
@@ -10,7 +9,7 @@
 //! tried.
 constexpr int kMaxSilentIntervals = 4;
 //! Maximum number of requests that still wait for a reply.
-constexpr std::size_t kMaxPendingRequests = 32;
+constexpr std::size_t kMaxPendingRequests = 128;
 
 }  // namespace
 
@@ -48,12 +47,26 @@
   request.number = ++this->number;
   request.next = next;
   this->sent[request.number] = now;
+  this->entries_request = request.number;
   if (this->sent.size() > kMaxPendingRequests) {
     this->sent.erase(this->sent.begin());
   }
   return request;
 }
 
+FeedRequest FeedFollower::MakeProbe(TimePoint now) {
+  const std::uint64_t asked = this->entries_request;
+  FeedRequest request = this->MakeRequest(FeedRequest::kNoEntries, now);
+  this->entries_request = asked;
+  return request;
+}
+
+bool FeedFollower::AwaitsEntries(TimePoint now) const {
+  const auto request = this->sent.find(this->entries_request);
+  return request != this->sent.end() &&
+         now - request->second <= kMaxSilentIntervals * this->request_interval;
+}
+
 bool FeedFollower::HandleReply(const FeedReply& reply,
                                LogIndex applied,
                                TimePoint now) {
@@ -70,7 +83,7 @@
     this->leader_contact = std::max(
         this->leader_contact, sent_request->second - *reply.leader_contact_age);
   }
-  this->sent.erase(this->sent.begin(), std::next(sent_request));
+  this->sent.erase(sent_request);
   return true;
 }
 
--- a/packages/control/tests/control_node_tests.cc
+++ b/packages/control/tests/control_node_tests.cc
@@ -234,6 +234,40 @@
   EXPECT_EQ(this->cluster.Node(next).CurrentTerm(), term);
 }
 
+//! Guards against hosts that start together and ask all their sources for the
+//! state again before any can have replied, until the sources handle nothing
+//! else.
+TEST(ControlNode, StartingHostWaitsForTheStateThatItHasAskedFor) {
+  ControlOptions options;
+  options.self.name = HostName("front");
+  options.self.caller_port = 80;
+  for (const char* seed : {"a", "b", "c"}) {
+    state::HostRecord record;
+    record.name = HostName(seed);
+    record.has_disk = true;
+    options.seeds.push_back(record);
+  }
+  constexpr milliseconds kTick{50};
+  constexpr milliseconds kTime{6'000};
+  // A source without a reply is considered silent after four reports.
+  const auto allowed = kTime / (4 * options.report) + 1;
+  ManualClock clock;
+  SeededRandom random(1);
+  ControlNode node(options, {}, random, clock.Now());
+  int requests = 0;
+  for (milliseconds time{0}; time < kTime; time += kTick) {
+    clock.Advance(kTick);
+    for (const PeerSend& send : node.Tick(clock.Now()).sends) {
+      const auto* request = std::get_if<FeedRequest>(&send.message);
+      requests += request != nullptr && request->next != FeedRequest::kNoEntries
+                      ? 1
+                      : 0;
+    }
+  }
+  EXPECT_GT(requests, 0);
+  EXPECT_LE(requests, allowed);
+}
+
 RC_GTEST_PROP(ControlNode, NoHostRevertsAndAllConvergeAfterHealing, ()) {
   ControlCluster cluster(kRegions, 2, milliseconds(*rc::gen::inRange(0, 80)));
   cluster.Run(milliseconds(8'000));
--- a/packages/control/tests/feed_tests.cc
+++ b/packages/control/tests/feed_tests.cc
@@ -104,6 +104,44 @@
   EXPECT_FALSE(this->SendRequest(4).snapshot.has_value());
 }
 
+//! Guards against a source that encodes its state for each of the hosts that
+//! start together.
+TEST_F(FeedSourceTest, EncodedStateIsSentAgainWithTheEntriesSince) {
+  for (int i = 0; i < 4; ++i) {
+    this->Apply(std::string(64 * 1024, 'x'));
+  }
+  EXPECT_EQ(this->SendRequest(1).snapshot->index, 4U);
+  this->Apply("five");
+  const FeedReply reply = this->SendRequest(1);
+  EXPECT_EQ(reply.snapshot->index, 4U);
+  ASSERT_EQ(reply.entries.size(), 1U);
+  EXPECT_EQ(reply.entries[0].payload, "five");
+  EXPECT_EQ(reply.commit, 5U);
+}
+
+TEST_F(FeedSourceTest, StateIsEncodedAgainAfterMuchHasChanged) {
+  for (int i = 0; i < 4; ++i) {
+    this->Apply(std::string(64 * 1024, 'x'));
+  }
+  EXPECT_EQ(this->SendRequest(1).snapshot->index, 4U);
+  for (int i = 0; i < 3; ++i) {
+    this->Apply(std::string(64 * 1024, 'x'));
+  }
+  const FeedReply reply = this->SendRequest(1);
+  EXPECT_EQ(reply.snapshot->index, 7U);
+  EXPECT_TRUE(reply.entries.empty());
+}
+
+TEST_F(FeedSourceTest, HostThatAsksForNoEntriesLearnsHowFarTheSourceIs) {
+  this->Apply("one");
+  const FeedReply reply = this->SendRequest(FeedRequest::kNoEntries);
+  EXPECT_EQ(reply.commit, 1U);
+  EXPECT_TRUE(reply.entries.empty());
+  EXPECT_FALSE(reply.snapshot.has_value());
+  this->Apply("two");
+  EXPECT_TRUE(this->feed.PendingUpdates(this->Knowledge()).empty());
+}
+
 TEST_F(FeedSourceTest, SilentFollowerReceivesNoUpdates) {
   this->SendRequest(1);
   this->feed.DropSilent(kStart + milliseconds(1));
