control, hosts: hosts that have lost what they knew are found by the leader

Callers would see no service at all, beside a leader, until a machine is restarted with other seeds: a host reaches only hosts whose addresses it knows, and one that has lost its state knows its seeds. If these have lost theirs too, by a wiped disk or because a host that is no voter keeps no log, they ask each other for ever; a wiped voter could not even reply to the leader that brings it up to date. Class of fault: knowledge that a reply needs is kept by one side only. Now `hello` carries where the caller accepts connections (former builds ignore the fields, and send none), so whoever connects gets replies; and a leader with a lease tells the hosts with disks of which it hears nothing that it leads, by an update of the feed without entries. Entry hosts find the state at their seeds then. Hosts with disks are few, so that is bounded. Failed before: PowerLoss.HostsReturnAlthoughNoSeedKeepsTheState (not readable within 6 s, nor in 30), PeerNetwork.HostThatKnowsNobodyRepliesToWhoeverConnects (no reply).

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -218,6 +218,9 @@
   void SendReports(TimePoint now, ControlEffects& effects);
   void ReportToRegion(TimePoint now, ControlEffects& effects);
   void SendFeedRequest(TimePoint now, ControlEffects& effects);
+  //! Tells the hosts with disks of which this leader hears nothing that it
+  //! leads.
+  void AnnounceLeader(TimePoint now, ControlEffects& effects) const;
   //! Asks a source for the entries that this host lacks.
   void RequestEntries(const HostName& source,
                       TimePoint now,
--- a/packages/control/include/tamarackwing/control/feed_follower.h
+++ b/packages/control/include/tamarackwing/control/feed_follower.h
@@ -38,10 +38,13 @@
   //! pending request of this host.
   bool HandleReply(const FeedReply& reply, LogIndex applied, TimePoint now);
 
+  //! Records who leads, as a host said that had not been asked.
+  void NoteLeader(const HostName& announced) { this->leader = announced; }
+
   //! Returns the last leader contact as proven by replies to this host's own
   //! requests; nullopt if there was none.
   std::optional<TimePoint> LeaderContact() const;
-  //! Returns the leader named in the last reply.
+  //! Returns the leader named in the last reply or announcement.
   const HostName& Leader() const { return this->leader; }
   //! Returns the highest index known to be committed.
   LogIndex Commit() const { return this->commit; }
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -729,8 +729,12 @@
         this->region_replied ||
         (host != nullptr && host->region == this->options.self.region);
   }
-  const bool is_behind =
-      this->state.Applied() < reply.commit && reply.number != 0;
+  const bool is_announced = reply.number == 0 && !this->ready;
+  if (is_announced) {
+    this->follower.NoteLeader(reply.leader);
+  }
+  const bool is_behind = this->state.Applied() < reply.commit &&
+                         (reply.number != 0 || is_announced);
   // Without progress, asking for the same again at once would not end.
   const bool may_advance = this->state.Applied() > before ||
                            (!reply.snapshot && reply.entries.empty());
@@ -879,6 +883,7 @@
 void ControlNode::SendReports(TimePoint now, ControlEffects& effects) {
   this->monitor.NoteStatus(this->OwnStatus(), now);
   this->SendFeedRequest(now, effects);
+  this->AnnounceLeader(now, effects);
   if (now >= this->region_report_at) {
     this->ReportToRegion(now, effects);
   }
@@ -970,6 +975,23 @@
   effects.sends.push_back({source, std::move(request)});
 }
 
+void ControlNode::AnnounceLeader(TimePoint now, ControlEffects& effects) const {
+  if (!this->log.HasLease(now)) {
+    return;
+  }
+  // A host that has lost its state asks its seeds, which may have lost theirs.
+  FeedReply announcement;
+  announcement.commit = this->state.Applied();
+  announcement.leader = this->options.self.name;
+  announcement.leader_contact_age = milliseconds(0);
+  for (const auto& [name, host] : this->state.Hosts()) {
+    const bool is_self = name == this->options.self.name;
+    if (host.has_disk && !is_self && !this->monitor.IsHeard(name, now)) {
+      effects.sends.push_back({name, announcement});
+    }
+  }
+}
+
 FeedKnowledge ControlNode::Knowledge(TimePoint now) const {
   return {this->state, this->Leader(), this->LeaderContact(now), now};
 }
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -59,6 +59,7 @@
       const bool is_partitioned = this->partition.contains(message.from) !=
                                   this->partition.contains(to);
       if (!is_partitioned && this->IsUp(to)) {
+        this->known[to].insert(message.from);
         this->ApplyEffects(
             to, this->nodes.at(to)->Receive(message.from, message.send.message,
                                             this->now));
@@ -77,6 +78,12 @@
 
 void ControlCluster::Crash(const HostName& host) {
   this->nodes.erase(host);
+  this->known.erase(host);
+}
+
+void ControlCluster::Add(const state::HostRecord& record) {
+  this->records[record.name] = record;
+  this->Start(record.name, false);
 }
 
 void ControlCluster::Restart(const HostName& host) {
@@ -208,18 +215,34 @@
   if (knows_initial_voters) {
     options.initial_voters = this->voters;
   }
+  for (const state::HostRecord& seed : options.seeds) {
+    this->known[host].insert(seed.name);
+  }
   this->nodes[host] = std::make_unique<ControlNode>(options, this->disks[host],
                                                     this->random, this->now);
+  this->LearnHosts(host);
+}
+
+void ControlCluster::LearnHosts(const HostName& host) {
+  for (const auto& [name, record] : this->Node(host).State().Hosts()) {
+    this->known[host].insert(name);
+  }
 }
 
 void ControlCluster::ApplyEffects(const HostName& host,
                                   ControlEffects effects) {
+  RecoveredControl& disk = this->disks[host];
+  ControlNode& node = this->Node(host);
+  if (effects.snapshot_changed) {
+    this->LearnHosts(host);
+  }
   for (PeerSend& send : effects.sends) {
+    if (!this->known[host].contains(send.to)) {
+      continue;
+    }
     this->sent += 1;
     this->messages.push_back({this->now + this->delay, host, std::move(send)});
   }
-  RecoveredControl& disk = this->disks[host];
-  ControlNode& node = this->Node(host);
   for (const state::LogBatch& batch : effects.log_batches) {
     Write(disk.log, batch);
     this->ApplyEffects(host, node.LogPersisted(batch.ticket, this->now));
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -13,7 +13,10 @@
 namespace tamarackwing::control {
 
 //! Control nodes of several regions on simulated time. The network between them
-//! delays messages and can be partitioned; disk writes finish at once.
+//! delays messages and can be partitioned; disk writes finish at once. A host
+//! sends messages only to hosts whose addresses its process has learnt: from
+//! its settings, from the agreed state, or from a
+//! message of that host.
 class ControlCluster {
  public:
   //! Starts `hosts_per_region` hosts in each region, of which the first has a
@@ -54,6 +57,12 @@
   //! Restarts a crashed host as a new incarnation with its disk.
   void Restart(const HostName& host);
 
+  //! Adds a host that has never run before.
+  void Add(const state::HostRecord& record);
+  //! Changes the seeds that hosts find in their settings from their next start
+  //! on.
+  void SetSeeds(std::set<HostName> next) { this->seeds = std::move(next); }
+
   //! Erases a host's disk. Precondition: the host has crashed.
   void Wipe(const HostName& host) { this->disks.erase(host); }
 
@@ -106,6 +115,7 @@
   };
 
   void Start(const HostName& host, bool bootstraps);
+  void LearnHosts(const HostName& host);
   void ApplyEffects(const HostName& host, ControlEffects effects);
   static void Write(state::RecoveredLog& disk, const state::LogBatch& batch);
 
@@ -117,6 +127,8 @@
   std::set<HostName> seeds;
   std::map<HostName, std::unique_ptr<ControlNode>> nodes;
   std::map<HostName, RecoveredControl> disks;
+  //! The hosts whose addresses each running process knows.
+  std::map<HostName, std::set<HostName>> known;
   std::deque<Message> messages;
   std::set<HostName> partition;
   std::map<std::pair<HostName, std::uint64_t>, state::ApplyOutcome> outcomes;
--- /dev/null
+++ b/packages/control/tests/power_loss_tests.cc
@@ -0,0 +1,146 @@
+//! All hosts lose power, some lose their disks, and all return.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "control_cluster.h"
+
+namespace tamarackwing::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kOneWay{80};
+constexpr milliseconds kStartLimit{30'000};
+//! Time in which operators expect to read back a change after a loss of power.
+constexpr milliseconds kReadLimit{6'000};
+const std::vector<std::string> kRegions{"plzen", "budejovice", "jihlava"};
+
+std::vector<state::HostRecord> MakeHosts(std::size_t entry_hosts_per_region) {
+  std::vector<state::HostRecord> hosts;
+  const auto add = [&](const std::string& name, const std::string& region,
+                       const std::string& data_centre, bool disk) {
+    state::HostRecord host;
+    host.name = HostName(name);
+    host.region = RegionName(region);
+    host.data_centre = DataCentreName(data_centre);
+    host.has_disk = disk;
+    host.caller_port = disk ? 0 : 80;
+    hosts.push_back(std::move(host));
+  };
+  for (const std::string& region : kRegions) {
+    add("core-" + region + "-a-1", region, region + "-a", true);
+    add("core-" + region + "-a-2", region, region + "-a", true);
+    add("core-" + region + "-b-1", region, region + "-b", true);
+    for (std::size_t i = 1; i <= entry_hosts_per_region; ++i) {
+      add("front-" + region + "-" + std::to_string(i), region, region + "-a",
+          false);
+    }
+  }
+  return hosts;
+}
+
+//! Three regions with three hosts with disks each, of which the first is a
+//! seed.
+class Site {
+ public:
+  explicit Site(std::size_t entry_hosts_per_region)
+      : cluster(MakeHosts(entry_hosts_per_region),
+                {HostName("core-plzen-a-1"), HostName("core-budejovice-a-1"),
+                 HostName("core-jihlava-a-1")},
+                kOneWay) {}
+
+  //! Returns whether all hosts became ready and agree on voters and live hosts.
+  bool Start() {
+    const bool is_ready =
+        this->cluster
+            .RunUntil([&] { return this->cluster.AllReady(); }, kStartLimit)
+            .has_value();
+    this->cluster.Run(milliseconds(5'000));
+    return is_ready;
+  }
+
+  //! Replaces the set and returns whether the change was acknowledged.
+  bool Replace() {
+    state::ReplaceSet change;
+    change.number = ++this->set_number;
+    change.document = "document " + std::to_string(change.number);
+    const HostName host("front-plzen-1");
+    const std::uint64_t id = this->cluster.Change(host, change);
+    return this->cluster
+        .RunUntil([&] { return this->cluster.Outcome(host, id).has_value(); },
+                  kStartLimit)
+        .has_value();
+  }
+
+  void LosePower(const std::vector<HostName>& wiped) {
+    for (const HostName& host : this->cluster.Names()) {
+      this->cluster.Crash(host);
+    }
+    for (const HostName& host : wiped) {
+      this->cluster.Wipe(host);
+    }
+    this->cluster.Run(milliseconds(1'400));
+  }
+
+  void ReturnAll() {
+    for (const HostName& host : this->cluster.Names()) {
+      this->cluster.Restart(host);
+    }
+  }
+
+  //! Whether every host has the newest set and recent leader contact.
+  bool IsReadable() {
+    for (const HostName& host : this->cluster.Names()) {
+      const bool has_contact =
+          this->cluster.Now() - this->cluster.SnapshotOf(host)->leader_contact <
+          std::chrono::seconds(4);
+      if (!has_contact ||
+          this->cluster.Node(host).State().SetNumber() != this->set_number) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  std::set<HostName> Voters() {
+    const HostName leader = this->cluster.Leader();
+    return leader.IsEmpty() ? std::set<HostName>()
+                            : this->cluster.Node(leader).Voters();
+  }
+
+  ControlCluster cluster;
+  std::uint64_t set_number = 0;
+};
+
+//! Guards against hosts that stay alone beside a leader: all their seeds have
+//! lost what they knew, two with their disks, and one because it was no voter.
+TEST(PowerLoss, HostsReturnAlthoughNoSeedKeepsTheState) {
+  Site site(2);
+  ASSERT_TRUE(site.Start());
+  ASSERT_TRUE(site.Replace());
+  std::set<HostName> seeds;
+  for (const state::HostRecord& host : MakeHosts(0)) {
+    if (seeds.size() < 3 && !site.Voters().contains(host.name)) {
+      seeds.insert(host.name);
+    }
+  }
+  ASSERT_FALSE(seeds.empty());
+  std::vector<HostName> wiped;
+  for (const HostName& voter : site.Voters()) {
+    if (seeds.size() < 3) {
+      seeds.insert(voter);
+      wiped.push_back(voter);
+    }
+  }
+  site.cluster.SetSeeds(seeds);
+  site.LosePower(wiped);
+  site.ReturnAll();
+  EXPECT_TRUE(
+      site.cluster.RunUntil([&] { return site.IsReadable(); }, kReadLimit)
+          .has_value());
+}
+
+}  // namespace
+}  // namespace tamarackwing::control
--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -55,7 +55,8 @@
   //! hosts that are not in `hosts` keep their address.
   void SetHosts(const std::vector<state::HostRecord>& hosts);
   //! Sends a message, after connecting if needed. Drops the message if the host
-  //! is unknown or unreachable, or if `max_pending` is reached.
+  //! is unknown or unreachable, or if `max_pending` is reached. Known are those
+  //! of SetHosts and those that have connected to this host.
   void Send(const HostName& to, const control::PeerMessage& message);
   //! Runs the event loop and calls `tick` every `interval`, until Stop.
   void Run(std::chrono::milliseconds interval,
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -8,7 +8,9 @@
 interface Entry {
   # The bootstrap capability of a connection: opens a session for a host that
   # presents the cluster's secret.
-  hello @0 (host :Text, secret :Text) -> (session :Session);
+  # `address` and `port` are where that host accepts connections itself.
+  hello @0 (host :Text, secret :Text, address :Text, port :UInt16)
+      -> (session :Session);
 }
 
 interface Session {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -108,7 +108,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b985cfd1a38bff07, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b985cfd1a38bff07, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1013,6 +1013,11 @@
   inline bool hasSecret() const;
   inline  ::capnp::Text::Reader getSecret() const;
 
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint16_t getPort() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1055,6 +1060,16 @@
   inline void adoptSecret(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSecret();
 
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6647,6 +6662,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Entry::HelloParams::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Entry::HelloParams::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Entry::HelloParams::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Entry::HelloParams::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Entry::HelloParams::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Entry::HelloParams::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Entry::HelloParams::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Entry::HelloParams::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Entry::HelloParams::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Entry::HelloParams::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Entry::HelloParams::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Entry::HelloResults::Reader::hasSession() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -58,24 +59,36 @@
   PeerHandler& handler;
 };
 
+//! Where a host says that it accepts connections.
+struct PeerAddress {
+  HostName host;
+  std::string address;
+  std::uint16_t port = 0;
+};
+
 //! Opens sessions for hosts that present the cluster's secret.
 class EntryServer final : public wire::Entry::Server {
  public:
-  EntryServer(const std::string& secret, PeerHandler& handler)
-      : secret(secret), handler(handler) {}
+  EntryServer(const std::string& secret,
+              PeerHandler& handler,
+              std::function<void(const PeerAddress&)> learn)
+      : secret(secret), handler(handler), learn(std::move(learn)) {}
 
   kj::Promise<void> hello(HelloContext context) override {
     const auto params = context.getParams();
     const std::string given(params.getSecret().cStr());
     KJ_REQUIRE(EqualInConstantTime(given, this->secret), "unknown host");
-    context.getResults().setSession(kj::heap<SessionServer>(
-        HostName(params.getHost().cStr()), this->handler));
+    const HostName host(params.getHost().cStr());
+    this->learn({host, params.getAddress().cStr(), params.getPort()});
+    context.getResults().setSession(
+        kj::heap<SessionServer>(host, this->handler));
     return kj::READY_NOW;
   }
 
  private:
   const std::string& secret;
   PeerHandler& handler;
+  std::function<void(const PeerAddress&)> learn;
 };
 
 //! The RPC server side of a connection accepted from a peer.
@@ -96,18 +109,18 @@
 //! The RPC client side of a connection opened to a peer.
 struct OutgoingConnection {
   OutgoingConnection(kj::Own<kj::AsyncIoStream> given,
-                     const std::string& self,
-                     const std::string& secret)
+                     const NetworkOptions& options)
       : stream(kj::mv(given)),
         client(*stream),
-        session(OpenSession(client, self, secret)) {}
+        session(OpenSession(client, options)) {}
 
   static wire::Session::Client OpenSession(capnp::TwoPartyClient& client,
-                                           const std::string& self,
-                                           const std::string& secret) {
+                                           const NetworkOptions& options) {
     auto request = client.bootstrap().castAs<wire::Entry>().helloRequest();
-    request.setHost(self.c_str());
-    request.setSecret(secret.c_str());
+    request.setHost(options.self.Text().c_str());
+    request.setSecret(options.secret.c_str());
+    request.setAddress(options.address.c_str());
+    request.setPort(options.port);
     return request.send().getSession();
   }
 
@@ -149,7 +162,9 @@
         .then([this](kj::Own<kj::AsyncIoStream> stream) {
           auto accepted = kj::heap<IncomingConnection>(
               kj::mv(stream),
-              kj::heap<EntryServer>(this->options.secret, this->handler));
+              kj::heap<EntryServer>(
+                  this->options.secret, this->handler,
+                  [this](const PeerAddress& peer) { this->Learn(peer); }));
           auto ended = accepted->network.onDisconnect();
           this->tasks.add(ended.attach(kj::mv(accepted)));
         })
@@ -158,6 +173,19 @@
         });
   }
 
+  //! Keeps the address of a host that SetHosts has not given, so that it gets
+  //! replies. A host that has lost its disk knows only its seeds.
+  void Learn(const PeerAddress& learnt) {
+    if (learnt.address.empty() || learnt.host == this->options.self) {
+      return;
+    }
+    Peer& peer = this->peers[learnt.host];
+    if (peer.address.empty()) {
+      peer.address = learnt.address;
+      peer.port = learnt.port;
+    }
+  }
+
   //! Starts connecting to a host, at most once per reconnect interval.
   void Connect(const HostName& name, Peer& peer) {
     const TimePoint now = std::chrono::steady_clock::now();
@@ -189,8 +217,8 @@
     Peer& peer = found->second;
     peer.connecting = false;
     peer.generation += 1;
-    peer.connection = kj::heap<OutgoingConnection>(
-        kj::mv(stream), this->options.self.Text(), this->options.secret);
+    peer.connection =
+        kj::heap<OutgoingConnection>(kj::mv(stream), this->options);
     LogEvent(Event::kPeerConnected, LogLevel::kInfo, {{"peer", name.Text()}});
     std::deque<control::PeerMessage> queued;
     queued.swap(peer.queued);
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -75,6 +75,31 @@
   return record;
 }
 
+//! Guards against a host that has lost its disk, knows only its seeds, and
+//! cannot reply to the leader that brings it up to date.
+TEST(PeerNetwork, HostThatKnowsNobodyRepliesToWhoeverConnects) {
+  std::promise<std::uint64_t> replied;
+  TestPeer second(kSecond, kSecondAddress,
+                  [](PeerNetwork& network, const HostName& from,
+                     const control::PeerMessage&) {
+                    network.Send(from, control::ProbeReply{7, {}, {}, false});
+                  });
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [&](PeerNetwork&, const HostName& from,
+          const control::PeerMessage& message) {
+        EXPECT_EQ(from, kSecond);
+        replied.set_value(std::get<control::ProbeReply>(message).number);
+      });
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
+    first.Network().Send(kSecond, control::ProbeRequest{7});
+  });
+  auto number = replied.get_future();
+  ASSERT_EQ(number.wait_for(kLong), std::future_status::ready);
+  EXPECT_EQ(number.get(), 7U);
+}
+
 //! Guards against heartbeats and elections that wait until a host has handled
 //! all that others send it.
 TEST(PeerNetwork, TimersRunWhileMessagesKeepComing) {
