state: lengths beyond memory in a change or a state are rejected

The decoder's switch for exceptions covers syntax, not such lengths. Of the other decoders of CBOR, all catch. ControlChange.LengthsBeyondMemoryAreRejected failed before (json::out_of_range).

--- a/packages/state/src/control_change.cc
+++ b/packages/state/src/control_change.cc
@@ -32,13 +32,14 @@
 }
 
 Expected<ControlChange, DecodeError> DecodeChange(std::string_view payload) {
-  const json document = json::from_cbor(payload, true, false);
-  if (!document.is_array() || document.size() != 2 ||
-      !document[0].is_number_unsigned() ||
-      document[0].get<std::size_t>() >= std::variant_size_v<ControlChange>) {
-    return unexpected(DecodeError::kMalformed);
-  }
   try {
+    // Lengths beyond all memory are thrown even if exceptions are turned off.
+    const json document = json::from_cbor(payload, true, false);
+    if (!document.is_array() || document.size() != 2 ||
+        !document[0].is_number_unsigned() ||
+        document[0].get<std::size_t>() >= std::variant_size_v<ControlChange>) {
+      return unexpected(DecodeError::kMalformed);
+    }
     return ReadAlternative(document[0].get<std::size_t>(), document[1]);
   } catch (const json::exception&) {
     return unexpected(DecodeError::kMalformed);
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -351,11 +351,12 @@
   if (bytes.empty()) {
     return state;
   }
-  const json document = json::from_cbor(bytes, true, false);
-  if (!document.is_object()) {
-    return unexpected(DecodeError::kMalformed);
-  }
   try {
+    // Lengths beyond all memory are thrown even if exceptions are turned off.
+    const json document = json::from_cbor(bytes, true, false);
+    if (!document.is_object()) {
+      return unexpected(DecodeError::kMalformed);
+    }
     document.at("applied").get_to(state.applied);
     document.at("version").get_to(state.version);
     document.at("confirmed").get_to(state.confirmed);
--- a/packages/state/tests/control_state_tests.cc
+++ b/packages/state/tests/control_state_tests.cc
@@ -249,6 +249,16 @@
   RC_ASSERT(ParseSet(b).has_value() == b.empty() || !b.empty());
 }
 
+//! Guards against a process that ends because a list or a map in a message
+//! claims to be larger than memory.
+TEST(ControlChange, LengthsBeyondMemoryAreRejected) {
+  for (const char* head : {"\xBB", "\x9B"}) {
+    const std::string bytes = head + std::string(8, 'a');
+    EXPECT_FALSE(DecodeChange(bytes).has_value());
+    EXPECT_FALSE(ControlState::Decode(bytes).has_value());
+  }
+}
+
 //! Reference model of publishing: one version number and one map of outcomes.
 struct PublishModel {
   SetVersion version = 0;
