state: an election that fails because others may not vote yet is soon tried again

Callers waited longer than needed for the first leader after a loss of power: a host that asked for pre-votes while others were still within an election timeout of their own start was refused, and drew one to two election timeouts anew. Where only one host holds the newest entry, nobody else can win meanwhile. A pre-vote changes nothing at the others, so it is asked for again after one to two heartbeat intervals. So that two hosts do not split the votes then, one that grants a pre-vote lets the other go first for a heartbeat interval; of two that ask at the same time, the lesser name goes on. Votes and leases are as before: nobody votes within an election timeout of a leader's word or of its start.

--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -79,6 +79,13 @@
 void ControlCluster::Crash(const HostName& host) {
   this->nodes.erase(host);
   this->known.erase(host);
+  // The next process counts its proposals and requests from the start.
+  std::erase_if(this->outcomes, [&](const auto& outcome) {
+    return outcome.first.first == host;
+  });
+  std::erase_if(this->verdicts, [&](const auto& verdict) {
+    return verdict.first.first == host;
+  });
 }
 
 void ControlCluster::Add(const state::HostRecord& record) {
--- a/packages/control/tests/power_loss_tests.cc
+++ b/packages/control/tests/power_loss_tests.cc
@@ -13,6 +13,7 @@
 
 constexpr milliseconds kOneWay{80};
 constexpr milliseconds kStartLimit{30'000};
+constexpr milliseconds kStartSpread{300};
 //! Time in which operators expect to read back a change after a loss of power.
 constexpr milliseconds kReadLimit{6'000};
 const std::vector<std::string> kRegions{"plzen", "budejovice", "jihlava"};
@@ -90,6 +91,20 @@
     }
   }
 
+  //! Restarts the hosts in random order within kStartSpread.
+  void ReturnInAnyOrder(RandomSource& random) {
+    std::vector<HostName> names = this->cluster.Names();
+    for (std::size_t i = names.size(); i > 1; --i) {
+      std::swap(names[i - 1], names[random.Below(i)]);
+    }
+    const milliseconds step =
+        kStartSpread / static_cast<std::int64_t>(names.size());
+    for (const HostName& host : names) {
+      this->cluster.Restart(host);
+      this->cluster.Run(step);
+    }
+  }
+
   //! Whether every host has the newest set and recent leader contact.
   bool IsReadable() {
     for (const HostName& host : this->cluster.Names()) {
@@ -142,5 +157,39 @@
           .has_value());
 }
 
+//! Guards against elections that fail because others may not vote yet, and are
+//! then not repeated for a whole election timeout or two.
+TEST(PowerLoss, LeaderIsElectedAsSoonAsOthersMayVote) {
+  const state::LogOptions options;
+  // Until everyone may vote; a draw; a pre-vote asked for once more; the
+  // requests and replies of a pre-vote and a vote.
+  const milliseconds limit = kStartSpread + 2 * options.election_timeout +
+                             2 * options.heartbeat + 4 * kOneWay;
+  Site site(2);
+  ASSERT_TRUE(site.Start());
+  SeededRandom random(5);
+  for (int i = 0; i < 60; ++i) {
+    ASSERT_TRUE(site.Replace());
+    std::vector<HostName> wiped;
+    for (const HostName& voter : site.Voters()) {
+      if (wiped.size() < 2 && random.Below(2) == 0) {
+        wiped.push_back(voter);
+      }
+    }
+    site.LosePower(wiped);
+    const TimePoint returned = site.cluster.Now();
+    site.ReturnInAnyOrder(random);
+    ASSERT_TRUE(site.cluster
+                    .RunUntil([&] { return !site.cluster.Leader().IsEmpty(); },
+                              kStartLimit)
+                    .has_value());
+    EXPECT_LE(site.cluster.Now() - returned, limit) << i;
+    ASSERT_TRUE(
+        site.cluster.RunUntil([&] { return site.IsReadable(); }, kStartLimit)
+            .has_value());
+    site.cluster.Run(milliseconds(2'000));
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -208,6 +208,12 @@
   void StartElection(TimePoint now, LogEffects& effects);
   void BecomeLeader(TimePoint now, LogEffects& effects);
   void ResetElectionTimer(TimePoint now);
+  //! Makes this host stand for election after one to two times `min_wait`.
+  void StandAfter(std::chrono::milliseconds min_wait, TimePoint now);
+  //! Lets a candidate that got this host's pre-vote go first, for a heartbeat
+  //! interval, so that the two do not split the votes. Of two hosts that ask
+  //! at the same time, the one with the lesser name goes on.
+  void YieldTo(const HostName& candidate, TimePoint now);
   bool HasQuorum(const std::set<HostName>& hosts) const;
   bool IsUpToDate(LogIndex last_index, Term last_term) const;
   //! Returns why this host may vote for no candidate now; nullopt if it may.
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -279,7 +279,9 @@
   this->role = Role::kPreCandidate;
   this->leader = HostName();
   this->votes = {this->self};
-  this->ResetElectionTimer(now);
+  // A pre-vote changes nothing at the others, so it is soon asked for again:
+  // they may have started, or lost their leader, a little later.
+  this->StandAfter(this->options.heartbeat, now);
   if (this->HasQuorum(this->votes)) {
     this->StartElection(now, effects);
     return;
@@ -328,12 +330,27 @@
 }
 
 void AgreedLog::ResetElectionTimer(TimePoint now) {
-  const auto spread =
-      static_cast<std::uint64_t>(this->options.election_timeout.count());
-  this->election_at = now + this->options.election_timeout +
+  this->StandAfter(this->options.election_timeout, now);
+}
+
+void AgreedLog::StandAfter(std::chrono::milliseconds min_wait, TimePoint now) {
+  const auto spread = static_cast<std::uint64_t>(min_wait.count());
+  this->election_at = now + min_wait +
                       std::chrono::milliseconds(this->random.Below(spread + 1));
 }
 
+void AgreedLog::YieldTo(const HostName& candidate, TimePoint now) {
+  if (this->role == Role::kPreCandidate && this->self < candidate) {
+    return;
+  }
+  if (this->role == Role::kPreCandidate) {
+    this->role = Role::kFollower;
+    this->votes.clear();
+  }
+  this->election_at =
+      std::max(this->election_at, now + this->options.heartbeat);
+}
+
 bool AgreedLog::HasQuorum(const std::set<HostName>& hosts) const {
   std::size_t count = 0;
   for (const HostName& host : this->voters) {
@@ -370,6 +387,9 @@
         {from, request.term, request.is_pre_vote, *refusal});
   }
   if (request.is_pre_vote) {
+    if (!refusal) {
+      this->YieldTo(from, now);
+    }
     const Term answered = refusal ? this->vote.term : request.term;
     effects.sends.push_back(
         {from, VoteReply{answered, !refusal.has_value(), true}});
