control: the number of voters follows from the losses that must be borne

Callers wait for the slowest of three hosts after the loss of two disks and all power: of five voters, exactly a majority is left, so one that is late or busy keeps the others from electing a leader or from keeping one. Nine hosts have disks there; four of them held nothing. Class of fault: a constant where the deployment states the bound. With `tolerated_losses` = t there are to be 2 (t + 1) + 1 voters: t lost disks leave t + 3 of 2t + 3, one more than a majority. Five for one loss as before, seven for two. With seven, four of five are needed; the gain is shown in the simulated site only. PowerLoss.LeaderIsElectedWithoutOneOfTheHostsThatKeptTheirDisks fails with five voters (no leader without the late host).

--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -11,6 +11,13 @@
 
 namespace tamarackwing::control {
 
+//! Returns how many voters there should be if `tolerated_losses` of them may
+//! lose their disks at the same time as all others lose power: a majority then
+//! remains, and does not need every single one of the rest.
+constexpr std::size_t VotersFor(std::size_t tolerated_losses) {
+  return 2 * (tolerated_losses + 1) + 1;
+}
+
 //! The input of PlanVoters.
 struct VoterPlanInput {
   std::set<HostName> voters;
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -4,12 +4,6 @@
 #include <utility>
 
 namespace tamarackwing::control {
-namespace {
-
-constexpr std::size_t kMaxVoters = 5;
-
-}  // namespace
-
 ControlCluster::ControlCluster(const std::vector<std::string>& regions,
                                std::size_t hosts_per_region,
                                std::chrono::milliseconds delay)
@@ -33,8 +27,9 @@
 
 ControlCluster::ControlCluster(const std::vector<state::HostRecord>& hosts,
                                const std::set<HostName>& seeds,
-                               std::chrono::milliseconds delay)
-    : delay(delay), voters(seeds), seeds(seeds) {
+                               std::chrono::milliseconds delay,
+                               std::size_t max_voters)
+    : delay(delay), max_voters(max_voters), voters(seeds), seeds(seeds) {
   for (const state::HostRecord& host : hosts) {
     this->records[host.name] = host;
   }
@@ -212,7 +207,7 @@
       record.has_disk = true;
       options.seeds.push_back(record);
     }
-    options.voters = kMaxVoters;
+    options.voters = this->max_voters;
   }
   const bool is_voter = this->voters.contains(host);
   const bool knows_initial_voters =
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -29,7 +29,8 @@
   //! log.
   ControlCluster(const std::vector<state::HostRecord>& hosts,
                  const std::set<HostName>& seeds,
-                 std::chrono::milliseconds delay);
+                 std::chrono::milliseconds delay,
+                 std::size_t max_voters = 5);
 
   //! Advances time in steps of kStep.
   void Run(std::chrono::milliseconds time);
@@ -121,6 +122,7 @@
 
   TimePoint now{std::chrono::hours(1)};
   std::chrono::milliseconds delay;
+  std::size_t max_voters = 0;
   SeededRandom random{11};
   std::map<HostName, state::HostRecord> records;
   std::set<HostName> voters;
--- a/packages/control/tests/power_loss_tests.cc
+++ b/packages/control/tests/power_loss_tests.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "control_cluster.h"
+#include "tamarackwing/control/membership_plan.h"
 
 namespace tamarackwing::control {
 namespace {
@@ -43,14 +44,15 @@
 }
 
 //! Three regions with three hosts with disks each, of which the first is a
-//! seed.
+//! seed. Two may lose their disks at once.
 class Site {
  public:
   explicit Site(std::size_t entry_hosts_per_region)
       : cluster(MakeHosts(entry_hosts_per_region),
                 {HostName("core-plzen-a-1"), HostName("core-budejovice-a-1"),
                  HostName("core-jihlava-a-1")},
-                kOneWay) {}
+                kOneWay,
+                VotersFor(2)) {}
 
   //! Returns whether all hosts became ready and agree on voters and live hosts.
   bool Start() {
@@ -191,5 +193,31 @@
   }
 }
 
+//! Guards against a majority that is bare after the loss that must be borne: a
+//! single host that is late, or busy, then keeps all others from service.
+TEST(PowerLoss, LeaderIsElectedWithoutOneOfTheHostsThatKeptTheirDisks) {
+  Site site(2);
+  ASSERT_TRUE(site.Start());
+  ASSERT_TRUE(site.Replace());
+  const std::set<HostName> voters = site.Voters();
+  const std::vector<HostName> lost(voters.begin(),
+                                   std::next(voters.begin(), 2));
+  const HostName late = *std::next(voters.begin(), 2);
+  site.LosePower(lost);
+  for (const HostName& host : site.cluster.Names()) {
+    if (host != late) {
+      site.cluster.Restart(host);
+    }
+  }
+  EXPECT_TRUE(site.cluster
+                  .RunUntil([&] { return !site.cluster.Leader().IsEmpty(); },
+                            kReadLimit)
+                  .has_value());
+  site.cluster.Restart(late);
+  EXPECT_TRUE(
+      site.cluster.RunUntil([&] { return site.IsReadable(); }, kReadLimit)
+          .has_value());
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "tamarackwing/config/table_reader.h"
+#include "tamarackwing/control/membership_plan.h"
 
 namespace tamarackwing::daemon {
 namespace {
@@ -16,6 +17,7 @@
 constexpr std::int64_t kMaxThreads = 64;
 constexpr std::int64_t kMaxTimeMs = 3'600'000;
 constexpr std::int64_t kMaxCount = 1'000'000'000;
+constexpr std::int64_t kMaxLosses = 9;
 
 std::uint16_t ReadPort(TableReader& reader, std::string_view field) {
   return static_cast<std::uint16_t>(reader.Number(field, 1, kMaxPort, 1, true));
@@ -139,7 +141,8 @@
   if (!reader) {
     return;
   }
-  reader->RejectUnknownFields({"seeds", "peer_port", "voters"});
+  reader->RejectUnknownFields(
+      {"seeds", "peer_port", "voters", "tolerated_losses"});
   Membership& membership = settings.membership;
   for (const std::string& seed : reader->Texts("seeds")) {
     // A port in a seed is ignored: it may be that of another listener, and all
@@ -148,6 +151,10 @@
   }
   membership.peer_port = ReadPort(*reader, "peer_port");
   membership.voters = ReadCount(*reader, "voters", membership.voters);
+  if (reader->Has("tolerated_losses")) {
+    membership.voters = control::VotersFor(static_cast<std::size_t>(
+        reader->Number("tolerated_losses", 0, kMaxLosses, 1, true)));
+  }
 }
 
 void ReadDataCentres(TableReader& document, Settings& settings) {
--- a/programs/tamarackwingd/tests/settings_tests.cc
+++ b/programs/tamarackwingd/tests/settings_tests.cc
@@ -59,6 +59,20 @@
   EXPECT_TRUE(has(config::FaultCode::kOutOfRange, "callers.port", 5));
 }
 
+TEST(Settings, VotersFollowFromToleratedLosses) {
+  const std::string membership =
+      std::string(kValidSettings) +
+      "[membership]\nseeds = [\"127.0.0.1:9\"]\npeer_port = 4\n";
+  EXPECT_EQ(ParseSettings(membership)->membership.voters, 5U);
+  EXPECT_EQ(
+      ParseSettings(membership + "tolerated_losses = 1\n")->membership.voters,
+      5U);
+  EXPECT_EQ(
+      ParseSettings(membership + "tolerated_losses = 2\n")->membership.voters,
+      7U);
+  EXPECT_FALSE(ParseSettings(membership + "tolerated_losses = -1\n"));
+}
+
 TEST(Settings, HostStartsWithStatedLimitsThatHaveFractions) {
   const auto settings = ParseSettings(
       std::string(kValidSettings) +
