control, state: changes that are due together are proposed together

Callers saw nothing of this by itself; it is what else kept the leader's control thread from its heartbeats when hosts returned. Each returning host is an entry of the log, proposed by itself, and each proposal sent every voter all that it had not acknowledged yet, at once: the square of the hosts, times the voters, and one sync of the disk for each. Class of fault: work of the leader that grows with the square of the hosts that return. Now the changes that a look at the hosts finds due are one batch, one sync, one message. Entries and messages are as former builds know them; they carried several entries before, too.

--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1001,18 +1001,21 @@
       this->state.Applied() < this->log.SnapshotIndex()) {
     return;
   }
+  std::vector<std::string> payloads;
   for (const state::ControlChange& change :
        this->leader_tasks.Due(this->state, this->monitor, now)) {
     std::string payload = state::EncodeChange(change);
     const auto pending = this->pending_tasks.find(payload);
-    if (pending != this->pending_tasks.end() &&
-        pending->second > this->state.Applied()) {
-      continue;
+    if (pending == this->pending_tasks.end() ||
+        pending->second <= this->state.Applied()) {
+      payloads.push_back(std::move(payload));
     }
+  }
+  if (!payloads.empty()) {
     state::LogEffects log_effects;
-    const auto index = this->log.Propose(payload, now, log_effects);
-    if (index) {
-      this->pending_tasks[std::move(payload)] = *index;
+    const auto first = this->log.ProposeAll(payloads, now, log_effects);
+    for (std::size_t i = 0; first && i < payloads.size(); ++i) {
+      this->pending_tasks[std::move(payloads[i])] = *first + i;
     }
     this->ApplyLogEffects(std::move(log_effects), now, effects);
   }
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -243,6 +243,11 @@
       continue;
     }
     this->sent += 1;
+    const auto* log_message = std::get_if<state::LogMessage>(&send.message);
+    const auto* append = log_message == nullptr
+                             ? nullptr
+                             : std::get_if<state::AppendRequest>(log_message);
+    this->entries_sent += append == nullptr ? 0 : append->entries.size();
     this->messages.push_back({this->now + this->delay, host, std::move(send)});
   }
   for (const state::LogBatch& batch : effects.log_batches) {
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -105,6 +105,9 @@
   }
   //! Returns the number of messages sent so far.
   std::uint64_t Messages() const { return this->sent; }
+  //! Returns the number of log entries that leaders have sent so far, counting
+  //! each for each voter that it was sent to.
+  std::uint64_t EntriesSent() const { return this->entries_sent; }
 
  private:
   static constexpr std::chrono::milliseconds kStep{10};
@@ -140,6 +143,7 @@
   std::uint64_t next_incarnation = 1;
   std::uint64_t next_chunk = 1;
   std::uint64_t sent = 0;
+  std::uint64_t entries_sent = 0;
   TokenCount tokens = 0;
 };
 
--- a/packages/control/tests/power_loss_tests.cc
+++ b/packages/control/tests/power_loss_tests.cc
@@ -219,5 +219,30 @@
           .has_value());
 }
 
+//! Guards against a leader that is kept from its heartbeats by hosts that
+//! return together: each is an entry of the log, and each entry was sent with
+//! all that the voters had not acknowledged yet.
+TEST(PowerLoss, EntriesOfReturningHostsAreNotSentAgainAndAgain) {
+  Site site(24);
+  ASSERT_TRUE(site.Start());
+  site.LosePower({});
+  site.ReturnAll();
+  ASSERT_TRUE(site.cluster
+                  .RunUntil([&] { return !site.cluster.Leader().IsEmpty(); },
+                            kReadLimit)
+                  .has_value());
+  const HostName leader = site.cluster.Leader();
+  const LogIndex before = site.cluster.Node(leader).State().Applied();
+  const std::uint64_t sent_before = site.cluster.EntriesSent();
+  site.cluster.Run(milliseconds(2'000));
+  ASSERT_EQ(site.cluster.Leader(), leader);
+  const std::uint64_t entries =
+      site.cluster.Node(leader).State().Applied() - before;
+  EXPECT_GE(entries, site.cluster.Names().size());
+  // Two more sendings may fall into a round trip.
+  EXPECT_LE(site.cluster.EntriesSent() - sent_before,
+            3 * entries * (site.Voters().size() - 1));
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -137,6 +137,12 @@
   Expected<LogIndex, ProposeError> Propose(std::string payload,
                                            TimePoint now,
                                            LogEffects& effects);
+  //! Appends changes, which are written and sent together, and returns the
+  //! index of the first. Precondition: `payloads` is not empty.
+  //! Errors: kNotLeader.
+  Expected<LogIndex, ProposeError> ProposeAll(std::vector<std::string> payloads,
+                                              TimePoint now,
+                                              LogEffects& effects);
   //! Starts replicating to a host and makes it a voter once it has caught up.
   //! Does nothing if it already is a voter or is being added.
   //! Errors: kNotLeader, kChangeInProgress.
@@ -251,7 +257,7 @@
                      TimePoint now,
                      LogEffects& effects);
 
-  void Append(LogEntry entry, TimePoint now, LogEffects& effects);
+  void Append(std::vector<LogEntry> added, TimePoint now, LogEffects& effects);
   void AppendVoters(std::set<HostName> next_voters,
                     TimePoint now,
                     LogEffects& effects);
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -126,14 +126,26 @@
 Expected<LogIndex, ProposeError> AgreedLog::Propose(std::string payload,
                                                     TimePoint now,
                                                     LogEffects& effects) {
+  std::vector<std::string> payloads;
+  payloads.push_back(std::move(payload));
+  return this->ProposeAll(std::move(payloads), now, effects);
+}
+
+Expected<LogIndex, ProposeError> AgreedLog::ProposeAll(
+    std::vector<std::string> payloads,
+    TimePoint now,
+    LogEffects& effects) {
   if (this->role != Role::kLeader) {
     return unexpected(ProposeError::kNotLeader);
   }
-  LogEntry entry;
-  entry.kind = EntryKind::kChange;
-  entry.payload = std::move(payload);
-  this->Append(std::move(entry), now, effects);
-  return this->LastIndex();
+  const LogIndex first = this->LastIndex() + 1;
+  std::vector<LogEntry> added(payloads.size());
+  for (std::size_t i = 0; i < payloads.size(); ++i) {
+    added[i].kind = EntryKind::kChange;
+    added[i].payload = std::move(payloads[i]);
+  }
+  this->Append(std::move(added), now, effects);
+  return first;
 }
 
 Expected<void, ProposeError> AgreedLog::AddVoter(const HostName& host,
@@ -326,7 +338,7 @@
     first.kind = EntryKind::kVoters;
     first.voters = this->voters;
   }
-  this->Append(std::move(first), now, effects);
+  this->Append({std::move(first)}, now, effects);
 }
 
 void AgreedLog::ResetElectionTimer(TimePoint now) {
@@ -647,15 +659,21 @@
       effects);
 }
 
-void AgreedLog::Append(LogEntry entry, TimePoint now, LogEffects& effects) {
-  entry.index = this->LastIndex() + 1;
-  entry.term = this->vote.term;
-  this->entries.push_back(entry);
-  if (entry.kind == EntryKind::kVoters) {
+void AgreedLog::Append(std::vector<LogEntry> added,
+                       TimePoint now,
+                       LogEffects& effects) {
+  LogBatch batch;
+  bool changes_voters = false;
+  for (LogEntry& entry : added) {
+    entry.index = this->LastIndex() + 1;
+    entry.term = this->vote.term;
+    changes_voters = changes_voters || entry.kind == EntryKind::kVoters;
+    this->entries.push_back(entry);
+    batch.entries.push_back(std::move(entry));
+  }
+  if (changes_voters) {
     this->RecomputeVoters();
   }
-  LogBatch batch;
-  batch.entries.push_back(std::move(entry));
   this->AddBatch(std::move(batch), effects);
   this->SendToAll(now, effects);
 }
@@ -666,7 +684,7 @@
   LogEntry entry;
   entry.kind = EntryKind::kVoters;
   entry.voters = std::move(next_voters);
-  this->Append(std::move(entry), now, effects);
+  this->Append({std::move(entry)}, now, effects);
 }
 
 void AgreedLog::SendToAll(TimePoint now, LogEffects& effects) {
