control: a lost voter is replaced as soon as it is considered lost

Callers got no service any more, and operators no set, after a control host had been replaced by another machine and, 11 s later, two more had lost their disks: three of five voters gone. A voter was replaced ten seconds after its last reply, a constant; a machine that takes another's place counts as present after CatchUpS (six seconds there), and then the next two losses must be borne. Class of fault: a delay of our own that is longer than the deployment's. Now a voter that has not replied for as long as makes any host count as failed (three seconds) is replaced, if a live host with a disk is there; a host that returns later is a spare. PowerLoss.VoterThatIsGoneIsReplacedBeforeMoreLossesMustBeBorne failed before.

--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1028,7 +1028,7 @@
 void ControlNode::ChangeVoters(TimePoint now, ControlEffects& effects) {
   VoterPlanInput input;
   input.voters = this->log.Voters();
-  input.silent = this->log.SilentSince(now - this->options.voter_lost);
+  input.silent = this->log.SilentSince(now - this->options.host_lost);
   input.target = this->options.voters != 0
                      ? this->options.voters
                      : this->options.initial_voters.size();
--- a/packages/control/tests/power_loss_tests.cc
+++ b/packages/control/tests/power_loss_tests.cc
@@ -244,5 +244,23 @@
             3 * entries * (site.Voters().size() - 1));
 }
 
+//! Guards against a voter that is gone for good and still counts when two more
+//! lose their disks: a machine that replaces another is given six seconds until
+//! the next losses must be borne.
+TEST(PowerLoss, VoterThatIsGoneIsReplacedBeforeMoreLossesMustBeBorne) {
+  constexpr milliseconds kReplacedAfter{1'000};
+  constexpr milliseconds kCatchUp{6'000};
+  Site site(2);
+  ASSERT_TRUE(site.Start());
+  HostName gone;
+  for (const HostName& voter : site.Voters()) {
+    gone = voter == site.cluster.Leader() ? gone : voter;
+  }
+  site.cluster.Crash(gone);
+  site.cluster.Run(kReplacedAfter + kCatchUp);
+  EXPECT_FALSE(site.Voters().contains(gone));
+  EXPECT_EQ(site.Voters().size(), VotersFor(2));
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
