control: a host that falls silent while it catches up is given up as a voter

Nobody saw this; found while the delay before it was shortened. The leader adds one voter at a time and waited for the one that catches up without end, so if that host went down, no voter was replaced until there was another leader. Class of fault: a wait for one peer without a limit. Now the addition is cancelled once the host has not replied for as long as makes a host count as failed; the next look at the hosts picks another. PowerLoss.HostThatFallsSilentWhileItCatchesUpBlocksNoReplacement fails with the decision switched off by hand, and passes with the former delay, which was long enough for the other host to count as lost.

--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1026,14 +1026,20 @@
 }
 
 void ControlNode::ChangeVoters(TimePoint now, ControlEffects& effects) {
+  const TimePoint silent_since = now - this->options.host_lost;
+  state::LogEffects log_effects;
+  if (this->log.IsJoiningSilentSince(silent_since)) {
+    // Otherwise no voter could be replaced until the host is back.
+    static_cast<void>(
+        this->log.RemoveVoter(this->log.Joining(), now, log_effects));
+  }
   VoterPlanInput input;
   input.voters = this->log.Voters();
-  input.silent = this->log.SilentSince(now - this->options.host_lost);
+  input.silent = this->log.SilentSince(silent_since);
   input.target = this->options.voters != 0
                      ? this->options.voters
                      : this->options.initial_voters.size();
   const VoterPlan plan = PlanVoters(input, this->state, this->monitor, now);
-  state::LogEffects log_effects;
   if (!plan.remove.IsEmpty()) {
     static_cast<void>(this->log.RemoveVoter(plan.remove, now, log_effects));
   } else if (!plan.add.IsEmpty() && this->log.Joining().IsEmpty()) {
--- a/packages/control/tests/power_loss_tests.cc
+++ b/packages/control/tests/power_loss_tests.cc
@@ -262,5 +262,39 @@
   EXPECT_EQ(site.Voters().size(), VotersFor(2));
 }
 
+//! Guards against voters that are never replaced because the host that was to
+//! be added has fallen silent, too.
+TEST(PowerLoss, HostThatFallsSilentWhileItCatchesUpBlocksNoReplacement) {
+  Site site(2);
+  ASSERT_TRUE(site.Start());
+  std::set<HostName> spares;
+  for (const state::HostRecord& host : MakeHosts(0)) {
+    if (!site.Voters().contains(host.name)) {
+      spares.insert(host.name);
+    }
+  }
+  ASSERT_EQ(spares.size(), 2U);
+  HostName gone;
+  for (const HostName& voter : site.Voters()) {
+    gone = voter == site.cluster.Leader() ? gone : voter;
+  }
+  site.cluster.Crash(gone);
+  // Just before the voter is considered lost, so that a host is chosen that is
+  // not considered lost yet.
+  site.cluster.Run(ControlOptions().host_lost - milliseconds(200));
+  for (const HostName& spare : spares) {
+    site.cluster.Crash(spare);
+  }
+  site.cluster.Run(milliseconds(10'000));
+  site.cluster.Restart(*spares.begin());
+  site.cluster.Run(milliseconds(5'000));
+  EXPECT_EQ(site.Voters().size(), VotersFor(2));
+  EXPECT_FALSE(site.Voters().contains(gone));
+  site.cluster.Crash(*spares.begin());
+  site.cluster.Restart(*std::next(spares.begin()));
+  site.cluster.Run(milliseconds(15'000));
+  EXPECT_TRUE(site.Voters().contains(*std::next(spares.begin())));
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -179,6 +179,9 @@
   //! Returns the host that is catching up before it becomes a voter; empty if
   //! there is none.
   const HostName& Joining() const { return this->joining; }
+  //! Returns whether a host is catching up whose last reply to this leader is
+  //! older than `time`.
+  bool IsJoiningSilentSince(TimePoint time) const;
   //! Returns up to `max_entries` delivered entries, starting at `from`; nullopt
   //! if entry `from` has been compacted into the snapshot.
   std::optional<std::vector<LogEntry>> CommittedFrom(
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -245,6 +245,11 @@
   return silent;
 }
 
+bool AgreedLog::IsJoiningSilentSince(TimePoint time) const {
+  const auto peer = this->progress.find(this->joining);
+  return peer != this->progress.end() && peer->second.last_reply < time;
+}
+
 std::optional<std::vector<LogEntry>> AgreedLog::CommittedFrom(
     LogIndex from,
     std::size_t max_entries) const {
