control: a starting host turns to a source that is ahead if the first does not reply

Callers of a host that starts would wait for up to 2.4 s more if the seed that it asks first is down: since it has one request for entries under way, only the next choice of a source would end that. A source that has said in the meantime how far it is gets the next request. StartingHostTest.AsksASourceThatIsAheadIfTheFirstDoesNotReply fails with the decision switched off by hand. ControlNode.StartingHostWaitsForTheStateThatItHasAskedFor is now a test of the same fixture.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -271,6 +271,9 @@
   TimePoint leader_tasks_at;
   TimePoint relay_at;
   bool region_replied = false;
+  //! A source that has entries which this host lacks, while it waits for those
+  //! of another.
+  HostName source_ahead;
   //! Number of probes sent to sources since the start, and whether each source
   //! has got one.
   std::size_t probed_sources = 0;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -738,8 +738,12 @@
   // Without progress, asking for the same again at once would not end.
   const bool may_advance = this->state.Applied() > before ||
                            (!reply.snapshot && reply.entries.empty());
-  if (is_behind && may_advance && !this->follower.AwaitsEntries(now)) {
-    this->RequestEntries(from, now, effects);
+  if (is_behind && may_advance) {
+    if (this->follower.AwaitsEntries(now)) {
+      this->source_ahead = from;
+    } else {
+      this->RequestEntries(from, now, effects);
+    }
   }
   const auto leader_contact = this->LeaderContact(now);
   if (leader_contact) {
@@ -950,7 +954,9 @@
   }
   const HostName& source = this->follower.Choose(sources, this->Leader(), now);
   if (!this->follower.AwaitsEntries(now)) {
-    this->RequestEntries(source, now, effects);
+    // The source may be down, while another has said that it has entries.
+    const HostName ahead = std::exchange(this->source_ahead, HostName());
+    this->RequestEntries(ahead.IsEmpty() ? source : ahead, now, effects);
   }
   // A starting host asks all sources how far they are, so that it does not
   // begin to serve with an older state than its region has.
--- a/packages/control/tests/control_node_tests.cc
+++ b/packages/control/tests/control_node_tests.cc
@@ -234,38 +234,81 @@
   EXPECT_EQ(this->cluster.Node(next).CurrentTerm(), term);
 }
 
+//! An entry host that starts and knows only three seeds.
+class StartingHostTest : public testing::Test {
+ protected:
+  static constexpr milliseconds kTick{50};
+
+  static ControlOptions Options() {
+    ControlOptions options;
+    options.self.name = HostName("front");
+    options.self.caller_port = 80;
+    for (const char* seed : {"a", "b", "c"}) {
+      state::HostRecord record;
+      record.name = HostName(seed);
+      record.has_disk = true;
+      options.seeds.push_back(record);
+    }
+    return options;
+  }
+
+  //! Runs the node for a tick. Returns the feed requests that it sends, with
+  //! their recipients.
+  std::vector<std::pair<HostName, FeedRequest>> Tick() {
+    this->clock.Advance(kTick);
+    std::vector<std::pair<HostName, FeedRequest>> requests;
+    for (const PeerSend& send : this->node.Tick(this->clock.Now()).sends) {
+      const auto* request = std::get_if<FeedRequest>(&send.message);
+      if (request != nullptr) {
+        requests.emplace_back(send.to, *request);
+      }
+    }
+    return requests;
+  }
+
+  //! A source without a reply is considered silent after four reports.
+  const milliseconds silence = 4 * Options().report;
+  ManualClock clock;
+  SeededRandom random{1};
+  ControlNode node{Options(), {}, random, clock.Now()};
+};
+
 //! Guards against hosts that start together and ask all their sources for the
 //! state again before any can have replied, until the sources handle nothing
 //! else.
-TEST(ControlNode, StartingHostWaitsForTheStateThatItHasAskedFor) {
-  ControlOptions options;
-  options.self.name = HostName("front");
-  options.self.caller_port = 80;
-  for (const char* seed : {"a", "b", "c"}) {
-    state::HostRecord record;
-    record.name = HostName(seed);
-    record.has_disk = true;
-    options.seeds.push_back(record);
-  }
-  constexpr milliseconds kTick{50};
+TEST_F(StartingHostTest, WaitsForTheStateThatItHasAskedFor) {
   constexpr milliseconds kTime{6'000};
-  // A source without a reply is considered silent after four reports.
-  const auto allowed = kTime / (4 * options.report) + 1;
-  ManualClock clock;
-  SeededRandom random(1);
-  ControlNode node(options, {}, random, clock.Now());
   int requests = 0;
   for (milliseconds time{0}; time < kTime; time += kTick) {
-    clock.Advance(kTick);
-    for (const PeerSend& send : node.Tick(clock.Now()).sends) {
-      const auto* request = std::get_if<FeedRequest>(&send.message);
-      requests += request != nullptr && request->next != FeedRequest::kNoEntries
-                      ? 1
-                      : 0;
+    for (const auto& [to, request] : this->Tick()) {
+      requests += request.next == FeedRequest::kNoEntries ? 0 : 1;
     }
   }
   EXPECT_GT(requests, 0);
-  EXPECT_LE(requests, allowed);
+  EXPECT_LE(requests, kTime / this->silence + 1);
+}
+
+//! Guards against hosts that wait long because one of their seeds is down.
+TEST_F(StartingHostTest, AsksASourceThatIsAheadIfTheFirstDoesNotReply) {
+  HostName first;
+  HostName asked;
+  for (milliseconds time{0}; time < 2 * this->silence; time += kTick) {
+    for (const auto& [to, request] : this->Tick()) {
+      if (request.next != FeedRequest::kNoEntries) {
+        (first.IsEmpty() ? first : asked) = to;
+        continue;
+      }
+      if (to != first) {
+        FeedReply reply;
+        reply.number = request.number;
+        reply.commit = 5;
+        this->node.Receive(to, reply, this->clock.Now());
+      }
+    }
+  }
+  ASSERT_FALSE(first.IsEmpty());
+  ASSERT_FALSE(asked.IsEmpty());
+  EXPECT_NE(asked, first);
 }
 
 RC_GTEST_PROP(ControlNode, NoHostRevertsAndAllConvergeAfterHealing, ()) {
