state: a host that is no voter forgets a leader that it hears nothing of

Operators got no acknowledgement, in 8 s nor ever, for changes sent through a region; rate and crash reports of its entry hosts went astray, too. A host that was being added as a voter, or was removed, remembered the leader of that time for good, since it stands for no election that would clear it; and it names that leader to the hosts that follow it. Class of fault: a belief without an expiry. Replacing voters sooner makes it more frequent, but a change of leader while voters are added suffices on former code, too. Whether this is what the users saw as SHORT in one zone (rate leases that are not renewed there) is suspected, not shown. Now such a host forgets the leader after an election timeout without word, and asks its sources.

--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -65,8 +65,14 @@
   // A voter whose removal is not committed yet may be needed as the leader that
   // commits it.
   const bool may_lead = this->IsVoter() || this->voters_index > this->commit;
-  if (now >= this->election_at && may_lead && !this->vote.catching_up) {
+  if (now < this->election_at) {
+    return effects;
+  }
+  if (may_lead && !this->vote.catching_up) {
     this->StartPreVote(now, effects);
+  } else {
+    // A host that was a voter hears of no leader after this one.
+    this->leader = HostName();
   }
   return effects;
 }
--- a/packages/state/tests/agreed_log_tests.cc
+++ b/packages/state/tests/agreed_log_tests.cc
@@ -176,6 +176,25 @@
   EXPECT_TRUE(cluster.Violations().empty());
 }
 
+//! Guards against a host that was being added as a voter and names the leader
+//! of that time ever after, so that what it and its region send there is lost.
+TEST(AgreedLog, AHostThatIsNoVoterForgetsALeaderThatItHearsNothingOf) {
+  LogCluster cluster(3, 1);
+  cluster.RunFor(kElectionTime);
+  const HostName leader = cluster.Leader();
+  const HostName spare("host-3");
+  while (cluster.Pending() > 0) {
+    cluster.Drop(0);
+  }
+  ASSERT_TRUE(cluster.AddVoter(spare));
+  cluster.Deliver(cluster.Pending() - 1, false);
+  ASSERT_TRUE(cluster.RemoveVoter(spare));
+  ASSERT_EQ(cluster.Log(spare).Leader(), leader);
+  cluster.RunFor(kElectionTime);
+  EXPECT_FALSE(cluster.Log(leader).Voters().contains(spare));
+  EXPECT_TRUE(cluster.Log(spare).Leader().IsEmpty());
+}
+
 TEST(AgreedLog, AHostFarBehindCatchesUpFromASnapshot) {
   LogCluster cluster(3);
   cluster.RunFor(kElectionTime);
