control tests: random histories of lost disks, cuts and other seeds before a loss of power

Each ends with an acknowledged change, two of its holders without their disks and all hosts without power; the change must be readable on every host within 6 s.

--- a/packages/control/tests/power_loss_tests.cc
+++ b/packages/control/tests/power_loss_tests.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "control_cluster.h"
 #include "tamarackwing/control/membership_plan.h"
@@ -15,6 +16,9 @@
 constexpr milliseconds kOneWay{80};
 constexpr milliseconds kStartLimit{30'000};
 constexpr milliseconds kStartSpread{300};
+//! Time after which a host that is back counts as present, and the next losses
+//! must be borne.
+constexpr milliseconds kCatchUp{6'000};
 //! Time in which operators expect to read back a change after a loss of power.
 constexpr milliseconds kReadLimit{6'000};
 const std::vector<std::string> kRegions{"plzen", "budejovice", "jihlava"};
@@ -249,7 +253,6 @@
 //! the next losses must be borne.
 TEST(PowerLoss, VoterThatIsGoneIsReplacedBeforeMoreLossesMustBeBorne) {
   constexpr milliseconds kReplacedAfter{1'000};
-  constexpr milliseconds kCatchUp{6'000};
   Site site(2);
   ASSERT_TRUE(site.Start());
   HostName gone;
@@ -296,5 +299,116 @@
   EXPECT_TRUE(site.Voters().contains(*std::next(spares.begin())));
 }
 
+//! Faults of hosts with disks, of which no more than two are lost at a time,
+//! and a new list of seeds.
+class History {
+ public:
+  History(Site& site, std::uint64_t seed) : site(site), random(seed) {
+    for (const state::HostRecord& host : MakeHosts(0)) {
+      this->hosts.push_back(host.name);
+    }
+  }
+
+  void Play() {
+    constexpr int kSteps = 8;
+    for (int i = 0; i < kSteps; ++i) {
+      this->Step();
+      this->site.cluster.Run(milliseconds(this->random.Below(5'000)));
+    }
+    this->ReturnLost();
+    std::set<HostName> seeds;
+    while (seeds.size() < 3) {
+      seeds.insert(this->AnyHost());
+    }
+    this->site.cluster.SetSeeds(seeds);
+  }
+
+  //! Returns two voters, of which each holds the newest set.
+  std::vector<HostName> PickHolders() {
+    std::vector<HostName> holders;
+    for (const HostName& voter : this->site.Voters()) {
+      if (this->site.cluster.Node(voter).State().SetNumber() ==
+          this->site.set_number) {
+        holders.push_back(voter);
+      }
+    }
+    while (holders.size() > 2) {
+      const auto at = this->random.Below(holders.size());
+      holders.erase(holders.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    return holders;
+  }
+
+  RandomSource& Random() { return this->random; }
+
+ private:
+  const HostName& AnyHost() {
+    return this->hosts[this->random.Below(this->hosts.size())];
+  }
+
+  void Step() {
+    const HostName host = this->AnyHost();
+    const bool may_lose =
+        this->lost.size() < 2 && this->site.cluster.IsUp(host);
+    switch (this->random.Below(4)) {
+      case 0:
+      case 1:
+        if (may_lose) {
+          this->site.cluster.Crash(host);
+          if (this->random.Below(2) == 0) {
+            this->site.cluster.Wipe(host);
+          }
+          this->lost.push_back(host);
+        }
+        break;
+      case 2:
+        this->ReturnLost();
+        break;
+      default:
+        this->ReturnLost();
+        this->site.cluster.Partition({host});
+        this->site.cluster.Run(milliseconds(this->random.Below(5'000)));
+        this->site.cluster.Heal();
+        this->site.cluster.Run(kCatchUp);
+        break;
+    }
+  }
+
+  void ReturnLost() {
+    for (const HostName& host : this->lost) {
+      this->site.cluster.Restart(host);
+    }
+    this->lost.clear();
+    this->site.cluster.Run(kCatchUp);
+  }
+
+  Site& site;
+  SeededRandom random;
+  std::vector<HostName> hosts;
+  std::vector<HostName> lost;
+};
+
+//! TAMARACKWING_HISTORIES plays more than the histories of CI.
+TEST(PowerLoss, NoHistoryLosesAChangeOrLeavesItUnreadable) {
+  const char* more = std::getenv("TAMARACKWING_HISTORIES");
+  const int histories = more == nullptr ? 40 : std::atoi(more);
+  for (int i = 0; i < histories; ++i) {
+    Site site(2);
+    ASSERT_TRUE(site.Start()) << i;
+    History history(site, static_cast<std::uint64_t>(i) + 1);
+    history.Play();
+    ASSERT_TRUE(site.Replace()) << i;
+    const std::vector<HostName> wiped = history.PickHolders();
+    ASSERT_EQ(wiped.size(), 2U) << i;
+    site.LosePower(wiped);
+    site.ReturnInAnyOrder(history.Random());
+    EXPECT_TRUE(
+        site.cluster.RunUntil([&] { return site.IsReadable(); }, kReadLimit)
+            .has_value())
+        << i;
+    EXPECT_TRUE(site.cluster.Violations().empty()) << i;
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
