--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -30,10 +30,12 @@
   std::chrono::milliseconds report{300};
   //! Interval between probes of other regions.
   std::chrono::milliseconds probe{1'000};
-  //! A host without contact for this long is considered failed, and a voter
-  //! that has not replied to the leader for this long is replaced: until then,
-  //! the loss of another host may be the loss of a majority.
+  //! A host without contact for this long is considered failed.
   std::chrono::milliseconds host_lost{3'000};
+  //! A voter that has not replied to the leader for this long is replaced. Long
+  //! enough for most cuts between regions to end: VotersFor allows for a voter
+  //! that is gone and not replaced yet.
+  std::chrono::milliseconds voter_lost{10'000};
   //! How long after the last leader contact a host still serves keys that do
   //! not have its region as a home region.
   std::chrono::milliseconds key_freshness{5'000};
--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -21,7 +21,7 @@
 //! The input of PlanVoters.
 struct VoterPlanInput {
   std::set<HostName> voters;
-  //! Voters that have not replied for ControlOptions::host_lost.
+  //! Voters that have not replied for ControlOptions::voter_lost.
   std::set<HostName> silent;
   //! Desired number of voters, if enough hosts have disks; zero leaves the
   //! voters as they are.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1032,7 +1032,7 @@
 }
 
 void ControlNode::ChangeVoters(TimePoint now, ControlEffects& effects) {
-  const TimePoint silent_since = now - this->options.host_lost;
+  const TimePoint silent_since = now - this->options.voter_lost;
   state::LogEffects log_effects;
   if (this->log.IsJoiningSilentSince(silent_since)) {
     // Otherwise no voter could be replaced until the host is back.
