state: what has been sent to a voter is not sent again with each heartbeat

Nobody saw this by itself: each heartbeat carried again all entries that a voter had not acknowledged, up to 64 of any size, so a voter that lags, or is cut off for seconds, is sent some 100 KB and more every 300 ms, and heartbeats wait behind them on the same connection. A message ends after 64 KB of entries. Former builds reject and accept the same way.

--- a/packages/control/tests/power_loss_tests.cc
+++ b/packages/control/tests/power_loss_tests.cc
@@ -317,6 +317,32 @@
   EXPECT_TRUE(site.Voters().contains(*std::next(spares.begin())));
 }
 
+//! Guards against heartbeats that wait behind large entries, and a lease that
+//! is lost: each heartbeat carried again all that a voter had not acknowledged.
+TEST(PowerLoss, VotersThatDoNotReplyAreNotSentTheSameAgain) {
+  Site site(2);
+  ASSERT_TRUE(site.Start());
+  std::set<HostName> cut;
+  for (const HostName& voter : site.Voters()) {
+    if (cut.size() < 2 && voter != site.cluster.Leader()) {
+      cut.insert(voter);
+    }
+  }
+  const HostName leader = site.cluster.Leader();
+  const LogIndex first = site.cluster.Node(leader).State().Applied();
+  const std::uint64_t before = site.cluster.EntriesSent();
+  site.cluster.Partition(cut);
+  for (int i = 0; i < 5; ++i) {
+    ASSERT_TRUE(site.Replace());
+  }
+  site.cluster.Run(milliseconds(2'000));
+  ASSERT_EQ(site.cluster.Leader(), leader);
+  const std::uint64_t entries =
+      site.cluster.Node(leader).State().Applied() - first;
+  const std::uint64_t others = site.cluster.Node(leader).Voters().size() - 1;
+  EXPECT_LE(site.cluster.EntriesSent() - before, entries * others);
+}
+
 //! Faults of hosts with disks, of which no more than two are lost at a time,
 //! and a new list of seeds.
 class History {
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -34,6 +34,9 @@
   std::chrono::milliseconds drift{150};
   //! Maximum number of entries in one AppendRequest.
   std::size_t entries_per_message = 64;
+  //! Payload size, in bytes, from which on an AppendRequest takes no further
+  //! entry.
+  std::size_t bytes_per_message = std::size_t{64} * 1024;
 };
 
 //! State of the log as recovered from disk after a restart.
@@ -195,7 +198,8 @@
 
   //! A leader's view of one follower.
   struct Progress {
-    //! Index of the next entry to send.
+    //! Index of the next entry to send; those before it are acknowledged or on
+    //! their way.
     LogIndex next = 1;
     //! Highest index known to be on the follower's disk.
     LogIndex match = 0;
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -714,10 +714,13 @@
 }
 
 void AgreedLog::SendTo(const HostName& host, LogEffects& effects) {
-  const Progress& peer = this->progress.at(host);
+  // What has been sent is not sent again unless the follower rejects what comes
+  // after it: large entries would delay the heartbeats behind them.
+  Progress& peer = this->progress.at(host);
   if (peer.next <= this->snapshot.index) {
     effects.sends.push_back(
         {host, InstallRequest{this->vote.term, this->snapshot, this->round}});
+    peer.next = this->snapshot.index + 1;
     return;
   }
   AppendRequest request;
@@ -726,11 +729,13 @@
   request.previous_term = this->TermAt(peer.next - 1);
   request.commit = this->commit;
   request.round = this->round;
-  for (LogIndex i = peer.next;
-       i <= this->LastIndex() &&
-       request.entries.size() < this->options.entries_per_message;
-       ++i) {
-    request.entries.push_back(*this->EntryAt(i));
+  std::size_t bytes = 0;
+  while (peer.next <= this->LastIndex() &&
+         request.entries.size() < this->options.entries_per_message &&
+         bytes < this->options.bytes_per_message) {
+    request.entries.push_back(*this->EntryAt(peer.next));
+    bytes += request.entries.back().payload.size();
+    peer.next += 1;
   }
   effects.sends.push_back({host, std::move(request)});
 }
