--- a/programs/tamarackwingd/src/turn_watch.cc
+++ b/programs/tamarackwingd/src/turn_watch.cc
@@ -9,8 +9,7 @@
 
 using std::chrono::milliseconds;
 
-//! A gap between two ticks that is worth a line: a third of the shortest
-//! election timeout in use, beyond which a leader's heartbeats suffer.
+//! A gap between two ticks from which on a leader's heartbeats are late.
 constexpr milliseconds kLateGap{300};
 
 constexpr std::array<std::string_view,
