--- a/packages/control/include/tamarackwing/control.h
+++ b/packages/control/include/tamarackwing/control.h
@@ -5,4 +5,5 @@
 #include "tamarackwing/control/control_effects.h"
 #include "tamarackwing/control/control_node.h"
 #include "tamarackwing/control/control_options.h"
+#include "tamarackwing/control/message_kind.h"
 #include "tamarackwing/control/peer_message.h"
--- /dev/null
+++ b/packages/control/src/message_kind.cc
@@ -0,0 +1,25 @@
+#include "tamarackwing/control/message_kind.h"
+
+#include <array>
+#include <variant>
+
+namespace tamarackwing::control {
+namespace {
+
+constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
+    kMessageKinds{
+        "log",           "ledger",         "feed_request",  "feed_reply",
+        "propose",       "propose_reply",  "withdrawal",    "region_status",
+        "probe",         "probe_reply",    "chunk_request", "chunk_grant",
+        "chunk_settled", "status_request", "status_reply",  "servers",
+        "rate_report",   "rate_grant",     "crash_report",  "quarantine",
+        "stream_begun",  "stream_query",   "stream_answer", "roster_request",
+        "roster_reply"};
+
+}  // namespace
+
+std::string_view MessageKind(const PeerMessage& message) {
+  return kMessageKinds.at(message.index());
+}
+
+}  // namespace tamarackwing::control
--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "tamarackwing/base/expected.h"
@@ -19,6 +23,8 @@
 struct NetworkOptions {
   //! The name of this host.
   HostName self;
+  //! The region of this host.
+  RegionName region;
   //! The address and port to listen on.
   std::string address;
   std::uint16_t port = 0;
@@ -34,6 +40,21 @@
   std::size_t max_pending = 1'024;
 };
 
+//! What was sent of one kind of message.
+struct SentTraffic {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+};
+
+//! A kind of message (control::MessageKind), and whether its recipient is in
+//! another region.
+struct TrafficKind {
+  std::string_view message;
+  bool crosses_regions = false;
+
+  friend auto operator<=>(const TrafficKind&, const TrafficKind&) = default;
+};
+
 //! The reason why the listener for peers could not be opened.
 enum class NetworkError { kCannotListen };
 
@@ -67,6 +88,8 @@
   void Stop();
   //! Returns the total size of the sent messages in bytes.
   std::uint64_t SentBytes() const;
+  //! Returns what was sent, by kind of message.
+  const std::map<TrafficKind, SentTraffic>& Sent() const;
 
  private:
   struct State;
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -16,6 +16,7 @@
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/event.h"
+#include "tamarackwing/control/message_kind.h"
 #include "tamarackwing/hosts/peer_handler.h"
 #include "wire_codec.h"
 
@@ -145,6 +146,8 @@
   struct Peer {
     std::string address;
     std::uint16_t port = 0;
+    //! Empty until SetHosts gives it.
+    RegionName region;
     kj::Own<OutgoingConnection> connection;
     bool connecting = false;
     TimePoint retry_at;
@@ -237,8 +240,15 @@
     }
     auto request = peer.connection->session.deliverRequest();
     WriteMessage(message, request.initMessage());
-    this->sent_bytes.fetch_add(request.totalSize().wordCount *
-                               sizeof(capnp::word));
+    const std::uint64_t bytes =
+        request.totalSize().wordCount * sizeof(capnp::word);
+    this->sent_bytes.fetch_add(bytes);
+    const bool crosses_regions =
+        !peer.region.IsEmpty() && peer.region != this->options.region;
+    SentTraffic& traffic =
+        this->sent[{control::MessageKind(message), crosses_regions}];
+    traffic.messages += 1;
+    traffic.bytes += bytes;
     peer.connection->pending_calls += 1;
     const std::uint64_t generation = peer.generation;
     auto reply = request.send().ignoreResult();
@@ -331,6 +341,7 @@
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake;
   std::atomic<bool> stopping{false};
   std::atomic<std::uint64_t> sent_bytes{0};
+  std::map<TrafficKind, SentTraffic> sent;
   kj::TaskSet tasks;
 };
 
@@ -359,6 +370,7 @@
       continue;
     }
     State::Peer& peer = this->state->peers[host.name];
+    peer.region = host.region;
     const bool address_changed =
         peer.address != host.peer_address || peer.port != host.peer_port;
     if (address_changed) {
@@ -411,4 +423,8 @@
   return this->state->sent_bytes.load();
 }
 
+const std::map<TrafficKind, SentTraffic>& PeerNetwork::Sent() const {
+  return this->state->sent;
+}
+
 }  // namespace tamarackwing::hosts
--- a/programs/tamarackwingd/src/turn_watch.cc
+++ b/programs/tamarackwingd/src/turn_watch.cc
@@ -1,8 +1,6 @@
 #include "turn_watch.h"
 
-#include <array>
 #include <utility>
-#include <variant>
 
 namespace tamarackwing::daemon {
 namespace {
@@ -12,26 +10,12 @@
 //! A gap between two ticks from which on a leader's heartbeats are late.
 constexpr milliseconds kLateGap{300};
 
-constexpr std::array<std::string_view,
-                     std::variant_size_v<control::PeerMessage>>
-    kMessageKinds{
-        "log",           "ledger",         "feed_request",  "feed_reply",
-        "propose",       "propose_reply",  "withdrawal",    "region_status",
-        "probe",         "probe_reply",    "chunk_request", "chunk_grant",
-        "chunk_settled", "status_request", "status_reply",  "servers",
-        "rate_report",   "rate_grant",     "crash_report",  "quarantine",
-        "stream_begun",  "stream_query",   "stream_answer"};
-
 milliseconds ToMilliseconds(Duration time) {
   return std::chrono::duration_cast<milliseconds>(time);
 }
 
 }  // namespace
 
-std::string_view MessageKind(const control::PeerMessage& message) {
-  return kMessageKinds.at(message.index());
-}
-
 TurnWatch::Turn::Turn(TurnWatch& watch,
                       const Clock& clock,
                       std::string_view kind)
@@ -59,6 +43,7 @@
 void TurnWatch::NoteTurn(std::string_view kind, Duration took) {
   this->turns += 1;
   this->busy += took;
+  this->spent[kind] += took;
   if (took >= this->longest) {
     this->longest = took;
     this->longest_kind = kind;
--- a/programs/tamarackwingd/src/turn_watch.h
+++ b/programs/tamarackwingd/src/turn_watch.h
@@ -2,17 +2,14 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string_view>
 
 #include "tamarackwing/base/clock.h"
-#include "tamarackwing/control/peer_message.h"
 
 namespace tamarackwing::daemon {
 
-//! Returns the name of the message's type, for logs.
-std::string_view MessageKind(const control::PeerMessage& message);
-
 //! What the control thread did between two ticks that are far apart.
 struct LateTick {
   std::chrono::milliseconds gap{0};
@@ -44,6 +41,10 @@
 
   //! Returns what happened since the previous tick if that is long ago.
   std::optional<LateTick> NoteTick(TimePoint now);
+  //! Returns the time spent in all turns of each kind.
+  const std::map<std::string_view, Duration>& Spent() const {
+    return this->spent;
+  }
 
  private:
   void NoteTurn(std::string_view kind, Duration took);
@@ -53,6 +54,7 @@
   Duration busy{0};
   Duration longest{0};
   std::string_view longest_kind;
+  std::map<std::string_view, Duration> spent;
 };
 
 }  // namespace tamarackwing::daemon
