gateway: the directory names all hosts of a large region in turn

It named the first 64 entry hosts of a region by name. A region of 97 left 33 of them without a caller while the others had half more than their part. Answers now start 64 hosts after those of the one before.

EntryHostsTest.AllHostsOfALargeRegionGetAsManyCallers

--- a/packages/gateway/src/entry_hosts.cc
+++ b/packages/gateway/src/entry_hosts.cc
@@ -6,9 +6,6 @@
 namespace tamarackwing::gateway {
 namespace {
 
-//! Maximum number of hosts in one result.
-constexpr std::size_t kMaxHosts = 64;
-
 //! Returns whether every residency rule allows a region.
 bool IsAllowedByAll(const state::ConfigurationSet& set,
                     const RegionName& region) {
@@ -23,7 +20,8 @@
 }  // namespace
 
 EntryHosts EntryHostsFor(const state::Snapshot& snapshot,
-                         const RegionName& region) {
+                         const RegionName& region,
+                         std::size_t first) {
   EntryHosts hosts;
   std::vector<http::Endpoint> draining;
   std::vector<http::Endpoint> allowed;
@@ -58,8 +56,12 @@
       hosts.endpoints = std::move(*next);
     }
   }
-  if (hosts.endpoints.size() > kMaxHosts) {
-    hosts.endpoints.resize(kMaxHosts);
+  if (hosts.endpoints.size() > kMaxEntryHosts) {
+    std::rotate(hosts.endpoints.begin(),
+                hosts.endpoints.begin() +
+                    static_cast<std::ptrdiff_t>(first % hosts.endpoints.size()),
+                hosts.endpoints.end());
+    hosts.endpoints.resize(kMaxEntryHosts);
   }
   return hosts;
 }
--- a/packages/gateway/tests/entry_hosts_tests.cc
+++ b/packages/gateway/tests/entry_hosts_tests.cc
@@ -24,7 +24,8 @@
             this->hosts);
     std::vector<std::string> names;
     for (const http::Endpoint& endpoint :
-         EntryHostsFor(this->snapshot, RegionName(region)).endpoints) {
+         EntryHostsFor(this->snapshot, RegionName(region), this->first)
+             .endpoints) {
       names.push_back(endpoint.address);
     }
     return names;
@@ -32,6 +33,7 @@
 
   std::map<HostName, state::HostRecord> hosts;
   state::Snapshot snapshot;
+  std::size_t first = 0;
 };
 
 TEST_F(EntryHostsTest, PrefersNonDrainingHostsOfTheRegion) {
@@ -65,5 +67,23 @@
   EXPECT_EQ(this->EndpointsFor("plzen"), std::vector<std::string>{"j1"});
 }
 
+TEST_F(EntryHostsTest, AllHostsOfALargeRegionGetAsManyCallers) {
+  constexpr int kHosts = 97;
+  for (int i = 0; i < kHosts; ++i) {
+    this->Add("m" + std::to_string(100 + i), "muscat", false);
+  }
+  std::map<std::string, int> named;
+  for (int i = 0; i < kHosts; ++i) {
+    for (const std::string& host : this->EndpointsFor("muscat")) {
+      named[host] += 1;
+    }
+    this->first += kMaxEntryHosts;
+  }
+  ASSERT_EQ(named.size(), static_cast<std::size_t>(kHosts));
+  for (const auto& [host, times] : named) {
+    EXPECT_EQ(times, static_cast<int>(kMaxEntryHosts)) << host;
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::gateway
