policy: a rate report costs the leader the same however many hosts there are

Each demand of each report summed over all holders of the workspace: with 291 hosts, 40 workspaces and 3.3 reports a second that is some ten million steps a second. Sums are kept for each workspace instead and recounted each 100 ms. Reports of a fleet beyond 100 hosts are rarer, about 330 a second in all.

--- a/packages/policy/include/tamarackwing/policy/rate_leases.h
+++ b/packages/policy/include/tamarackwing/policy/rate_leases.h
@@ -25,6 +25,12 @@
   unsigned static_percent = 10;
 };
 
+//! Returns how often each of `hosts` hosts reports its demands: often enough
+//! for leases to follow a peak of demand, which moves to another region within
+//! one or two seconds, but so that a large fleet sends its leader no more than
+//! about 330 reports per second. Thread safety: reentrant.
+std::chrono::milliseconds RateReportInterval(std::size_t hosts);
+
 //! Returns the static share of a rate that each of `hosts` hosts has without a
 //! lease.
 //! Preconditions: `hosts` is positive. Thread safety: reentrant.
@@ -68,20 +74,36 @@
     TimePoint reported;
     //! The lease that the holder uses and those that may replace it.
     std::deque<Lease> leases;
+    //! What the account's sums include of this holder.
+    TokenCount counted_demand = 0;
+    TokenCount counted_lease = 0;
+    bool is_counted = false;
 
     //! Returns the largest share that the holder may still be using: it may
     //! have missed the newer grants.
     TokenCount MaxShare(TimePoint now) const;
   };
+  //! A workspace's holders and sums over them, so that a report costs the same
+  //! however many hosts there are. What has expired since the last recount is
+  //! still included, so the sums are never too small.
   struct Account {
     TokenCount rate = 0;
     std::map<HostName, Holder> holders;
+    TimePoint recounted;
+    //! Demand, with headroom, and number of the holders that report.
+    TokenCount demand = 0;
+    TokenCount active = 0;
+    //! Largest shares that the holders may still be using.
+    TokenCount leased = 0;
   };
 
-  //! Returns the share to lease to a host next.
-  TokenCount Share(const Account& account,
-                   const HostName& host,
-                   TimePoint now) const;
+  //! Removes a holder from its account's sums.
+  static void Discount(Account& account, Holder& holder);
+  //! Adds a holder that is not in its account's sums.
+  void Count(Account& account, Holder& holder, TimePoint now) const;
+  void Recount(Account& account, TimePoint now) const;
+  //! Returns the share to lease next to a holder that is in the sums.
+  TokenCount Share(const Account& account, const Holder& holder) const;
 
   RateLeaseOptions options;
   //! Holders that have not reported since the term started.
--- a/packages/policy/src/rate_leases.cc
+++ b/packages/policy/src/rate_leases.cc
@@ -10,9 +10,22 @@
 //! A host gets more than its reported demand, so that demand can grow until its
 //! next report.
 constexpr TokenCount kHeadroomPercent = 130;
+//! How long leases and demands that have expired may still be counted; short
+//! against the life of a lease.
+constexpr std::chrono::milliseconds kRecountInterval{100};
+
+constexpr std::chrono::milliseconds kMinReportInterval{300};
+//! Added to the interval by each host of the fleet; a third of a lease's life
+//! at 440 hosts.
+constexpr std::chrono::milliseconds kReportIntervalPerHost{3};
 
 }  // namespace
 
+std::chrono::milliseconds RateReportInterval(std::size_t hosts) {
+  return std::max(kMinReportInterval,
+                  kReportIntervalPerHost * static_cast<std::int64_t>(hosts));
+}
+
 TokenCount StaticRate(TokenCount rate,
                       std::size_t hosts,
                       const RateLeaseOptions& options) {
@@ -51,7 +64,11 @@
       continue;
     }
     Account& account = found->second;
+    if (now - account.recounted >= kRecountInterval) {
+      this->Recount(account, now);
+    }
     Holder& holder = account.holders[host];
+    Discount(account, holder);
     holder.demand = std::max<TokenCount>(0, demand.demand);
     holder.reported = now;
     std::erase_if(holder.leases, [&](const Lease& lease) {
@@ -60,11 +77,14 @@
     if (is_first) {
       holder.leases.push_back({report.holds, demand.held, expires});
     }
-    TokenCount share = this->Share(account, host, now);
+    this->Count(account, holder, now);
+    TokenCount share = this->Share(account, holder);
     if (!old_leases_known) {
       share = std::min(share, std::max<TokenCount>(0, demand.held));
     }
     holder.leases.push_back({report.number, share, expires});
+    Discount(account, holder);
+    this->Count(account, holder, now);
     grant.shares.push_back({demand.workspace, share});
   }
   return grant;
@@ -92,37 +112,52 @@
   return max_share;
 }
 
+void RateLeases::Discount(Account& account, Holder& holder) {
+  account.demand -= holder.counted_demand;
+  account.leased -= holder.counted_lease;
+  account.active -= holder.is_counted ? 1 : 0;
+  holder.counted_demand = 0;
+  holder.counted_lease = 0;
+  holder.is_counted = false;
+}
+
+void RateLeases::Count(Account& account, Holder& holder, TimePoint now) const {
+  if (now - holder.reported < this->options.life) {
+    holder.counted_demand = holder.demand * kHeadroomPercent / kHundredPercent;
+    holder.is_counted = true;
+  }
+  holder.counted_lease = holder.MaxShare(now);
+  account.demand += holder.counted_demand;
+  account.leased += holder.counted_lease;
+  account.active += holder.is_counted ? 1 : 0;
+}
+
+void RateLeases::Recount(Account& account, TimePoint now) const {
+  account.recounted = now;
+  for (auto& [host, holder] : account.holders) {
+    Discount(account, holder);
+    this->Count(account, holder, now);
+  }
+}
+
 TokenCount RateLeases::Share(const Account& account,
-                             const HostName& host,
-                             TimePoint now) const {
+                             const Holder& holder) const {
   const TokenCount pool = account.rate *
                           (kHundredPercent - this->options.static_percent) /
                           kHundredPercent;
-  TokenCount total_demand = 0;
-  TokenCount leased_out = 0;
-  TokenCount active_hosts = 0;
-  for (const auto& [name, holder] : account.holders) {
-    if (now - holder.reported < this->options.life) {
-      total_demand += holder.demand * kHeadroomPercent / kHundredPercent;
-      active_hosts += 1;
-    }
-    if (name != host) {
-      leased_out += holder.MaxShare(now);
-    }
-  }
-  const TokenCount own_demand =
-      account.holders.at(host).demand * kHeadroomPercent / kHundredPercent;
+  const TokenCount own_demand = holder.counted_demand;
+  const TokenCount leased_to_others = account.leased - holder.counted_lease;
   TokenCount fair = 0;
-  if (total_demand > pool) {
+  if (account.demand > pool) {
     fair = static_cast<TokenCount>(static_cast<double>(pool) *
                                    static_cast<double>(own_demand) /
-                                   static_cast<double>(total_demand));
+                                   static_cast<double>(account.demand));
   } else {
     // Excess capacity is divided equally, so that it is available wherever the
     // next peak occurs.
-    fair = own_demand + (pool - total_demand) / active_hosts;
+    fair = own_demand + (pool - account.demand) / account.active;
   }
-  return std::max<TokenCount>(0, std::min(fair, pool - leased_out));
+  return std::max<TokenCount>(0, std::min(fair, pool - leased_to_others));
 }
 
 }  // namespace tamarackwing::policy
--- a/packages/policy/tests/rate_lease_tests.cc
+++ b/packages/policy/tests/rate_lease_tests.cc
@@ -90,6 +90,40 @@
   EXPECT_GT(this->Grant("muscat", Report(8, 60'000, 7, 10'000)), 60'000);
 }
 
+TEST(RateReportInterval, LeaderOfALargeFleetGetsABoundedNumberOfReports) {
+  for (const std::size_t hosts : {6, 24, 94, 291, 360}) {
+    const auto interval = RateReportInterval(hosts);
+    EXPECT_LE(static_cast<double>(hosts) /
+                  std::chrono::duration<double>(interval).count(),
+              334)
+        << hosts;
+    // Several reports may be lost within the life of a lease.
+    EXPECT_LE(3 * interval, RateLeaseOptions().life) << hosts;
+  }
+  EXPECT_EQ(RateReportInterval(94), milliseconds(300));
+}
+
+TEST_F(RateLeasesTest, LargeFleetIsGrantedTheWholeRateAndNoMore) {
+  constexpr int kHosts = 291;
+  std::vector<TokenCount> held(kHosts, 0);
+  for (std::uint64_t round = 1; round <= 5; ++round) {
+    for (int host = 0; host < kHosts; ++host) {
+      // Each host has its own demand, and all of them together 1.5 times the
+      // rate.
+      const TokenCount demand = kRate * 3 * (host % 7) / (2 * 3 * kHosts);
+      held[static_cast<std::size_t>(host)] =
+          this->Grant("h" + std::to_string(host),
+                      Report(round, demand, round - 1,
+                             held[static_cast<std::size_t>(host)]));
+      this->clock.Advance(milliseconds(3));
+      EXPECT_LE(this->leases.Outstanding(kWorkspace, this->clock.Now()),
+                kRate * 9 / 10);
+    }
+  }
+  EXPECT_GE(this->leases.Outstanding(kWorkspace, this->clock.Now()),
+            kRate * 85 / 100);
+}
+
 TEST_F(RateLeasesTest, WorkspaceWithoutRateGetsNothing) {
   const RateReport report{1, 0, {{WorkspaceName("nobody"), 5, 0}}};
   EXPECT_TRUE(this->leases.Grant(HostName("h"), report, this->clock.Now())
