--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -19,7 +19,9 @@
 #include "tamarackwing/control/peer_message.h"
 #include "tamarackwing/control/proposal_tracker.h"
 #include "tamarackwing/control/region_allocator.h"
+#include "tamarackwing/control/roster_follower.h"
 #include "tamarackwing/control/server_relay.h"
+#include "tamarackwing/control/server_roster.h"
 #include "tamarackwing/state/agreed_log.h"
 #include "tamarackwing/state/control_state.h"
 #include "tamarackwing/state/operation_ledger.h"
@@ -109,8 +111,8 @@
   void SetRegionStatus(RegionStatus status, std::vector<TargetLoad> loads);
   //! Sends a probe to a host of another region.
   ControlEffects Probe(const HostName& host, std::uint64_t number);
-  //! Forwards a backend server's report to the entry hosts of its region, at
-  //! once or with the next batch.
+  //! Records a backend server's report and forwards it to the hosts with disks
+  //! in its region, at once or with the next batch.
   ControlEffects RelayServer(const policy::ServerReport& report, TimePoint now);
   //! Requests this host's shares of the workspaces' rates from the leader; the
   //! reply appears in ControlEffects::rate_grants. Does nothing if no leader is
@@ -144,6 +146,9 @@
   }
   //! Returns the other hosts of this region in the agreed state.
   std::vector<HostName> RegionPeers() const;
+  //! Returns how long another host of this region may send no status before it
+  //! counts as lost. In a large region, statuses are rarer than in a small one.
+  std::chrono::milliseconds PeerSilenceLimit() const;
 
  private:
   void ApplyLogEffects(state::LogEffects log_effects,
@@ -226,6 +231,17 @@
                       TimePoint now,
                       ControlEffects& effects);
   void SendServerReports(TimePoint now, ControlEffects& effects);
+  //! Returns the hosts that get the reports of a region's servers; all hosts
+  //! with disks if the region is empty or has none that is live.
+  std::vector<HostName> RosterKeepers(const RegionName& region) const;
+  void HandleServerReports(const ServerReports& reports,
+                           TimePoint now,
+                           ControlEffects& effects);
+  void HandleRosterRequest(const HostName& from,
+                           const RosterRequest& request,
+                           TimePoint now,
+                           ControlEffects& effects);
+  void FetchRoster(TimePoint now, ControlEffects& effects);
   FeedKnowledge Knowledge(TimePoint now) const;
   void RunLeaderTasks(TimePoint now, ControlEffects& effects);
   void ChangeVoters(TimePoint now, ControlEffects& effects);
@@ -259,6 +275,8 @@
   FeedFollower follower;
   FeedSource feed;
   ServerRelay relay;
+  ServerRoster roster;
+  RosterFollower roster_follower;
   policy::RateLeases rates;
   policy::QuarantineJudge judge;
 
@@ -268,6 +286,7 @@
   TimePoint started;
   TimePoint report_at;
   TimePoint region_report_at;
+  std::chrono::milliseconds region_report_interval{0};
   TimePoint leader_tasks_at;
   TimePoint relay_at;
   bool region_replied = false;
--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -60,8 +60,13 @@
   std::size_t compact_after = 4'096;
   //! Payload bytes after which the log is compacted.
   std::size_t compact_after_bytes = 1024 * 1024;
-  //! Interval at which reports of backend servers are sent to the entry hosts.
+  //! Interval at which reports of backend servers are sent to the hosts with
+  //! disks in their region.
   std::chrono::milliseconds relay{100};
+  //! Interval at which an entry host fetches what has changed in them.
+  std::chrono::milliseconds roster{500};
+  //! How long a report counts as a sign of life of its server.
+  std::chrono::milliseconds server_lease{3'000};
   //! How long, and at which interval, the report of a server that shuts down is
   //! repeated.
   std::chrono::milliseconds leaving_resend_for{4'000};
--- a/packages/control/include/tamarackwing/control/host_monitor.h
+++ b/packages/control/include/tamarackwing/control/host_monitor.h
@@ -23,8 +23,10 @@
   //! Records the status that a host had at `taken`; ignored if a newer one is
   //! known.
   void NoteStatus(const HostStatus& status, TimePoint taken);
-  //! Whether a message from the host itself arrived recently.
-  bool IsHeard(const HostName& host, TimePoint now) const;
+  //! Whether a message from the host itself arrived within `limit`.
+  bool IsHeard(const HostName& host,
+               std::chrono::milliseconds limit,
+               TimePoint now) const;
   //! Whether the host's last status, which other hosts may have forwarded, is
   //! recent.
   bool IsLive(const HostName& host, TimePoint now) const;
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/control/roster_message.h"
 #include "tamarackwing/policy/budget_messages.h"
 #include "tamarackwing/policy/crash_messages.h"
 #include "tamarackwing/policy/rate_messages.h"
@@ -160,8 +161,8 @@
   std::vector<HostProgress> hosts;
 };
 
-//! Reports of backend servers that a control host received, for the entry hosts
-//! of the servers' region.
+//! Reports of backend servers that a control host received, for the hosts with
+//! disks in the servers' region, from which entry hosts fetch them.
 struct ServerReports {
   std::vector<policy::ServerReport> reports;
 };
@@ -189,7 +190,9 @@
                                  policy::QuarantineNotice,
                                  policy::StreamBegun,
                                  policy::StreamQuestion,
-                                 policy::StreamAnswer>;
+                                 policy::StreamAnswer,
+                                 RosterRequest,
+                                 RosterReply>;
 
 //! A message and its recipient.
 struct PeerSend {
--- /dev/null
+++ b/packages/control/include/tamarackwing/control/roster_follower.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "tamarackwing/base/clock.h"
+#include "tamarackwing/control/roster_message.h"
+#include "tamarackwing/state/host_record.h"
+
+namespace tamarackwing::control {
+
+//! How an entry host fetches the reports of its region's backend servers from
+//! the roster of a host with a disk. A state machine without I/O. Not
+//! thread-safe.
+class RosterFollower {
+ public:
+  //! A request and the host that it goes to.
+  struct Request {
+    HostName to;
+    RosterRequest request;
+  };
+
+  RosterFollower(RegionName region, std::chrono::milliseconds interval);
+
+  //! Returns the request that is due. `sources` are the hosts to ask, the best
+  //! first; another one is asked if the first does not reply.
+  std::optional<Request> Due(const std::vector<HostName>& sources,
+                             TimePoint now);
+  bool IsDue(TimePoint now) const { return now >= this->due_at; }
+  //! Returns the reports to apply. Empty if `from` is not the host that was
+  //! asked last.
+  std::vector<policy::ServerReport> HandleReply(const HostName& from,
+                                                const RosterReply& reply,
+                                                TimePoint now);
+
+ private:
+  RegionName region;
+  std::chrono::milliseconds interval;
+  TimePoint due_at;
+  std::uint64_t number = 0;
+  HostName source;
+  //! Position of `source` in the sources' order.
+  std::size_t position = 0;
+  TimePoint last_reply;
+  TimePoint source_since;
+  RosterCursor known;
+  //! Reports of the known epoch, by the server's number.
+  std::map<std::uint32_t, policy::ServerReport> reports;
+};
+
+//! Returns the hosts with disks in the order in which `self` asks them: those
+//! of its region first, in an order that differs between hosts and so spreads
+//! them. `seeds` count while no host is known. Thread safety: reentrant.
+std::vector<HostName> RosterSources(
+    const state::HostRecord& self,
+    const std::map<HostName, state::HostRecord>& hosts,
+    const std::vector<state::HostRecord>& seeds);
+
+}  // namespace tamarackwing::control
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -95,6 +95,8 @@
       leader_tasks(options),
       follower(options.report, now),
       relay(options),
+      roster(options.self.incarnation, options.server_lease),
+      roster_follower(options.self.region, options.roster),
       rates(options.rates),
       judge(options.quarantine),
       started(now),
@@ -131,6 +133,7 @@
   if (now >= this->relay_at) {
     this->SendServerReports(now, effects);
   }
+  this->FetchRoster(now, effects);
   if (this->log.IsLeader() && now >= this->leader_tasks_at) {
     this->leader_tasks_at = now + this->options.report / 2;
     this->RunLeaderTasks(now, effects);
@@ -177,7 +180,13 @@
   } else if (const auto* status_reply = std::get_if<StatusReply>(&message)) {
     effects.statuses.push_back(*status_reply);
   } else if (const auto* servers = std::get_if<ServerReports>(&message)) {
-    effects.servers = servers->reports;
+    this->HandleServerReports(*servers, now, effects);
+  } else if (const auto* roster_request =
+                 std::get_if<RosterRequest>(&message)) {
+    this->HandleRosterRequest(from, *roster_request, now, effects);
+  } else if (const auto* roster_reply = std::get_if<RosterReply>(&message)) {
+    effects.servers =
+        this->roster_follower.HandleReply(from, *roster_reply, now);
   } else if (const auto* rate_report =
                  std::get_if<policy::RateReport>(&message)) {
     this->HandleRates(from, *rate_report, now, effects);
@@ -327,7 +336,8 @@
 ControlEffects ControlNode::RelayServer(const policy::ServerReport& report,
                                         TimePoint now) {
   ControlEffects effects;
-  if (this->relay.AddReport(report, now)) {
+  const bool is_news = this->roster.Note(report, now);
+  if (this->relay.AddReport(report, now) || is_news) {
     this->SendServerReports(now, effects);
   }
   return effects;
@@ -415,22 +425,76 @@
 
 void ControlNode::SendServerReports(TimePoint now, ControlEffects& effects) {
   this->relay_at = now + this->options.relay;
+  this->roster.Expire(now);
   for (const auto& [region, reports] : this->relay.Due(now)) {
-    for (const auto& [name, host] : this->state.Hosts()) {
-      const bool is_in_region = region.IsEmpty() || host.region == region;
-      if (!host.IsEntryHost() || !is_in_region) {
-        continue;
-      }
-      if (name == this->options.self.name) {
-        effects.servers.insert(effects.servers.end(), reports.begin(),
-                               reports.end());
+    for (const HostName& keeper : this->RosterKeepers(region)) {
+      if (keeper == this->options.self.name) {
+        this->HandleServerReports({reports}, now, effects);
       } else {
-        effects.sends.push_back({name, ServerReports{reports}});
+        effects.sends.push_back({keeper, ServerReports{reports}});
       }
     }
   }
 }
 
+std::vector<HostName> ControlNode::RosterKeepers(
+    const RegionName& region) const {
+  std::vector<HostName> in_region;
+  std::vector<HostName> all;
+  bool has_live = false;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    if (!host.has_disk) {
+      continue;
+    }
+    all.push_back(name);
+    if (host.region == region) {
+      in_region.push_back(name);
+      const auto live = this->state.Live().find(region);
+      has_live = has_live || (live != this->state.Live().end() &&
+                              live->second.contains(name));
+    }
+  }
+  return has_live ? in_region : all;
+}
+
+void ControlNode::HandleServerReports(const ServerReports& reports,
+                                      TimePoint now,
+                                      ControlEffects& effects) {
+  if (this->options.self.has_disk) {
+    for (const policy::ServerReport& report : reports.reports) {
+      this->roster.Note(report, now - report.relayed_for);
+    }
+  }
+  if (this->options.self.IsEntryHost()) {
+    effects.servers.insert(effects.servers.end(), reports.reports.begin(),
+                           reports.reports.end());
+  }
+}
+
+void ControlNode::HandleRosterRequest(const HostName& from,
+                                      const RosterRequest& request,
+                                      TimePoint now,
+                                      ControlEffects& effects) {
+  if (this->options.self.has_disk) {
+    effects.sends.push_back({from, this->roster.Reply(request, now)});
+  }
+}
+
+void ControlNode::FetchRoster(TimePoint now, ControlEffects& effects) {
+  const bool fetches =
+      this->options.self.IsEntryHost() && !this->options.self.has_disk;
+  if (!fetches || !this->roster_follower.IsDue(now)) {
+    return;
+  }
+  const auto request = this->roster_follower.Due(
+      RosterSources(this->options.self, this->state.Hosts(),
+                    this->options.seeds),
+      now);
+  if (request) {
+    effects.sends.push_back({request->to, request->request});
+  }
+}
+
 void ControlNode::StartDrain() {
   this->draining = true;
 }
@@ -468,7 +532,7 @@
     // In its own region, a host considers a peer live only if it has recently
     // received a message directly from that peer.
     if (host.region == region && name != this->options.self.name &&
-        !this->monitor.IsHeard(name, now)) {
+        !this->monitor.IsHeard(name, this->PeerSilenceLimit(), now)) {
       snapshot->live.erase(name);
     }
   }
@@ -908,8 +972,9 @@
   // peers about the same number of messages per second in total.
   const auto interval_factor =
       std::max<std::size_t>(1, peers.size() / kPeersPerInterval);
-  this->region_report_at =
-      now + this->options.report * static_cast<std::int64_t>(interval_factor);
+  this->region_report_interval =
+      this->options.report * static_cast<std::int64_t>(interval_factor);
+  this->region_report_at = now + this->region_report_interval;
   const auto view = this->state.Views().find(this->options.self.region);
   RegionStatus status = this->region_status;
   status.epoch = view == this->state.Views().end() ? 0 : view->second.epoch;
@@ -929,6 +994,10 @@
   this->region_status.served.clear();
 }
 
+milliseconds ControlNode::PeerSilenceLimit() const {
+  return std::max(this->options.host_lost, 2 * this->region_report_interval);
+}
+
 void ControlNode::SendFeedRequest(TimePoint now, ControlEffects& effects) {
   if (this->log.IsLeader()) {
     return;
@@ -992,7 +1061,8 @@
   announcement.leader_contact_age = milliseconds(0);
   for (const auto& [name, host] : this->state.Hosts()) {
     const bool is_self = name == this->options.self.name;
-    if (host.has_disk && !is_self && !this->monitor.IsHeard(name, now)) {
+    if (host.has_disk && !is_self &&
+        !this->monitor.IsHeard(name, this->options.host_lost, now)) {
       effects.sends.push_back({name, announcement});
     }
   }
--- a/packages/control/src/host_monitor.cc
+++ b/packages/control/src/host_monitor.cc
@@ -17,9 +17,11 @@
   }
 }
 
-bool HostMonitor::IsHeard(const HostName& host, TimePoint now) const {
+bool HostMonitor::IsHeard(const HostName& host,
+                          std::chrono::milliseconds limit,
+                          TimePoint now) const {
   const auto found = this->last_heard.find(host);
-  return found != this->last_heard.end() && now - found->second < this->lost;
+  return found != this->last_heard.end() && now - found->second < limit;
 }
 
 bool HostMonitor::IsLive(const HostName& host, TimePoint now) const {
--- /dev/null
+++ b/packages/control/src/roster_follower.cc
@@ -0,0 +1,109 @@
+#include "tamarackwing/control/roster_follower.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+#include "tamarackwing/policy/rendezvous.h"
+
+namespace tamarackwing::control {
+namespace {
+
+//! Number of intervals without a reply after which another source is asked.
+constexpr int kMaxSilentIntervals = 3;
+//! How long a host that is not the best source is asked before the best is
+//! tried again.
+constexpr std::chrono::seconds kRetryBest{5};
+
+}  // namespace
+
+RosterFollower::RosterFollower(RegionName region,
+                               std::chrono::milliseconds interval)
+    : region(std::move(region)), interval(interval) {}
+
+std::optional<RosterFollower::Request> RosterFollower::Due(
+    const std::vector<HostName>& sources,
+    TimePoint now) {
+  if (!this->IsDue(now) || sources.empty()) {
+    return std::nullopt;
+  }
+  this->due_at = now + this->interval;
+  const bool is_silent =
+      now - this->last_reply > kMaxSilentIntervals * this->interval;
+  if (this->position != 0 && now - this->source_since >= kRetryBest) {
+    this->position = 0;
+  } else if (is_silent && !this->source.IsEmpty()) {
+    this->position = (this->position + 1) % sources.size();
+  }
+  const HostName& chosen = sources[this->position % sources.size()];
+  if (chosen != this->source) {
+    this->source = chosen;
+    this->source_since = now;
+    this->last_reply = now;
+  }
+  return Request{chosen, {++this->number, this->region, this->known}};
+}
+
+std::vector<policy::ServerReport> RosterFollower::HandleReply(
+    const HostName& from,
+    const RosterReply& reply,
+    TimePoint now) {
+  std::vector<policy::ServerReport> due;
+  const bool is_same_epoch = reply.reached.epoch == this->known.epoch;
+  const bool is_old =
+      is_same_epoch && reply.reached.version < this->known.version;
+  // Replies may overtake each other, also while the source changes.
+  const std::uint64_t base = is_same_epoch ? this->known.version : 0;
+  const bool has_gap = reply.since > base;
+  if (from != this->source || is_old || has_gap) {
+    return due;
+  }
+  this->last_reply = now;
+  if (reply.reached.epoch != this->known.epoch) {
+    this->reports.clear();
+  }
+  this->known = reply.reached;
+  for (const RosterRenewal& renewal : reply.renewals) {
+    const auto report = this->reports.find(renewal.id);
+    if (report != this->reports.end()) {
+      due.push_back(report->second);
+      due.back().relayed_for = renewal.age;
+    }
+  }
+  for (const RosterEntry& entry : reply.entries) {
+    due.push_back(entry.report);
+    this->reports[entry.id] = entry.report;
+  }
+  return due;
+}
+
+std::vector<HostName> RosterSources(
+    const state::HostRecord& self,
+    const std::map<HostName, state::HostRecord>& hosts,
+    const std::vector<state::HostRecord>& seeds) {
+  const std::uint64_t key = policy::RendezvousKey(self.name.Text());
+  std::vector<std::tuple<bool, std::uint64_t, HostName>> ranked;
+  const auto add = [&](const state::HostRecord& host) {
+    if (host.has_disk && host.name != self.name) {
+      ranked.emplace_back(host.region == self.region,
+                          policy::RendezvousWeight(key, host.name.Text()),
+                          host.name);
+    }
+  };
+  for (const auto& [name, host] : hosts) {
+    add(host);
+  }
+  if (ranked.empty()) {
+    std::for_each(seeds.begin(), seeds.end(), add);
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  std::vector<HostName> sources;
+  sources.reserve(ranked.size());
+  for (auto& [is_in_region, weight, name] : ranked) {
+    sources.push_back(std::move(name));
+  }
+  return sources;
+}
+
+}  // namespace tamarackwing::control
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "tamarackwing/control/message_kind.h"
+
 namespace tamarackwing::control {
 ControlCluster::ControlCluster(const std::vector<std::string>& regions,
                                std::size_t hosts_per_region,
@@ -131,6 +133,11 @@
       host, this->nodes.at(host)->Withdraw(KeyDigest(digest), this->now));
 }
 
+void ControlCluster::RelayServer(const HostName& host,
+                                 const policy::ServerReport& report) {
+  this->ApplyEffects(host, this->Node(host).RelayServer(report, this->now));
+}
+
 std::uint64_t ControlCluster::RequestPermitAt(const HostName& host,
                                               const std::string& region,
                                               const std::string& operation) {
@@ -243,6 +250,7 @@
       continue;
     }
     this->sent += 1;
+    this->sent_by_kind[std::string(MessageKind(send.message))] += 1;
     const auto* log_message = std::get_if<state::LogMessage>(&send.message);
     const auto* append = log_message == nullptr
                              ? nullptr
@@ -268,6 +276,9 @@
     }
     this->ApplyEffects(host, node.LedgerPersisted(batch.ticket, this->now));
   }
+  for (const policy::ServerReport& report : effects.servers) {
+    this->servers[host][report.name] = report;
+  }
   for (const ChangeDone& done : effects.changes) {
     this->outcomes[{host, done.number}] = done.outcome;
   }
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -78,6 +78,13 @@
   std::optional<state::ApplyOutcome> Outcome(const HostName& host,
                                              std::uint64_t number) const;
   void Withdraw(const HostName& host, const std::string& digest);
+  //! Delivers a backend server's report to a host.
+  void RelayServer(const HostName& host, const policy::ServerReport& report);
+  //! Returns the last report that a host has got of each server.
+  const std::map<BackendServerName, policy::ServerReport>& ServersKnownTo(
+      const HostName& host) {
+    return this->servers[host];
+  }
   //! Requests a permit. Returns its number for Verdict.
   std::uint64_t RequestPermitAt(const HostName& host,
                                 const std::string& region,
@@ -105,6 +112,10 @@
   }
   //! Returns the number of messages sent so far.
   std::uint64_t Messages() const { return this->sent; }
+  //! As Messages, of one kind (see MessageKind).
+  std::uint64_t MessagesOfKind(const std::string& kind) {
+    return this->sent_by_kind[kind];
+  }
   //! Returns the number of log entries that leaders have sent so far, counting
   //! each for each voter that it was sent to.
   std::uint64_t EntriesSent() const { return this->entries_sent; }
@@ -144,6 +155,8 @@
   std::uint64_t next_chunk = 1;
   std::uint64_t sent = 0;
   std::uint64_t entries_sent = 0;
+  std::map<std::string, std::uint64_t> sent_by_kind;
+  std::map<HostName, std::map<BackendServerName, policy::ServerReport>> servers;
   TokenCount tokens = 0;
 };
 
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -304,5 +304,35 @@
             before);
 }
 
+// 99 hosts of a region tell each other their status each 3.6 s, which is longer
+// than host_lost.
+TEST(LargeRegion, HostsKeepCountingEachOtherAsLive) {
+  std::vector<state::HostRecord> hosts;
+  for (int i = 0; i < 99; ++i) {
+    state::HostRecord host;
+    host.name = HostName("muscat-" + std::to_string(100 + i));
+    host.region = RegionName("muscat");
+    host.has_disk = i < 3;
+    host.caller_port = host.has_disk ? 0 : 80;
+    hosts.push_back(host);
+  }
+  ControlCluster cluster(
+      hosts,
+      {HostName("muscat-100"), HostName("muscat-101"), HostName("muscat-102")},
+      std::chrono::milliseconds(2), 3);
+  ASSERT_TRUE(cluster.RunUntil([&] { return cluster.AllReady(); },
+                               std::chrono::milliseconds(20'000)));
+  cluster.Run(std::chrono::milliseconds(8'000));
+  for (int i = 0; i < 40; ++i) {
+    cluster.Run(std::chrono::milliseconds(200));
+    ASSERT_EQ(cluster.SnapshotOf(HostName("muscat-150"))->live.size(), 99U);
+    ASSERT_EQ(cluster.SnapshotOf(HostName("muscat-101"))->live.size(), 99U);
+  }
+  const HostName lost("muscat-160");
+  cluster.Crash(lost);
+  cluster.Run(std::chrono::milliseconds(5'000));
+  EXPECT_FALSE(cluster.SnapshotOf(HostName("muscat-150"))->live.contains(lost));
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -221,6 +221,28 @@
   sequence @14 :UInt64;
   coldMs @15 :Int64;
   software @16 :Text;
+  relayedMs @17 :Int64;
+}
+
+struct RosterRequest {
+  number @0 :UInt64;
+  region @1 :Text;
+  epoch @2 :UInt64;
+  version @3 :UInt64;
+}
+
+struct RosterReply {
+  number @0 :UInt64;
+  epoch @1 :UInt64;
+  version @2 :UInt64;
+  since @3 :UInt64;
+  # The server with id ids[i] has sent entries[i].
+  ids @4 :List(UInt32);
+  entries @5 :List(ServerReport);
+  # The server with id renewedIds[i] has sent its last report again, renewedMs[i]
+  # milliseconds ago.
+  renewedIds @6 :List(UInt32);
+  renewedMs @7 :List(UInt32);
 }
 
 struct HeardLimit {
@@ -393,5 +415,7 @@
     streamBegun @31 :StreamBegun;
     streamQuestion @32 :StreamQuestion;
     streamAnswer @33 :StreamAnswer;
+    rosterRequest @34 :RosterRequest;
+    rosterReply @35 :RosterReply;
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -52,6 +52,8 @@
 CAPNP_DECLARE_SCHEMA(b7ae59bd2aba1f58);
 CAPNP_DECLARE_SCHEMA(dee867c786d48ef7);
 CAPNP_DECLARE_SCHEMA(c2d61d35340614e9);
+CAPNP_DECLARE_SCHEMA(d0ebb20da2522cce);
+CAPNP_DECLARE_SCHEMA(b765589f4b36017c);
 CAPNP_DECLARE_SCHEMA(d735796dd5548ab4);
 CAPNP_DECLARE_SCHEMA(b46a10f79bb2e486);
 CAPNP_DECLARE_SCHEMA(b04129bc28fb0554);
@@ -577,7 +579,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2d61d35340614e9, 8, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c2d61d35340614e9, 9, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RosterRequest {
+  RosterRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d0ebb20da2522cce, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RosterReply {
+  RosterReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b765589f4b36017c, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -925,6 +957,8 @@
     STREAM_BEGUN,
     STREAM_QUESTION,
     STREAM_ANSWER,
+    ROSTER_REQUEST,
+    ROSTER_REPLY,
   };
 
   struct _capnpPrivate {
@@ -4044,6 +4078,8 @@
   inline bool hasSoftware() const;
   inline  ::capnp::Text::Reader getSoftware() const;
 
+  inline  ::int64_t getRelayedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4148,6 +4184,9 @@
   inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
 
+  inline  ::int64_t getRelayedMs();
+  inline void setRelayedMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4174,6 +4213,236 @@
 };
 #endif  // !CAPNP_LITE
 
+class RosterRequest::Reader {
+public:
+  typedef RosterRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RosterRequest::Builder {
+public:
+  typedef RosterRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RosterRequest::Pipeline {
+public:
+  typedef RosterRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RosterReply::Reader {
+public:
+  typedef RosterReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getSince() const;
+
+  inline bool hasIds() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getIds() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline bool hasRenewedIds() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRenewedIds() const;
+
+  inline bool hasRenewedMs() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRenewedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RosterReply::Builder {
+public:
+  typedef RosterReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
+
+  inline bool hasIds();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getIds();
+  inline void setIds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIds(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initIds(unsigned int size);
+  inline void adoptIds(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownIds();
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline bool hasRenewedIds();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRenewedIds();
+  inline void setRenewedIds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRenewedIds(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRenewedIds(unsigned int size);
+  inline void adoptRenewedIds(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownRenewedIds();
+
+  inline bool hasRenewedMs();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRenewedMs();
+  inline void setRenewedMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRenewedMs(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRenewedMs(unsigned int size);
+  inline void adoptRenewedMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownRenewedMs();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RosterReply::Pipeline {
+public:
+  typedef RosterReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HeardLimit::Reader {
 public:
   typedef HeardLimit Reads;
@@ -6248,6 +6517,14 @@
   inline bool hasStreamAnswer() const;
   inline  ::tamarackwing::hosts::wire::StreamAnswer::Reader getStreamAnswer() const;
 
+  inline bool isRosterRequest() const;
+  inline bool hasRosterRequest() const;
+  inline  ::tamarackwing::hosts::wire::RosterRequest::Reader getRosterRequest() const;
+
+  inline bool isRosterReply() const;
+  inline bool hasRosterReply() const;
+  inline  ::tamarackwing::hosts::wire::RosterReply::Reader getRosterReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6542,6 +6819,22 @@
   inline void adoptStreamAnswer(::capnp::Orphan< ::tamarackwing::hosts::wire::StreamAnswer>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::StreamAnswer> disownStreamAnswer();
 
+  inline bool isRosterRequest();
+  inline bool hasRosterRequest();
+  inline  ::tamarackwing::hosts::wire::RosterRequest::Builder getRosterRequest();
+  inline void setRosterRequest( ::tamarackwing::hosts::wire::RosterRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::RosterRequest::Builder initRosterRequest();
+  inline void adoptRosterRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::RosterRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RosterRequest> disownRosterRequest();
+
+  inline bool isRosterReply();
+  inline bool hasRosterReply();
+  inline  ::tamarackwing::hosts::wire::RosterReply::Builder getRosterReply();
+  inline void setRosterReply( ::tamarackwing::hosts::wire::RosterReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::RosterReply::Builder initRosterReply();
+  inline void adoptRosterReply(::capnp::Orphan< ::tamarackwing::hosts::wire::RosterReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RosterReply> disownRosterReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9561,6 +9854,300 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t ServerReport::Reader::getRelayedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerReport::Builder::getRelayedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ServerReport::Builder::setRelayedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RosterRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RosterRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RosterRequest::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RosterRequest::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RosterRequest::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RosterRequest::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RosterRequest::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RosterRequest::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RosterRequest::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RosterRequest::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RosterRequest::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterRequest::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RosterRequest::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RosterRequest::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterRequest::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RosterRequest::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RosterReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RosterReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RosterReply::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterReply::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RosterReply::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RosterReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RosterReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RosterReply::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RosterReply::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RosterReply::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RosterReply::Reader::hasIds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RosterReply::Builder::hasIds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader RosterReply::Reader::getIds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RosterReply::Builder::getIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RosterReply::Builder::setIds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void RosterReply::Builder::setIds(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RosterReply::Builder::initIds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RosterReply::Builder::adoptIds(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> RosterReply::Builder::disownIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RosterReply::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RosterReply::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader RosterReply::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RosterReply::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RosterReply::Builder::setEntries( ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>::Builder RosterReply::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RosterReply::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>> RosterReply::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RosterReply::Reader::hasRenewedIds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RosterReply::Builder::hasRenewedIds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader RosterReply::Reader::getRenewedIds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RosterReply::Builder::getRenewedIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RosterReply::Builder::setRenewedIds( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void RosterReply::Builder::setRenewedIds(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RosterReply::Builder::initRenewedIds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RosterReply::Builder::adoptRenewedIds(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> RosterReply::Builder::disownRenewedIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RosterReply::Reader::hasRenewedMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RosterReply::Builder::hasRenewedMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader RosterReply::Reader::getRenewedMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RosterReply::Builder::getRenewedMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RosterReply::Builder::setRenewedMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void RosterReply::Builder::setRenewedMs(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RosterReply::Builder::initRenewedMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void RosterReply::Builder::adoptRenewedMs(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> RosterReply::Builder::disownRenewedMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool HeardLimit::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12946,6 +13533,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isRosterRequest() const {
+  return which() == PeerMessage::ROSTER_REQUEST;
+}
+inline bool PeerMessage::Builder::isRosterRequest() {
+  return which() == PeerMessage::ROSTER_REQUEST;
+}
+inline bool PeerMessage::Reader::hasRosterRequest() const {
+  if (which() != PeerMessage::ROSTER_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRosterRequest() {
+  if (which() != PeerMessage::ROSTER_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::RosterRequest::Reader PeerMessage::Reader::getRosterRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::ROSTER_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::RosterRequest::Builder PeerMessage::Builder::getRosterRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::ROSTER_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRosterRequest( ::tamarackwing::hosts::wire::RosterRequest::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ROSTER_REQUEST);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::RosterRequest::Builder PeerMessage::Builder::initRosterRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ROSTER_REQUEST);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRosterRequest(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::RosterRequest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ROSTER_REQUEST);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RosterRequest> PeerMessage::Builder::disownRosterRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::ROSTER_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isRosterReply() const {
+  return which() == PeerMessage::ROSTER_REPLY;
+}
+inline bool PeerMessage::Builder::isRosterReply() {
+  return which() == PeerMessage::ROSTER_REPLY;
+}
+inline bool PeerMessage::Reader::hasRosterReply() const {
+  if (which() != PeerMessage::ROSTER_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRosterReply() {
+  if (which() != PeerMessage::ROSTER_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::RosterReply::Reader PeerMessage::Reader::getRosterReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::ROSTER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::RosterReply::Builder PeerMessage::Builder::getRosterReply() {
+  KJ_IREQUIRE((which() == PeerMessage::ROSTER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRosterReply( ::tamarackwing::hosts::wire::RosterReply::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ROSTER_REPLY);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::RosterReply::Builder PeerMessage::Builder::initRosterReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ROSTER_REPLY);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRosterReply(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::RosterReply>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ROSTER_REPLY);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RosterReply> PeerMessage::Builder::disownRosterReply() {
+  KJ_IREQUIRE((which() == PeerMessage::ROSTER_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RosterReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -77,6 +77,12 @@
   return names;
 }
 
+//! Returns a time span of a peer, bounded so that sums cannot overflow.
+milliseconds ReadSpan(std::int64_t ms) {
+  constexpr std::int64_t kMaxMs = 86'400'000;
+  return milliseconds(std::clamp<std::int64_t>(ms, 0, kMaxMs));
+}
+
 void Write(const state::LogEntry& entry, wire::LogEntry::Builder out) {
   out.setIndex(entry.index);
   out.setTerm(entry.term);
@@ -260,6 +266,7 @@
   out.setSequence(report.sequence);
   out.setColdMs(report.cold_for.count());
   out.setSoftware(ToText(report.software));
+  out.setRelayedMs(report.relayed_for.count());
 }
 
 policy::ServerReport Read(wire::ServerReport::Reader in) {
@@ -283,6 +290,7 @@
   report.sequence = in.getSequence();
   report.cold_for = milliseconds(in.getColdMs());
   report.software = ToString(in.getSoftware());
+  report.relayed_for = ReadSpan(in.getRelayedMs());
   return report;
 }
 
@@ -337,12 +345,6 @@
   out.setFailedTrials(block.failed_trials);
 }
 
-//! Returns a time span of a peer, bounded so that sums cannot overflow.
-milliseconds ReadSpan(std::int64_t ms) {
-  constexpr std::int64_t kMaxMs = 86'400'000;
-  return milliseconds(std::clamp<std::int64_t>(ms, 0, kMaxMs));
-}
-
 std::vector<policy::QuarantinedBlock> ReadQuarantined(
     capnp::List<wire::QuarantinedBlock>::Reader in) {
   std::vector<policy::QuarantinedBlock> blocks;
@@ -624,6 +626,34 @@
     WriteList(value.reports, this->out.initServerNews(
                                  static_cast<unsigned>(value.reports.size())));
   }
+  void operator()(const control::RosterRequest& value) {
+    auto to = this->out.initRosterRequest();
+    to.setNumber(value.number);
+    to.setRegion(ToText(value.region.Text()));
+    to.setEpoch(value.known.epoch);
+    to.setVersion(value.known.version);
+  }
+  void operator()(const control::RosterReply& value) {
+    auto to = this->out.initRosterReply();
+    to.setNumber(value.number);
+    to.setEpoch(value.reached.epoch);
+    to.setVersion(value.reached.version);
+    to.setSince(value.since);
+    const auto entries = static_cast<unsigned>(value.entries.size());
+    auto ids = to.initIds(entries);
+    auto reports = to.initEntries(entries);
+    for (unsigned i = 0; i < entries; ++i) {
+      ids.set(i, value.entries[i].id);
+      Write(value.entries[i].report, reports[i]);
+    }
+    const auto renewals = static_cast<unsigned>(value.renewals.size());
+    auto renewed = to.initRenewedIds(renewals);
+    auto ages = to.initRenewedMs(renewals);
+    for (unsigned i = 0; i < renewals; ++i) {
+      renewed.set(i, value.renewals[i].id);
+      ages.set(i, static_cast<std::uint32_t>(value.renewals[i].age.count()));
+    }
+  }
 
  private:
   wire::PeerMessage::Builder out;
@@ -856,6 +886,28 @@
   return notice;
 }
 
+control::RosterReply ReadRosterReply(wire::RosterReply::Reader in,
+                                     bool& valid) {
+  control::RosterReply reply;
+  const bool is_paired = in.getIds().size() == in.getEntries().size() &&
+                         in.getRenewedIds().size() == in.getRenewedMs().size();
+  if (!is_paired) {
+    valid = false;
+    return reply;
+  }
+  reply.number = in.getNumber();
+  reply.reached = {in.getEpoch(), in.getVersion()};
+  reply.since = in.getSince();
+  for (unsigned i = 0; i < in.getIds().size(); ++i) {
+    reply.entries.push_back({in.getIds()[i], Read(in.getEntries()[i])});
+  }
+  for (unsigned i = 0; i < in.getRenewedIds().size(); ++i) {
+    reply.renewals.push_back(
+        {in.getRenewedIds()[i], milliseconds(in.getRenewedMs()[i])});
+  }
+  return reply;
+}
+
 PeerMessage ReadAny(wire::PeerMessage::Reader in, bool& valid) {
   using Wire = wire::PeerMessage;
   switch (in.which()) {
@@ -940,6 +992,14 @@
       }
       return server_reports;
     }
+    case Wire::ROSTER_REQUEST: {
+      const auto from = in.getRosterRequest();
+      return control::RosterRequest{from.getNumber(),
+                                    RegionName(ToString(from.getRegion())),
+                                    {from.getEpoch(), from.getVersion()}};
+    }
+    case Wire::ROSTER_REPLY:
+      return ReadRosterReply(in.getRosterReply(), valid);
   }
   valid = false;
   return control::ProbeRequest();
--- a/packages/policy/include/tamarackwing/policy/server_report.h
+++ b/packages/policy/include/tamarackwing/policy/server_report.h
@@ -34,6 +34,8 @@
   double decode_rate = 0;
   //! Age of `running` and `queued` when the report was sent.
   std::chrono::milliseconds age{0};
+  //! Time from the report's sending until this message, at hosts that relay it.
+  std::chrono::milliseconds relayed_for{0};
   //! Start time of the server's process by the server's own clock; zero if not
   //! reported. Orders the processes that have used a name or an address.
   std::chrono::milliseconds started{0};
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -293,7 +293,8 @@
   }
   this->NoteSoftware(report.targets, slot->software, now);
   slot->cold_until = now + report.cold_for;
-  slot->lease_until = now + this->limits.lease;
+  const TimePoint lease_until = now - report.relayed_for + this->limits.lease;
+  slot->lease_until = std::max(slot->lease_until, lease_until);
   slot->load_measured = now - report.age;
   slot->DropSentBefore(slot->load_measured);
   this->Index(*slot);
--- a/programs/tamarackwingd/src/adapter.h
+++ b/programs/tamarackwingd/src/adapter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 
@@ -22,6 +23,8 @@
   const Clock& freshness_clock;
   //! The region of each data centre.
   const std::map<DataCentreName, RegionName>& data_centres;
+  //! Port on which every host with a disk accepts reports.
+  std::uint16_t control_port = 0;
 };
 
 //! HTTP handlers of an adapter, one for each of its listeners; null for a
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -10,6 +10,7 @@
 #include "disk_thread.h"
 #include "region_demand.h"
 #include "tamarackwing/base/event.h"
+#include "tamarackwing/control/message_kind.h"
 #include "tamarackwing/control/stream_keepers.h"
 #include "tamarackwing/policy/slot_share.h"
 
@@ -26,9 +27,8 @@
 //! extends their `keys_fresh_until`.
 constexpr milliseconds kSnapshotInterval{200};
 constexpr std::chrono::seconds kChangeTimeout{9};
-//! Short enough for the leased rates to follow a peak of demand, which moves to
-//! another region within one or two seconds.
-constexpr milliseconds kRateReportInterval{300};
+//! Short against the interval at which metrics are usually collected.
+constexpr std::chrono::seconds kTrafficMetricsInterval{1};
 //! Short against the time that a crashed server takes to come back.
 constexpr milliseconds kCrashReportInterval{200};
 //! How long the answers about a stream are waited for.
@@ -224,7 +224,7 @@
 void ControlThread::HandleMessage(const HostName& from,
                                   control::PeerMessage message) {
   const TurnWatch::Turn turn(this->turns, this->dependencies.clock,
-                             MessageKind(message));
+                             control::MessageKind(message));
   if (const auto* begun = std::get_if<policy::StreamBegun>(&message)) {
     this->dependencies.streams.Keep(*begun);
   } else if (const auto* question =
@@ -333,6 +333,7 @@
   const control::ControlOptions options = this->MakeOptions();
   hosts::NetworkOptions network_options;
   network_options.self = options.self.name;
+  network_options.region = options.self.region;
   network_options.address = options.self.peer_address;
   network_options.port = options.self.peer_port;
   network_options.secret = this->settings.gateway.cluster_secret;
@@ -410,7 +411,7 @@
     this->PublishSnapshot();
   }
   if (now >= this->rates_at) {
-    this->rates_at = now + kRateReportInterval;
+    this->rates_at = now + policy::RateReportInterval(this->entry_hosts);
     this->ReportRates();
   }
   if (now >= this->crashes_at) {
@@ -596,7 +597,7 @@
   for (const auto& [host, peer_status] : this->region_statuses) {
     // The share of a host that sends no status goes to the others.
     const bool is_recent =
-        now - this->status_received_at[host] <= this->settings.times.host_lost;
+        now - this->status_received_at[host] <= this->node->PeerSilenceLimit();
     if (is_recent && !peer_status.draining) {
       peers[host] = &peer_status;
     }
@@ -765,6 +766,28 @@
               this->dependencies.servers.LinksAreDown() ? 0 : 1);
   metrics.Set("tamarackwing_ledger_operations",
               static_cast<double>(this->node->Ledger().Size()));
+  const TimePoint now = this->dependencies.clock.Now();
+  if (now >= this->traffic_metrics_at) {
+    this->traffic_metrics_at = now + kTrafficMetricsInterval;
+    this->PublishTrafficMetrics();
+  }
+}
+
+void ControlThread::PublishTrafficMetrics() {
+  Metrics& metrics = this->dependencies.metrics;
+  for (const auto& [kind, traffic] : this->network->Sent()) {
+    const std::string suffix =
+        std::string(kind.message) +
+        (kind.crosses_regions ? "_to_other_regions" : "_in_region");
+    metrics.Set("tamarackwing_control_sent_messages_" + suffix,
+                static_cast<double>(traffic.messages));
+    metrics.Set("tamarackwing_control_sent_bytes_" + suffix,
+                static_cast<double>(traffic.bytes));
+  }
+  for (const auto& [kind, time] : this->turns.Spent()) {
+    metrics.Set("tamarackwing_control_turn_seconds_" + std::string(kind),
+                std::chrono::duration<double>(time).count());
+  }
 }
 
 void ControlThread::ExpireRequests() {
@@ -897,6 +920,7 @@
   options.key_freshness = times.key_freshness;
   options.catch_up_wait = times.host_lost;
   options.chunk_life = times.chunk_life;
+  options.server_lease = this->settings.servers.lease;
   return options;
 }
 
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -165,6 +165,7 @@
   void ProbeRegions();
   void PublishSnapshot();
   void PublishMetrics();
+  void PublishTrafficMetrics();
   void LimitRetries();
   void ApplyHosts(const std::map<HostName, state::HostRecord>& hosts);
   void ExpireRequests();
@@ -216,6 +217,7 @@
   TimePoint snapshot_at;
   TimePoint rates_at;
   TimePoint crashes_at;
+  TimePoint traffic_metrics_at;
   //! The leader that gets the rate and crash reports, and since when.
   HostName rates_leader;
   TimePoint rates_leader_since;
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -128,9 +128,9 @@
         metrics_listener(metrics),
         metrics_server(threads, metrics_listener, settings.limits) {
     if (adapter != nullptr) {
-      adapter_listeners =
-          adapter->MakeListeners({path_gateway, control, control,
-                                  freshness_clock, settings.data_centres});
+      adapter_listeners = adapter->MakeListeners(
+          {path_gateway, control, control, freshness_clock,
+           settings.data_centres, settings.adapter.control.port});
     }
   }
 
