state: large changes and states are packed with Zstandard

A set of 1,120 routes is 1 MB with the operator's document, each change of it too, and was written to the log, sent to each voter and fed to each host as it is; each also compacted the log, which writes it once more. Hosts name the format that their build reads, and nothing is packed before all known hosts read it.

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -9,6 +9,10 @@
 add_library(tamarackwing::log4cplus INTERFACE IMPORTED GLOBAL)
 target_link_libraries(tamarackwing::log4cplus INTERFACE "${LOG4CPLUS_LIBRARY}")
 
+find_library(ZSTD_LIBRARY zstd REQUIRED)
+add_library(tamarackwing::zstd INTERFACE IMPORTED GLOBAL)
+target_link_libraries(tamarackwing::zstd INTERFACE "${ZSTD_LIBRARY}")
+
 # Cap'n Proto's CMake configuration file looks for libatomic in a place where
 # Debian does not install it, so its libraries are located here.
 add_library(tamarackwing_capnp INTERFACE)
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -7,6 +7,7 @@
 #include "tamarackwing/base/hex.h"
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/control/membership_plan.h"
+#include "tamarackwing/state/packed.h"
 
 namespace tamarackwing::control {
 namespace {
@@ -223,8 +224,11 @@
 std::uint64_t ControlNode::Propose(const state::ControlChange& change,
                                    TimePoint now,
                                    ControlEffects& effects) {
-  const std::uint64_t number =
-      this->proposals.Add(state::EncodeChange(change), now);
+  std::string payload = state::EncodeChange(change);
+  if (this->state.AllHostsRead(state::kPackedFormat)) {
+    payload = state::Pack(std::move(payload));
+  }
+  const std::uint64_t number = this->proposals.Add(std::move(payload), now);
   this->SendProposal(number, now, effects);
   return number;
 }
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -143,6 +143,7 @@
   hasDisk @8 :Bool;
   incarnation @9 :UInt64;
   draining @10 :Bool;
+  readsFormat @11 :UInt32;
 }
 
 struct HostStatus {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -444,7 +444,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec0e0ccbb31b2593, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(ec0e0ccbb31b2593, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3124,6 +3124,8 @@
 
   inline bool getDraining() const;
 
+  inline  ::uint32_t getReadsFormat() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3205,6 +3207,9 @@
   inline bool getDraining();
   inline void setDraining(bool value);
 
+  inline  ::uint32_t getReadsFormat();
+  inline void setReadsFormat( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8794,6 +8799,20 @@
       ::capnp::bounded<49>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t HostRecord::Reader::getReadsFormat() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HostRecord::Builder::getReadsFormat() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setReadsFormat( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostStatus::Reader::hasRecord() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -176,6 +176,7 @@
   out.setHasDisk(host.has_disk);
   out.setIncarnation(host.incarnation);
   out.setDraining(host.draining);
+  out.setReadsFormat(host.reads_format);
 }
 
 state::HostRecord Read(wire::HostRecord::Reader in) {
@@ -191,6 +192,7 @@
   host.has_disk = in.getHasDisk();
   host.incarnation = in.getIncarnation();
   host.draining = in.getDraining();
+  host.reads_format = in.getReadsFormat();
   return host;
 }
 
--- a/packages/state/include/tamarackwing/state/control_state.h
+++ b/packages/state/include/tamarackwing/state/control_state.h
@@ -110,6 +110,9 @@
 
   //! Returns the complete state, encoded as CBOR for snapshots.
   std::string Encode() const;
+  //! Returns whether the builds of all hosts read a format of log entries and
+  //! states; false while no host is known.
+  bool AllHostsRead(std::uint32_t format) const;
   //! Decodes a state; empty input yields the initial state. Errors: kMalformed.
   //! Thread safety: reentrant.
   static Expected<ControlState, DecodeError> Decode(std::string_view bytes);
--- a/packages/state/include/tamarackwing/state/host_record.h
+++ b/packages/state/include/tamarackwing/state/host_record.h
@@ -7,6 +7,10 @@
 
 namespace tamarackwing::state {
 
+//! Format of log entries and states from which on they may be packed (Pack).
+//! Builds of format 0 read only plain ones.
+inline constexpr std::uint32_t kPackedFormat = 1;
+
 //! A host's entry in the agreed membership.
 struct HostRecord {
   HostName name;
@@ -25,6 +29,8 @@
   //! Increases with each start of the process.
   std::uint64_t incarnation = 0;
   bool draining = false;
+  //! Newest format of log entries and states that the host's build reads.
+  std::uint32_t reads_format = 0;
 
   //! Returns true for an entry host.
   bool IsEntryHost() const { return this->caller_port != 0; }
--- a/packages/state/src/control_change.cc
+++ b/packages/state/src/control_change.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "internal/json_codec.h"
+#include "tamarackwing/state/packed.h"
 
 namespace tamarackwing::state {
 namespace {
@@ -34,7 +35,11 @@
 Expected<ControlChange, DecodeError> DecodeChange(std::string_view payload) {
   try {
     // Lengths beyond all memory are thrown even if exceptions are turned off.
-    const json document = json::from_cbor(payload, true, false);
+    const auto unpacked = Unpack(payload);
+    if (!unpacked) {
+      return unexpected(DecodeError::kMalformed);
+    }
+    const json document = json::from_cbor(*unpacked, true, false);
     if (!document.is_array() || document.size() != 2 ||
         !document[0].is_number_unsigned() ||
         document[0].get<std::size_t>() >= std::variant_size_v<ControlChange>) {
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "internal/json_codec.h"
+#include "tamarackwing/state/packed.h"
 #include "tamarackwing/state/set_checker.h"
 
 namespace tamarackwing::config {
@@ -342,7 +343,15 @@
   document["old_workspaces"] = std::move(old);
   std::string bytes;
   json::to_cbor(document, bytes);
-  return bytes;
+  return this->AllHostsRead(kPackedFormat) ? Pack(std::move(bytes)) : bytes;
+}
+
+bool ControlState::AllHostsRead(std::uint32_t format) const {
+  return !this->hosts->empty() &&
+         std::all_of(this->hosts->begin(), this->hosts->end(),
+                     [&](const auto& entry) {
+                       return entry.second.reads_format >= format;
+                     });
 }
 
 Expected<ControlState, DecodeError> ControlState::Decode(
@@ -353,7 +362,11 @@
   }
   try {
     // Lengths beyond all memory are thrown even if exceptions are turned off.
-    const json document = json::from_cbor(bytes, true, false);
+    const auto unpacked = Unpack(bytes);
+    if (!unpacked) {
+      return unexpected(DecodeError::kMalformed);
+    }
+    const json document = json::from_cbor(*unpacked, true, false);
     if (!document.is_object()) {
       return unexpected(DecodeError::kMalformed);
     }
