control, state: the return of many hosts copies the table of hosts once

Each entry of a host that joins copied the table of all hosts and the live hosts, on each host: with 300 that is 90,000 records on each of them. A batch of entries now copies the table once, and compares it once for the log.

ControlStateHosts.TableIsCopiedOnlyWhileItIsShared

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -157,6 +157,9 @@
   void ApplyLedgerEffects(state::LedgerEffects ledger_effects,
                           TimePoint now,
                           ControlEffects& effects);
+  void ApplyEntries(const std::vector<state::LogEntry>& entries,
+                    TimePoint now,
+                    ControlEffects& effects);
   void ApplyEntry(const state::LogEntry& entry,
                   TimePoint now,
                   ControlEffects& effects);
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -602,11 +602,8 @@
   if (log_effects.installed) {
     this->InstallSnapshot(*log_effects.installed, now, effects);
   }
-  for (const state::LogEntry& entry : log_effects.committed) {
-    this->ApplyEntry(entry, now, effects);
-  }
   if (!log_effects.committed.empty()) {
-    this->AfterApply(now, effects);
+    this->ApplyEntries(log_effects.committed, now, effects);
     this->CompactLog(effects, now);
   }
   if (this->log.IsLeader() && !this->was_leader) {
@@ -634,6 +631,23 @@
   }
 }
 
+void ControlNode::ApplyEntries(const std::vector<state::LogEntry>& entries,
+                               TimePoint now,
+                               ControlEffects& effects) {
+  // Compared once for all entries: when many hosts return at once, each of them
+  // has an entry.
+  const auto hosts = this->state.HostTable();
+  const auto live = this->state.Live();
+  const bool was_ready = this->ready;
+  for (const state::LogEntry& entry : entries) {
+    this->ApplyEntry(entry, now, effects);
+  }
+  if (was_ready) {
+    this->LogHostChanges(*hosts, live);
+  }
+  this->AfterApply(now, effects);
+}
+
 void ControlNode::ApplyEntry(const state::LogEntry& entry,
                              TimePoint now,
                              ControlEffects& effects) {
@@ -644,8 +658,6 @@
   state::ApplyOutcome outcome;
   if (entry.kind == state::EntryKind::kChange) {
     const SetVersion before = this->state.Version();
-    const auto hosts = this->state.HostTable();
-    const auto live = this->state.Live();
     const auto withdrawn = this->state.Withdrawn();
     outcome = this->state.Apply(entry.index, entry.payload);
     for (const KeyDigest& digest : *this->state.Withdrawn()) {
@@ -655,9 +667,6 @@
         this->uncommitted_withdrawn.erase(digest);
       }
     }
-    if (this->ready) {
-      this->LogHostChanges(*hosts, live);
-    }
     if (this->ready && this->state.Version() != before) {
       LogEvent(Event::kSetApplied, LogLevel::kInfo,
                {{"host", this->options.self.name.Text()},
@@ -785,11 +794,8 @@
   if (reply.snapshot) {
     this->InstallSnapshot(*reply.snapshot, now, effects);
   }
-  for (const state::LogEntry& entry : reply.entries) {
-    this->ApplyEntry(entry, now, effects);
-  }
   if (!reply.entries.empty()) {
-    this->AfterApply(now, effects);
+    this->ApplyEntries(reply.entries, now, effects);
   }
   if (this->follower.HandleReply(reply, this->state.Applied(), now)) {
     const state::HostRecord* host = this->FindHost(from);
--- a/packages/state/include/tamarackwing/state/control_state.h
+++ b/packages/state/include/tamarackwing/state/control_state.h
@@ -79,10 +79,9 @@
     return this->withdrawn;
   }
   const std::map<HostName, HostRecord>& Hosts() const { return *this->hosts; }
-  //! Returns the same table as Hosts(), shared. The table is immutable: a
-  //! change of a host replaces it.
-  const std::shared_ptr<const std::map<HostName, HostRecord>>& HostTable()
-      const {
+  //! Returns the same table as Hosts(), shared. The table never changes while
+  //! somebody else holds it: a change of a host replaces it then.
+  std::shared_ptr<const std::map<HostName, HostRecord>> HostTable() const {
     return this->hosts;
   }
   const std::map<RegionName, RegionView>& Views() const { return this->views; }
@@ -136,6 +135,8 @@
   ApplyOutcome ApplyChange(LogIndex index, const SetLiveHosts& change);
   ApplyOutcome ApplyChange(LogIndex index, const ReplaceSet& change);
   ApplyOutcome ApplyChange(LogIndex index, const CloseDataCentre& change);
+  //! Returns the table of hosts for a change, copied if it is shared.
+  std::map<HostName, HostRecord>& MutableHosts();
   void PutSet(std::shared_ptr<const ConfigurationSet> next);
 
   //! Validates a change; `next` is the current set with `delta` applied.
@@ -161,7 +162,7 @@
   std::shared_ptr<const ConfigurationSet> set;
   std::shared_ptr<const PathIndex> paths;
   std::shared_ptr<const std::set<KeyDigest>> withdrawn;
-  std::shared_ptr<const std::map<HostName, HostRecord>> hosts;
+  std::shared_ptr<std::map<HostName, HostRecord>> hosts;
   //! Number of each host's static quota share within its region.
   std::map<HostName, std::size_t> slices;
   std::map<RegionName, RegionView> views;
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -1,6 +1,7 @@
 #include "tamarackwing/state/control_state.h"
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 #include "internal/json_codec.h"
@@ -44,7 +45,7 @@
       set(std::make_shared<const ConfigurationSet>()),
       paths(std::make_shared<const PathIndex>()),
       withdrawn(std::make_shared<const std::set<KeyDigest>>()),
-      hosts(std::make_shared<const std::map<HostName, HostRecord>>()) {}
+      hosts(std::make_shared<std::map<HostName, HostRecord>>()) {}
 
 ApplyOutcome ControlState::Apply(LogIndex index, std::string_view payload) {
   this->applied = index;
@@ -171,6 +172,18 @@
   return this->Applied(this->version);
 }
 
+std::map<HostName, HostRecord>& ControlState::MutableHosts() {
+  // Snapshots share the table, and must not see the change.
+  if (this->hosts.use_count() > 1) {
+    this->hosts =
+        std::make_shared<std::map<HostName, HostRecord>>(*this->hosts);
+  } else {
+    // Pairs with the release of the last snapshot by another thread.
+    std::atomic_thread_fence(std::memory_order_acquire);
+  }
+  return *this->hosts;
+}
+
 ApplyOutcome ControlState::ApplyChange(LogIndex, const PutHost& change) {
   const HostRecord& host = change.host;
   const auto known = this->hosts->find(host.name);
@@ -191,18 +204,13 @@
     }
     this->slices[host.name] = free;
   }
-  auto changed = std::make_shared<std::map<HostName, HostRecord>>(*this->hosts);
-  (*changed)[host.name] = host;
-  this->hosts = std::move(changed);
+  this->MutableHosts()[host.name] = host;
   this->topology_changed = true;
   return this->Applied(this->version);
 }
 
 ApplyOutcome ControlState::ApplyChange(LogIndex, const RemoveHost& change) {
-  auto remaining =
-      std::make_shared<std::map<HostName, HostRecord>>(*this->hosts);
-  remaining->erase(change.host);
-  this->hosts = std::move(remaining);
+  this->MutableHosts().erase(change.host);
   this->slices.erase(change.host);
   this->topology_changed = true;
   return this->Applied(this->version);
@@ -212,9 +220,7 @@
   if (!this->hosts->contains(change.host)) {
     return {};
   }
-  auto changed = std::make_shared<std::map<HostName, HostRecord>>(*this->hosts);
-  changed->at(change.host).draining = change.draining;
-  this->hosts = std::move(changed);
+  this->MutableHosts().at(change.host).draining = change.draining;
   return this->Applied(this->version);
 }
 
@@ -381,7 +387,7 @@
     document.at("closed").get_to(state.closed);
     state.withdrawn = std::make_shared<const std::set<KeyDigest>>(
         document.at("withdrawn").get<std::set<KeyDigest>>());
-    state.hosts = std::make_shared<const std::map<HostName, HostRecord>>(
+    state.hosts = std::make_shared<std::map<HostName, HostRecord>>(
         document.at("hosts").get<std::map<HostName, HostRecord>>());
     document.at("slices").get_to(state.slices);
     document.at("views").get_to(state.views);
--- a/packages/state/tests/control_state_tests.cc
+++ b/packages/state/tests/control_state_tests.cc
@@ -296,5 +296,27 @@
   }
 }
 
+TEST(ControlStateHosts, TableIsCopiedOnlyWhileItIsShared) {
+  ControlState state;
+  LogIndex index = 0;
+  const auto put = [&](const std::string& name, bool draining) {
+    PutHost change;
+    change.host.name = HostName(name);
+    change.host.region = RegionName("muscat");
+    change.host.draining = draining;
+    state.Apply(++index, EncodeChange(change));
+  };
+  put("a", false);
+  const auto held = state.HostTable();
+  put("b", false);
+  put("a", true);
+  EXPECT_EQ(held->size(), 1U);
+  EXPECT_FALSE(held->at(HostName("a")).draining);
+  const auto* const table = &state.Hosts();
+  put("c", false);
+  EXPECT_EQ(&state.Hosts(), table);
+  EXPECT_EQ(state.Hosts().size(), 3U);
+}
+
 }  // namespace
 }  // namespace tamarackwing::state
