control: a roster reply counts from its request

A reply can wait in a socket while its recipient is suspended; its renewals would then extend the leases of servers that left meanwhile.

RosterTest.ReplyThatWaitedWhileTheHostWasSuspendedIsOld, UnaskedReplyIsIgnored

--- a/packages/control/include/tamarackwing/control/roster_follower.h
+++ b/packages/control/include/tamarackwing/control/roster_follower.h
@@ -41,6 +41,8 @@
   std::chrono::milliseconds interval;
   TimePoint due_at;
   std::uint64_t number = 0;
+  //! When each request without a reply was sent.
+  std::map<std::uint64_t, TimePoint> asked;
   HostName source;
   //! Position of `source` in the sources' order.
   std::size_t position = 0;
--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -15,6 +15,8 @@
 //! How long a host that is not the best source is asked before the best is
 //! tried again.
 constexpr std::chrono::seconds kRetryBest{5};
+//! Maximum number of requests that still wait for a reply.
+constexpr std::size_t kMaxUnanswered = 32;
 
 }  // namespace
 
@@ -42,7 +44,11 @@
     this->source_since = now;
     this->last_reply = now;
   }
-  return Request{chosen, {++this->number, this->region, this->known}};
+  this->asked[++this->number] = now;
+  if (this->asked.size() > kMaxUnanswered) {
+    this->asked.erase(this->asked.begin());
+  }
+  return Request{chosen, {this->number, this->region, this->known}};
 }
 
 std::vector<policy::ServerReport> RosterFollower::HandleReply(
@@ -56,9 +62,15 @@
   // Replies may overtake each other, also while the source changes.
   const std::uint64_t base = is_same_epoch ? this->known.version : 0;
   const bool has_gap = reply.since > base;
-  if (from != this->source || is_old || has_gap) {
+  const auto request = this->asked.find(reply.number);
+  if (from != this->source || is_old || has_gap ||
+      request == this->asked.end()) {
     return due;
   }
+  // The reply may have waited in a socket while this host was suspended.
+  const auto on_the_way =
+      std::chrono::ceil<std::chrono::milliseconds>(now - request->second);
+  this->asked.erase(request);
   this->last_reply = now;
   if (reply.reached.epoch != this->known.epoch) {
     this->reports.clear();
@@ -68,11 +80,12 @@
     const auto report = this->reports.find(renewal.id);
     if (report != this->reports.end()) {
       due.push_back(report->second);
-      due.back().relayed_for = renewal.age;
+      due.back().relayed_for = renewal.age + on_the_way;
     }
   }
   for (const RosterEntry& entry : reply.entries) {
     due.push_back(entry.report);
+    due.back().relayed_for += on_the_way;
     this->reports[entry.id] = entry.report;
   }
   return due;
--- a/packages/control/tests/roster_tests.cc
+++ b/packages/control/tests/roster_tests.cc
@@ -81,6 +81,30 @@
   EXPECT_EQ(reports.front().relayed_for, kInterval + milliseconds(200));
 }
 
+TEST_F(RosterTest, ReplyThatWaitedWhileTheHostWasSuspendedIsOld) {
+  this->roster.Note(Report("x", 1), this->clock.Now());
+  this->clock.Advance(kInterval);
+  const auto request =
+      this->follower.Due({HostName("core-1")}, this->clock.Now());
+  const RosterReply reply =
+      this->roster.Reply(request->request, this->clock.Now());
+  this->clock.Advance(milliseconds(9'000));
+  const auto reports =
+      this->follower.HandleReply(request->to, reply, this->clock.Now());
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports.front().relayed_for, kInterval + milliseconds(9'000));
+}
+
+TEST_F(RosterTest, UnaskedReplyIsIgnored) {
+  this->Fetch(this->roster);
+  this->roster.Note(Report("x", 1), this->clock.Now());
+  RosterReply unasked =
+      this->roster.Reply({9, RegionName("muscat"), {}}, this->clock.Now());
+  EXPECT_TRUE(
+      this->follower.HandleReply(HostName("core-1"), unasked, this->clock.Now())
+          .empty());
+}
+
 TEST_F(RosterTest, ServerThatHasFallenSilentIsNotNewsForALateHost) {
   this->roster.Note(Report("x", 1), this->clock.Now());
   this->clock.Advance(kLease);
