http, hosts: an unexpected error ends one connection, not the process

An exception of a handler left the event loop of its thread and ended the process: an operator's {"digest": 5} was enough. It now ends its connection, with a log line. Accepting connections of other hosts goes on after a failure, and messages that cannot be decoded are logged.

HandlerFault.EndsItsConnectionAndNotTheProcess (before: the test program ends)

--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -148,6 +148,10 @@
       return "peer_connected";
     case Event::kPeerLost:
       return "peer_lost";
+    case Event::kPeerMessageRejected:
+      return "peer_message_rejected";
+    case Event::kPeerNotAccepted:
+      return "peer_not_accepted";
     case Event::kLedgerViewChanged:
       return "ledger_view_changed";
     case Event::kAllocatorStarted:
@@ -166,6 +170,8 @@
       return "quarantine_refused";
     case Event::kStreamTakenUp:
       return "stream_taken_up";
+    case Event::kHandlerFailed:
+      return "handler_failed";
     case Event::kRequestEnded:
       return "request_ended";
     case Event::kReportRejected:
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -29,6 +29,9 @@
 //! Number of events after which a busy event loop looks for new I/O and due
 //! timers. Without it, timers run only once no event is ready.
 constexpr unsigned kEventsPerPoll = 1'024;
+//! Pause after a connection could not be accepted, for example for want of
+//! descriptors, which others may have returned by then.
+constexpr std::chrono::milliseconds kAcceptRetryInterval{100};
 
 capnp::ReaderOptions MakeReaderOptions() {
   capnp::ReaderOptions options;
@@ -51,6 +54,9 @@
     auto message = ReadMessage(context.getParams().getMessage());
     if (message) {
       this->handler.HandleMessage(this->from, std::move(*message));
+    } else {
+      LogEvent(Event::kPeerMessageRejected, LogLevel::kWarning,
+               {{"peer", this->from.Text()}});
     }
     return kj::READY_NOW;
   }
@@ -171,6 +177,12 @@
           auto ended = accepted->network.onDisconnect();
           this->tasks.add(ended.attach(kj::mv(accepted)));
         })
+        .catch_([this](kj::Exception&& exception) {
+          LogEvent(Event::kPeerNotAccepted, LogLevel::kWarning,
+                   {{"reason", exception.getDescription().cStr()}});
+          return this->io.provider->getTimer().afterDelay(
+              ToKj(kAcceptRetryInterval));
+        })
         .then([this, receiver = kj::mv(receiver)]() mutable {
           return this->Accept(kj::mv(receiver));
         });
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -1,8 +1,10 @@
 #include "session.h"
 
+#include <exception>
 #include <utility>
 
 #include "socket_options.h"
+#include "tamarackwing/base/event.h"
 
 namespace tamarackwing::http {
 namespace {
@@ -76,8 +78,14 @@
 
 asio::awaitable<void> Session::Run() {
   bool stays_open = true;
-  while (stays_open) {
-    stays_open = co_await this->ServeOne();
+  try {
+    while (stays_open) {
+      stays_open = co_await this->ServeOne();
+    }
+  } catch (const std::exception& error) {
+    // Otherwise it would leave the thread's event loop and end the process.
+    LogEvent(Event::kHandlerFailed, LogLevel::kError,
+             {{"reason", error.what()}});
   }
   boost::system::error_code ignored;
   this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
