--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -116,8 +116,8 @@
   ControlEffects RelayServer(const policy::ServerReport& report, TimePoint now);
   //! Requests this host's shares of the workspaces' rates from the leader; the
   //! reply appears in ControlEffects::rate_grants. Does nothing if no leader is
-  //! known or this host leads.
-  ControlEffects ReportRates(const policy::RateReport& report);
+  //! known.
+  ControlEffects ReportRates(const policy::RateReport& report, TimePoint now);
   //! Reports crashes of servers, and which blocks of prompts this host's
   //! requests show to be sound, to the leader; the decisions appear in
   //! ControlEffects::quarantine_notices. Does nothing if no leader is known.
@@ -258,8 +258,10 @@
   void UpdateReady(TimePoint now, ControlEffects& effects);
   //! Logs loss and recovery of leader contact.
   void WatchLeaderContact(TimePoint now);
-  //! Returns the hosts that accept callers, and so may hold rate leases.
+  //! Returns the hosts that accept callers.
   std::set<HostName> EntryHosts() const;
+  //! Returns the hosts with disks, which may hold rate leases.
+  std::set<HostName> RateHolders() const;
   HostStatus OwnStatus() const;
   std::vector<HostName> Sources() const;
   std::optional<TimePoint> LeaderContact(TimePoint now) const;
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -192,7 +192,10 @@
                                  policy::StreamQuestion,
                                  policy::StreamAnswer,
                                  RosterRequest,
-                                 RosterReply>;
+                                 RosterReply,
+                                 policy::TokenRequest,
+                                 policy::TokenReply,
+                                 policy::TokenReturn>;
 
 //! A message and its recipient.
 struct PeerSend {
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -347,9 +347,12 @@
   return effects;
 }
 
-ControlEffects ControlNode::ReportRates(const policy::RateReport& report) {
+ControlEffects ControlNode::ReportRates(const policy::RateReport& report,
+                                        TimePoint now) {
   ControlEffects effects;
-  if (!this->Leader().IsEmpty() && !this->log.IsLeader()) {
+  if (this->log.IsLeader()) {
+    this->HandleRates(this->options.self.name, report, now, effects);
+  } else if (!this->Leader().IsEmpty()) {
     effects.sends.push_back({this->Leader(), report});
   }
   return effects;
@@ -368,7 +371,12 @@
     this->rates.SetRate(demand.workspace,
                         is_known ? workspace->second.rate : 0);
   }
-  effects.sends.push_back({from, this->rates.Grant(from, report, now)});
+  policy::RateGrant grant = this->rates.Grant(from, report, now);
+  if (from == this->options.self.name) {
+    effects.rate_grants.push_back(std::move(grant));
+  } else {
+    effects.sends.push_back({from, std::move(grant)});
+  }
 }
 
 ControlEffects ControlNode::ReportCrashes(const policy::CrashReport& report,
@@ -583,6 +591,16 @@
   return entries;
 }
 
+std::set<HostName> ControlNode::RateHolders() const {
+  std::set<HostName> holders;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    if (host.has_disk) {
+      holders.insert(name);
+    }
+  }
+  return holders;
+}
+
 void ControlNode::ApplyLogEffects(state::LogEffects log_effects,
                                   TimePoint now,
                                   ControlEffects& effects) {
@@ -609,7 +627,7 @@
   if (this->log.IsLeader() && !this->was_leader) {
     this->was_leader = true;
     this->leader_tasks.StartTerm(now);
-    this->rates.StartTerm(this->EntryHosts(), now);
+    this->rates.StartTerm(this->RateHolders(), now);
     this->judge.StartTerm(this->log.CurrentTerm(), now);
     this->pending_tasks.clear();
     this->proposals.ClearForwarded();
--- /dev/null
+++ b/packages/control/tests/bucket_keepers_tests.cc
@@ -0,0 +1,62 @@
+#include "tamarackwing/control/bucket_keepers.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace tamarackwing::control {
+namespace {
+
+class BucketKeepersTest : public testing::Test {
+ protected:
+  BucketKeepersTest() {
+    for (const char* const region : {"muscat", "sohar"}) {
+      for (int i = 0; i < 6; ++i) {
+        state::HostRecord host;
+        host.name = HostName(region + std::to_string(i));
+        host.region = RegionName(region);
+        host.has_disk = i < 3;
+        this->hosts[host.name] = host;
+        this->live[host.region].insert(host.name);
+      }
+    }
+  }
+
+  std::vector<HostName> Keepers(const std::string& workspace) {
+    return BucketKeepers(WorkspaceName(workspace), RegionName("muscat"),
+                         this->hosts, this->live);
+  }
+
+  std::map<HostName, state::HostRecord> hosts;
+  std::map<RegionName, std::set<HostName>> live;
+};
+
+TEST_F(BucketKeepersTest, OwnRegionComesFirst) {
+  const auto keepers = this->Keepers("desk");
+  ASSERT_EQ(keepers.size(), 6U);
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(keepers[i].Text().front(), 'm');
+    EXPECT_EQ(keepers[i + 3].Text().front(), 's');
+  }
+}
+
+TEST_F(BucketKeepersTest, LostHostMovesOnlyItsWorkspaces) {
+  std::map<std::string, HostName> before;
+  std::map<HostName, int> kept;
+  for (int i = 0; i < 60; ++i) {
+    const std::string workspace = "w" + std::to_string(i);
+    before[workspace] = this->Keepers(workspace).front();
+    kept[before[workspace]] += 1;
+  }
+  EXPECT_EQ(kept.size(), 3U);
+  const HostName lost("muscat1");
+  this->live[RegionName("muscat")].erase(lost);
+  for (const auto& [workspace, keeper] : before) {
+    if (keeper != lost) {
+      EXPECT_EQ(this->Keepers(workspace).front(), keeper);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace tamarackwing::control
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -318,6 +318,24 @@
   shares @1 :List(RateShare);
 }
 
+struct TokenRequest {
+  number @0 :UInt64;
+  workspace @1 :Text;
+  tokens @2 :Int64;
+}
+
+struct TokenReply {
+  number @0 :UInt64;
+  granted @1 :Bool;
+  retryAfterMs @2 :Int64;
+  rate @3 :Int64;
+}
+
+struct TokenReturn {
+  workspace @0 :Text;
+  tokens @1 :Int64;
+}
+
 struct CrashSuspect {
   block @0 :UInt64;
   request @1 :UInt64;
@@ -418,5 +436,8 @@
     streamAnswer @33 :StreamAnswer;
     rosterRequest @34 :RosterRequest;
     rosterReply @35 :RosterReply;
+    tokenRequest @36 :TokenRequest;
+    tokenReply @37 :TokenReply;
+    tokenReturn @38 :TokenReturn;
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -64,6 +64,9 @@
 CAPNP_DECLARE_SCHEMA(cb4e76993b91987f);
 CAPNP_DECLARE_SCHEMA(a21119767f86ed6f);
 CAPNP_DECLARE_SCHEMA(99ebd178d0b2a472);
+CAPNP_DECLARE_SCHEMA(fb45c38bca7c5a1e);
+CAPNP_DECLARE_SCHEMA(a9c20b4075d447df);
+CAPNP_DECLARE_SCHEMA(adeaa877707f39d7);
 CAPNP_DECLARE_SCHEMA(c1974a6772ccaaf7);
 CAPNP_DECLARE_SCHEMA(c1695d1e50ede625);
 CAPNP_DECLARE_SCHEMA(9509717da74acf0b);
@@ -766,6 +769,51 @@
   };
 };
 
+struct TokenRequest {
+  TokenRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb45c38bca7c5a1e, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenReply {
+  TokenReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a9c20b4075d447df, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TokenReturn {
+  TokenReturn() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(adeaa877707f39d7, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CrashSuspect {
   CrashSuspect() = delete;
 
@@ -959,6 +1007,9 @@
     STREAM_ANSWER,
     ROSTER_REQUEST,
     ROSTER_REPLY,
+    TOKEN_REQUEST,
+    TOKEN_REPLY,
+    TOKEN_RETURN,
   };
 
   struct _capnpPrivate {
@@ -5434,6 +5485,274 @@
 };
 #endif  // !CAPNP_LITE
 
+class TokenRequest::Reader {
+public:
+  typedef TokenRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::int64_t getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TokenRequest::Builder {
+public:
+  typedef TokenRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::int64_t getTokens();
+  inline void setTokens( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TokenRequest::Pipeline {
+public:
+  typedef TokenRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TokenReply::Reader {
+public:
+  typedef TokenReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool getGranted() const;
+
+  inline  ::int64_t getRetryAfterMs() const;
+
+  inline  ::int64_t getRate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TokenReply::Builder {
+public:
+  typedef TokenReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::int64_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::int64_t value);
+
+  inline  ::int64_t getRate();
+  inline void setRate( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TokenReply::Pipeline {
+public:
+  typedef TokenReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TokenReturn::Reader {
+public:
+  typedef TokenReturn Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::int64_t getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TokenReturn::Builder {
+public:
+  typedef TokenReturn Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::int64_t getTokens();
+  inline void setTokens( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TokenReturn::Pipeline {
+public:
+  typedef TokenReturn Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CrashSuspect::Reader {
 public:
   typedef CrashSuspect Reads;
@@ -6530,6 +6849,18 @@
   inline bool hasRosterReply() const;
   inline  ::tamarackwing::hosts::wire::RosterReply::Reader getRosterReply() const;
 
+  inline bool isTokenRequest() const;
+  inline bool hasTokenRequest() const;
+  inline  ::tamarackwing::hosts::wire::TokenRequest::Reader getTokenRequest() const;
+
+  inline bool isTokenReply() const;
+  inline bool hasTokenReply() const;
+  inline  ::tamarackwing::hosts::wire::TokenReply::Reader getTokenReply() const;
+
+  inline bool isTokenReturn() const;
+  inline bool hasTokenReturn() const;
+  inline  ::tamarackwing::hosts::wire::TokenReturn::Reader getTokenReturn() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6840,6 +7171,30 @@
   inline void adoptRosterReply(::capnp::Orphan< ::tamarackwing::hosts::wire::RosterReply>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RosterReply> disownRosterReply();
 
+  inline bool isTokenRequest();
+  inline bool hasTokenRequest();
+  inline  ::tamarackwing::hosts::wire::TokenRequest::Builder getTokenRequest();
+  inline void setTokenRequest( ::tamarackwing::hosts::wire::TokenRequest::Reader value);
+  inline  ::tamarackwing::hosts::wire::TokenRequest::Builder initTokenRequest();
+  inline void adoptTokenRequest(::capnp::Orphan< ::tamarackwing::hosts::wire::TokenRequest>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenRequest> disownTokenRequest();
+
+  inline bool isTokenReply();
+  inline bool hasTokenReply();
+  inline  ::tamarackwing::hosts::wire::TokenReply::Builder getTokenReply();
+  inline void setTokenReply( ::tamarackwing::hosts::wire::TokenReply::Reader value);
+  inline  ::tamarackwing::hosts::wire::TokenReply::Builder initTokenReply();
+  inline void adoptTokenReply(::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReply>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReply> disownTokenReply();
+
+  inline bool isTokenReturn();
+  inline bool hasTokenReturn();
+  inline  ::tamarackwing::hosts::wire::TokenReturn::Builder getTokenReturn();
+  inline void setTokenReturn( ::tamarackwing::hosts::wire::TokenReturn::Reader value);
+  inline  ::tamarackwing::hosts::wire::TokenReturn::Builder initTokenReturn();
+  inline void adoptTokenReturn(::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReturn>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReturn> disownTokenReturn();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11037,6 +11392,172 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t TokenRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TokenRequest::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TokenRequest::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TokenRequest::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TokenRequest::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenRequest::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TokenRequest::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TokenRequest::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TokenRequest::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t TokenRequest::Reader::getTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TokenRequest::Builder::getTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TokenRequest::Builder::setTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TokenReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TokenReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TokenReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool TokenReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void TokenReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TokenReply::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TokenReply::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TokenReply::Builder::setRetryAfterMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t TokenReply::Reader::getRate() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TokenReply::Builder::getRate() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TokenReply::Builder::setRate( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TokenReturn::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TokenReturn::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TokenReturn::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TokenReturn::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TokenReturn::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TokenReturn::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TokenReturn::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TokenReturn::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t TokenReturn::Reader::getTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TokenReturn::Builder::getTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TokenReturn::Builder::setTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashSuspect::Reader::getBlock() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -13660,6 +14181,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isTokenRequest() const {
+  return which() == PeerMessage::TOKEN_REQUEST;
+}
+inline bool PeerMessage::Builder::isTokenRequest() {
+  return which() == PeerMessage::TOKEN_REQUEST;
+}
+inline bool PeerMessage::Reader::hasTokenRequest() const {
+  if (which() != PeerMessage::TOKEN_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTokenRequest() {
+  if (which() != PeerMessage::TOKEN_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::TokenRequest::Reader PeerMessage::Reader::getTokenRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::TokenRequest::Builder PeerMessage::Builder::getTokenRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTokenRequest( ::tamarackwing::hosts::wire::TokenRequest::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::TokenRequest::Builder PeerMessage::Builder::initTokenRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptTokenRequest(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenRequest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenRequest> PeerMessage::Builder::disownTokenRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isTokenReply() const {
+  return which() == PeerMessage::TOKEN_REPLY;
+}
+inline bool PeerMessage::Builder::isTokenReply() {
+  return which() == PeerMessage::TOKEN_REPLY;
+}
+inline bool PeerMessage::Reader::hasTokenReply() const {
+  if (which() != PeerMessage::TOKEN_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTokenReply() {
+  if (which() != PeerMessage::TOKEN_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::TokenReply::Reader PeerMessage::Reader::getTokenReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::TokenReply::Builder PeerMessage::Builder::getTokenReply() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTokenReply( ::tamarackwing::hosts::wire::TokenReply::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REPLY);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::TokenReply::Builder PeerMessage::Builder::initTokenReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REPLY);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptTokenReply(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReply>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_REPLY);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReply> PeerMessage::Builder::disownTokenReply() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isTokenReturn() const {
+  return which() == PeerMessage::TOKEN_RETURN;
+}
+inline bool PeerMessage::Builder::isTokenReturn() {
+  return which() == PeerMessage::TOKEN_RETURN;
+}
+inline bool PeerMessage::Reader::hasTokenReturn() const {
+  if (which() != PeerMessage::TOKEN_RETURN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTokenReturn() {
+  if (which() != PeerMessage::TOKEN_RETURN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::TokenReturn::Reader PeerMessage::Reader::getTokenReturn() const {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_RETURN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReturn>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::TokenReturn::Builder PeerMessage::Builder::getTokenReturn() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_RETURN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReturn>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTokenReturn( ::tamarackwing::hosts::wire::TokenReturn::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_RETURN);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReturn>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::TokenReturn::Builder PeerMessage::Builder::initTokenReturn() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_RETURN);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReturn>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptTokenReturn(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReturn>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TOKEN_RETURN);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReturn>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReturn> PeerMessage::Builder::disownTokenReturn() {
+  KJ_IREQUIRE((which() == PeerMessage::TOKEN_RETURN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::TokenReturn>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -582,6 +582,24 @@
       shares[i].setShare(value.shares[i].share);
     }
   }
+  void operator()(const policy::TokenRequest& value) {
+    auto to = this->out.initTokenRequest();
+    to.setNumber(value.number);
+    to.setWorkspace(ToText(value.workspace.Text()));
+    to.setTokens(value.tokens);
+  }
+  void operator()(const policy::TokenReply& value) {
+    auto to = this->out.initTokenReply();
+    to.setNumber(value.number);
+    to.setGranted(value.granted);
+    to.setRetryAfterMs(value.retry_after.count());
+    to.setRate(value.rate);
+  }
+  void operator()(const policy::TokenReturn& value) {
+    auto to = this->out.initTokenReturn();
+    to.setWorkspace(ToText(value.workspace.Text()));
+    to.setTokens(value.tokens);
+  }
   void operator()(const policy::CrashReport& value) {
     auto to = this->out.initCrashReport();
     to.setNumber(value.number);
@@ -855,6 +873,29 @@
   return grant;
 }
 
+PeerMessage ReadTokenMessage(wire::PeerMessage::Reader in) {
+  // More than any request has, and few enough for sums not to overflow.
+  static constexpr std::int64_t kMaxTokens = 1'000'000'000;
+  const auto read_tokens = [](std::int64_t tokens) {
+    return std::clamp<std::int64_t>(tokens, 0, kMaxTokens);
+  };
+  using Wire = wire::PeerMessage;
+  if (in.which() == Wire::TOKEN_REQUEST) {
+    const auto from = in.getTokenRequest();
+    return policy::TokenRequest{from.getNumber(),
+                                WorkspaceName(ToString(from.getWorkspace())),
+                                read_tokens(from.getTokens())};
+  }
+  if (in.which() == Wire::TOKEN_REPLY) {
+    const auto from = in.getTokenReply();
+    return policy::TokenReply{from.getNumber(), from.getGranted(),
+                              ReadSpan(from.getRetryAfterMs()), from.getRate()};
+  }
+  const auto from = in.getTokenReturn();
+  return policy::TokenReturn{WorkspaceName(ToString(from.getWorkspace())),
+                             read_tokens(from.getTokens())};
+}
+
 policy::CrashReport ReadCrashReport(wire::CrashReport::Reader in) {
   policy::CrashReport report;
   report.number = in.getNumber();
@@ -969,6 +1010,10 @@
     case Wire::RATE_REPORT:
     case Wire::RATE_GRANT:
       return ReadRateMessage(in);
+    case Wire::TOKEN_REQUEST:
+    case Wire::TOKEN_REPLY:
+    case Wire::TOKEN_RETURN:
+      return ReadTokenMessage(in);
     case Wire::CRASH_REPORT:
       return ReadCrashReport(in.getCrashReport());
     case Wire::STREAM_BEGUN:
--- a/packages/policy/include/tamarackwing/policy/rate_holder.h
+++ b/packages/policy/include/tamarackwing/policy/rate_holder.h
@@ -18,7 +18,7 @@
   //! its rate if that is larger; all hosts together have at most twice the
   //! burst.
   TokenCount burst = 0;
-  //! Number of entry hosts.
+  //! Number of hosts among which the static share and the burst are divided.
   std::size_t hosts = 1;
 };
 
--- a/packages/policy/include/tamarackwing/policy/rate_leases.h
+++ b/packages/policy/include/tamarackwing/policy/rate_leases.h
@@ -25,12 +25,6 @@
   unsigned static_percent = 10;
 };
 
-//! Returns how often each of `hosts` hosts reports its demands: often enough
-//! for leases to follow a peak of demand, which moves to another region within
-//! one or two seconds, but so that a large fleet sends its leader no more than
-//! about 330 reports per second. Thread safety: reentrant.
-std::chrono::milliseconds RateReportInterval(std::size_t hosts);
-
 //! Returns the static share of a rate that each of `hosts` hosts has without a
 //! lease.
 //! Preconditions: `hosts` is positive. Thread safety: reentrant.
--- a/packages/policy/include/tamarackwing/policy/rate_messages.h
+++ b/packages/policy/include/tamarackwing/policy/rate_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -40,4 +41,30 @@
   std::vector<RateShare> shares;
 };
 
+//! An entry host's request for the tokens of one caller's request, to the host
+//! that keeps the workspace's bucket in the region.
+struct TokenRequest {
+  //! Counts the sender's requests.
+  std::uint64_t number = 0;
+  WorkspaceName workspace;
+  TokenCount tokens = 0;
+};
+
+//! The reply to a TokenRequest.
+struct TokenReply {
+  std::uint64_t number = 0;
+  bool granted = false;
+  //! Delay after which a retry may succeed; zero if granted.
+  std::chrono::milliseconds retry_after{0};
+  //! Tokens per second that the bucket gains; zero if its keeper has no lease
+  //! and so knows nothing of the workspace's rate.
+  TokenCount rate = 0;
+};
+
+//! Tokens of a granted request that was not run.
+struct TokenReturn {
+  WorkspaceName workspace;
+  TokenCount tokens = 0;
+};
+
 }  // namespace tamarackwing::policy
--- a/packages/policy/src/rate_leases.cc
+++ b/packages/policy/src/rate_leases.cc
@@ -14,18 +14,8 @@
 //! against the life of a lease.
 constexpr std::chrono::milliseconds kRecountInterval{100};
 
-constexpr std::chrono::milliseconds kMinReportInterval{300};
-//! Added to the interval by each host of the fleet; a third of a lease's life
-//! at 440 hosts.
-constexpr std::chrono::milliseconds kReportIntervalPerHost{3};
-
 }  // namespace
 
-std::chrono::milliseconds RateReportInterval(std::size_t hosts) {
-  return std::max(kMinReportInterval,
-                  kReportIntervalPerHost * static_cast<std::int64_t>(hosts));
-}
-
 TokenCount StaticRate(TokenCount rate,
                       std::size_t hosts,
                       const RateLeaseOptions& options) {
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -10,6 +10,7 @@
 #include "disk_thread.h"
 #include "region_demand.h"
 #include "tamarackwing/base/event.h"
+#include "tamarackwing/control/bucket_keepers.h"
 #include "tamarackwing/control/message_kind.h"
 #include "tamarackwing/control/stream_keepers.h"
 #include "tamarackwing/policy/slot_share.h"
@@ -29,8 +30,17 @@
 constexpr std::chrono::seconds kChangeTimeout{9};
 //! Short against the interval at which metrics are usually collected.
 constexpr std::chrono::seconds kTrafficMetricsInterval{1};
+//! Short enough for the leased rates to follow a peak of demand, which moves to
+//! another region within one or two seconds.
+constexpr milliseconds kRateReportInterval{300};
 //! Short against the time that a crashed server takes to come back.
 constexpr milliseconds kCrashReportInterval{200};
+//! How long the reply to a request for tokens is waited for; longer than a
+//! round trip between regions, and short against the latency targets of
+//! requests.
+constexpr milliseconds kTokenTimeout{250};
+//! How long a host that did not reply to one is not asked again.
+constexpr milliseconds kKeeperSilence{1'000};
 //! How long the answers about a stream are waited for.
 constexpr milliseconds kStreamTimeout{2'000};
 //! Time during which a host without demand also reports to a new leader; long
@@ -235,6 +245,14 @@
                   this->dependencies.streams.Known(question->stream)});
   } else if (const auto* answer = std::get_if<policy::StreamAnswer>(&message)) {
     this->HandleStreamAnswer(*answer);
+  } else if (const auto* request =
+                 std::get_if<policy::TokenRequest>(&message)) {
+    this->network->Send(from, this->dependencies.rates.HandleRequest(*request));
+  } else if (const auto* reply = std::get_if<policy::TokenReply>(&message)) {
+    this->HandleTokenReply(*reply);
+  } else if (const auto* returned =
+                 std::get_if<policy::TokenReturn>(&message)) {
+    this->dependencies.rates.HandleReturn(*returned);
   } else {
     this->Execute(
         this->node->Receive(from, message, this->dependencies.clock.Now()));
@@ -282,6 +300,56 @@
   }
 }
 
+HostName ControlThread::KeeperOf(const WorkspaceName& workspace) const {
+  const TimePoint now = this->dependencies.clock.Now();
+  const state::ControlState& state = this->node->State();
+  for (const HostName& keeper :
+       control::BucketKeepers(workspace, this->settings.gateway.region,
+                              state.Hosts(), state.Live())) {
+    const auto silent = this->silent_keepers.find(keeper);
+    if (silent == this->silent_keepers.end() || silent->second <= now) {
+      return keeper;
+    }
+  }
+  return HostName();
+}
+
+void ControlThread::AskForTokens(policy::TokenRequest request,
+                                 LeasedRateBudget::ReplyCallback callback) {
+  const HostName keeper = this->KeeperOf(request.workspace);
+  if (keeper.IsEmpty()) {
+    callback(std::nullopt);
+    return;
+  }
+  if (keeper == this->settings.gateway.host) {
+    callback(this->dependencies.rates.HandleRequest(request));
+    return;
+  }
+  request.number = this->next_token_request++;
+  this->token_requests[request.number] = {std::move(callback), keeper,
+                                          this->dependencies.clock.Now()};
+  this->network->Send(keeper, request);
+}
+
+void ControlThread::HandleTokenReply(const policy::TokenReply& reply) {
+  const auto waiting = this->token_requests.find(reply.number);
+  if (waiting == this->token_requests.end()) {
+    return;
+  }
+  const auto callback = std::move(waiting->second.callback);
+  this->token_requests.erase(waiting);
+  callback(reply);
+}
+
+void ControlThread::ReturnTokens(const policy::TokenReturn& returned) {
+  const HostName keeper = this->KeeperOf(returned.workspace);
+  if (keeper == this->settings.gateway.host) {
+    this->dependencies.rates.HandleReturn(returned);
+  } else if (!keeper.IsEmpty()) {
+    this->network->Send(keeper, returned);
+  }
+}
+
 Expected<control::RecoveredControl, ControlError> ControlThread::Recover() {
   control::RecoveredControl recovered;
   if (this->disk == nullptr) {
@@ -411,7 +479,7 @@
     this->PublishSnapshot();
   }
   if (now >= this->rates_at) {
-    this->rates_at = now + policy::RateReportInterval(this->entry_hosts);
+    this->rates_at = now + kRateReportInterval;
     this->ReportRates();
   }
   if (now >= this->crashes_at) {
@@ -536,12 +604,15 @@
     this->rates_leader_since = now;
     this->dependencies.rates.ForgetPendingReports();
   }
-  // A new leader grants leases only after all entry hosts have reported theirs,
+  // A new leader grants leases only after all holders have reported theirs,
   // so a host without demand reports to it, too.
   const bool is_new_leader = now - this->rates_leader_since < kNewLeaderPeriod;
+  if (this->disk == nullptr) {
+    return;
+  }
   const policy::RateReport report = this->dependencies.rates.MakeReport();
   if (is_new_leader || !report.demands.empty()) {
-    this->Execute(this->node->ReportRates(report));
+    this->Execute(this->node->ReportRates(report, now));
   }
 }
 
@@ -807,6 +878,14 @@
     entry.second.callback(std::nullopt);
     return true;
   });
+  while (!this->token_requests.empty() &&
+         now - this->token_requests.begin()->second.since >= kTokenTimeout) {
+    const PendingTokens pending =
+        std::move(this->token_requests.begin()->second);
+    this->token_requests.erase(this->token_requests.begin());
+    this->silent_keepers[pending.keeper] = now + kKeeperSilence;
+    pending.callback(std::nullopt);
+  }
   std::erase_if(this->statuses, [&](auto& entry) {
     if (now - entry.second.since < std::chrono::seconds(2)) {
       return false;
@@ -829,6 +908,18 @@
         });
   };
   this->dependencies.streams.SetKeepers(std::move(keepers));
+  LeasedRateBudget::Keepers rate_keepers;
+  rate_keepers.ask = [this](const policy::TokenRequest& request,
+                            LeasedRateBudget::ReplyCallback callback) {
+    this->network->Post(
+        [this, request, callback = std::move(callback)]() mutable {
+          this->AskForTokens(request, std::move(callback));
+        });
+  };
+  rate_keepers.give_back = [this](const policy::TokenReturn& returned) {
+    this->network->Post([this, returned] { this->ReturnTokens(returned); });
+  };
+  this->dependencies.rates.SetKeepers(std::move(rate_keepers));
   ChunkBudget::TokenSources sources;
   sources.request = [this](policy::ChunkRequest request) {
     this->network->Post([this, request = std::move(request)] {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -135,12 +135,26 @@
     TimePoint since;
   };
 
+  //! A request for tokens that waits for the reply of a bucket's keeper.
+  struct PendingTokens {
+    LeasedRateBudget::ReplyCallback callback;
+    HostName keeper;
+    TimePoint since;
+  };
+
   void HandleMessage(const HostName& from,
                      control::PeerMessage message) override;
   void TellKeepers(const policy::StreamBegun& begun);
   void AskKeepers(std::uint64_t stream,
                   gateway::StreamOrigins::Callback callback);
   void HandleStreamAnswer(const policy::StreamAnswer& answer);
+  //! Returns the host that keeps a workspace's bucket for this region; an empty
+  //! name if none is known that replies.
+  HostName KeeperOf(const WorkspaceName& workspace) const;
+  void AskForTokens(policy::TokenRequest request,
+                    LeasedRateBudget::ReplyCallback callback);
+  void HandleTokenReply(const policy::TokenReply& reply);
+  void ReturnTokens(const policy::TokenReturn& returned);
   Expected<control::RecoveredControl, ControlError> Recover();
   void Run(control::RecoveredControl recovered,
            const std::function<void(bool)>& started);
@@ -206,6 +220,11 @@
   std::map<HostName, TimePoint> status_received_at;
   //! Reports received from backend servers since the last region status.
   std::vector<policy::ServerReport> announced;
+  //! Pending requests for tokens, by number.
+  std::map<std::uint64_t, PendingTokens> token_requests;
+  std::uint64_t next_token_request = 1;
+  //! Until when a host that did not reply is not asked.
+  std::map<HostName, TimePoint> silent_keepers;
   std::uint64_t next_probe = 1;
   //! Position of the next region to probe in the round-robin order.
   std::size_t next_region = 0;
--- a/programs/tamarackwingd/src/leased_rate_budget.cc
+++ b/programs/tamarackwingd/src/leased_rate_budget.cc
@@ -1,26 +1,47 @@
 #include "leased_rate_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarackwing::daemon {
 namespace {
 
-//! Returns the limit of a workspace with the tolerance added to its burst. The
-//! sum is halved, because the bursts of all hosts can add up to twice the burst
-//! of the limit (see policy::RateLimit).
-policy::RateLimit LimitOf(const state::Snapshot& snapshot,
-                          const state::Workspace& workspace,
-                          const RateTolerance& tolerance) {
+//! Returns the tokens that a workspace may get beyond its rate and burst.
+TokenCount ToleratedTokens(const state::Workspace& workspace,
+                           const RateTolerance& tolerance) {
   constexpr TokenCount kHundredPercent = 100;
-  policy::RateLimit limit;
-  limit.rate = workspace.rate;
   const TokenCount span_tokens =
       workspace.rate * tolerance.span.count() + workspace.burst;
-  const TokenCount tolerated =
-      span_tokens * tolerance.percent / kHundredPercent + tolerance.tokens;
-  limit.burst = (workspace.burst + tolerated) / 2;
-  limit.hosts = std::max<std::size_t>(1, snapshot.entry_hosts);
-  return limit;
+  return span_tokens * tolerance.percent / kHundredPercent + tolerance.tokens;
+}
+
+//! Returns the limit of a bucket that a keeper has: the burst and half of the
+//! tolerance. The sum is halved, because the bursts of all keepers can add up
+//! to twice the burst of the limit (see policy::RateLimit).
+policy::RateLimit KeptLimit(const state::Snapshot& snapshot,
+                            const state::Workspace& workspace,
+                            const RateTolerance& tolerance) {
+  std::size_t keepers = 0;
+  for (const auto& [name, host] : *snapshot.hosts) {
+    keepers += host.has_disk ? 1 : 0;
+  }
+  return {workspace.rate,
+          (workspace.burst + ToleratedTokens(workspace, tolerance) / 2) / 2,
+          std::max<std::size_t>(1, keepers)};
+}
+
+//! Returns the limit of an entry host's own bucket: the other half of the
+//! tolerance.
+policy::RateLimit OwnLimit(const state::Snapshot& snapshot,
+                           const state::Workspace& workspace,
+                           const RateTolerance& tolerance) {
+  return {workspace.rate, ToleratedTokens(workspace, tolerance) / 2,
+          std::max<std::size_t>(1, snapshot.entry_hosts)};
+}
+
+policy::RateLeaseOptions WithoutStaticShare(policy::RateLeaseOptions options) {
+  options.static_percent = 0;
+  return options;
 }
 
 }  // namespace
@@ -32,36 +53,87 @@
     : clock(clock),
       snapshots(snapshots),
       tolerance(tolerance),
-      holder(options) {}
+      kept(WithoutStaticShare(options)),
+      own(options) {}
+
+void LeasedRateBudget::SetKeepers(Keepers functions) {
+  this->keepers = std::move(functions);
+}
 
 void LeasedRateBudget::Reserve(const WorkspaceName& workspace,
                                TokenCount tokens,
                                Callback callback) {
-  gateway::BudgetAnswer answer;
   const auto snapshot = this->snapshots.Get();
   const auto found = snapshot->set->workspaces.find(workspace);
-  if (found != snapshot->set->workspaces.end()) {
-    const std::lock_guard lock(this->mutex);
-    const policy::RateLimit limit =
-        LimitOf(*snapshot, found->second, this->tolerance);
-    const policy::RateDecision decision =
-        this->holder.Take(workspace, limit, tokens, this->clock.Now());
-    answer.granted = decision.granted;
-    answer.retry_after = decision.retry_after;
-    answer.host_rate = decision.rate;
-    answer.fleet_rate = limit.rate;
-    // The number of reserved tokens is the only state of a reservation, so it
-    // serves as the identifier.
-    answer.reservation = static_cast<std::uint64_t>(tokens);
+  if (found == snapshot->set->workspaces.end()) {
+    callback({});
+    return;
   }
-  callback(answer);
+  if (!this->keepers.ask) {
+    callback(this->TakeOwn(*snapshot, found->second, tokens));
+    return;
+  }
+  const TokenCount fleet_rate = found->second.rate;
+  this->keepers.ask(
+      {0, workspace, tokens},
+      [this, snapshot, &limits = found->second, tokens, fleet_rate,
+       callback = std::move(callback)](
+          const std::optional<policy::TokenReply>& reply) {
+        const bool is_known = reply && (reply->granted || reply->rate > 0);
+        if (!is_known) {
+          callback(this->TakeOwn(*snapshot, limits, tokens));
+          return;
+        }
+        // The number of reserved tokens is the only state of a reservation, so
+        // it serves as the identifier.
+        callback({reply->granted, static_cast<std::uint64_t>(tokens),
+                  reply->retry_after, reply->rate, fleet_rate});
+      });
+}
+
+gateway::BudgetAnswer LeasedRateBudget::TakeOwn(
+    const state::Snapshot& snapshot,
+    const state::Workspace& workspace,
+    TokenCount tokens) {
+  const std::lock_guard lock(this->mutex);
+  const policy::RateDecision decision = this->own.Take(
+      workspace.name, OwnLimit(snapshot, workspace, this->tolerance), tokens,
+      this->clock.Now());
+  return {decision.granted, static_cast<std::uint64_t>(tokens),
+          decision.retry_after, decision.rate, workspace.rate};
+}
+
+policy::TokenReply LeasedRateBudget::HandleRequest(
+    const policy::TokenRequest& request) {
+  policy::TokenReply reply;
+  reply.number = request.number;
+  const auto snapshot = this->snapshots.Get();
+  const auto found = snapshot->set->workspaces.find(request.workspace);
+  if (found == snapshot->set->workspaces.end() || found->second.rate == 0) {
+    return reply;
+  }
+  const std::lock_guard lock(this->mutex);
+  const policy::RateDecision decision = this->kept.Take(
+      request.workspace, KeptLimit(*snapshot, found->second, this->tolerance),
+      request.tokens, this->clock.Now());
+  reply.granted = decision.granted;
+  reply.retry_after = decision.retry_after;
+  reply.rate = decision.rate;
+  return reply;
+}
+
+void LeasedRateBudget::HandleReturn(const policy::TokenReturn& returned) {
+  const std::lock_guard lock(this->mutex);
+  this->kept.Return(returned.workspace, returned.tokens);
 }
 
 void LeasedRateBudget::Settle(const WorkspaceName& workspace,
                               std::uint64_t reservation,
                               TokenCount used) {
-  const std::lock_guard lock(this->mutex);
-  this->holder.Return(workspace, static_cast<TokenCount>(reservation) - used);
+  const TokenCount unused = static_cast<TokenCount>(reservation) - used;
+  if (unused > 0 && this->keepers.give_back) {
+    this->keepers.give_back({workspace, unused});
+  }
 }
 
 void LeasedRateBudget::SetTolerance(RateTolerance next) {
@@ -71,17 +143,17 @@
 
 policy::RateReport LeasedRateBudget::MakeReport() {
   const std::lock_guard lock(this->mutex);
-  return this->holder.MakeReport(this->clock.Now());
+  return this->kept.MakeReport(this->clock.Now());
 }
 
 void LeasedRateBudget::ForgetPendingReports() {
   const std::lock_guard lock(this->mutex);
-  this->holder.ForgetPendingReports();
+  this->kept.ForgetPendingReports();
 }
 
 void LeasedRateBudget::Accept(const policy::RateGrant& grant) {
   const std::lock_guard lock(this->mutex);
-  this->holder.Accept(grant, this->clock.Now());
+  this->kept.Accept(grant, this->clock.Now());
 }
 
 }  // namespace tamarackwing::daemon
