--- a/packages/gateway/include/tamarackwing/gateway/entry_hosts.h
+++ b/packages/gateway/include/tamarackwing/gateway/entry_hosts.h
@@ -29,8 +29,8 @@
 //! Returns the live entry hosts that callers of a region should use: those of
 //! the region that are not draining. If there are none, returns the first of
 //! these groups that is not empty: hosts of regions that every residency rule
-//! allows, draining hosts of the region, hosts of any other region. Of more than
-//! kMaxEntryHosts, those from position `first` (modulo their number) are
+//! allows, draining hosts of the region, hosts of any other region. Of more
+//! than kMaxEntryHosts, those from position `first` (modulo their number) are
 //! returned: with a `first` that grows by kMaxEntryHosts, all get as many
 //! callers. Thread safety: as for `snapshot`.
 EntryHosts EntryHostsFor(const state::Snapshot& snapshot,
