--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -7,6 +7,7 @@
 #include "tamarackwing/base/hex.h"
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/control/membership_plan.h"
+#include "tamarackwing/state/packed.h"
 
 namespace tamarackwing::control {
 namespace {
@@ -223,8 +224,11 @@
 std::uint64_t ControlNode::Propose(const state::ControlChange& change,
                                    TimePoint now,
                                    ControlEffects& effects) {
-  const std::uint64_t number =
-      this->proposals.Add(state::EncodeChange(change), now);
+  std::string payload = state::EncodeChange(change);
+  if (this->state.AllHostsRead(state::kPackedFormat)) {
+    payload = state::Pack(std::move(payload));
+  }
+  const std::uint64_t number = this->proposals.Add(std::move(payload), now);
   this->SendProposal(number, now, effects);
   return number;
 }
@@ -343,9 +347,12 @@
   return effects;
 }
 
-ControlEffects ControlNode::ReportRates(const policy::RateReport& report) {
+ControlEffects ControlNode::ReportRates(const policy::RateReport& report,
+                                        TimePoint now) {
   ControlEffects effects;
-  if (!this->Leader().IsEmpty() && !this->log.IsLeader()) {
+  if (this->log.IsLeader()) {
+    this->HandleRates(this->options.self.name, report, now, effects);
+  } else if (!this->Leader().IsEmpty()) {
     effects.sends.push_back({this->Leader(), report});
   }
   return effects;
@@ -364,7 +371,12 @@
     this->rates.SetRate(demand.workspace,
                         is_known ? workspace->second.rate : 0);
   }
-  effects.sends.push_back({from, this->rates.Grant(from, report, now)});
+  policy::RateGrant grant = this->rates.Grant(from, report, now);
+  if (from == this->options.self.name) {
+    effects.rate_grants.push_back(std::move(grant));
+  } else {
+    effects.sends.push_back({from, std::move(grant)});
+  }
 }
 
 ControlEffects ControlNode::ReportCrashes(const policy::CrashReport& report,
@@ -579,6 +591,16 @@
   return entries;
 }
 
+std::set<HostName> ControlNode::RateHolders() const {
+  std::set<HostName> holders;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    if (host.has_disk) {
+      holders.insert(name);
+    }
+  }
+  return holders;
+}
+
 void ControlNode::ApplyLogEffects(state::LogEffects log_effects,
                                   TimePoint now,
                                   ControlEffects& effects) {
@@ -598,17 +620,14 @@
   if (log_effects.installed) {
     this->InstallSnapshot(*log_effects.installed, now, effects);
   }
-  for (const state::LogEntry& entry : log_effects.committed) {
-    this->ApplyEntry(entry, now, effects);
-  }
   if (!log_effects.committed.empty()) {
-    this->AfterApply(now, effects);
+    this->ApplyEntries(log_effects.committed, now, effects);
     this->CompactLog(effects, now);
   }
   if (this->log.IsLeader() && !this->was_leader) {
     this->was_leader = true;
     this->leader_tasks.StartTerm(now);
-    this->rates.StartTerm(this->EntryHosts(), now);
+    this->rates.StartTerm(this->RateHolders(), now);
     this->judge.StartTerm(this->log.CurrentTerm(), now);
     this->pending_tasks.clear();
     this->proposals.ClearForwarded();
@@ -630,6 +649,23 @@
   }
 }
 
+void ControlNode::ApplyEntries(const std::vector<state::LogEntry>& entries,
+                               TimePoint now,
+                               ControlEffects& effects) {
+  // Compared once for all entries: when many hosts return at once, each of them
+  // has an entry.
+  const auto hosts = this->state.HostTable();
+  const auto live = this->state.Live();
+  const bool was_ready = this->ready;
+  for (const state::LogEntry& entry : entries) {
+    this->ApplyEntry(entry, now, effects);
+  }
+  if (was_ready) {
+    this->LogHostChanges(*hosts, live);
+  }
+  this->AfterApply(now, effects);
+}
+
 void ControlNode::ApplyEntry(const state::LogEntry& entry,
                              TimePoint now,
                              ControlEffects& effects) {
@@ -640,8 +676,6 @@
   state::ApplyOutcome outcome;
   if (entry.kind == state::EntryKind::kChange) {
     const SetVersion before = this->state.Version();
-    const auto hosts = this->state.HostTable();
-    const auto live = this->state.Live();
     const auto withdrawn = this->state.Withdrawn();
     outcome = this->state.Apply(entry.index, entry.payload);
     for (const KeyDigest& digest : *this->state.Withdrawn()) {
@@ -651,9 +685,6 @@
         this->uncommitted_withdrawn.erase(digest);
       }
     }
-    if (this->ready) {
-      this->LogHostChanges(*hosts, live);
-    }
     if (this->ready && this->state.Version() != before) {
       LogEvent(Event::kSetApplied, LogLevel::kInfo,
                {{"host", this->options.self.name.Text()},
@@ -781,11 +812,8 @@
   if (reply.snapshot) {
     this->InstallSnapshot(*reply.snapshot, now, effects);
   }
-  for (const state::LogEntry& entry : reply.entries) {
-    this->ApplyEntry(entry, now, effects);
-  }
   if (!reply.entries.empty()) {
-    this->AfterApply(now, effects);
+    this->ApplyEntries(reply.entries, now, effects);
   }
   if (this->follower.HandleReply(reply, this->state.Applied(), now)) {
     const state::HostRecord* host = this->FindHost(from);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -176,6 +176,7 @@
   out.setHasDisk(host.has_disk);
   out.setIncarnation(host.incarnation);
   out.setDraining(host.draining);
+  out.setReadsFormat(host.reads_format);
 }
 
 state::HostRecord Read(wire::HostRecord::Reader in) {
@@ -191,6 +192,7 @@
   host.has_disk = in.getHasDisk();
   host.incarnation = in.getIncarnation();
   host.draining = in.getDraining();
+  host.reads_format = in.getReadsFormat();
   return host;
 }
 
@@ -580,6 +582,24 @@
       shares[i].setShare(value.shares[i].share);
     }
   }
+  void operator()(const policy::TokenRequest& value) {
+    auto to = this->out.initTokenRequest();
+    to.setNumber(value.number);
+    to.setWorkspace(ToText(value.workspace.Text()));
+    to.setTokens(value.tokens);
+  }
+  void operator()(const policy::TokenReply& value) {
+    auto to = this->out.initTokenReply();
+    to.setNumber(value.number);
+    to.setGranted(value.granted);
+    to.setRetryAfterMs(value.retry_after.count());
+    to.setRate(value.rate);
+  }
+  void operator()(const policy::TokenReturn& value) {
+    auto to = this->out.initTokenReturn();
+    to.setWorkspace(ToText(value.workspace.Text()));
+    to.setTokens(value.tokens);
+  }
   void operator()(const policy::CrashReport& value) {
     auto to = this->out.initCrashReport();
     to.setNumber(value.number);
@@ -853,6 +873,29 @@
   return grant;
 }
 
+PeerMessage ReadTokenMessage(wire::PeerMessage::Reader in) {
+  // More than any request has, and few enough for sums not to overflow.
+  static constexpr std::int64_t kMaxTokens = 1'000'000'000;
+  const auto read_tokens = [](std::int64_t tokens) {
+    return std::clamp<std::int64_t>(tokens, 0, kMaxTokens);
+  };
+  using Wire = wire::PeerMessage;
+  if (in.which() == Wire::TOKEN_REQUEST) {
+    const auto from = in.getTokenRequest();
+    return policy::TokenRequest{from.getNumber(),
+                                WorkspaceName(ToString(from.getWorkspace())),
+                                read_tokens(from.getTokens())};
+  }
+  if (in.which() == Wire::TOKEN_REPLY) {
+    const auto from = in.getTokenReply();
+    return policy::TokenReply{from.getNumber(), from.getGranted(),
+                              ReadSpan(from.getRetryAfterMs()), from.getRate()};
+  }
+  const auto from = in.getTokenReturn();
+  return policy::TokenReturn{WorkspaceName(ToString(from.getWorkspace())),
+                             read_tokens(from.getTokens())};
+}
+
 policy::CrashReport ReadCrashReport(wire::CrashReport::Reader in) {
   policy::CrashReport report;
   report.number = in.getNumber();
@@ -967,6 +1010,10 @@
     case Wire::RATE_REPORT:
     case Wire::RATE_GRANT:
       return ReadRateMessage(in);
+    case Wire::TOKEN_REQUEST:
+    case Wire::TOKEN_REPLY:
+    case Wire::TOKEN_RETURN:
+      return ReadTokenMessage(in);
     case Wire::CRASH_REPORT:
       return ReadCrashReport(in.getCrashReport());
     case Wire::STREAM_BEGUN:
