state: a record of a host that lacks a member is malformed again

With the newest member, all members of a host's record became optional, so a damaged entry was read as a host without a name. Only reads_format, which older builds do not write, may be missing.

Packed.HostRecordOfAnOlderBuildIsReadAndADamagedOneIsNot

--- a/packages/state/src/internal/json_codec.h
+++ b/packages/state/src/internal/json_codec.h
@@ -116,20 +116,35 @@
                                    path_routes,
                                    caller_limits,
                                    removed)
-// Records of older builds lack the newest members.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostRecord,
-                                                name,
-                                                region,
-                                                data_centre,
-                                                caller_address,
-                                                caller_port,
-                                                peer_address,
-                                                peer_port,
-                                                forward_port,
-                                                has_disk,
-                                                incarnation,
-                                                draining,
-                                                reads_format)
+inline void to_json(nlohmann::json& out, const HostRecord& host) {
+  out = {{"name", host.name},
+         {"region", host.region},
+         {"data_centre", host.data_centre},
+         {"caller_address", host.caller_address},
+         {"caller_port", host.caller_port},
+         {"peer_address", host.peer_address},
+         {"peer_port", host.peer_port},
+         {"forward_port", host.forward_port},
+         {"has_disk", host.has_disk},
+         {"incarnation", host.incarnation},
+         {"draining", host.draining},
+         {"reads_format", host.reads_format}};
+}
+inline void from_json(const nlohmann::json& in, HostRecord& host) {
+  in.at("name").get_to(host.name);
+  in.at("region").get_to(host.region);
+  in.at("data_centre").get_to(host.data_centre);
+  in.at("caller_address").get_to(host.caller_address);
+  in.at("caller_port").get_to(host.caller_port);
+  in.at("peer_address").get_to(host.peer_address);
+  in.at("peer_port").get_to(host.peer_port);
+  in.at("forward_port").get_to(host.forward_port);
+  in.at("has_disk").get_to(host.has_disk);
+  in.at("incarnation").get_to(host.incarnation);
+  in.at("draining").get_to(host.draining);
+  // Records of older builds lack it.
+  host.reads_format = in.value("reads_format", std::uint32_t{0});
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewMember, host, incarnation, has_disk)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegionView,
                                    region,
--- a/packages/state/tests/packed_tests.cc
+++ b/packages/state/tests/packed_tests.cc
@@ -113,5 +113,18 @@
   EXPECT_TRUE(decoded->AllHostsRead(kPackedFormat));
 }
 
+// Only the newest member of a record may be missing.
+TEST(Packed, HostRecordOfAnOlderBuildIsReadAndADamagedOneIsNot) {
+  std::string bytes = EncodeChange(Host("a", 0));
+  const auto rename = [&](const std::string& member) {
+    std::string changed = bytes;
+    changed[changed.find(member)] = 'x';
+    return DecodeChange(changed);
+  };
+  ASSERT_TRUE(rename("reads_format"));
+  EXPECT_EQ(std::get<PutHost>(*rename("reads_format")).host.name.Text(), "a");
+  EXPECT_FALSE(rename("incarnation"));
+}
+
 }  // namespace
 }  // namespace tamarackwing::state
