daemon: unused tokens return to the bucket that they came from

Callers whose requests did not run while no keeper replied had got tokens of the host's own share; these went back to the keeper's bucket, which had not given them, and the own share stayed in debt: the workspace could get more than its rate, and the host refused its next request. A reservation now says which bucket it is of. Found in review.

LeasedRateBudgetTest.*

--- a/programs/tamarackwingd/src/leased_rate_budget.cc
+++ b/programs/tamarackwingd/src/leased_rate_budget.cc
@@ -39,6 +39,12 @@
           std::max<std::size_t>(1, snapshot.entry_hosts)};
 }
 
+//! A reservation's only state: its tokens, and whether they are this host's own
+//! instead of the keeper's.
+std::uint64_t Reservation(TokenCount tokens, bool is_own) {
+  return static_cast<std::uint64_t>(tokens) * 2 + (is_own ? 1 : 0);
+}
+
 policy::RateLeaseOptions WithoutStaticShare(policy::RateLeaseOptions options) {
   options.static_percent = 0;
   return options;
@@ -74,21 +80,19 @@
     return;
   }
   const TokenCount fleet_rate = found->second.rate;
-  this->keepers.ask(
-      {0, workspace, tokens},
-      [this, snapshot, &limits = found->second, tokens, fleet_rate,
-       callback = std::move(callback)](
-          const std::optional<policy::TokenReply>& reply) {
-        const bool is_known = reply && (reply->granted || reply->rate > 0);
-        if (!is_known) {
-          callback(this->TakeOwn(*snapshot, limits, tokens));
-          return;
-        }
-        // The number of reserved tokens is the only state of a reservation, so
-        // it serves as the identifier.
-        callback({reply->granted, static_cast<std::uint64_t>(tokens),
-                  reply->retry_after, reply->rate, fleet_rate});
-      });
+  this->keepers.ask({0, workspace, tokens},
+                    [this, snapshot, &limits = found->second, tokens,
+                     fleet_rate, callback = std::move(callback)](
+                        const std::optional<policy::TokenReply>& reply) {
+                      const bool is_known =
+                          reply && (reply->granted || reply->rate > 0);
+                      if (!is_known) {
+                        callback(this->TakeOwn(*snapshot, limits, tokens));
+                        return;
+                      }
+                      callback({reply->granted, Reservation(tokens, false),
+                                reply->retry_after, reply->rate, fleet_rate});
+                    });
 }
 
 gateway::BudgetAnswer LeasedRateBudget::TakeOwn(
@@ -99,8 +103,8 @@
   const policy::RateDecision decision = this->own.Take(
       workspace.name, OwnLimit(snapshot, workspace, this->tolerance), tokens,
       this->clock.Now());
-  return {decision.granted, static_cast<std::uint64_t>(tokens),
-          decision.retry_after, decision.rate, workspace.rate};
+  return {decision.granted, Reservation(tokens, true), decision.retry_after,
+          decision.rate, workspace.rate};
 }
 
 policy::TokenReply LeasedRateBudget::HandleRequest(
@@ -130,8 +134,15 @@
 void LeasedRateBudget::Settle(const WorkspaceName& workspace,
                               std::uint64_t reservation,
                               TokenCount used) {
-  const TokenCount unused = static_cast<TokenCount>(reservation) - used;
-  if (unused > 0 && this->keepers.give_back) {
+  const TokenCount unused = static_cast<TokenCount>(reservation / 2) - used;
+  const bool is_own = reservation % 2 != 0;
+  if (unused <= 0) {
+    return;
+  }
+  if (is_own) {
+    const std::lock_guard lock(this->mutex);
+    this->own.Return(workspace, unused);
+  } else if (this->keepers.give_back) {
     this->keepers.give_back({workspace, unused});
   }
 }
