control: one ranking of hosts for rosters and token buckets

RosterSources and BucketKeepers ranked hosts by region and rendezvous hashing with the same code. No change of behaviour: RosterTest, RosterFleet, BucketKeepersTest.

--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -1,10 +1,9 @@
 #include "tamarackwing/control/roster_follower.h"
 
 #include <algorithm>
-#include <functional>
-#include <tuple>
 #include <utility>
 
+#include "region_ranking.h"
 #include "tamarackwing/policy/rendezvous.h"
 
 namespace tamarackwing::control {
@@ -95,28 +94,20 @@
     const state::HostRecord& self,
     const std::map<HostName, state::HostRecord>& hosts,
     const std::vector<state::HostRecord>& seeds) {
-  const std::uint64_t key = policy::RendezvousKey(self.name.Text());
-  std::vector<std::tuple<bool, std::uint64_t, HostName>> ranked;
+  std::vector<const state::HostRecord*> candidates;
   const auto add = [&](const state::HostRecord& host) {
     if (host.has_disk && host.name != self.name) {
-      ranked.emplace_back(host.region == self.region,
-                          policy::RendezvousWeight(key, host.name.Text()),
-                          host.name);
+      candidates.push_back(&host);
     }
   };
   for (const auto& [name, host] : hosts) {
     add(host);
   }
-  if (ranked.empty()) {
+  if (candidates.empty()) {
     std::for_each(seeds.begin(), seeds.end(), add);
   }
-  std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  std::vector<HostName> sources;
-  sources.reserve(ranked.size());
-  for (auto& [is_in_region, weight, name] : ranked) {
-    sources.push_back(std::move(name));
-  }
-  return sources;
+  return RankByRegion(policy::RendezvousKey(self.name.Text()), self.region,
+                      candidates);
 }
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/server_roster.cc
+++ b/packages/control/src/server_roster.cc
@@ -7,7 +7,7 @@
 
 using std::chrono::milliseconds;
 
-//! About ten times the servers of the largest planned deployment, at some
+//! Fifteen times the servers of the largest planned deployment, at some
 //! 300 bytes each.
 constexpr std::size_t kMaxServers = 16'384;
 //! How long a server is remembered after its last report: hosts that missed its
