--- a/review/stand_ins/stand_ins.cc
+++ b/review/stand_ins/stand_ins.cc
@@ -210,7 +210,7 @@
   std::istringstream first(line);
   std::string word;
   first >> message.method >> message.target;
-  if (message.method.starts_with("HTTP/")) {
+  if (message.method.rfind("HTTP/", 0) == 0) {
     message.status = std::atoi(message.target.c_str());
   }
   while (true) {
