--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,10 +1,12 @@
-//! A client's request has a transfer coding other than chunks, which says
-//! nothing of the length of its body. The body holds the text of another
-//! request. The gateway runs the outer request without its body, and then the
-//! inner one.
+//! A core machine is frozen while the operator takes an evacuation back. The
+//! operator sends the same order to another machine, which acknowledges it, and
+//! evacuates the zone again later. When the frozen machine wakes, it carries
+//! out the order of before.
+
+#include <signal.h>
 
 #include <mutex>
-#include <vector>
+#include <optional>
 
 #include "../stand_ins/stand_ins.h"
 
@@ -12,22 +14,25 @@
 
 using namespace review;
 
-constexpr int kRequests = 20;
-constexpr int kAnswerMs = 1'500;
+constexpr int kFreezeMs = 4'000;
+constexpr int kContactMs = 6'000;
+constexpr int kEvacuationMs = 5'000;
+constexpr int kLookMs = 8'000;
+constexpr int kRequestMs = 4'000;
 
 const char* const kConfiguration = R"({"Version":3,"Routes":[
-  {"Name":"booking","Host":"orders.example","Prefix":"/booking/","Kind":"unsafe",
+  {"Name":"status","Host":"orders.example","Prefix":"/status/","Kind":"safe",
    "TimeoutMs":5000,"TargetLatencyMs":600,"Priority":2,"Service":"order-desk",
-   "MaxAttempts":1,"AllowAnonymous":false,"HomeRegions":[]}],
+   "MaxAttempts":2,"AllowAnonymous":false,"HomeRegions":[]}],
   "Services":[{"Name":"order-desk","HealthPath":"/health","ConnectionLimit":110,
    "Protocol":"h1","TransportSecurity":false,"WarmupS":0.0,"WarmupPerS":0.0}],
   "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,
    "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-  "Tenants":[{"Name":"desk","ApiKeys":["booking-desk-key"]}]})";
+  "Tenants":[{"Name":"desk","ApiKeys":["status-key"]}]})";
 
-class OrderDesk {
+class Desk {
  public:
-  explicit OrderDesk(Record& record) : record(record) {}
+  Desk(Record& record, std::string id) : record(record), id(std::move(id)) {}
 
   void Serve(Socket& socket) {
     while (true) {
@@ -36,45 +41,60 @@
         return;
       }
       const std::string attempt = request->Field("Attempt-Id");
-      std::string line = "server: runs ";
-      line.append(request->method).append(" ").append(request->target);
-      line.append(", Attempt-Id ").append(attempt).append(", body of ");
-      line.append(std::to_string(request->body.size())).append(" bytes");
-      this->record.Write(line);
       {
         const std::lock_guard lock(this->mutex);
-        this->runs.push_back(*request);
+        this->runs += 1;
       }
-      socket.Send(MakeAnswer(
-          "200 OK", {{"Attempt-Id", attempt}, {"Response-Seal", attempt}},
-          "booked"));
+      this->record.Write(this->id + ": runs " + attempt);
+      socket.Send(MakeAnswer("200 OK",
+                             {{"Attempt-Id", attempt},
+                              {"Response-Seal", this->id + "." + attempt}},
+                             "ok"));
     }
   }
 
-  std::vector<HttpMessage> Runs() {
+  int Runs() {
     const std::lock_guard lock(this->mutex);
     return this->runs;
   }
 
  private:
   Record& record;
+  std::string id;
   std::mutex mutex;
-  std::vector<HttpMessage> runs;
+  int runs = 0;
 };
 
-//! The head of a request up to the fields that tell the length of its body.
-std::string Head(const std::string& attempt) {
-  return "POST /booking/order HTTP/1.1\r\nHost: orders.example\r\n"
-         "Deadline-Milliseconds: 4000\r\n"
-         "Authorization: Bearer booking-desk-key\r\nAttempt-Id: " +
-         attempt + "\r\n";
+//! Sends one request to each front machine; returns how many were served.
+int SendRequests(Deployment& deployment, Record& record, int& number) {
+  int served = 0;
+  for (std::size_t i = 0; i < deployment.Size(); ++i) {
+    if (deployment.At(i).is_core) {
+      continue;
+    }
+    const std::string attempt = "read-" + std::to_string(number++);
+    const HttpMessage answer = Call(
+        deployment.At(i).address, deployment.FrontPort(), "GET", "/status/1",
+        {{"Host", "orders.example"},
+         {"Attempt-Id", attempt},
+         {"Deadline-Milliseconds", std::to_string(kRequestMs)},
+         {"Authorization", "Bearer status-key"}},
+        "", kRequestMs + 1'000);
+    record.Write("client: " + attempt + " by way of " + deployment.At(i).zone +
+                 " is answered " + std::to_string(answer.status));
+    served += answer.status == 200 ? 1 : 0;
+  }
+  return served;
 }
 
 int Run(Record& record) {
   Deployment deployment({{"muscat-a", "muscat", true, ""},
                          {"muscat-a", "muscat", true, ""},
-                         {"muscat-a", "muscat", true, ""},
-                         {"muscat-a", "muscat", false, ""}},
+                         {"sohar-a", "sohar", true, ""},
+                         {"sohar-a", "sohar", true, ""},
+                         {"salalah-a", "salalah", true, ""},
+                         {"muscat-a", "muscat", false, ""},
+                         {"sohar-a", "sohar", false, ""}},
                         record);
   if (!deployment.StartAll() ||
       !deployment.Order("PUT", "/configuration", kConfiguration, 0, 15'000) ||
@@ -82,58 +102,79 @@
     record.Write("the deployment did not start");
     return kCouldNotRun;
   }
-  OrderDesk desk(record);
-  const Listener listener(deployment.OtherAddress(1), deployment.ServerPort(),
-                          [&](Socket& socket) { desk.Serve(socket); });
-  if (!listener.IsOpen()) {
+  Desk muscat(record, "desk-muscat");
+  Desk sohar(record, "desk-sohar");
+  const std::string port = ":" + std::to_string(deployment.ServerPort());
+  const Listener first(deployment.OtherAddress(1), deployment.ServerPort(),
+                       [&](Socket& socket) { muscat.Serve(socket); });
+  const Listener second(deployment.OtherAddress(2), deployment.ServerPort(),
+                        [&](Socket& socket) { sohar.Serve(socket); });
+  if (!first.IsOpen() || !second.IsOpen()) {
     return kCouldNotRun;
   }
-  int answered = 0;
-  {
-    const Heartbeats beats(deployment, "desk-1", "order-desk",
-                           deployment.OtherAddress(1) + ":" +
-                               std::to_string(deployment.ServerPort()),
-                           "muscat-a");
-    Sleep(2'500);
-    for (int i = 0; i < kRequests; ++i) {
-      const std::string attempt = "sent-" + std::to_string(i);
-      // These bytes are the body of a request, not a request.
-      const std::string body = Head("inner-" + std::to_string(i)) +
-                               "Content-Length: 9\r\n\r\ntwo domes";
-      const std::string length =
-          "Content-Length: " + std::to_string(body.size()) + "\r\n";
-      const std::string coding = "Transfer-Encoding: gzip\r\n";
-      record.Write("client: sends " + attempt + ", body of " +
-                   std::to_string(body.size()) + " bytes, " +
-                   (IsTroubleOff() ? "with a length" : coding.substr(0, 23)));
-      const auto socket =
-          Connect(deployment.At(3).address, deployment.FrontPort(), 1'000);
-      socket->Send(Head(attempt) + (IsTroubleOff() ? length : coding) + "\r\n" +
-                   body);
-      const auto answer = socket->Read(Clock::now() + Milliseconds(kAnswerMs));
-      record.Write("client: " + attempt + " is answered " +
-                   std::to_string(answer ? answer->status : 0));
-      answered += answer ? 1 : 0;
-      Sleep(100);
-    }
+  const Heartbeats beats_1(deployment, "desk-muscat", "order-desk",
+                           deployment.OtherAddress(1) + port, "muscat-a");
+  const Heartbeats beats_2(deployment, "desk-sohar", "order-desk",
+                           deployment.OtherAddress(2) + port, "sohar-a");
+  Sleep(4'000);
+  int number = 0;
+  if (SendRequests(deployment, record, number) < 2 || sohar.Runs() == 0) {
+    record.Write("the deployment does not serve");
+    return kCouldNotRun;
+  }
+  const auto leader = deployment.Leader();
+  if (!leader) {
+    return kCouldNotRun;
+  }
+  // A machine that does not lead, and the one to which the operator turns next.
+  const std::size_t frozen = *leader == 0 ? 1 : 0;
+  const std::size_t next = frozen + 1;
+  const std::string zone = "/evacuation/sohar-a";
+  if (!deployment.Order("POST", zone, "", next, 8'000)) {
+    return kCouldNotRun;
+  }
+  Sleep(6'000);
+  if (!IsTroubleOff()) {
+    record.Write("platform: " + deployment.At(frozen).address + " freezes");
+    deployment.Signal(frozen, SIGSTOP);
+  }
+  const auto freeze = Clock::now();
+  if (!deployment.Order("DELETE", zone, "", frozen, 8'000)) {
+    return kCouldNotRun;
+  }
+  record.Write("operator: the evacuation is taken back");
+  Sleep(1'500);
+  if (!deployment.Order("POST", zone, "", next, 8'000)) {
+    return kCouldNotRun;
+  }
+  const auto acknowledged = Clock::now();
+  record.Write("operator: sohar-a is evacuated again, and stays so");
+  std::this_thread::sleep_until(freeze + Milliseconds(kFreezeMs));
+  if (!IsTroubleOff()) {
+    record.Write("platform: " + deployment.At(frozen).address + " wakes");
+    deployment.Signal(frozen, SIGCONT);
   }
-  deployment.EndAll();
-  int smuggled = 0;
-  int changed = 0;
-  for (const HttpMessage& run : desk.Runs()) {
-    const bool is_inner = run.Field("Attempt-Id").rfind("inner-", 0) == 0;
-    smuggled += is_inner ? 1 : 0;
-    changed += !is_inner && run.body.empty() ? 1 : 0;
+  // From then on the core is stable and all machines are in touch.
+  std::this_thread::sleep_until(
+      std::max(Clock::now() + Milliseconds(kContactMs + 1'000),
+               acknowledged + Milliseconds(kEvacuationMs + 1'000)));
+  const int before = sohar.Runs();
+  record.Write("from here on no request may reach a server in sohar-a");
+  const auto end = Clock::now() + Milliseconds(kLookMs);
+  int served = 0;
+  while (Clock::now() < end) {
+    served += SendRequests(deployment, record, number);
+    Sleep(200);
   }
-  record.Write("answered " + std::to_string(answered) + " of " +
-               std::to_string(kRequests) +
-               "; runs that no client asked for: " + std::to_string(smuggled) +
-               "; runs without the body: " + std::to_string(changed));
-  if (answered == 0) {
+  const int reached = sohar.Runs() - before;
+  record.Write("served " + std::to_string(served) + "; " +
+               std::to_string(reached) +
+               " requests reached the server in sohar-a");
+  if (served == 0) {
     return kCouldNotRun;
   }
-  if (smuggled + changed > 0) {
-    record.Write("UNASKED is broken");
+  if (reached > 0) {
+    record.Write("EVAC is broken");
     return kBroken;
   }
   return kHeld;
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -36,16 +36,20 @@
 //! The lines of record.txt, with the time since the start in milliseconds.
 class Record {
  public:
-  explicit Record(const std::string& path);
+  //! With `continues`, adds to the record of another process.
+  explicit Record(const std::string& path,
+                  bool continues = false,
+                  Clock::time_point start = Clock::now());
   ~Record();
   Record(const Record&) = delete;
   Record& operator=(const Record&) = delete;
   void Write(const std::string& line);
   std::int64_t Now() const;
+  Clock::time_point Start() const { return this->start; }
 
  private:
   std::mutex mutex;
-  std::FILE* file;
+  std::FILE* file = nullptr;
   Clock::time_point start;
 };
 
@@ -211,8 +215,15 @@
   Heartbeats(const Heartbeats&) = delete;
   Heartbeats& operator=(const Heartbeats&) = delete;
 
+  //! Reports at once that the server leaves, and that it is gone after the
+  //! time. Returns whether that was acknowledged.
+  bool Drain(int remaining_ms);
+  //! Sends nothing more.
+  void Stop() { this->stopping = true; }
+
  private:
   void Run();
+  std::string Body(const std::string& state);
 
   Deployment& deployment;
   std::string id;
@@ -220,6 +231,8 @@
   std::string address;
   std::string zone;
   std::int64_t born;
+  std::atomic<int> sequence{0};
+  std::atomic<bool> is_draining{false};
   std::atomic<bool> stopping{false};
   std::thread thread;
 };
