--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <map>
 #include <mutex>
+#include <optional>
 
 #include "../stand_ins/stand_ins.h"
 
@@ -12,11 +13,13 @@
 
 using namespace review;
 
-constexpr int kRequests = 400;
+constexpr int kRequests = 320;
 //! Every so many-th request finds all places of the faulty server taken.
 constexpr int kFullEvery = 10;
-//! The largest share of its answers that a server may send a second time.
+//! The largest share of its answers that a server may send a second time, and
+//! for how long.
 constexpr double kExtraShare = 0.03;
+constexpr int kExtraMs = 5'000;
 constexpr int kRequestMs = 4'000;
 constexpr const char* kKey = "booking-desk-key";
 
@@ -90,12 +93,17 @@
   bool IsFull() {
     const std::lock_guard lock(this->mutex);
     this->answers += 1;
+    if (!this->first_answer) {
+      this->first_answer = Clock::now();
+    }
     return this->is_faulty && this->answers % kFullEvery == 0;
   }
   //! Returns whether the answer is also sent a second time.
   bool TakesExtra() {
     const std::lock_guard lock(this->mutex);
-    const bool is_within = this->extras + 1 <= kExtraShare * this->answers;
+    const bool is_within =
+        this->extras + 1 <= kExtraShare * this->answers &&
+        Clock::now() - *this->first_answer <= Milliseconds(kExtraMs);
     const bool takes = is_within && !IsTroubleOff();
     this->extras += takes ? 1 : 0;
     return takes;
@@ -104,6 +112,7 @@
   Record& record;
   std::string id;
   bool is_faulty;
+  std::optional<Clock::time_point> first_answer;
   int answers = 0;
   int extras = 0;
   std::mutex mutex;
@@ -165,7 +174,7 @@
         record.Write("REFUSED is broken: " + attempt + " has run");
         broken += 1;
       }
-      Sleep(20);
+      Sleep(8);
     }
   }
   deployment.EndAll();
