gateway: an answer is read only once it is known whose it is

Cause: a rejection or redirect was exempt from the comparison of ids, because some have none; so a late copy of another call's rejection counted, and its head set health, prefill and the server's statement before anybody asked whose it was.

Now the identity decides first. What names another call, or two, says nothing: the call may have run, and the connection is closed. A rejection without an id, as the platform's examples show it, still counts, but calls that must not run twice no longer use a connection that has brought one, as a copy could not be told apart.

--- a/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
+++ b/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
@@ -35,6 +35,9 @@
   //! Whether the connection was taken from the pool. Such a connection may have
   //! stopped responding while it was idle.
   bool reused = false;
+  //! Whether an answer that names no request has come on it. A later one that
+  //! names none may be its copy.
+  bool had_unnamed_answer = false;
 };
 
 //! Pool of idle connections to backend servers, with a limited idle time.
@@ -45,12 +48,14 @@
 
   //! Returns the most recently used connection that is still open, if it has
   //! been idle for less than `max_idle`, or opens a new one. If `max_idle` is
-  //! zero, always opens a new one.
+  //! zero, always opens a new one. Unless `accepts_unnamed`, does not reuse a
+  //! connection on which an answer came that names no request.
   //! Errors: as for http::Connection::Connect.
   http::asio::awaitable<Expected<PooledConnection, http::ConnectionError>>
   Acquire(http::Endpoint endpoint,
           TimePoint deadline,
-          std::chrono::milliseconds max_idle);
+          std::chrono::milliseconds max_idle,
+          bool accepts_unnamed = true);
   //! Opens a connection and keeps it as an idle one. Returns whether the server
   //! accepted it by `deadline`.
   http::asio::awaitable<bool> Replenish(http::Endpoint endpoint,
@@ -65,6 +70,7 @@
     TimePoint idle_since;
     //! Not reused after this idle time, as the server may close it.
     Duration max_idle{};
+    bool had_unnamed_answer = false;
   };
 
   http::asio::io_context& context;
--- a/packages/backend_servers/src/connection_pool.cc
+++ b/packages/backend_servers/src/connection_pool.cc
@@ -1,6 +1,7 @@
 #include "tamarackwing/backend_servers/connection_pool.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace tamarackwing::backend_servers {
@@ -12,23 +13,26 @@
 http::asio::awaitable<Expected<PooledConnection, http::ConnectionError>>
 ConnectionPool::Acquire(http::Endpoint endpoint,
                         TimePoint deadline,
-                        std::chrono::milliseconds max_idle) {
+                        std::chrono::milliseconds max_idle,
+                        bool accepts_unnamed) {
   const TimePoint now = std::chrono::steady_clock::now();
   std::deque<Idle>& connections = this->idle[endpoint];
-  while (max_idle.count() > 0 && !connections.empty()) {
-    Idle candidate = std::move(connections.back());
-    connections.pop_back();
-    const Duration idle = now - candidate.idle_since;
-    if (idle >= candidate.max_idle) {
+  std::size_t at = max_idle.count() > 0 ? connections.size() : 0;
+  while (at > 0) {
+    at -= 1;
+    const Duration idle = now - connections[at].idle_since;
+    const bool is_expired = idle >= connections[at].max_idle;
+    const bool is_for_others =
+        (max_idle != kAnyIdle && idle >= max_idle) ||
+        (!accepts_unnamed && connections[at].had_unnamed_answer);
+    if (!is_expired && is_for_others) {
       continue;
     }
-    if (max_idle != kAnyIdle && idle >= max_idle) {
-      // Stays in the pool for requests that accept a longer idle time.
-      connections.push_back(std::move(candidate));
-      break;
-    }
-    if (candidate.connection->IsOpenAndIdle()) {
-      co_return PooledConnection{std::move(candidate.connection), true};
+    Idle candidate = std::move(connections[at]);
+    connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(at));
+    if (!is_expired && candidate.connection->IsOpenAndIdle()) {
+      co_return PooledConnection{std::move(candidate.connection), true,
+                                 candidate.had_unnamed_answer};
     }
   }
   auto connection = std::make_unique<http::Connection>(this->context);
@@ -39,7 +43,7 @@
   if (!connected) {
     co_return unexpected(connected.error());
   }
-  co_return PooledConnection{std::move(connection), false};
+  co_return PooledConnection{std::move(connection), false, false};
 }
 
 http::asio::awaitable<bool> ConnectionPool::Replenish(http::Endpoint endpoint,
@@ -65,6 +69,7 @@
                          keep_alive_timeout ? Duration(*keep_alive_timeout) / 2
                                             : this->limits.max_idle_time);
   entry.connection = std::move(connection.connection);
+  entry.had_unnamed_answer = connection.had_unnamed_answer;
   entry.idle_since = std::chrono::steady_clock::now();
   connections.push_back(std::move(entry));
 }
--- a/packages/gateway/include/tamarackwing/gateway/path_protocol.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_protocol.h
@@ -25,15 +25,18 @@
   std::optional<std::uint64_t> last_event;
 };
 
+//! Which call a response names as the one that it answers.
+enum class AnsweredCall { kThis, kOther, kNone };
+
 //! Contents of the head of a response.
 struct PathResponse {
+  //! Unless this is kThis, the other members may be about another call.
+  AnsweredCall answered = AnsweredCall::kNone;
   //! The server reports that it did not run the request.
   bool not_run = false;
   //! A server other than the intended one responded and did not run the
   //! request.
   bool other_server = false;
-  //! The response contains the id of this call.
-  bool is_for_call = false;
   bool is_stream = false;
   //! What the server says about itself.
   policy::ServerStatement statement;
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -107,7 +107,7 @@
       http::Response response = dependencies.protocol.EncodeRefusal(*refusal);
       if (this->forwarded) {
         AddRefusedHeader(*refusal, this->plan ? this->plan->Sends() : 0,
-                         response.head.headers);
+                         this->call.id, response.head.headers);
       }
       co_await this->writer.Send(std::move(response));
     }
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -110,7 +110,7 @@
   http::asio::awaitable<policy::TryOutcome> Try(const Target& target);
   http::asio::awaitable<policy::TryOutcome> ReadResponse(
       const Target& target,
-      http::Connection& connection);
+      backend_servers::PooledConnection& pooled);
   //! Passes on to the server directory what a server's response says of the
   //! server.
   void NoteStatement(const policy::ServerChoice& server,
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -69,6 +69,20 @@
   return std::nullopt;
 }
 
+//! Returns whether a response answers the call that it came for. Rejections may
+//! name no call.
+bool IsOwnAnswer(const PathResponse& response) {
+  switch (response.answered) {
+    case AnsweredCall::kThis:
+      return true;
+    case AnsweredCall::kOther:
+      return false;
+    case AnsweredCall::kNone:
+      return response.not_run || response.other_server;
+  }
+  return false;
+}
+
 }  // namespace
 
 http::Request PathRequest::MakeRequest(const Target& target) const {
@@ -121,8 +135,8 @@
     connect_deadline =
         std::min(connect_deadline, this->try_started + kDownConnectTimeout);
   }
-  auto acquired =
-      co_await pool.Acquire(target.endpoint, connect_deadline, max_idle);
+  auto acquired = co_await pool.Acquire(target.endpoint, connect_deadline,
+                                        max_idle, this->IsRepeatable());
   this->answer_stage = AnswerStage::kNone;
   this->answer_end = AnswerEnd::kOpen;
   this->connection_broke = false;
@@ -151,7 +165,7 @@
       co_await connection.connection->Send(std::move(request), this->deadline);
   TryOutcome try_outcome = TryOutcome::kLost;
   if (sent) {
-    try_outcome = co_await this->ReadResponse(target, *connection.connection);
+    try_outcome = co_await this->ReadResponse(target, connection);
   } else {
     try_outcome = this->HandleConnectionError(sent.error());
   }
@@ -193,37 +207,44 @@
 
 http::asio::awaitable<TryOutcome> PathRequest::ReadResponse(
     const Target& target,
-    http::Connection& connection) {
+    backend_servers::PooledConnection& pooled) {
   const PathGatewayDependencies& dependencies = this->gateway.Dependencies();
+  http::Connection& connection = *pooled.connection;
   auto head = co_await connection.ReadHead(this->FirstByteDeadline());
-  this->NotePrefillDone(target);
   if (!head) {
     co_return this->HandleConnectionError(head.error());
   }
+  const auto refused = target.host
+                           ? ReadRefusedHeader(head->headers, this->call.id)
+                           : std::nullopt;
+  PathResponse parsed = dependencies.protocol.ReadResponse(this->call, *head);
+  const bool is_own = refused ? refused->is_for_call : IsOwnAnswer(parsed);
+  if (!is_own) {
+    // The response belongs to another call or to none, so nothing else that it
+    // says is read. The answer to this call may still come, so the connection
+    // is not used again.
+    dependencies.metrics.Count("tamarackwing_foreign_answers_total");
+    co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
+  }
+  pooled.had_unnamed_answer =
+      pooled.had_unnamed_answer || parsed.answered == AnsweredCall::kNone;
+  this->NotePrefillDone(target);
   this->answer_stage = AnswerStage::kHead;
   this->signal = policy::HealthSignal::kAnswered;
   if (target.server) {
     this->NoteAlive(target.server->name);
   }
-  if (target.host) {
-    const auto refused = ReadRefusedHeader(head->headers);
-    if (refused) {
-      this->retry_after = refused->retry_after;
-      if (refused->ran != Ran::kNo) {
-        co_return TryOutcome::kLost;
-      }
-      co_return refused->was_sent ? TryOutcome::kNotRun : TryOutcome::kNotSent;
+  if (refused) {
+    this->retry_after = refused->retry_after;
+    if (refused->ran != Ran::kNo) {
+      co_return TryOutcome::kLost;
     }
+    co_return refused->was_sent ? TryOutcome::kNotRun : TryOutcome::kNotSent;
   }
-  PathResponse parsed = dependencies.protocol.ReadResponse(this->call, *head);
   if (target.host) {
     this->forwarded_origin = ReadStreamOrigin(head->headers);
   }
   parsed.passed.headers = WithoutStreamOrigin(parsed.passed.headers);
-  if (!parsed.is_for_call && !parsed.not_run && !parsed.other_server) {
-    // The response belongs to another request or to none.
-    co_return this->HandleConnectionError(http::ConnectionError::kMalformed);
-  }
   if (target.server && !parsed.other_server) {
     this->NoteStatement(*target.server, parsed.statement);
   }
