control: a forwarded proposal is known by index and term

Cause: the leader kept another host's proposal by its log index alone. After it had stepped down, the first entry of the next leader took that index, and the former leader told the proposer that its change was applied. The outcome of that entry, kIgnored, was answered 200, as all but kRejected were.

--- a/packages/control/include/tamarackwing/control/proposal_tracker.h
+++ b/packages/control/include/tamarackwing/control/proposal_tracker.h
@@ -47,10 +47,15 @@
 
   //! Whether another host's proposal is in this host's log and not yet applied.
   bool IsForwardedOpen(const ForwardedProposal& proposal) const;
-  void NoteForwarded(LogIndex index, const ForwardedProposal& proposal);
-  //! Removes and returns the proposal of another host that the applied entry at
-  //! `index` completes.
-  std::optional<ForwardedProposal> FinishForwarded(LogIndex index);
+  //! Records that a proposal of another host is the entry at `index` that this
+  //! host appended as the leader of `term`.
+  void NoteForwarded(LogIndex index,
+                     Term term,
+                     const ForwardedProposal& proposal);
+  //! Returns the proposal of another host that an applied entry completes.
+  //! Removes it, and any whose entry was replaced by this one.
+  std::optional<ForwardedProposal> FinishForwarded(
+      const state::LogEntry& entry);
   //! Discards the proposals of other hosts, which send them again to a new
   //! leader.
   void ClearForwarded();
@@ -62,9 +67,14 @@
     LogIndex index = 0;
   };
 
+  struct AppendedProposal {
+    Term term = 0;
+    ForwardedProposal proposal;
+  };
+
   std::uint64_t next_number = 1;
   std::map<std::uint64_t, Own> own;
-  std::map<LogIndex, ForwardedProposal> forwarded;
+  std::map<LogIndex, AppendedProposal> forwarded;
   std::set<std::pair<HostName, std::uint64_t>> forwarded_open;
 };
 
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -770,7 +770,7 @@
   for (const std::uint64_t number : this->proposals.Finish(entry)) {
     effects.changes.push_back({number, outcome});
   }
-  const auto remote = this->proposals.FinishForwarded(entry.index);
+  const auto remote = this->proposals.FinishForwarded(entry);
   if (remote) {
     effects.sends.push_back(
         {remote->from, ProposeReply{remote->number, outcome}});
@@ -854,7 +854,7 @@
   state::LogEffects log_effects;
   const auto index = this->log.Propose(request.payload, now, log_effects);
   if (index) {
-    this->proposals.NoteForwarded(*index, proposal);
+    this->proposals.NoteForwarded(*index, this->log.CurrentTerm(), proposal);
   }
   this->ApplyLogEffects(std::move(log_effects), now, effects);
 }
--- a/packages/control/src/proposal_tracker.cc
+++ b/packages/control/src/proposal_tracker.cc
@@ -71,21 +71,28 @@
 }
 
 void ProposalTracker::NoteForwarded(LogIndex index,
+                                    Term term,
                                     const ForwardedProposal& proposal) {
-  this->forwarded[index] = proposal;
+  this->forwarded[index] = {term, proposal};
   this->forwarded_open.insert({proposal.from, proposal.number});
 }
 
 std::optional<ForwardedProposal> ProposalTracker::FinishForwarded(
-    LogIndex index) {
-  const auto found = this->forwarded.find(index);
+    const state::LogEntry& entry) {
+  const auto found = this->forwarded.find(entry.index);
   if (found == this->forwarded.end()) {
     return std::nullopt;
   }
-  const ForwardedProposal proposal = found->second;
-  this->forwarded_open.erase({proposal.from, proposal.number});
+  const AppendedProposal appended = found->second;
+  this->forwarded_open.erase(
+      {appended.proposal.from, appended.proposal.number});
   this->forwarded.erase(found);
-  return proposal;
+  // A later leader may have put another entry at this index; only the term
+  // tells them apart.
+  if (appended.term != entry.term) {
+    return std::nullopt;
+  }
+  return appended.proposal;
 }
 
 void ProposalTracker::ClearForwarded() {
--- a/packages/control/tests/proposal_tracker_tests.cc
+++ b/packages/control/tests/proposal_tracker_tests.cc
@@ -8,9 +8,14 @@
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
 const HostName kOther("other");
 
-state::LogEntry Entry(LogIndex index, const std::string& payload) {
+constexpr Term kTerm = 3;
+
+state::LogEntry Entry(LogIndex index,
+                      const std::string& payload,
+                      Term term = kTerm) {
   state::LogEntry entry;
   entry.index = index;
+  entry.term = term;
   entry.payload = payload;
   return entry;
 }
@@ -38,21 +43,31 @@
 
 TEST(ProposalTracker, ForwardedProposalIsOpenUntilApplied) {
   ProposalTracker tracker;
-  tracker.NoteForwarded(5, {kOther, 9});
+  tracker.NoteForwarded(5, kTerm, {kOther, 9});
   EXPECT_TRUE(tracker.IsForwardedOpen({kOther, 9}));
-  const auto done = tracker.FinishForwarded(5);
+  const auto done = tracker.FinishForwarded(Entry(5, "change"));
   ASSERT_TRUE(done.has_value());
   EXPECT_EQ(done->number, 9U);
   EXPECT_FALSE(tracker.IsForwardedOpen({kOther, 9}));
-  EXPECT_FALSE(tracker.FinishForwarded(5).has_value());
+  EXPECT_FALSE(tracker.FinishForwarded(Entry(5, "change")).has_value());
+}
+
+// Guards against a lost change that is acknowledged because a later leader's
+// entry has its index.
+TEST(ProposalTracker, EntryOfAnotherTermDoesNotCompleteForwardedProposal) {
+  ProposalTracker tracker;
+  tracker.NoteForwarded(5, kTerm, {kOther, 9});
+  const auto done = tracker.FinishForwarded(Entry(5, "change", kTerm + 1));
+  EXPECT_FALSE(done.has_value());
+  EXPECT_FALSE(tracker.IsForwardedOpen({kOther, 9}));
 }
 
 TEST(ProposalTracker, ClearForwardedDropsProposalsOfOtherHosts) {
   ProposalTracker tracker;
-  tracker.NoteForwarded(5, {kOther, 9});
+  tracker.NoteForwarded(5, kTerm, {kOther, 9});
   tracker.ClearForwarded();
   EXPECT_FALSE(tracker.IsForwardedOpen({kOther, 9}));
-  EXPECT_FALSE(tracker.FinishForwarded(5).has_value());
+  EXPECT_FALSE(tracker.FinishForwarded(Entry(5, "change")).has_value());
 }
 
 }  // namespace
