control: a log entry carries the identity of its proposal

Cause: each process numbers its proposals from 1, and the leader's reply names the number alone; so the reply to an earlier process completed the proposal of the same number of the next one, and at the leader an open proposal of the earlier process held up the new one.

The entry now names host, incarnation and number, in a member that the former build ignores, and the proposer recognises it when it applies the entry.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -191,7 +191,6 @@
                      const ProposeRequest& request,
                      TimePoint now,
                      ControlEffects& effects);
-  void HandleProposeReply(const ProposeReply& reply, ControlEffects& effects);
   void HandleWithdrawal(const HostName& from,
                         const WithdrawalNotice& notice,
                         TimePoint now,
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -68,7 +68,8 @@
   std::string payload;
 };
 
-//! The outcome of a proposed change.
+//! The outcome of a proposed change. Only hosts of the former build wait for
+//! it: it names less than the whole proposal.
 struct ProposeReply {
   std::uint64_t number = 0;
   state::ApplyOutcome outcome;
--- a/packages/control/include/tamarackwing/control/proposal_tracker.h
+++ b/packages/control/include/tamarackwing/control/proposal_tracker.h
@@ -13,10 +13,16 @@
 
 namespace tamarackwing::control {
 
-//! A proposal of another host; `number` is unique for that host's process.
+//! A proposal of another host.
 struct ForwardedProposal {
   HostName from;
+  //! Unique for the host's process only.
   std::uint64_t number = 0;
+  //! Digest of the payload, which names the process.
+  std::uint64_t payload = 0;
+
+  friend auto operator<=>(const ForwardedProposal&,
+                          const ForwardedProposal&) = default;
 };
 
 //! Tracks the open proposals of this host, and those that other hosts have sent
@@ -24,8 +30,9 @@
 //! thread-safe.
 class ProposalTracker {
  public:
-  //! Adds a proposal of this host and returns its number.
-  std::uint64_t Add(std::string payload, TimePoint now);
+  //! Adds a proposal of this host. Preconditions: `number` is from NextNumber;
+  //! no other proposal has the same payload.
+  void Add(std::uint64_t number, std::string payload, TimePoint now);
   //! Returns a number that no proposal has.
   std::uint64_t NextNumber() { return this->next_number++; }
   //! Whether a proposal of this host is open.
@@ -41,9 +48,9 @@
   bool Remove(std::uint64_t number);
   //! Returns the proposals to send again, and counts them as sent at `now`.
   std::vector<std::uint64_t> Due(TimePoint now);
-  //! Removes this host's proposals that an applied entry completes and returns
-  //! their numbers.
-  std::vector<std::uint64_t> Finish(const state::LogEntry& entry);
+  //! Removes the proposal of this host that an applied entry completes, and
+  //! returns its number.
+  std::optional<std::uint64_t> Finish(const state::LogEntry& entry);
 
   //! Whether another host's proposal is in this host's log and not yet applied.
   bool IsForwardedOpen(const ForwardedProposal& proposal) const;
@@ -75,7 +82,7 @@
   std::uint64_t next_number = 1;
   std::map<std::uint64_t, Own> own;
   std::map<LogIndex, AppendedProposal> forwarded;
-  std::set<std::pair<HostName, std::uint64_t>> forwarded_open;
+  std::set<ForwardedProposal> forwarded_open;
 };
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/base/hex.h"
 #include "tamarackwing/base/random_source.h"
@@ -169,8 +170,6 @@
     this->HandleFeedReply(from, *reply, now, effects);
   } else if (const auto* propose = std::get_if<ProposeRequest>(&message)) {
     this->HandlePropose(from, *propose, now, effects);
-  } else if (const auto* propose_reply = std::get_if<ProposeReply>(&message)) {
-    this->HandleProposeReply(*propose_reply, effects);
   } else if (const auto* notice = std::get_if<WithdrawalNotice>(&message)) {
     this->HandleWithdrawal(from, *notice, now, effects);
   } else if (const auto* status = std::get_if<RegionStatus>(&message)) {
@@ -224,11 +223,14 @@
 std::uint64_t ControlNode::Propose(const state::ControlChange& change,
                                    TimePoint now,
                                    ControlEffects& effects) {
-  std::string payload = state::EncodeChange(change);
+  const std::uint64_t number = this->proposals.NextNumber();
+  std::string payload = state::EncodeProposal(
+      change,
+      {this->options.self.name, this->options.self.incarnation, number});
   if (this->state.AllHostsRead(state::kPackedFormat)) {
     payload = state::Pack(std::move(payload));
   }
-  const std::uint64_t number = this->proposals.Add(std::move(payload), now);
+  this->proposals.Add(number, std::move(payload), now);
   this->SendProposal(number, now, effects);
   return number;
 }
@@ -767,11 +769,13 @@
 void ControlNode::FinishProposals(const state::LogEntry& entry,
                                   const state::ApplyOutcome& outcome,
                                   ControlEffects& effects) {
-  for (const std::uint64_t number : this->proposals.Finish(entry)) {
-    effects.changes.push_back({number, outcome});
+  const auto own = this->proposals.Finish(entry);
+  if (own) {
+    effects.changes.push_back({*own, outcome});
   }
   const auto remote = this->proposals.FinishForwarded(entry);
   if (remote) {
+    // For hosts of the former build; others recognise their entries.
     effects.sends.push_back(
         {remote->from, ProposeReply{remote->number, outcome}});
   }
@@ -847,7 +851,8 @@
                                 const ProposeRequest& request,
                                 TimePoint now,
                                 ControlEffects& effects) {
-  const ForwardedProposal proposal{from, request.number};
+  const ForwardedProposal proposal{from, request.number,
+                                   Sha256Prefix(request.payload)};
   if (!this->log.IsLeader() || this->proposals.IsForwardedOpen(proposal)) {
     return;
   }
@@ -859,13 +864,6 @@
   this->ApplyLogEffects(std::move(log_effects), now, effects);
 }
 
-void ControlNode::HandleProposeReply(const ProposeReply& reply,
-                                     ControlEffects& effects) {
-  if (this->proposals.Remove(reply.number)) {
-    effects.changes.push_back({reply.number, reply.outcome});
-  }
-}
-
 void ControlNode::HandleWithdrawal(const HostName& from,
                                    const WithdrawalNotice& notice,
                                    TimePoint now,
--- a/packages/control/src/proposal_tracker.cc
+++ b/packages/control/src/proposal_tracker.cc
@@ -1,6 +1,8 @@
 #include "tamarackwing/control/proposal_tracker.h"
 
+#include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace tamarackwing::control {
 namespace {
@@ -10,12 +12,12 @@
 
 }  // namespace
 
-std::uint64_t ProposalTracker::Add(std::string payload, TimePoint now) {
-  const std::uint64_t number = this->NextNumber();
+void ProposalTracker::Add(std::uint64_t number,
+                          std::string payload,
+                          TimePoint now) {
   Own& proposal = this->own[number];
   proposal.payload = std::move(payload);
   proposal.sent = now;
-  return number;
 }
 
 bool ProposalTracker::IsOpen(std::uint64_t number) const {
@@ -52,29 +54,28 @@
   return due;
 }
 
-std::vector<std::uint64_t> ProposalTracker::Finish(
+std::optional<std::uint64_t> ProposalTracker::Finish(
     const state::LogEntry& entry) {
-  std::vector<std::uint64_t> done;
-  for (const auto& [number, proposal] : this->own) {
-    if (proposal.index == entry.index && proposal.payload == entry.payload) {
-      done.push_back(number);
-    }
-  }
-  for (const std::uint64_t number : done) {
-    this->own.erase(number);
+  const auto done = std::find_if(
+      this->own.begin(), this->own.end(),
+      [&](const auto& open) { return open.second.payload == entry.payload; });
+  if (done == this->own.end()) {
+    return std::nullopt;
   }
-  return done;
+  const std::uint64_t number = done->first;
+  this->own.erase(done);
+  return number;
 }
 
 bool ProposalTracker::IsForwardedOpen(const ForwardedProposal& proposal) const {
-  return this->forwarded_open.contains({proposal.from, proposal.number});
+  return this->forwarded_open.contains(proposal);
 }
 
 void ProposalTracker::NoteForwarded(LogIndex index,
                                     Term term,
                                     const ForwardedProposal& proposal) {
   this->forwarded[index] = {term, proposal};
-  this->forwarded_open.insert({proposal.from, proposal.number});
+  this->forwarded_open.insert(proposal);
 }
 
 std::optional<ForwardedProposal> ProposalTracker::FinishForwarded(
@@ -84,8 +85,7 @@
     return std::nullopt;
   }
   const AppendedProposal appended = found->second;
-  this->forwarded_open.erase(
-      {appended.proposal.from, appended.proposal.number});
+  this->forwarded_open.erase(appended.proposal);
   this->forwarded.erase(found);
   // A later leader may have put another entry at this index; only the term
   // tells them apart.
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -49,9 +49,10 @@
         this->ApplyEffects(host, this->nodes.at(host)->Tick(this->now));
       }
     }
-    while (!this->messages.empty() && this->messages.front().at <= this->now) {
-      const Message message = std::move(this->messages.front());
-      this->messages.pop_front();
+    while (!this->messages.empty() &&
+           this->messages.begin()->first <= this->now) {
+      const Message message = std::move(this->messages.begin()->second);
+      this->messages.erase(this->messages.begin());
       const HostName& to = message.send.to;
       const bool is_partitioned = this->partition.contains(message.from) !=
                                   this->partition.contains(to);
@@ -73,6 +74,32 @@
   this->partition.clear();
 }
 
+void ControlCluster::Post(const HostName& from, PeerSend send) {
+  TimePoint at = this->now + this->delay;
+  const Disturbance& may = this->disturbance;
+  constexpr std::uint64_t kPercent = 100;
+  const auto happens = [&](std::uint64_t percent) {
+    return percent > 0 && this->random.Below(kPercent) < percent;
+  };
+  if (happens(may.lost)) {
+    return;
+  }
+  if (happens(may.doubled)) {
+    this->messages.emplace(at + this->RandomDelay(may.longest_delay),
+                           Message{from, send});
+  }
+  if (happens(may.late)) {
+    at += this->RandomDelay(may.longest_delay);
+  }
+  this->messages.emplace(at, Message{from, std::move(send)});
+}
+
+std::chrono::milliseconds ControlCluster::RandomDelay(
+    std::chrono::milliseconds longest) {
+  return std::chrono::milliseconds(
+      this->random.Below(static_cast<std::uint64_t>(longest.count()) + 1));
+}
+
 void ControlCluster::Crash(const HostName& host) {
   this->nodes.erase(host);
   this->known.erase(host);
@@ -256,7 +283,7 @@
                              ? nullptr
                              : std::get_if<state::AppendRequest>(log_message);
     this->entries_sent += append == nullptr ? 0 : append->entries.size();
-    this->messages.push_back({this->now + this->delay, host, std::move(send)});
+    this->Post(host, std::move(send));
   }
   for (const state::LogBatch& batch : effects.log_batches) {
     Write(disk.log, batch);
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +12,15 @@
 
 namespace tamarackwing::control {
 
+//! What may happen to each message between hosts, in percent of them.
+struct Disturbance {
+  std::uint64_t lost = 0;
+  std::uint64_t doubled = 0;
+  std::uint64_t late = 0;
+  //! Longest additional delay of a late message or a second copy.
+  std::chrono::milliseconds longest_delay{0};
+};
+
 //! Control nodes of several regions on simulated time. The network between them
 //! delays messages and can be partitioned; disk writes finish at once. A host
 //! sends messages only to hosts whose addresses its process has learnt: from
@@ -54,6 +63,8 @@
   //! Partitions the network between these hosts and all others.
   void Partition(const std::set<HostName>& side);
   void Heal();
+  //! Disturbs messages that are sent from now on.
+  void Disturb(const Disturbance& next) { this->disturbance = next; }
   void Crash(const HostName& host);
   //! Restarts a crashed host as a new incarnation with its disk.
   void Restart(const HostName& host);
@@ -124,13 +135,16 @@
   static constexpr std::chrono::milliseconds kStep{10};
 
   struct Message {
-    TimePoint at;
     HostName from;
     PeerSend send;
   };
 
   void Start(const HostName& host, bool bootstraps);
   void LearnHosts(const HostName& host);
+  //! Puts a message on its way.
+  void Post(const HostName& from, PeerSend send);
+  //! Returns a random number up to `longest`.
+  std::chrono::milliseconds RandomDelay(std::chrono::milliseconds longest);
   void ApplyEffects(const HostName& host, ControlEffects effects);
   static void Write(state::RecoveredLog& disk, const state::LogBatch& batch);
 
@@ -145,7 +159,9 @@
   std::map<HostName, RecoveredControl> disks;
   //! The hosts whose addresses each running process knows.
   std::map<HostName, std::set<HostName>> known;
-  std::deque<Message> messages;
+  //! By the time at which they arrive.
+  std::multimap<TimePoint, Message> messages;
+  Disturbance disturbance;
   std::set<HostName> partition;
   std::map<std::pair<HostName, std::uint64_t>, state::ApplyOutcome> outcomes;
   std::map<std::pair<HostName, std::uint64_t>, state::PermitVerdict> verdicts;
--- a/packages/state/include/tamarackwing/state/control_change.h
+++ b/packages/state/include/tamarackwing/state/control_change.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
@@ -98,12 +99,24 @@
                                    ReplaceSet,
                                    CloseDataCentre>;
 
+//! Identifies a proposal among all that any process of any host ever makes.
+struct ProposalId {
+  HostName host;
+  std::uint64_t incarnation = 0;
+  std::uint64_t number = 0;
+};
+
 //! Reason why bytes could not be decoded.
 enum class DecodeError { kMalformed };
 
 //! Encodes a change as the payload of a log entry. Thread safety: reentrant.
 std::string EncodeChange(const ControlChange& change);
 
+//! As above, for a proposal: no other proposal has the same payload. Builds
+//! that don't know the id ignore it. Thread safety: reentrant.
+std::string EncodeProposal(const ControlChange& change,
+                           const ProposalId& proposal);
+
 //! Decodes the payload of a log entry. Errors: kMalformed.
 //! Thread safety: reentrant.
 Expected<ControlChange, DecodeError> DecodeChange(std::string_view payload);
--- a/packages/state/src/control_change.cc
+++ b/packages/state/src/control_change.cc
@@ -22,16 +22,32 @@
   return body.get<std::variant_alternative_t<I, ControlChange>>();
 }
 
-}  // namespace
-
-std::string EncodeChange(const ControlChange& change) {
+json ChangeDocument(const ControlChange& change) {
   json document = json::array({change.index()});
   std::visit([&](const auto& value) { document.push_back(value); }, change);
+  return document;
+}
+
+std::string Bytes(const json& document) {
   std::string payload;
   json::to_cbor(document, payload);
   return payload;
 }
 
+}  // namespace
+
+std::string EncodeChange(const ControlChange& change) {
+  return Bytes(ChangeDocument(change));
+}
+
+std::string EncodeProposal(const ControlChange& change,
+                           const ProposalId& proposal) {
+  json document = ChangeDocument(change);
+  document[1]["proposal"] = {proposal.host, proposal.incarnation,
+                             proposal.number};
+  return Bytes(document);
+}
+
 Expected<ControlChange, DecodeError> DecodeChange(std::string_view payload) {
   try {
     // Lengths beyond all memory are thrown even if exceptions are turned off.
--- a/packages/state/tests/control_state_tests.cc
+++ b/packages/state/tests/control_state_tests.cc
@@ -296,6 +296,25 @@
   }
 }
 
+// Guards against entries of this build that a build without proposal ids can't
+// read: it decodes them like this one, and looks at no unknown member.
+TEST(ControlChange, ProposalIdChangesNothingButThePayload) {
+  CloseDataCentre change;
+  change.data_centre = DataCentreName("muscat-a");
+  const ProposalId id{HostName("muscat-1"), 1'765'000'000'000'000, 4};
+  ProposalId next = id;
+  next.number += 1;
+  ProposalId restarted = id;
+  restarted.incarnation += 1;
+  const std::string payload = EncodeProposal(change, id);
+  EXPECT_EQ(EncodeProposal(change, id), payload);
+  EXPECT_NE(EncodeProposal(change, next), payload);
+  EXPECT_NE(EncodeProposal(change, restarted), payload);
+  const auto decoded = DecodeChange(payload);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(EncodeChange(*decoded), EncodeChange(change));
+}
+
 TEST(ControlStateHosts, TableIsCopiedOnlyWhileItIsShared) {
   ControlState state;
   LogIndex index = 0;
