control: a permit is for the request of the process that it names

A reply of a ledger to an earlier process of a host was taken for the permit of the new process's request of the same number: an operation that must not run twice could run without a permit. The acknowledgement of an earlier process's update ended the new one's.

The whole id is compared now. GrantToEarlierProcessIsNotTaken and AcknowledgementOfEarlierProcessEndsNoUpdate fail without the change.

--- a/packages/control/src/ledger_client.cc
+++ b/packages/control/src/ledger_client.cc
@@ -63,6 +63,12 @@
                                 TimePoint now) {
   const std::uint64_t number = permit.id.number;
   const bool is_granted = permit.verdict == state::PermitVerdict::kGranted;
+  const bool is_own = permit.id.host == this->self &&
+                      permit.id.incarnation == this->incarnation;
+  if (!is_own) {
+    // An earlier process of this host had asked.
+    return false;
+  }
   const auto pending = this->requests.find(number);
   if (pending != this->requests.end()) {
     const state::PermitRequest& request = pending->second.request;
@@ -84,7 +90,10 @@
 }
 
 void LedgerClient::HandleUpdated(const state::LedgerUpdated& updated) {
-  this->updates.erase(updated.id.number);
+  const auto update = this->updates.find(updated.id.number);
+  if (update != this->updates.end() && update->second.update.id == updated.id) {
+    this->updates.erase(update);
+  }
 }
 
 std::vector<state::PermitReply> LedgerClient::Tick(
