control: an order for a data centre names the revision it is based on

Cause: a host that was frozen read an order from its socket whose sender had gone on to another host, and carried it out; nothing tells an old order from a new one. A host that is cut off went on proposing one for 9 s.

An order for what is already so is acknowledged as before. While hosts of an older format are in the agreed state, nothing changes.

--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -529,6 +529,7 @@
   snapshot->paths = this->state.Paths();
   snapshot->document = this->state.Document();
   snapshot->closed_data_centres = this->state.ClosedDataCentres();
+  snapshot->data_centre_revisions = this->state.Revisions();
   snapshot->withdrawn = this->state.Withdrawn();
   if (!this->uncommitted_withdrawn.empty()) {
     auto all = std::make_shared<std::set<KeyDigest>>(*this->state.Withdrawn());
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -16,6 +16,7 @@
       host.name = HostName(region + "-" + std::to_string(i));
       host.region = RegionName(region);
       host.has_disk = i == 1;
+      host.reads_format = state::kNewestFormat;
       this->records[host.name] = host;
       if (host.has_disk && this->voters.size() < 3) {
         this->voters.insert(host.name);
--- a/packages/control/tests/proposal_identity_tests.cc
+++ b/packages/control/tests/proposal_identity_tests.cc
@@ -106,6 +106,40 @@
   EXPECT_EQ(this->cluster.Node(leader).State().SetNumber(), 5U);
 }
 
+// Guards against an order that waits in a host that is cut off, and undoes a
+// newer one once the host is back.
+TEST_F(ProposalIdentityTest, OrderOfHostThatWasCutOffLosesToNewerOne) {
+  const DataCentreName data_centre("sohar-a");
+  const auto order = [&](const HostName& host, bool closes) {
+    const auto& revisions =
+        this->cluster.SnapshotOf(host)->data_centre_revisions;
+    const auto known = revisions.find(data_centre);
+    return this->cluster.Change(
+        host,
+        state::CloseDataCentre{data_centre, closes,
+                               known == revisions.end() ? 0 : known->second});
+  };
+  const HostName leader = this->cluster.Leader();
+  const HostName cut_off(leader == HostName("muscat-1") ? "sohar-1"
+                                                        : "muscat-1");
+  ASSERT_EQ(this->Await(leader, order(leader, true)), ApplyKind::kApplied);
+  this->cluster.Run(milliseconds(1'000));
+  this->cluster.Partition({cut_off});
+  const std::uint64_t late = order(cut_off, false);
+  for (const bool closes : {false, true}) {
+    ASSERT_EQ(this->Await(leader, order(leader, closes)), ApplyKind::kApplied);
+  }
+  this->cluster.Run(milliseconds(4'000));
+  this->cluster.Heal();
+  EXPECT_EQ(this->Await(cut_off, late), ApplyKind::kConflict);
+  this->cluster.Run(milliseconds(2'000));
+  for (const HostName& host : this->cluster.Names()) {
+    EXPECT_TRUE(this->cluster.SnapshotOf(host)->closed_data_centres.contains(
+        data_centre))
+        << host.Text();
+  }
+}
+
 //! Proposes changes, none of which undoes another, at hosts whose processes and
 //! links fail meanwhile.
 class ChangesAmongFailures {
--- a/packages/gateway/tests/path_gateway_fixture.h
+++ b/packages/gateway/tests/path_gateway_fixture.h
@@ -46,7 +46,7 @@
 };
 
 //! Keeps the response's status and head.
-class KeptResponse final : public http::ResponseWriter {
+class KeptResponse : public http::ResponseWriter {
  public:
   http::asio::awaitable<bool> Send(http::Response response) override {
     this->head = std::move(response.head);
@@ -62,6 +62,7 @@
   void Abort() override {}
   bool HasStarted() const override { return false; }
   void OnPeerGone(std::function<void()>) override {}
+  bool IsPeerGone() override { return false; }
 
   http::ResponseHead head;
 };
--- a/packages/http/include/tamarackwing/http/response_writer.h
+++ b/packages/http/include/tamarackwing/http/response_writer.h
@@ -35,6 +35,8 @@
   //! Sets the callback for a peer that disconnects while its request is being
   //! served. It is called at most once.
   virtual void OnPeerGone(std::function<void()> callback) = 0;
+  //! Returns whether the peer has disconnected by now.
+  virtual bool IsPeerGone() = 0;
 };
 
 }  // namespace tamarackwing::http
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -280,6 +280,10 @@
   this->peer_gone = std::move(callback);
 }
 
+bool Session::IsPeerGone() {
+  return IsPeerClosed(this->stream.socket());
+}
+
 void Session::WatchPeer() {
   if (this->watching || this->buffer.size() > 0) {
     return;
--- a/packages/http/src/session.h
+++ b/packages/http/src/session.h
@@ -49,6 +49,7 @@
   void Abort() override;
   bool HasStarted() const override { return this->started; }
   void OnPeerGone(std::function<void()> callback) override;
+  bool IsPeerGone() override;
 
  private:
   using Parser =
--- a/packages/state/include/tamarackwing/state/control_change.h
+++ b/packages/state/include/tamarackwing/state/control_change.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -37,6 +38,10 @@
 struct CloseDataCentre {
   DataCentreName data_centre;
   bool closed = true;
+  //! The data centre's revision that the change is based on: unless it is still
+  //! the current one, the change conflicts. nullopt: applies to any, as all do
+  //! while there are hosts of formats before kRevisionFormat.
+  std::optional<LogIndex> revision;
 };
 
 //! Adds one key to the set in effect, regardless of its version.
--- a/packages/state/include/tamarackwing/state/control_state.h
+++ b/packages/state/include/tamarackwing/state/control_state.h
@@ -24,7 +24,8 @@
 //! Result of applying a change.
 enum class ApplyKind {
   kApplied,
-  //! Another publish was applied first: the base version is not current.
+  //! Another change was applied first: the version or the revision that this
+  //! one is based on is not current.
   kConflict,
   //! The resulting set fails validation.
   kRejected,
@@ -73,6 +74,11 @@
   const std::set<DataCentreName>& ClosedDataCentres() const {
     return this->closed;
   }
+  //! Returns the entry that last closed or opened each data centre, of those
+  //! that name a revision.
+  const std::map<DataCentreName, LogIndex>& Revisions() const {
+    return this->revisions;
+  }
   //! Returns an index of the set's path routes. Never null.
   const std::shared_ptr<const PathIndex>& Paths() const { return this->paths; }
   const std::shared_ptr<const std::set<KeyDigest>>& Withdrawn() const {
@@ -159,6 +165,7 @@
   std::uint64_t set_number = 0;
   std::shared_ptr<const std::string> document;
   std::set<DataCentreName> closed;
+  std::map<DataCentreName, LogIndex> revisions;
   std::shared_ptr<const ConfigurationSet> set;
   std::shared_ptr<const PathIndex> paths;
   std::shared_ptr<const std::set<KeyDigest>> withdrawn;
--- a/packages/state/include/tamarackwing/state/host_record.h
+++ b/packages/state/include/tamarackwing/state/host_record.h
@@ -10,6 +10,11 @@
 //! Format of log entries and states from which on they may be packed (Pack).
 //! Builds of format 0 read only plain ones.
 inline constexpr std::uint32_t kPackedFormat = 1;
+//! Format from which on a change of a data centre may name the revision that it
+//! is based on. Builds of older formats apply it to any revision.
+inline constexpr std::uint32_t kRevisionFormat = 2;
+//! Newest format that this build reads.
+inline constexpr std::uint32_t kNewestFormat = kRevisionFormat;
 
 //! A host's entry in the agreed membership.
 struct HostRecord {
--- a/packages/state/include/tamarackwing/state/snapshot.h
+++ b/packages/state/include/tamarackwing/state/snapshot.h
@@ -31,6 +31,8 @@
   std::shared_ptr<const std::string> document =
       std::make_shared<const std::string>();
   std::set<DataCentreName> closed_data_centres;
+  //! As for ControlState::Revisions.
+  std::map<DataCentreName, LogIndex> data_centre_revisions;
   //! Never null.
   std::shared_ptr<const std::set<KeyDigest>> withdrawn =
       std::make_shared<const std::set<KeyDigest>>();
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -204,6 +204,10 @@
     }
     this->slices[host.name] = free;
   }
+  if (host.reads_format < kRevisionFormat) {
+    // A state that this host encodes lacks them.
+    this->revisions.clear();
+  }
   this->MutableHosts()[host.name] = host;
   this->topology_changed = true;
   return this->Applied(this->version);
@@ -267,8 +271,22 @@
   return this->Applied(index);
 }
 
-ApplyOutcome ControlState::ApplyChange(LogIndex,
+ApplyOutcome ControlState::ApplyChange(LogIndex index,
                                        const CloseDataCentre& change) {
+  if (!change.revision || !this->AllHostsRead(kRevisionFormat)) {
+    // Hosts of older formats apply it to any revision and record none.
+    this->revisions.erase(change.data_centre);
+  } else if (this->closed.contains(change.data_centre) == change.closed) {
+    return this->Applied(this->version);
+  } else {
+    const auto current = this->revisions.find(change.data_centre);
+    const LogIndex revision =
+        current == this->revisions.end() ? 0 : current->second;
+    if (*change.revision != revision) {
+      return {ApplyKind::kConflict, this->version, {}};
+    }
+    this->revisions[change.data_centre] = index;
+  }
   if (change.closed) {
     this->closed.insert(change.data_centre);
   } else {
@@ -333,6 +351,7 @@
   document["set_number"] = this->set_number;
   document["document"] = *this->document;
   document["closed"] = this->closed;
+  document["revisions"] = this->revisions;
   document["withdrawn"] = *this->withdrawn;
   document["hosts"] = *this->hosts;
   document["slices"] = this->slices;
@@ -385,6 +404,8 @@
     state.document = std::make_shared<const std::string>(
         document.at("document").get<std::string>());
     document.at("closed").get_to(state.closed);
+    // States of older formats lack them.
+    state.revisions = document.value("revisions", state.revisions);
     state.withdrawn = std::make_shared<const std::set<KeyDigest>>(
         document.at("withdrawn").get<std::set<KeyDigest>>());
     state.hosts = std::make_shared<std::map<HostName, HostRecord>>(
--- a/packages/state/src/internal/json_codec.h
+++ b/packages/state/src/internal/json_codec.h
@@ -162,6 +162,19 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfirmVersion, version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetLiveHosts, region, hosts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplaceSet, number, document, set)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CloseDataCentre, data_centre, closed)
+inline void to_json(nlohmann::json& out, const CloseDataCentre& change) {
+  out = {{"data_centre", change.data_centre}, {"closed", change.closed}};
+  if (change.revision) {
+    out["revision"] = *change.revision;
+  }
+}
+inline void from_json(const nlohmann::json& in, CloseDataCentre& change) {
+  in.at("data_centre").get_to(change.data_centre);
+  in.at("closed").get_to(change.closed);
+  const auto revision = in.find("revision");
+  if (revision != in.end()) {
+    change.revision = revision->get<LogIndex>();
+  }
+}
 
 }  // namespace tamarackwing::state
--- a/packages/state/tests/control_state_tests.cc
+++ b/packages/state/tests/control_state_tests.cc
@@ -296,6 +296,70 @@
   }
 }
 
+class DataCentreOrderTest : public testing::Test {
+ protected:
+  void SetUp() override { this->PutHostOfFormat(kRevisionFormat); }
+
+  void PutHostOfFormat(std::uint32_t format) {
+    PutHost put;
+    put.host.name = HostName("host");
+    put.host.reads_format = format;
+    this->state.Apply(++this->index, EncodeChange(put));
+  }
+  ApplyKind Order(bool closes, std::optional<LogIndex> revision) {
+    const CloseDataCentre change{this->data_centre, closes, revision};
+    return this->state.Apply(++this->index, EncodeChange(change)).kind;
+  }
+  LogIndex Revision() const {
+    const auto found = this->state.Revisions().find(this->data_centre);
+    return found == this->state.Revisions().end() ? 0 : found->second;
+  }
+  bool IsClosed() const {
+    return this->state.ClosedDataCentres().contains(this->data_centre);
+  }
+
+  DataCentreName data_centre{"sohar-a"};
+  ControlState state;
+  LogIndex index = 0;
+};
+
+// Guards against a late order to open a data centre that undoes a newer one to
+// close it.
+TEST_F(DataCentreOrderTest, OrderBasedOnAnEarlierRevisionConflicts) {
+  EXPECT_EQ(this->Order(true, this->Revision()), ApplyKind::kApplied);
+  const LogIndex closed = this->Revision();
+  EXPECT_EQ(this->Order(false, closed), ApplyKind::kApplied);
+  EXPECT_EQ(this->Order(true, this->Revision()), ApplyKind::kApplied);
+  EXPECT_EQ(this->Order(false, closed), ApplyKind::kConflict);
+  EXPECT_TRUE(this->IsClosed());
+  const auto decoded = ControlState::Decode(this->state.Encode());
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(decoded->Revisions(), this->state.Revisions());
+}
+
+TEST_F(DataCentreOrderTest, ResentOrderIsAppliedAgain) {
+  EXPECT_EQ(this->Order(true, 0), ApplyKind::kApplied);
+  const LogIndex revision = this->Revision();
+  EXPECT_EQ(this->Order(true, 0), ApplyKind::kApplied);
+  EXPECT_EQ(this->Order(true, revision), ApplyKind::kApplied);
+  EXPECT_EQ(this->Revision(), revision);
+}
+
+// Guards against hosts that disagree because those of an older format record no
+// revisions.
+TEST_F(DataCentreOrderTest, NoRevisionIsRecordedOrCheckedAmongOlderFormats) {
+  EXPECT_EQ(this->Order(true, 0), ApplyKind::kApplied);
+  EXPECT_EQ(this->Order(false, std::nullopt), ApplyKind::kApplied);
+  EXPECT_EQ(this->Revision(), 0U);
+  EXPECT_EQ(this->Order(true, 0), ApplyKind::kApplied);
+  const LogIndex closed = this->Revision();
+  this->PutHostOfFormat(kPackedFormat);
+  EXPECT_EQ(this->Revision(), 0U);
+  EXPECT_EQ(this->Order(false, closed), ApplyKind::kApplied);
+  EXPECT_FALSE(this->IsClosed());
+  EXPECT_EQ(this->Revision(), 0U);
+}
+
 // Guards against entries of this build that a build without proposal ids can't
 // read: it decodes them like this one, and looks at no unknown member.
 TEST(ControlChange, ProposalIdChangesNothingButThePayload) {
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -989,7 +989,7 @@
   }
   options.self.incarnation = NewIncarnation();
   options.self.has_disk = this->disk != nullptr;
-  options.self.reads_format = state::kPackedFormat;
+  options.self.reads_format = state::kNewestFormat;
   options.seeds = this->KnownHosts();
   options.voters = this->settings.voters.size();
   if (this->settings.membership.IsUsed()) {
