control: a host that could not hear its region takes it for live

Cause: a host counts a host of its region as lost if it has not heard it for 3 s or two report intervals. One that has just started or was suspended has heard nobody, so the directory found no entry host of the region and named those of others. In large regions, where hosts report every few seconds, this lasts longer.

Now a host's own ear counts only once it has run without a pause for as long as others may be silent; until then the leader's view holds.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -255,6 +255,11 @@
                     TimePoint now,
                     ControlEffects& effects);
   void UpdateReady(TimePoint now, ControlEffects& effects);
+  //! Notes that the node runs, and whether it was suspended before.
+  void NoteRunning(TimePoint now);
+  //! Returns whether a host of this region counts as lost because this one has
+  //! not heard it, although it could have.
+  bool IsSilent(const HostName& host, TimePoint now) const;
   //! Logs loss and recovery of leader contact.
   void WatchLeaderContact(TimePoint now);
   //! Returns the hosts that accept callers.
@@ -288,6 +293,9 @@
   bool ready = false;
   bool draining = false;
   TimePoint started;
+  TimePoint last_tick;
+  //! Since when this host runs without a pause.
+  TimePoint running_since;
   TimePoint report_at;
   TimePoint region_report_at;
   std::chrono::milliseconds region_report_interval{0};
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -20,6 +20,8 @@
 //! multiplied by their number divided by this, rounded down but at least one.
 constexpr std::size_t kPeersPerInterval = 8;
 constexpr milliseconds kLedgerResendInterval{200};
+//! Time between two ticks after which the host counts as suspended meanwhile.
+constexpr milliseconds kSuspension{1'000};
 //! Maximum number of status reports per peer whose send times are kept until
 //! the peer echoes them; an echo confirms the membership view that the peer
 //! uses.
@@ -102,6 +104,8 @@
       rates(options.rates),
       judge(options.quarantine),
       started(now),
+      last_tick(now),
+      running_since(now),
       report_at(now) {
   if (!recovered.log.snapshot.state.empty()) {
     auto decoded = state::ControlState::Decode(recovered.log.snapshot.state);
@@ -115,6 +119,7 @@
 
 ControlEffects ControlNode::Tick(TimePoint now) {
   ControlEffects effects;
+  this->NoteRunning(now);
   if (this->options.self.has_disk) {
     this->ApplyLogEffects(this->log.Tick(now), now, effects);
   }
@@ -547,7 +552,7 @@
     // In its own region, a host considers a peer live only if it has recently
     // received a message directly from that peer.
     if (host.region == region && name != this->options.self.name &&
-        !this->monitor.IsHeard(name, this->PeerSilenceLimit(), now)) {
+        this->IsSilent(name, now)) {
       snapshot->live.erase(name);
     }
   }
@@ -568,6 +573,21 @@
   return snapshot;
 }
 
+void ControlNode::NoteRunning(TimePoint now) {
+  if (now - this->last_tick >= kSuspension) {
+    this->running_since = now;
+  }
+  this->last_tick = now;
+}
+
+bool ControlNode::IsSilent(const HostName& host, TimePoint now) const {
+  // Until this host has run for as long as others may be silent, that it has
+  // not heard one says nothing: the leader's view counts.
+  const milliseconds limit = this->PeerSilenceLimit();
+  return now - this->running_since >= limit &&
+         !this->monitor.IsHeard(host, limit, now);
+}
+
 const HostName& ControlNode::Leader() const {
   return this->log.Leader().IsEmpty() ? this->follower.Leader()
                                       : this->log.Leader();
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -46,7 +46,7 @@
   while (this->now < until) {
     this->now += kStep;
     for (const HostName& host : this->Names()) {
-      if (this->IsUp(host)) {
+      if (this->IsUp(host) && !this->suspended.contains(host)) {
         this->ApplyEffects(host, this->nodes.at(host)->Tick(this->now));
       }
     }
@@ -57,7 +57,7 @@
       const HostName& to = message.send.to;
       const bool is_partitioned = this->partition.contains(message.from) !=
                                   this->partition.contains(to);
-      if (!is_partitioned && this->IsUp(to)) {
+      if (!is_partitioned && this->IsUp(to) && !this->suspended.contains(to)) {
         this->known[to].insert(message.from);
         this->ApplyEffects(
             to, this->nodes.at(to)->Receive(message.from, message.send.message,
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -65,6 +65,9 @@
   void Heal();
   //! Disturbs messages that are sent from now on.
   void Disturb(const Disturbance& next) { this->disturbance = next; }
+  //! Suspends a host: it neither runs nor receives anything until Resume.
+  void Suspend(const HostName& host) { this->suspended.insert(host); }
+  void Resume(const HostName& host) { this->suspended.erase(host); }
   void Crash(const HostName& host);
   //! Restarts a crashed host as a new incarnation with its disk.
   void Restart(const HostName& host);
@@ -163,6 +166,7 @@
   std::multimap<TimePoint, Message> messages;
   Disturbance disturbance;
   std::set<HostName> partition;
+  std::set<HostName> suspended;
   std::map<std::pair<HostName, std::uint64_t>, state::ApplyOutcome> outcomes;
   std::map<std::pair<HostName, std::uint64_t>, state::PermitVerdict> verdicts;
   std::map<HostName, SetVersion> newest_versions;
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "control_cluster.h"
 #include "tamarackwing/control/membership_plan.h"
 
@@ -304,34 +306,86 @@
             before);
 }
 
-// 99 hosts of a region tell each other their status each 3.6 s, which is longer
-// than host_lost.
-TEST(LargeRegion, HostsKeepCountingEachOtherAsLive) {
-  std::vector<state::HostRecord> hosts;
-  for (int i = 0; i < 99; ++i) {
-    state::HostRecord host;
-    host.name = HostName("muscat-" + std::to_string(100 + i));
-    host.region = RegionName("muscat");
-    host.has_disk = i < 3;
-    host.caller_port = host.has_disk ? 0 : 80;
-    hosts.push_back(host);
+//! A region whose hosts tell each other their status each 3.6 s, which is
+//! longer than host_lost.
+class LargeRegionTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kHosts = 99;
+  static constexpr std::chrono::milliseconds kTimeout{20'000};
+
+  void SetUp() override {
+    ASSERT_TRUE(this->cluster.RunUntil([&] { return this->cluster.AllReady(); },
+                                       kTimeout));
+    this->cluster.Run(std::chrono::milliseconds(8'000));
+  }
+
+  static std::vector<state::HostRecord> Hosts() {
+    std::vector<state::HostRecord> hosts;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      state::HostRecord host;
+      host.name = HostName("muscat-" + std::to_string(100 + i));
+      host.region = RegionName("muscat");
+      host.has_disk = i < 3;
+      host.caller_port = host.has_disk ? 0 : 80;
+      hosts.push_back(host);
+    }
+    return hosts;
+  }
+
+  std::size_t LiveAt(const HostName& host) {
+    return this->cluster.SnapshotOf(host)->live.size();
   }
-  ControlCluster cluster(
-      hosts,
+
+  //! Returns the fewest hosts that a host counts as live in the next 10 s.
+  std::size_t FewestLiveAt(const HostName& host) {
+    std::size_t fewest = kHosts;
+    for (int i = 0; i < 200; ++i) {
+      this->cluster.Run(std::chrono::milliseconds(50));
+      fewest = std::min(fewest, this->LiveAt(host));
+    }
+    return fewest;
+  }
+
+  ControlCluster cluster{
+      Hosts(),
       {HostName("muscat-100"), HostName("muscat-101"), HostName("muscat-102")},
-      std::chrono::milliseconds(2), 3);
-  ASSERT_TRUE(cluster.RunUntil([&] { return cluster.AllReady(); },
-                               std::chrono::milliseconds(20'000)));
-  cluster.Run(std::chrono::milliseconds(8'000));
+      std::chrono::milliseconds(2),
+      3};
+};
+
+TEST_F(LargeRegionTest, HostsKeepCountingEachOtherAsLive) {
   for (int i = 0; i < 40; ++i) {
-    cluster.Run(std::chrono::milliseconds(200));
-    ASSERT_EQ(cluster.SnapshotOf(HostName("muscat-150"))->live.size(), 99U);
-    ASSERT_EQ(cluster.SnapshotOf(HostName("muscat-101"))->live.size(), 99U);
+    this->cluster.Run(std::chrono::milliseconds(200));
+    ASSERT_EQ(this->LiveAt(HostName("muscat-150")), kHosts);
+    ASSERT_EQ(this->LiveAt(HostName("muscat-101")), kHosts);
   }
   const HostName lost("muscat-160");
-  cluster.Crash(lost);
-  cluster.Run(std::chrono::milliseconds(5'000));
-  EXPECT_FALSE(cluster.SnapshotOf(HostName("muscat-150"))->live.contains(lost));
+  this->cluster.Crash(lost);
+  this->cluster.Run(std::chrono::milliseconds(5'000));
+  EXPECT_FALSE(
+      this->cluster.SnapshotOf(HostName("muscat-150"))->live.contains(lost));
+}
+
+// Guards against a host that has just started and takes the hosts of its region
+// for lost, because it has not heard them yet: it then names hosts of other
+// regions to callers.
+TEST_F(LargeRegionTest, StartedHostCountsItsRegionAsLive) {
+  const HostName started("muscat-101");
+  this->cluster.Crash(started);
+  this->cluster.Run(std::chrono::milliseconds(500));
+  this->cluster.Restart(started);
+  ASSERT_TRUE(this->cluster.RunUntil(
+      [&] { return this->cluster.Node(started).IsReady(); }, kTimeout));
+  EXPECT_GE(this->FewestLiveAt(started), kHosts - 1);
+}
+
+// As above, for a host that was suspended for longer than a host may be silent.
+TEST_F(LargeRegionTest, ResumedHostCountsItsRegionAsLive) {
+  const HostName resumed("muscat-150");
+  this->cluster.Suspend(resumed);
+  this->cluster.Run(std::chrono::milliseconds(9'000));
+  this->cluster.Resume(resumed);
+  EXPECT_GE(this->FewestLiveAt(resumed), kHosts - 1);
 }
 
 }  // namespace
