control: an entry host learns a server that was left out of its roster

Cause: a source leaves out a server whose lease has ended. Once it renews the lease with an unchanged report, the source sends an id alone, and a host that never got the report dropped it: the host did not learn the server until something of it changed. Now such a host asks for all reports again.

ServerThatWasLeftOutIsLearntOnceItRenewsItsLease fails without the change.

--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -74,19 +74,24 @@
   if (reply.reached.epoch != this->known.epoch) {
     this->reports.clear();
   }
-  this->known = reply.reached;
+  bool lacks_report = false;
   for (const RosterRenewal& renewal : reply.renewals) {
     const auto report = this->reports.find(renewal.id);
-    if (report != this->reports.end()) {
-      due.push_back(report->second);
-      due.back().relayed_for = renewal.age + on_the_way;
+    if (report == this->reports.end()) {
+      // It was left out before, because its lease had ended.
+      lacks_report = true;
+      continue;
     }
+    due.push_back(report->second);
+    due.back().relayed_for = renewal.age + on_the_way;
   }
   for (const RosterEntry& entry : reply.entries) {
     due.push_back(entry.report);
     due.back().relayed_for += on_the_way;
     this->reports[entry.id] = entry.report;
   }
+  // An empty cursor asks for all reports.
+  this->known = lacks_report ? RosterCursor() : reply.reached;
   return due;
 }
 
--- a/packages/control/tests/roster_tests.cc
+++ b/packages/control/tests/roster_tests.cc
@@ -175,6 +175,34 @@
   EXPECT_EQ(this->roster.Size(), 0U);
 }
 
+// Guards against a server that an entry host never learns, because its lease
+// had ended when the host first asked and it was only renewed afterwards.
+TEST(RosterFollower, ServerThatWasLeftOutIsLearntOnceItRenewsItsLease) {
+  ManualClock clock;
+  ServerRoster roster(1, kLease);
+  RosterFollower follower(RegionName("muscat"), kInterval);
+  std::set<std::string> learnt;
+  const auto fetch = [&] {
+    clock.Advance(kInterval);
+    const auto request = follower.Due({HostName("a")}, clock.Now());
+    ASSERT_TRUE(request.has_value());
+    for (const policy::ServerReport& report : follower.HandleReply(
+             request->to, roster.Reply(request->request, clock.Now()),
+             clock.Now())) {
+      learnt.insert(report.name.Text());
+    }
+  };
+  roster.Note(Report("lapsed", 1), clock.Now());
+  clock.Advance(kLease);
+  roster.Note(Report("other", 1), clock.Now());
+  fetch();
+  ASSERT_EQ(learnt, std::set<std::string>{"other"});
+  roster.Note(Report("lapsed", 2), clock.Now());
+  fetch();
+  fetch();
+  EXPECT_TRUE(learnt.contains("lapsed"));
+}
+
 // Whatever is lost, late or answered by another source, a follower that is
 // answered in the end has the last report of each server that lives.
 RC_GTEST_PROP(RosterProperty, FollowerCatchesUp, ()) {
