control: requests are numbered from the process's incarnation on

Each process numbered its requests for feeds and rosters, its statuses, questions and probes from 1, so that a late reply to an earlier process met a request of the next one: that of a feed could prove a leader contact later than its source knew of.

Numbers now begin with the incarnation, the microseconds since the epoch at the start, which is above every number of an earlier process unless the clock is set back.

--- a/packages/control/include/tamarackwing/control/feed_follower.h
+++ b/packages/control/include/tamarackwing/control/feed_follower.h
@@ -17,7 +17,11 @@
 class FeedFollower {
  public:
   //! `request_interval` is the interval at which the caller makes requests.
-  FeedFollower(std::chrono::milliseconds request_interval, TimePoint now);
+  //! Requests are numbered from the one after `last_number` on.
+  //! Precondition: no earlier process of this host has used a higher number.
+  FeedFollower(std::chrono::milliseconds request_interval,
+               TimePoint now,
+               std::uint64_t last_number = 0);
 
   //! Returns the source to send the next request to. Moves on to another source
   //! if the current one does not reply or has no leader contact itself, and
--- a/packages/control/include/tamarackwing/control/proposal_tracker.h
+++ b/packages/control/include/tamarackwing/control/proposal_tracker.h
@@ -30,6 +30,11 @@
 //! thread-safe.
 class ProposalTracker {
  public:
+  //! Precondition: no earlier process of this host has used a higher number
+  //! than `last_number`.
+  explicit ProposalTracker(std::uint64_t last_number = 0)
+      : next_number(last_number + 1) {}
+
   //! Adds a proposal of this host. Preconditions: `number` is from NextNumber;
   //! no other proposal has the same payload.
   void Add(std::uint64_t number, std::string payload, TimePoint now);
@@ -79,7 +84,7 @@
     ForwardedProposal proposal;
   };
 
-  std::uint64_t next_number = 1;
+  std::uint64_t next_number;
   std::map<std::uint64_t, Own> own;
   std::map<LogIndex, AppendedProposal> forwarded;
   std::set<ForwardedProposal> forwarded_open;
--- a/packages/control/include/tamarackwing/control/roster_follower.h
+++ b/packages/control/include/tamarackwing/control/roster_follower.h
@@ -23,7 +23,11 @@
     RosterRequest request;
   };
 
-  RosterFollower(RegionName region, std::chrono::milliseconds interval);
+  //! As for FeedFollower, requests are numbered from the one after
+  //! `last_number` on.
+  RosterFollower(RegionName region,
+                 std::chrono::milliseconds interval,
+                 std::uint64_t last_number = 0);
 
   //! Returns the request that is due. `sources` are the hosts to ask, the best
   //! first; another one is asked if the first does not reply.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -97,16 +97,19 @@
       allocator(options),
       monitor(options.host_lost),
       leader_tasks(options),
-      follower(options.report, now),
+      follower(options.report, now, options.self.incarnation),
       relay(options),
       roster(options.self.incarnation, options.server_lease),
-      roster_follower(options.self.region, options.roster),
+      roster_follower(options.self.region,
+                      options.roster,
+                      options.self.incarnation),
       rates(options.rates),
       judge(options.quarantine),
       started(now),
       last_tick(now),
       running_since(now),
-      report_at(now) {
+      report_at(now),
+      proposals(options.self.incarnation) {
   if (!recovered.log.snapshot.state.empty()) {
     auto decoded = state::ControlState::Decode(recovered.log.snapshot.state);
     if (decoded) {
@@ -1027,7 +1030,9 @@
   status.epoch = view == this->state.Views().end() ? 0 : view->second.epoch;
   status.draining = this->draining;
   for (const HostName& peer : peers) {
-    status.number = ++this->status_number[peer];
+    const auto last =
+        this->status_number.try_emplace(peer, this->options.self.incarnation);
+    status.number = ++last.first->second;
     status.echo = this->status_received[peer];
     auto& sent = this->status_sent[peer];
     sent[status.number] = now;
--- a/packages/control/src/feed_follower.cc
+++ b/packages/control/src/feed_follower.cc
@@ -14,8 +14,12 @@
 }  // namespace
 
 FeedFollower::FeedFollower(std::chrono::milliseconds request_interval,
-                           TimePoint now)
-    : request_interval(request_interval), source_since(now), last_reply(now) {}
+                           TimePoint now,
+                           std::uint64_t last_number)
+    : request_interval(request_interval),
+      source_since(now),
+      number(last_number),
+      last_reply(now) {}
 
 const HostName& FeedFollower::Choose(const std::vector<HostName>& sources,
                                      const HostName& known_leader,
--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -20,8 +20,9 @@
 }  // namespace
 
 RosterFollower::RosterFollower(RegionName region,
-                               std::chrono::milliseconds interval)
-    : region(std::move(region)), interval(interval) {}
+                               std::chrono::milliseconds interval,
+                               std::uint64_t last_number)
+    : region(std::move(region)), interval(interval), number(last_number) {}
 
 std::optional<RosterFollower::Request> RosterFollower::Due(
     const std::vector<HostName>& sources,
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -230,7 +230,8 @@
 void ControlCluster::Start(const HostName& host, bool bootstraps) {
   ControlOptions options;
   options.self = this->records.at(host);
-  options.self.incarnation = this->next_incarnation++;
+  constexpr std::uint64_t kRequestsOfProcess = 1'000'000;
+  options.self.incarnation = this->next_incarnation++ * kRequestsOfProcess;
   for (const auto& [name, record] : this->records) {
     options.seeds.push_back(record);
   }
--- a/packages/control/tests/control_node_tests.cc
+++ b/packages/control/tests/control_node_tests.cc
@@ -243,6 +243,7 @@
     ControlOptions options;
     options.self.name = HostName("front");
     options.self.caller_port = 80;
+    options.self.incarnation = 5'000;
     for (const char* seed : {"a", "b", "c"}) {
       state::HostRecord record;
       record.name = HostName(seed);
@@ -273,6 +274,18 @@
   ControlNode node{Options(), {}, random, clock.Now()};
 };
 
+//! Guards against a late reply to an earlier process of the host, whose numbers
+//! all are below the next incarnation.
+TEST_F(StartingHostTest, NumbersItsRequestsFromItsIncarnationOn) {
+  const auto requests = this->Tick();
+  ASSERT_FALSE(requests.empty());
+  EXPECT_GT(requests.front().second.number, Options().self.incarnation);
+  ControlEffects effects;
+  EXPECT_GT(
+      this->node.Propose(state::WithdrawKeys{}, this->clock.Now(), effects),
+      Options().self.incarnation);
+}
+
 //! Guards against hosts that start together and ask all their sources for the
 //! state again before any can have replied, until the sources handle nothing
 //! else.
--- a/packages/control/tests/feed_tests.cc
+++ b/packages/control/tests/feed_tests.cc
@@ -46,6 +46,19 @@
   EXPECT_FALSE(follower.HandleReply(ReplyTo(request, 0), 0, kStart));
 }
 
+// Guards against a reply to an earlier process that proves a leader contact
+// later than its source could know.
+TEST(FeedFollowerTest, ReplyToEarlierProcessIsIgnored) {
+  FeedFollower earlier(kReport, kStart);
+  const FeedRequest old = earlier.MakeRequest(1, kStart);
+  FeedFollower follower(kReport, kStart, 1'000);
+  const FeedRequest request = follower.MakeRequest(1, kStart + kReport);
+  EXPECT_FALSE(follower.HandleReply(ReplyTo(old, 3), 3, kStart + 2 * kReport));
+  EXPECT_FALSE(follower.LeaderContact().has_value());
+  EXPECT_TRUE(
+      follower.HandleReply(ReplyTo(request, 3), 3, kStart + 2 * kReport));
+}
+
 TEST(FeedFollowerTest, MovesOnFromSilentSource) {
   FeedFollower follower(kReport, kStart);
   EXPECT_EQ(follower.Choose(kSources, HostName(), kStart), kSources[0]);
--- a/packages/state/include/tamarackwing/state/host_record.h
+++ b/packages/state/include/tamarackwing/state/host_record.h
@@ -31,7 +31,8 @@
   std::uint16_t peer_port = 0;
   std::uint16_t forward_port = 0;
   bool has_disk = false;
-  //! Increases with each start of the process.
+  //! Increases with each start of the process, by more than the number of
+  //! requests of any kind that a process makes.
   std::uint64_t incarnation = 0;
   bool draining = false;
   //! Newest format of log entries and states that the host's build reads.
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -106,7 +106,11 @@
       bootstraps_log(bootstraps_log),
       fleet_retries(settings.fleet_retries),
       random(std::hash<std::string>{}(settings.gateway.host.Text()) ^
-             NewIncarnation()) {
+             NewIncarnation()),
+      // A reply to an earlier process of this host must not match.
+      next_stream(NewIncarnation()),
+      next_token_request(NewIncarnation()),
+      next_probe(NewIncarnation()) {
   this->SetUpCallbacks();
 }
 
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -214,7 +214,7 @@
   std::map<std::uint64_t, PendingStatus> statuses;
   //! Pending questions about streams, by number.
   std::map<std::uint64_t, PendingStream> streams;
-  std::uint64_t next_stream = 1;
+  std::uint64_t next_stream;
   //! The last status of each other host of this region, and when it arrived.
   std::map<HostName, control::RegionStatus> region_statuses;
   std::map<HostName, TimePoint> status_received_at;
@@ -222,10 +222,10 @@
   std::vector<policy::ServerReport> announced;
   //! Pending requests for tokens, by number.
   std::map<std::uint64_t, PendingTokens> token_requests;
-  std::uint64_t next_token_request = 1;
+  std::uint64_t next_token_request;
   //! Until when a host that did not reply is not asked.
   std::map<HostName, TimePoint> silent_keepers;
-  std::uint64_t next_probe = 1;
+  std::uint64_t next_probe;
   //! Position of the next region to probe in the round-robin order.
   std::size_t next_region = 0;
   //! When each probe without a reply was sent, by probe number.
