control, gateway: logs tell why an answer is cut, a source left, a peer lost

New events: answer_cut, feed_source_changed, control_traffic; peer_lost names the calls and bytes that were on their way and the time since the last reply. No decision changes.

--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -144,6 +144,10 @@
       return "host_joined";
     case Event::kHostLost:
       return "host_lost";
+    case Event::kFeedSourceChanged:
+      return "feed_source_changed";
+    case Event::kControlTraffic:
+      return "control_traffic";
     case Event::kPeerConnected:
       return "peer_connected";
     case Event::kPeerLost:
@@ -170,6 +174,8 @@
       return "quarantine_refused";
     case Event::kStreamTakenUp:
       return "stream_taken_up";
+    case Event::kAnswerCut:
+      return "answer_cut";
     case Event::kHandlerFailed:
       return "handler_failed";
     case Event::kRequestEnded:
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -228,6 +228,8 @@
   //! Tells the hosts with disks of which this leader hears nothing that it
   //! leads.
   void AnnounceLeader(TimePoint now, ControlEffects& effects) const;
+  //! Logs a change of the source.
+  void LogSource(const HostName& source, TimePoint now);
   //! Asks a source for the entries that this host lacks.
   void RequestEntries(const HostName& source,
                       TimePoint now,
@@ -302,6 +304,9 @@
   TimePoint leader_tasks_at;
   TimePoint relay_at;
   bool region_replied = false;
+  HostName logged_source;
+  //! When a source last replied.
+  TimePoint source_replied_at;
   //! A source that has entries which this host lacks, while it waits for those
   //! of another.
   HostName source_ahead;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -844,6 +844,7 @@
     this->ApplyEntries(reply.entries, now, effects);
   }
   if (this->follower.HandleReply(reply, this->state.Applied(), now)) {
+    this->source_replied_at = now;
     const state::HostRecord* host = this->FindHost(from);
     this->region_replied =
         this->region_replied ||
@@ -1061,6 +1062,7 @@
   if (this->ready) {
     const HostName& source =
         this->follower.Choose(sources, this->Leader(), now);
+    this->LogSource(source, now);
     this->RequestEntries(source, now, effects);
     return;
   }
@@ -1093,6 +1095,22 @@
   this->probed_all = this->probed_all || this->probed_sources >= sources.size();
 }
 
+void ControlNode::LogSource(const HostName& source, TimePoint now) {
+  if (source == this->logged_source) {
+    return;
+  }
+  const auto contact = this->follower.LeaderContact();
+  LogEvent(Event::kFeedSourceChanged, LogLevel::kInfo,
+           {{"from", this->logged_source.Text()},
+            {"to", source.Text()},
+            {"leader", this->Leader().Text()},
+            {"applied", std::to_string(this->state.Applied())},
+            {"commit", std::to_string(this->follower.Commit())},
+            {"silent_ms", MillisecondsText(now - this->source_replied_at)},
+            {"contact_ms", contact ? MillisecondsText(now - *contact) : ""}});
+  this->logged_source = source;
+}
+
 void ControlNode::RequestEntries(const HostName& source,
                                  TimePoint now,
                                  ControlEffects& effects) {
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -102,6 +102,7 @@
     if (this->writer.HasStarted()) {
       // Abort, so that the caller can't mistake a truncated stream for a
       // complete one.
+      this->LogCut(std::string(RefusalName(refusal->code)));
       this->writer.Abort();
     } else {
       http::Response response = dependencies.protocol.EncodeRefusal(*refusal);
@@ -109,7 +110,8 @@
         AddRefusedHeader(*refusal, this->plan ? this->plan->Sends() : 0,
                          this->call.id, response.head.headers);
       }
-      co_await this->writer.Send(std::move(response));
+      const bool sent = co_await this->writer.Send(std::move(response));
+      this->NoteWritten(sent);
     }
   }
   this->Finish(refusal);
@@ -362,7 +364,9 @@
         servers.Release(target->server->name, this->PromptTokens());
       }
       if (this->held_response) {
-        co_await this->writer.Send(std::move(*this->held_response));
+        const bool sent =
+            co_await this->writer.Send(std::move(*this->held_response));
+        this->NoteWritten(sent);
         co_return std::nullopt;
       }
       const auto allowance = servers.NextAllowance(this->service);
@@ -387,7 +391,9 @@
         break;
       case NextStep::kPassOn:
         if (this->held_response) {
-          co_await this->writer.Send(std::move(*this->held_response));
+          const bool sent =
+              co_await this->writer.Send(std::move(*this->held_response));
+          this->NoteWritten(sent);
         }
         co_return std::nullopt;
       case NextStep::kRefuse:
@@ -495,6 +501,29 @@
        {"left_ms", std::to_string(this->TimeLeft().count())}});
 }
 
+void PathRequest::NoteWritten(bool is_written) const {
+  if (!is_written && !this->caller_gone) {
+    this->LogCut("write_failed");
+  }
+}
+
+void PathRequest::LogCut(const std::string& cause) const {
+  const TimePoint now = this->gateway.Dependencies().clock.Now();
+  LogEvent(Event::kAnswerCut, LogLevel::kWarning,
+           {{"request", this->call.id},
+            {"cause", cause},
+            {"begun", this->writer.HasStarted() ? "yes" : "no"},
+            {"caller_closed", this->writer.IsPeerGone() ? "yes" : "no"},
+            {"forwarded", this->forwarded ? "yes" : "no"},
+            {"peer", this->peer},
+            {"body", std::string(AnswerEndName(this->answer_end))},
+            {"silent_ms",
+             this->first_byte_at
+                 ? std::to_string(CeilMs(now - this->last_byte_at).count())
+                 : ""},
+            {"left_ms", std::to_string(this->TimeLeft().count())}});
+}
+
 void PathRequest::Finish(const Outcome& refusal) {
   const PathGatewayDependencies& dependencies = this->gateway.Dependencies();
   std::string outcome =
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -162,6 +162,10 @@
   //! first byte arrived or the try ended.
   void NotePrefillDone(const Target& target);
   void LogTry(const Target& target, policy::TryOutcome try_outcome) const;
+  //! Logs that a write to the caller failed, unless the caller has left.
+  void NoteWritten(bool is_written) const;
+  //! Logs that the caller's connection closes without a complete answer.
+  void LogCut(const std::string& cause) const;
 
   PathGateway& gateway;
   PathCall call;
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -27,8 +27,9 @@
 //! Minimum time to wait for a first byte before a repeatable request is tried
 //! on another server.
 constexpr milliseconds kMinFirstByteTimeout{600};
-//! A try of a stream is abandoned if nothing arrives for this multiple of the
-//! route's target gap, but for at least kMinGapTimeout.
+//! A try of a stream that may be tried again is abandoned if nothing arrives
+//! for this multiple of the route's target gap, but for at least
+//! kMinGapTimeout.
 constexpr int kGapMultiple = 5;
 constexpr milliseconds kMinGapTimeout{2'000};
 
@@ -370,6 +371,7 @@
     this->answer_stage = AnswerStage::kBody;
     if (!piece->bytes.empty() || piece->is_end) {
       if (!co_await this->WriteEvents(target, head, piece->bytes)) {
+        this->NoteWritten(false);
         this->caller_gone = true;
         co_return TryOutcome::kLost;
       }
@@ -379,7 +381,8 @@
         this->gateway.Dependencies().servers.NoteRun(
             this->service, this->last_byte_at - *this->first_byte_at);
       }
-      co_await this->writer.FinishStream();
+      const bool finished = co_await this->writer.FinishStream();
+      this->NoteWritten(finished);
       co_return TryOutcome::kServed;
     }
   }
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -43,6 +43,11 @@
   return time.count() * kj::MILLISECONDS;
 }
 
+std::string MillisecondsText(Duration time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 //! Passes the messages of one host to the handler and drops those that cannot
 //! be decoded.
 class SessionServer final : public wire::Session::Server {
@@ -119,7 +124,9 @@
                      const NetworkOptions& options)
       : stream(kj::mv(given)),
         client(*stream),
-        session(OpenSession(client, options)) {}
+        session(OpenSession(client, options)),
+        opened(std::chrono::steady_clock::now()),
+        last_reply(opened) {}
 
   static wire::Session::Client OpenSession(capnp::TwoPartyClient& client,
                                            const NetworkOptions& options) {
@@ -135,6 +142,9 @@
   capnp::TwoPartyClient client;
   wire::Session::Client session;
   std::size_t pending_calls = 0;
+  std::uint64_t pending_bytes = 0;
+  TimePoint opened;
+  TimePoint last_reply;
 };
 
 }  // namespace
@@ -262,31 +272,49 @@
     traffic.messages += 1;
     traffic.bytes += bytes;
     peer.connection->pending_calls += 1;
+    peer.connection->pending_bytes += bytes;
     const std::uint64_t generation = peer.generation;
     auto reply = request.send().ignoreResult();
     auto timed = this->io.provider->getTimer().timeoutAfter(
         ToKj(this->options.call_timeout), kj::mv(reply));
-    this->tasks.add(timed.then(
-        [this, name, generation]() { this->NoteReply(name, generation); },
-        [this, name, generation](kj::Exception&&) {
-          const auto found = this->peers.find(name);
-          if (found != this->peers.end() &&
-              found->second.generation == generation) {
-            this->Drop(name);
-          }
-        }));
+    this->tasks.add(
+        timed.then([this, name, generation,
+                    bytes]() { this->NoteReply(name, generation, bytes); },
+                   [this, name, generation](kj::Exception&&) {
+                     const auto found = this->peers.find(name);
+                     if (found != this->peers.end() &&
+                         found->second.generation == generation) {
+                       this->Drop(name);
+                     }
+                   }));
   }
 
-  void NoteReply(const HostName& name, std::uint64_t generation) {
+  void NoteReply(const HostName& name,
+                 std::uint64_t generation,
+                 std::uint64_t bytes) {
     const auto found = this->peers.find(name);
     const bool is_current = found != this->peers.end() &&
                             found->second.generation == generation &&
                             found->second.connection.get() != nullptr;
     if (is_current) {
-      found->second.connection->pending_calls -= 1;
+      OutgoingConnection& connection = *found->second.connection;
+      connection.pending_calls -= 1;
+      connection.pending_bytes -= bytes;
+      connection.last_reply = std::chrono::steady_clock::now();
     }
   }
 
+  static void LogLost(const HostName& name,
+                      const OutgoingConnection& connection) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    LogEvent(Event::kPeerLost, LogLevel::kInfo,
+             {{"peer", name.Text()},
+              {"calls", std::to_string(connection.pending_calls)},
+              {"bytes", std::to_string(connection.pending_bytes)},
+              {"reply_ms", MillisecondsText(now - connection.last_reply)},
+              {"open_ms", MillisecondsText(now - connection.opened)}});
+  }
+
   //! Closes the connection to a host and discards its queued messages. Also
   //! called when a call times out, since a peer that stops responding may never
   //! close its connection.
@@ -297,7 +325,7 @@
     }
     Peer& peer = found->second;
     if (peer.connection.get() != nullptr) {
-      LogEvent(Event::kPeerLost, LogLevel::kInfo, {{"peer", name.Text()}});
+      LogLost(name, *peer.connection);
       // This may run in a callback of the connection, so the connection is
       // destroyed in a later turn of the event loop.
       this->tasks.add(kj::evalLater(
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -30,6 +30,8 @@
 constexpr std::chrono::seconds kChangeTimeout{9};
 //! Short against the interval at which metrics are usually collected.
 constexpr std::chrono::seconds kTrafficMetricsInterval{1};
+//! Bytes sent in an interval of the traffic metrics from which on it is logged.
+constexpr std::uint64_t kLoggedTraffic = 64 * 1024;
 //! Short enough for the leased rates to follow a peak of demand, which moves to
 //! another region within one or two seconds.
 constexpr milliseconds kRateReportInterval{300};
@@ -845,6 +847,7 @@
   if (now >= this->traffic_metrics_at) {
     this->traffic_metrics_at = now + kTrafficMetricsInterval;
     this->PublishTrafficMetrics();
+    this->LogTraffic();
   }
 }
 
@@ -865,6 +868,31 @@
   }
 }
 
+void ControlThread::LogTraffic() {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+  std::uint64_t most_bytes = 0;
+  std::string_view most_kind;
+  for (const auto& [kind, traffic] : this->network->Sent()) {
+    hosts::SentTraffic& logged = this->logged_traffic[kind];
+    const std::uint64_t new_bytes = traffic.bytes - logged.bytes;
+    messages += traffic.messages - logged.messages;
+    bytes += new_bytes;
+    if (new_bytes > most_bytes) {
+      most_bytes = new_bytes;
+      most_kind = kind.message;
+    }
+    logged = traffic;
+  }
+  if (bytes >= kLoggedTraffic) {
+    LogEvent(Event::kControlTraffic, LogLevel::kInfo,
+             {{"messages", std::to_string(messages)},
+              {"bytes", std::to_string(bytes)},
+              {"most", std::string(most_kind)},
+              {"most_bytes", std::to_string(most_bytes)}});
+  }
+}
+
 void ControlThread::ExpireRequests() {
   const TimePoint now = this->dependencies.clock.Now();
   std::erase_if(this->changes, [&](auto& entry) {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -180,6 +180,8 @@
   void PublishSnapshot();
   void PublishMetrics();
   void PublishTrafficMetrics();
+  //! Logs what was sent since the last call, if it was much.
+  void LogTraffic();
   void LimitRetries();
   void ApplyHosts(const std::map<HostName, state::HostRecord>& hosts);
   void ExpireRequests();
@@ -237,6 +239,8 @@
   TimePoint rates_at;
   TimePoint crashes_at;
   TimePoint traffic_metrics_at;
+  //! What was sent until the traffic was last logged.
+  std::map<hosts::TrafficKind, hosts::SentTraffic> logged_traffic;
   //! The leader that gets the rate and crash reports, and since when.
   HostName rates_leader;
   TimePoint rates_leader_since;
