control: a host returns to a better source of the log's entries

A host that leaves its source, because that is silent or without leader contact for a moment, moved down its list and stayed there until the leader changed: entry hosts with links of 10 Mbit/s fed whole regions while the control hosts were back. A host now asks the sources before its own from time to time how far they are, and goes back to one with leader contact.

The cluster of the tests now models links of limited rate.

--- a/packages/control/include/tamarackwing/control/feed_follower.h
+++ b/packages/control/include/tamarackwing/control/feed_follower.h
@@ -23,9 +23,10 @@
                TimePoint now,
                std::uint64_t last_number = 0);
 
-  //! Returns the source to send the next request to. Moves on to another source
-  //! if the current one does not reply or has no leader contact itself, and
-  //! starts again with the first when the known leader changes.
+  //! Returns the source to send the next request to. `sources` begins with the
+  //! best. Moves on to another source if the current one does not reply or has
+  //! no leader contact itself, goes back to a better one that has replied to a
+  //! MakeLook, and starts again with the first when the known leader changes.
   //! Precondition: `sources` is not empty.
   const HostName& Choose(const std::vector<HostName>& sources,
                          const HostName& known_leader,
@@ -34,6 +35,12 @@
   FeedRequest MakeRequest(LogIndex next, TimePoint now);
   //! Returns a request, without statuses, that asks only how far a source is.
   FeedRequest MakeProbe(TimePoint now);
+  //! Returns which better source than the current one to ask, from time to
+  //! time, how far it is; nullopt if it is not time or there is none.
+  std::optional<HostName> Look(const std::vector<HostName>& sources,
+                               TimePoint now);
+  //! As MakeProbe, for a source that Look returned.
+  FeedRequest MakeLook(const HostName& source, TimePoint now);
   //! Returns whether a request for entries waits for its reply, and not for so
   //! long that the source must be considered silent.
   bool AwaitsEntries(TimePoint now) const;
@@ -54,9 +61,22 @@
   LogIndex Commit() const { return this->commit; }
 
  private:
+  //! Returns the place of the current source in `sources`; zero if it is not
+  //! among them.
+  std::size_t PlaceOf(const HostName& host,
+                      const std::vector<HostName>& sources) const;
+  void StartWith(const HostName& host, TimePoint now);
+
   std::chrono::milliseconds request_interval;
-  std::size_t source = 0;
+  HostName source;
   TimePoint source_since;
+  //! The better source that was asked last, in which request, and when.
+  HostName looked_at;
+  std::uint64_t look_request = 0;
+  TimePoint look_since;
+  std::size_t looks = 0;
+  //! A better source with leader contact.
+  HostName better;
   HostName source_leader;
   std::uint64_t number = 0;
   std::map<std::uint64_t, TimePoint> sent;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1064,6 +1064,12 @@
         this->follower.Choose(sources, this->Leader(), now);
     this->LogSource(source, now);
     this->RequestEntries(source, now, effects);
+    const auto better = this->follower.Look(sources, now);
+    if (better) {
+      FeedRequest look = this->follower.MakeLook(*better, now);
+      look.statuses = this->monitor.Recent(now);
+      effects.sends.push_back({*better, std::move(look)});
+    }
     return;
   }
   if (this->Leader().IsEmpty()) {
--- a/packages/control/src/feed_follower.cc
+++ b/packages/control/src/feed_follower.cc
@@ -1,6 +1,7 @@
 #include "tamarackwing/control/feed_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarackwing::control {
 namespace {
@@ -8,6 +9,8 @@
 //! Number of request intervals without a reply after which another source is
 //! tried.
 constexpr int kMaxSilentIntervals = 4;
+//! Number of request intervals between two questions to better sources.
+constexpr int kLookIntervals = 4;
 //! Maximum number of requests that still wait for a reply.
 constexpr std::size_t kMaxPendingRequests = 128;
 
@@ -28,9 +31,13 @@
     // A source that failed before the change of leader, without a reply or
     // without leader contact, may work now, so start again with the best one.
     this->source_leader = known_leader;
-    this->source = 0;
-    this->source_since = now;
-    this->last_reply = now;
+    this->StartWith(sources.front(), now);
+  }
+  std::size_t place = this->PlaceOf(this->source, sources);
+  const HostName returned = std::exchange(this->better, HostName());
+  if (!returned.IsEmpty() && this->PlaceOf(returned, sources) < place) {
+    this->StartWith(returned, now);
+    place = this->PlaceOf(returned, sources);
   }
   // A source that replies but has no leader contact itself is no better than
   // one that does not reply.
@@ -39,11 +46,42 @@
   const bool has_recent_reply = now - this->last_reply <= silence;
   if (!has_recent_reply ||
       (!has_leader_contact && now - this->source_since > 2 * silence)) {
-    this->source += 1;
-    this->source_since = now;
-    this->last_reply = now;
+    place = (place + 1) % sources.size();
+    this->StartWith(sources[place], now);
+  }
+  return sources[place];
+}
+
+std::size_t FeedFollower::PlaceOf(const HostName& host,
+                                  const std::vector<HostName>& sources) const {
+  const auto found = std::find(sources.begin(), sources.end(), host);
+  return found == sources.end()
+             ? 0
+             : static_cast<std::size_t>(found - sources.begin());
+}
+
+void FeedFollower::StartWith(const HostName& host, TimePoint now) {
+  this->source = host;
+  this->source_since = now;
+  this->last_reply = now;
+}
+
+std::optional<HostName> FeedFollower::Look(const std::vector<HostName>& sources,
+                                           TimePoint now) {
+  const std::size_t place = this->PlaceOf(this->source, sources);
+  if (place == 0 ||
+      now - this->look_since < kLookIntervals * this->request_interval) {
+    return std::nullopt;
   }
-  return sources[this->source % sources.size()];
+  this->look_since = now;
+  return sources[this->looks++ % place];
+}
+
+FeedRequest FeedFollower::MakeLook(const HostName& source, TimePoint now) {
+  FeedRequest request = this->MakeProbe(now);
+  this->looked_at = source;
+  this->look_request = request.number;
+  return request;
 }
 
 FeedRequest FeedFollower::MakeRequest(LogIndex next, TimePoint now) {
@@ -78,7 +116,14 @@
   if (sent_request == this->sent.end()) {
     return false;
   }
-  this->last_reply = now;
+  const bool has_contact =
+      reply.leader_contact_age &&
+      *reply.leader_contact_age <= kMaxSilentIntervals * this->request_interval;
+  if (reply.number != this->look_request) {
+    this->last_reply = now;
+  } else if (has_contact) {
+    this->better = this->looked_at;
+  }
   this->leader = reply.leader;
   this->commit = std::max(this->commit, reply.commit);
   // The contact counts only if this host has applied everything that the source
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -6,6 +6,43 @@
 #include "tamarackwing/control/message_kind.h"
 
 namespace tamarackwing::control {
+namespace {
+
+//! What a connection sends before another one of the same link has its turn.
+constexpr std::uint64_t kLinkPacket = 1'500;
+
+std::uint64_t SizeOf(const std::vector<state::LogEntry>& entries) {
+  std::uint64_t size = 0;
+  for (const state::LogEntry& entry : entries) {
+    size += entry.payload.size();
+  }
+  return size;
+}
+
+//! Returns about how many bytes a message takes on the wire.
+std::uint64_t SizeOf(const PeerMessage& message) {
+  constexpr std::uint64_t kSmall = 200;
+  constexpr std::uint64_t kStatus = 150;
+  if (const auto* reply = std::get_if<FeedReply>(&message)) {
+    return kSmall + SizeOf(reply->entries) +
+           (reply->snapshot ? reply->snapshot->state.size() : 0);
+  }
+  if (const auto* request = std::get_if<FeedRequest>(&message)) {
+    return kSmall + kStatus * request->statuses.size();
+  }
+  if (const auto* log = std::get_if<state::LogMessage>(&message)) {
+    if (const auto* append = std::get_if<state::AppendRequest>(log)) {
+      return kSmall + SizeOf(append->entries);
+    }
+    if (const auto* install = std::get_if<state::InstallRequest>(log)) {
+      return kSmall + install->snapshot.state.size();
+    }
+  }
+  return kSmall;
+}
+
+}  // namespace
+
 ControlCluster::ControlCluster(const std::vector<std::string>& regions,
                                std::size_t hosts_per_region,
                                std::chrono::milliseconds delay)
@@ -50,6 +87,7 @@
         this->ApplyEffects(host, this->nodes.at(host)->Tick(this->now));
       }
     }
+    this->RunLinks();
     while (!this->messages.empty() &&
            this->messages.begin()->first <= this->now) {
       const Message message = std::move(this->messages.begin()->second);
@@ -92,9 +130,77 @@
   if (happens(may.late)) {
     at += this->RandomDelay(may.longest_delay);
   }
+  if (this->IsLimited(from, send.to)) {
+    const std::uint64_t size = SizeOf(send.message);
+    this->transfers[{from, send.to}].push_back(
+        {std::move(send), size, this->now});
+    return;
+  }
   this->messages.emplace(at, Message{from, std::move(send)});
 }
 
+void ControlCluster::LimitLink(const HostName& host, std::uint64_t rate) {
+  this->link_rates[host] = rate;
+}
+
+bool ControlCluster::IsLimited(const HostName& from, const HostName& to) const {
+  return this->link_rates.contains(from) || this->link_rates.contains(to);
+}
+
+void ControlCluster::RunLinks() {
+  constexpr std::uint64_t kStepsPerSecond = std::chrono::seconds(1) / kStep;
+  std::map<HostName, std::uint64_t> may_send;
+  for (const auto& [host, rate] : this->link_rates) {
+    may_send[host] = rate / kStepsPerSecond;
+  }
+  std::map<HostName, std::uint64_t> may_receive = may_send;
+  // As PeerNetwork: a call without a reply for this long ends its connection.
+  constexpr std::chrono::milliseconds kCallTimeout{2'000};
+  std::erase_if(this->transfers, [&](const auto& entry) {
+    return entry.second.empty() ||
+           this->now - entry.second.front().posted >= kCallTimeout;
+  });
+  const auto left = [](std::map<HostName, std::uint64_t>& budgets,
+                       const HostName& host) {
+    const auto found = budgets.find(host);
+    return found == budgets.end() ? kLinkPacket : found->second;
+  };
+  const auto spend = [](std::map<HostName, std::uint64_t>& budgets,
+                        const HostName& host, std::uint64_t bytes) {
+    const auto found = budgets.find(host);
+    if (found != budgets.end()) {
+      found->second -= bytes;
+    }
+  };
+  bool has_sent = true;
+  while (has_sent) {
+    has_sent = false;
+    for (auto& [connection, queue] : this->transfers) {
+      const auto& [from, to] = connection;
+      if (queue.empty()) {
+        continue;
+      }
+      Transfer& next = queue.front();
+      const std::uint64_t bytes =
+          std::min({next.unsent, kLinkPacket, left(may_send, from),
+                    left(may_receive, to)});
+      if (bytes == 0) {
+        continue;
+      }
+      has_sent = true;
+      spend(may_send, from, bytes);
+      spend(may_receive, to, bytes);
+      this->link_bytes += bytes;
+      next.unsent -= bytes;
+      if (next.unsent == 0) {
+        this->messages.emplace(this->now + this->delay,
+                               Message{from, std::move(next.send)});
+        queue.pop_front();
+      }
+    }
+  }
+}
+
 std::chrono::milliseconds ControlCluster::RandomDelay(
     std::chrono::milliseconds longest) {
   return std::chrono::milliseconds(
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,6 +64,13 @@
   //! Partitions the network between these hosts and all others.
   void Partition(const std::set<HostName>& side);
   void Heal();
+  //! Limits what a host can send, and what it can receive, in bytes a second.
+  //! The connections of a host share its link evenly, and each delivers its
+  //! messages in order. Precondition: `rate` is positive.
+  void LimitLink(const HostName& host, std::uint64_t rate);
+  //! Returns the bytes that hosts with limited links have sent and received, up
+  //! to those of messages that were dropped on the way.
+  std::uint64_t LinkBytes() const { return this->link_bytes; }
   //! Disturbs messages that are sent from now on.
   void Disturb(const Disturbance& next) { this->disturbance = next; }
   //! Suspends a host: it neither runs nor receives anything until Resume.
@@ -142,6 +150,18 @@
     PeerSend send;
   };
 
+  //! A message that has not been sent completely.
+  struct Transfer {
+    PeerSend send;
+    std::uint64_t unsent = 0;
+    TimePoint posted;
+  };
+  using Connection = std::pair<HostName, HostName>;
+
+  //! Sends for one step over the limited links.
+  void RunLinks();
+  //! Returns whether a message between these hosts takes time to send.
+  bool IsLimited(const HostName& from, const HostName& to) const;
   void Start(const HostName& host, bool bootstraps);
   void LearnHosts(const HostName& host);
   //! Puts a message on its way.
@@ -164,6 +184,10 @@
   std::map<HostName, std::set<HostName>> known;
   //! By the time at which they arrive.
   std::multimap<TimePoint, Message> messages;
+  //! Bytes a second, of the hosts whose links are limited.
+  std::map<HostName, std::uint64_t> link_rates;
+  std::map<Connection, std::deque<Transfer>> transfers;
+  std::uint64_t link_bytes = 0;
   Disturbance disturbance;
   std::set<HostName> partition;
   std::set<HostName> suspended;
