control: a region's hosts do not all turn to the same source

Hosts without disks now prefer different control hosts, and then the hosts above them in a tree of eight children each.

NoHostWithoutDiskIsTheSourceOfMany fails before: 97 of 97 hosts prefer the same control host, and 96 the same entry host.

--- a/packages/control/src/membership_plan.cc
+++ b/packages/control/src/membership_plan.cc
@@ -4,9 +4,15 @@
 #include <map>
 #include <tuple>
 
+#include "tamarackwing/policy/rendezvous.h"
+
 namespace tamarackwing::control {
 namespace {
 
+//! Maximum number of hosts without disks that prefer the same host without a
+//! disk as their source. Such hosts may have slow links.
+constexpr std::size_t kFeedFanOut = 8;
+
 //! Returns a live host that has a disk, does not drain and is not a voter, from
 //! the region, and then from the data centre, with the fewest replying voters;
 //! an empty name if there is none.
@@ -42,6 +48,49 @@
   return best;
 }
 
+//! Returns the region's hosts with disks. Hosts without prefer different ones.
+std::vector<HostName> DiskHostsOfRegion(const SourceInput& input) {
+  std::vector<HostName> hosts;
+  for (const state::HostRecord& host : input.hosts) {
+    if (host.has_disk && host.region == input.self.region) {
+      hosts.push_back(host.name);
+    }
+  }
+  if (!input.self.has_disk) {
+    const std::uint64_t self = policy::RendezvousKey(input.self.name.Text());
+    std::sort(hosts.begin(), hosts.end(),
+              [self](const HostName& left, const HostName& right) {
+                return policy::RendezvousWeight(self, left.Text()) >
+                       policy::RendezvousWeight(self, right.Text());
+              });
+  }
+  return hosts;
+}
+
+//! Returns the hosts above this one in the tree of the region's hosts without
+//! disks, the nearest first; none for a host with a disk.
+std::vector<HostName> FeedersOf(const SourceInput& input) {
+  std::vector<HostName> feeders;
+  if (input.self.has_disk) {
+    return feeders;
+  }
+  std::set<HostName> names{input.self.name};
+  for (const state::HostRecord& host : input.hosts) {
+    if (!host.has_disk && host.region == input.self.region) {
+      names.insert(host.name);
+    }
+  }
+  const std::vector<HostName> ranked(names.begin(), names.end());
+  auto place = static_cast<std::size_t>(
+      std::find(ranked.begin(), ranked.end(), input.self.name) -
+      ranked.begin());
+  while (place > 0) {
+    place = (place - 1) / kFeedFanOut;
+    feeders.push_back(ranked[place]);
+  }
+  return feeders;
+}
+
 }  // namespace
 
 VoterPlan PlanVoters(const VoterPlanInput& input,
@@ -82,23 +131,28 @@
   const bool is_voter = voters.contains(input.self.name);
   if (is_voter) {
     add(input.leader);
-  }
-  for (const state::HostRecord& host : input.hosts) {
-    const bool is_in_region = host.region == input.self.region;
-    if (is_in_region && !is_voter && voters.contains(host.name)) {
-      add(host.name);
+  } else {
+    for (const HostName& host : DiskHostsOfRegion(input)) {
+      if (voters.contains(host)) {
+        add(host);
+      }
     }
-  }
-  for (const state::HostRecord& host : input.hosts) {
-    const bool is_in_region = host.region == input.self.region;
     // A host follows only hosts that rank before it. Otherwise two hosts could
     // follow each other and neither would receive new entries.
-    const bool ranks_before = host.has_disk == input.self.has_disk
-                                  ? host.name < input.self.name
-                                  : host.has_disk;
-    const bool may_feed = !input.ready || (!is_voter && ranks_before);
-    if (is_in_region && may_feed) {
-      add(host.name);
+    for (const HostName& host : DiskHostsOfRegion(input)) {
+      if (!input.self.has_disk || host < input.self.name) {
+        add(host);
+      }
+    }
+    for (const HostName& host : FeedersOf(input)) {
+      add(host);
+    }
+  }
+  if (!input.ready) {
+    for (const state::HostRecord& host : input.hosts) {
+      if (host.region == input.self.region) {
+        add(host.name);
+      }
     }
   }
   add(input.leader);
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -124,6 +124,40 @@
   }
 }
 
+// Guards against hosts that all turn to the same host once their source is gone.
+TEST(PlanSourcesTest, NoHostWithoutDiskIsTheSourceOfMany) {
+  constexpr int kHosts = 97;
+  constexpr int kMostFollowers = 8;
+  std::vector<state::HostRecord> hosts{HostAt("1", true), HostAt("2", true),
+                                       HostAt("3", true)};
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.push_back(HostAt(std::to_string(100 + i), false));
+  }
+  std::map<HostName, int> first;
+  std::map<HostName, int> first_without_disk;
+  for (const state::HostRecord& self : hosts) {
+    if (self.has_disk) {
+      continue;
+    }
+    SourceInput input;
+    input.self = self;
+    input.ready = true;
+    input.hosts = hosts;
+    const std::vector<HostName> sources = PlanSources(input);
+    first[sources.front()] += 1;
+    if (sources.size() > 3) {
+      first_without_disk[sources[3]] += 1;
+      EXPECT_LT(sources[3], self.name);
+    }
+  }
+  for (const char* control : {"1", "2", "3"}) {
+    EXPECT_LE(first[HostName(control)], kHosts / 2);
+  }
+  for (const auto& [source, followers] : first_without_disk) {
+    EXPECT_LE(followers, kMostFollowers) << source.Text();
+  }
+}
+
 //! Five hosts with disks, of which three are seeds, and three without, in three
 //! regions.
 class BootstrapTest : public testing::Test {
