control: entries on their way are not asked for nor sent again

A ready host asked its source every 300 ms for all that it had not applied, and got it in full each time, however much of it was on its way; new sets went out behind those that they replace; and a host that had not applied yet what its source sent blamed the source and left it.

A host now asks how far its source is, and for entries only if it lacks some that are not on their way: a source replies in order, so a reply to a later question shows that they were lost. A source sends no update to a host with more than 64 KiB on their way; that host asks once they have arrived. Hosts of the former build read and answer the same messages.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -228,6 +228,11 @@
   //! Tells the hosts with disks of which this leader hears nothing that it
   //! leads.
   void AnnounceLeader(TimePoint now, ControlEffects& effects) const;
+  //! Sends a request for no entries.
+  void SendProbe(const HostName& to,
+                 FeedRequest probe,
+                 TimePoint now,
+                 ControlEffects& effects) const;
   //! Logs a change of the source.
   void LogSource(const HostName& source, TimePoint now);
   //! Asks a source for the entries that this host lacks.
--- a/packages/control/include/tamarackwing/control/feed_follower.h
+++ b/packages/control/include/tamarackwing/control/feed_follower.h
@@ -31,23 +31,29 @@
   const HostName& Choose(const std::vector<HostName>& sources,
                          const HostName& known_leader,
                          TimePoint now);
-  //! Returns the next request, without statuses.
-  FeedRequest MakeRequest(LogIndex next, TimePoint now);
+  //! Returns the next request to a source, without statuses.
+  FeedRequest MakeRequest(const HostName& to, LogIndex next, TimePoint now);
   //! Returns a request, without statuses, that asks only how far a source is.
-  FeedRequest MakeProbe(TimePoint now);
+  FeedRequest MakeProbe(const HostName& to, TimePoint now);
+  //! Returns whether the current source still has to be asked for entries, so
+  //! that it sends new ones by itself.
+  bool IsNewSource() const { return this->source != this->entries_source; }
   //! Returns which better source than the current one to ask, from time to
   //! time, how far it is; nullopt if it is not time or there is none.
   std::optional<HostName> Look(const std::vector<HostName>& sources,
                                TimePoint now);
   //! As MakeProbe, for a source that Look returned.
-  FeedRequest MakeLook(const HostName& source, TimePoint now);
-  //! Returns whether a request for entries waits for its reply, and not for so
-  //! long that the source must be considered silent.
+  FeedRequest MakeLook(const HostName& to, TimePoint now);
+  //! Returns whether a request for entries waits for its reply, and its source
+  //! has neither replied to a later request nor been silent for long.
   bool AwaitsEntries(TimePoint now) const;
   //! Handles a reply after its entries have been applied; `applied` is the
   //! index of the last applied entry. Returns false if the reply matches no
-  //! pending request of this host.
-  bool HandleReply(const FeedReply& reply, LogIndex applied, TimePoint now);
+  //! pending request of this host to that source.
+  bool HandleReply(const HostName& from,
+                   const FeedReply& reply,
+                   LogIndex applied,
+                   TimePoint now);
 
   //! Records who leads, as a host said that had not been asked.
   void NoteLeader(const HostName& announced) { this->leader = announced; }
@@ -70,8 +76,7 @@
   std::chrono::milliseconds request_interval;
   HostName source;
   TimePoint source_since;
-  //! The better source that was asked last, in which request, and when.
-  HostName looked_at;
+  //! The last request to a better source, and when it was made.
   std::uint64_t look_request = 0;
   TimePoint look_since;
   std::size_t looks = 0;
@@ -79,10 +84,19 @@
   HostName better;
   HostName source_leader;
   std::uint64_t number = 0;
-  std::map<std::uint64_t, TimePoint> sent;
-  //! The last request for entries.
+  //! A request without a reply.
+  struct Pending {
+    HostName to;
+    TimePoint at;
+  };
+  std::map<std::uint64_t, Pending> sent;
+  //! The last request for entries, and the source that it was made to.
   std::uint64_t entries_request = 0;
+  HostName entries_source;
   TimePoint last_reply;
+  //! The last leader contact of the current source, whether or not this host
+  //! has applied what was committed then.
+  TimePoint source_contact;
   TimePoint leader_contact;
   LogIndex commit = 0;
   HostName leader;
--- a/packages/control/include/tamarackwing/control/feed_source.h
+++ b/packages/control/include/tamarackwing/control/feed_source.h
@@ -38,12 +38,14 @@
   void Keep(const state::LogEntry& entry) { this->buffer.Add(entry); }
   //! Discards the buffered entries; to be called when a snapshot is installed.
   void Clear();
-  //! Returns the reply to a request. The sender receives updates from now on,
-  //! unless it asked for no entries.
+  //! Returns the reply to a request. The sender receives updates from now on if
+  //! it asked for entries, and goes on to receive them otherwise.
   FeedReply HandleRequest(const HostName& from,
                           const FeedRequest& request,
                           const FeedKnowledge& knowledge);
   //! Returns updates with the entries that have not been sent to followers yet.
+  //! A follower with much on its way to it gets none: it asks for what it lacks
+  //! once that has arrived, and then gets nothing that was replaced meanwhile.
   std::vector<FeedUpdate> PendingUpdates(const FeedKnowledge& knowledge);
   //! Drops the followers whose last request arrived before `since`, and the
   //! encoded state if it was last sent before.
@@ -53,7 +55,11 @@
   struct Follower {
     LogIndex next = 1;
     TimePoint last_request;
+    //! Payload sent since the follower last said that it had applied all.
+    std::size_t bytes_on_way = 0;
   };
+  //! Records what a reply or an update sends to a follower.
+  static void NoteSent(const FeedReply& reply, Follower& follower);
   FeedReply MakeReply(LogIndex next, const FeedKnowledge& knowledge);
   //! Adds the state to a reply, as a snapshot and the entries applied since.
   void AddState(const FeedKnowledge& knowledge, FeedReply& reply);
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -843,7 +843,7 @@
   if (!reply.entries.empty()) {
     this->ApplyEntries(reply.entries, now, effects);
   }
-  if (this->follower.HandleReply(reply, this->state.Applied(), now)) {
+  if (this->follower.HandleReply(from, reply, this->state.Applied(), now)) {
     this->source_replied_at = now;
     const state::HostRecord* host = this->FindHost(from);
     this->region_replied =
@@ -1063,12 +1063,16 @@
     const HostName& source =
         this->follower.Choose(sources, this->Leader(), now);
     this->LogSource(source, now);
-    this->RequestEntries(source, now, effects);
+    if (this->follower.IsNewSource()) {
+      this->RequestEntries(source, now, effects);
+    } else {
+      this->SendProbe(source, this->follower.MakeProbe(source, now), now,
+                      effects);
+    }
     const auto better = this->follower.Look(sources, now);
     if (better) {
-      FeedRequest look = this->follower.MakeLook(*better, now);
-      look.statuses = this->monitor.Recent(now);
-      effects.sends.push_back({*better, std::move(look)});
+      this->SendProbe(*better, this->follower.MakeLook(*better, now), now,
+                      effects);
     }
     return;
   }
@@ -1093,9 +1097,8 @@
   for (std::size_t i = 0; i < probes; ++i) {
     const HostName& probed = sources[this->probed_sources++ % sources.size()];
     if (probed != source) {
-      FeedRequest probe = this->follower.MakeProbe(now);
-      probe.statuses = this->monitor.Recent(now);
-      effects.sends.push_back({probed, std::move(probe)});
+      this->SendProbe(probed, this->follower.MakeProbe(probed, now), now,
+                      effects);
     }
   }
   this->probed_all = this->probed_all || this->probed_sources >= sources.size();
@@ -1121,11 +1124,19 @@
                                  TimePoint now,
                                  ControlEffects& effects) {
   FeedRequest request =
-      this->follower.MakeRequest(this->state.Applied() + 1, now);
+      this->follower.MakeRequest(source, this->state.Applied() + 1, now);
   request.statuses = this->monitor.Recent(now);
   effects.sends.push_back({source, std::move(request)});
 }
 
+void ControlNode::SendProbe(const HostName& to,
+                            FeedRequest probe,
+                            TimePoint now,
+                            ControlEffects& effects) const {
+  probe.statuses = this->monitor.Recent(now);
+  effects.sends.push_back({to, std::move(probe)});
+}
+
 void ControlNode::AnnounceLeader(TimePoint now, ControlEffects& effects) const {
   if (!this->log.HasLease(now)) {
     return;
--- a/packages/control/src/feed_follower.cc
+++ b/packages/control/src/feed_follower.cc
@@ -42,7 +42,7 @@
   // A source that replies but has no leader contact itself is no better than
   // one that does not reply.
   const Duration silence = kMaxSilentIntervals * this->request_interval;
-  const bool has_leader_contact = now - this->leader_contact <= 2 * silence;
+  const bool has_leader_contact = now - this->source_contact <= 2 * silence;
   const bool has_recent_reply = now - this->last_reply <= silence;
   if (!has_recent_reply ||
       (!has_leader_contact && now - this->source_since > 2 * silence)) {
@@ -77,62 +77,74 @@
   return sources[this->looks++ % place];
 }
 
-FeedRequest FeedFollower::MakeLook(const HostName& source, TimePoint now) {
-  FeedRequest request = this->MakeProbe(now);
-  this->looked_at = source;
+FeedRequest FeedFollower::MakeLook(const HostName& to, TimePoint now) {
+  FeedRequest request = this->MakeProbe(to, now);
   this->look_request = request.number;
   return request;
 }
 
-FeedRequest FeedFollower::MakeRequest(LogIndex next, TimePoint now) {
+FeedRequest FeedFollower::MakeRequest(const HostName& to,
+                                      LogIndex next,
+                                      TimePoint now) {
   FeedRequest request;
   request.number = ++this->number;
   request.next = next;
-  this->sent[request.number] = now;
-  this->entries_request = request.number;
+  this->sent[request.number] = {to, now};
+  if (next != FeedRequest::kNoEntries) {
+    this->entries_request = request.number;
+    this->entries_source = to;
+  }
   if (this->sent.size() > kMaxPendingRequests) {
     this->sent.erase(this->sent.begin());
   }
   return request;
 }
 
-FeedRequest FeedFollower::MakeProbe(TimePoint now) {
-  const std::uint64_t asked = this->entries_request;
-  FeedRequest request = this->MakeRequest(FeedRequest::kNoEntries, now);
-  this->entries_request = asked;
-  return request;
+FeedRequest FeedFollower::MakeProbe(const HostName& to, TimePoint now) {
+  return this->MakeRequest(to, FeedRequest::kNoEntries, now);
 }
 
 bool FeedFollower::AwaitsEntries(TimePoint now) const {
   const auto request = this->sent.find(this->entries_request);
   return request != this->sent.end() &&
-         now - request->second <= kMaxSilentIntervals * this->request_interval;
+         now - request->second.at <=
+             kMaxSilentIntervals * this->request_interval;
 }
 
-bool FeedFollower::HandleReply(const FeedReply& reply,
+bool FeedFollower::HandleReply(const HostName& from,
+                               const FeedReply& reply,
                                LogIndex applied,
                                TimePoint now) {
   const auto sent_request = this->sent.find(reply.number);
-  if (sent_request == this->sent.end()) {
+  if (sent_request == this->sent.end() || sent_request->second.to != from) {
     return false;
   }
+  const TimePoint sent_at = sent_request->second.at;
   const bool has_contact =
       reply.leader_contact_age &&
       *reply.leader_contact_age <= kMaxSilentIntervals * this->request_interval;
   if (reply.number != this->look_request) {
     this->last_reply = now;
   } else if (has_contact) {
-    this->better = this->looked_at;
+    this->better = from;
   }
   this->leader = reply.leader;
   this->commit = std::max(this->commit, reply.commit);
+  if (from == this->source && reply.leader_contact_age) {
+    this->source_contact =
+        std::max(this->source_contact, sent_at - *reply.leader_contact_age);
+  }
   // The contact counts only if this host has applied everything that the source
   // reported as committed.
   if (reply.leader_contact_age && applied >= reply.commit) {
-    this->leader_contact = std::max(
-        this->leader_contact, sent_request->second - *reply.leader_contact_age);
+    this->leader_contact =
+        std::max(this->leader_contact, sent_at - *reply.leader_contact_age);
   }
-  this->sent.erase(sent_request);
+  // A source replies in the order in which it was asked, so earlier requests to
+  // it were lost, or their replies were.
+  std::erase_if(this->sent, [&](const auto& entry) {
+    return entry.first <= reply.number && entry.second.to == from;
+  });
   return true;
 }
 
--- a/packages/control/src/feed_source.cc
+++ b/packages/control/src/feed_source.cc
@@ -13,6 +13,9 @@
 //! that replaced each other take more bytes than the last of them.
 constexpr std::size_t kMaxReplyBytes = 128 * 1024;
 constexpr std::size_t kMaxEntriesPerReply = 512;
+//! Payload, in bytes, that may be on its way to a follower when it gets another
+//! update.
+constexpr std::size_t kMaxBytesOnWay = 64 * 1024;
 
 std::size_t PayloadBytes(const std::vector<state::LogEntry>& entries) {
   std::size_t bytes = 0;
@@ -22,6 +25,16 @@
   return bytes;
 }
 
+//! Returns the last entry that a request's sender says it has applied.
+LogIndex AppliedBy(const HostName& sender, const FeedRequest& request) {
+  for (const HostStatus& status : request.statuses) {
+    if (status.record.name == sender) {
+      return status.applied;
+    }
+  }
+  return 0;
+}
+
 }  // namespace
 
 FeedSource::FeedSource() : buffer(kBufferedEntries, kBufferedBytes) {}
@@ -37,22 +50,39 @@
   FeedReply reply = this->MakeReply(request.next, knowledge);
   reply.number = request.number;
   if (request.next == FeedRequest::kNoEntries) {
+    const auto known = this->followers.find(from);
+    if (known != this->followers.end()) {
+      known->second.last_request = knowledge.now;
+      if (AppliedBy(from, request) + 1 >= known->second.next) {
+        known->second.bytes_on_way = 0;
+      }
+    }
     return reply;
   }
   Follower& follower = this->followers[from];
   follower.last_request = knowledge.now;
   follower.next = std::max(request.next, knowledge.state.Applied() + 1);
+  follower.bytes_on_way = 0;
+  NoteSent(reply, follower);
+  return reply;
+}
+
+void FeedSource::NoteSent(const FeedReply& reply, Follower& follower) {
+  follower.bytes_on_way += PayloadBytes(reply.entries);
+  if (reply.snapshot) {
+    follower.bytes_on_way += reply.snapshot->state.size();
+  }
   if (!reply.entries.empty()) {
     follower.next = reply.entries.back().index + 1;
   }
-  return reply;
 }
 
 std::vector<FeedUpdate> FeedSource::PendingUpdates(
     const FeedKnowledge& knowledge) {
   std::vector<FeedUpdate> updates;
   for (auto& [host, follower] : this->followers) {
-    if (follower.next > knowledge.state.Applied()) {
+    if (follower.next > knowledge.state.Applied() ||
+        follower.bytes_on_way > kMaxBytesOnWay) {
       continue;
     }
     FeedReply reply = this->MakeReply(follower.next, knowledge);
@@ -60,7 +90,7 @@
       // A snapshot is sent only in reply to a request.
       continue;
     }
-    follower.next = reply.entries.back().index + 1;
+    NoteSent(reply, follower);
     updates.push_back({host, std::move(reply)});
   }
   return updates;
--- a/packages/control/tests/feed_tests.cc
+++ b/packages/control/tests/feed_tests.cc
@@ -25,38 +25,44 @@
 
 TEST(FeedFollowerTest, LeaderContactIsRequestTimeMinusAgeAtSource) {
   FeedFollower follower(kReport, kStart);
-  const FeedRequest request = follower.MakeRequest(1, kStart);
+  const FeedRequest request = follower.MakeRequest(kSources[0], 1, kStart);
   EXPECT_FALSE(follower.LeaderContact().has_value());
-  EXPECT_TRUE(follower.HandleReply(ReplyTo(request, 3), 3, kStart + kReport));
+  EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(request, 3), 3,
+                                   kStart + kReport));
   EXPECT_EQ(follower.LeaderContact(), kStart - milliseconds(50));
 }
 
 TEST(FeedFollowerTest, ReplyWithUnappliedCommitIsNoLeaderContact) {
   FeedFollower follower(kReport, kStart);
-  const FeedRequest request = follower.MakeRequest(1, kStart);
-  EXPECT_TRUE(follower.HandleReply(ReplyTo(request, 3), 2, kStart));
+  const FeedRequest request = follower.MakeRequest(kSources[0], 1, kStart);
+  EXPECT_TRUE(
+      follower.HandleReply(kSources[0], ReplyTo(request, 3), 2, kStart));
   EXPECT_FALSE(follower.LeaderContact().has_value());
   EXPECT_EQ(follower.Commit(), 3U);
 }
 
 TEST(FeedFollowerTest, ReplyIsHandledOnce) {
   FeedFollower follower(kReport, kStart);
-  const FeedRequest request = follower.MakeRequest(1, kStart);
-  EXPECT_TRUE(follower.HandleReply(ReplyTo(request, 0), 0, kStart));
-  EXPECT_FALSE(follower.HandleReply(ReplyTo(request, 0), 0, kStart));
+  const FeedRequest request = follower.MakeRequest(kSources[0], 1, kStart);
+  EXPECT_TRUE(
+      follower.HandleReply(kSources[0], ReplyTo(request, 0), 0, kStart));
+  EXPECT_FALSE(
+      follower.HandleReply(kSources[0], ReplyTo(request, 0), 0, kStart));
 }
 
 // Guards against a reply to an earlier process that proves a leader contact
 // later than its source could know.
 TEST(FeedFollowerTest, ReplyToEarlierProcessIsIgnored) {
   FeedFollower earlier(kReport, kStart);
-  const FeedRequest old = earlier.MakeRequest(1, kStart);
+  const FeedRequest old = earlier.MakeRequest(kSources[0], 1, kStart);
   FeedFollower follower(kReport, kStart, 1'000);
-  const FeedRequest request = follower.MakeRequest(1, kStart + kReport);
-  EXPECT_FALSE(follower.HandleReply(ReplyTo(old, 3), 3, kStart + 2 * kReport));
+  const FeedRequest request =
+      follower.MakeRequest(kSources[0], 1, kStart + kReport);
+  EXPECT_FALSE(follower.HandleReply(kSources[0], ReplyTo(old, 3), 3,
+                                    kStart + 2 * kReport));
   EXPECT_FALSE(follower.LeaderContact().has_value());
-  EXPECT_TRUE(
-      follower.HandleReply(ReplyTo(request, 3), 3, kStart + 2 * kReport));
+  EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(request, 3), 3,
+                                   kStart + 2 * kReport));
 }
 
 TEST(FeedFollowerTest, MovesOnFromSilentSource) {
@@ -74,6 +80,59 @@
   EXPECT_EQ(follower.Choose(kSources, HostName("b"), later), kSources[0]);
 }
 
+// Guards against a host that asks for the same entries again while they are on
+// their way.
+TEST(FeedFollowerTest, SlowReplyIsAwaited) {
+  FeedFollower follower(kReport, kStart);
+  const FeedRequest request = follower.MakeRequest(kSources[0], 1, kStart);
+  const FeedRequest other = follower.MakeProbe(kSources[1], kStart + kReport);
+  const FeedRequest probe = follower.MakeProbe(kSources[0], kStart + kReport);
+  EXPECT_TRUE(follower.HandleReply(kSources[1], ReplyTo(other, 3), 0,
+                                   kStart + 2 * kReport));
+  EXPECT_TRUE(follower.AwaitsEntries(kStart + 2 * kReport));
+  // The source replies in order, so the entries were lost.
+  EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(probe, 3), 0,
+                                   kStart + 2 * kReport));
+  EXPECT_FALSE(follower.AwaitsEntries(kStart + 2 * kReport));
+  EXPECT_FALSE(follower.HandleReply(kSources[0], ReplyTo(request, 3), 0,
+                                    kStart + 2 * kReport));
+}
+
+TEST(FeedFollowerTest, ReplyOfAnotherSourceIsIgnored) {
+  FeedFollower follower(kReport, kStart);
+  const FeedRequest request = follower.MakeRequest(kSources[0], 1, kStart);
+  EXPECT_FALSE(
+      follower.HandleReply(kSources[1], ReplyTo(request, 3), 3, kStart));
+  EXPECT_FALSE(follower.LeaderContact().has_value());
+}
+
+// Guards against a host that leaves a source with leader contact because it has
+// not applied yet what that source sends.
+TEST(FeedFollowerTest, StaysWithSourceWhoseEntriesAreOnTheirWay) {
+  FeedFollower follower(kReport, kStart);
+  TimePoint now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    now += kReport;
+    EXPECT_EQ(follower.Choose(kSources, HostName("a"), now), kSources[0]);
+    const FeedRequest probe = follower.MakeProbe(kSources[0], now);
+    EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(probe, 3), 2, now));
+  }
+}
+
+TEST(FeedFollowerTest, ReturnsToBetterSourceThatHasLeaderContact) {
+  FeedFollower follower(kReport, kStart);
+  follower.Choose(kSources, HostName(), kStart);
+  TimePoint now = kStart + 5 * kReport;
+  EXPECT_EQ(follower.Choose(kSources, HostName(), now), kSources[1]);
+  const auto better = follower.Look(kSources, now);
+  EXPECT_EQ(better, kSources[0]);
+  EXPECT_FALSE(follower.Look(kSources, now + kReport).has_value());
+  const FeedRequest look = follower.MakeLook(*better, now);
+  EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(look, 3), 3, now));
+  EXPECT_EQ(follower.Choose(kSources, HostName(), now), kSources[0]);
+  EXPECT_FALSE(follower.Look(kSources, now + 5 * kReport).has_value());
+}
+
 class FeedSourceTest : public testing::Test {
  protected:
   void Apply(const std::string& payload) {
@@ -155,6 +214,33 @@
   EXPECT_TRUE(this->feed.PendingUpdates(this->Knowledge()).empty());
 }
 
+// Guards against sets that wait in line behind those that they replace.
+TEST_F(FeedSourceTest, FollowerWithMuchOnItsWayReceivesNoUpdates) {
+  this->SendRequest(1);
+  this->Apply(std::string(100 * 1024, 'x'));
+  EXPECT_EQ(this->feed.PendingUpdates(this->Knowledge()).size(), 1U);
+  this->Apply("two");
+  EXPECT_TRUE(this->feed.PendingUpdates(this->Knowledge()).empty());
+  FeedRequest probe;
+  probe.next = FeedRequest::kNoEntries;
+  probe.statuses.resize(1);
+  probe.statuses[0].record.name = HostName("f");
+  probe.statuses[0].applied = 1;
+  this->feed.HandleRequest(HostName("f"), probe, this->Knowledge());
+  EXPECT_EQ(this->feed.PendingUpdates(this->Knowledge()).size(), 1U);
+}
+
+TEST_F(FeedSourceTest, FollowerThatAsksHowFarTheSourceIsGoesOnToReceive) {
+  this->SendRequest(1);
+  FeedRequest probe;
+  probe.next = FeedRequest::kNoEntries;
+  const TimePoint later = kStart + kReport;
+  this->feed.HandleRequest(HostName("f"), probe, this->Knowledge(later));
+  this->feed.DropSilent(later);
+  this->Apply("one");
+  EXPECT_EQ(this->feed.PendingUpdates(this->Knowledge(later)).size(), 1U);
+}
+
 TEST_F(FeedSourceTest, SilentFollowerReceivesNoUpdates) {
   this->SendRequest(1);
   this->feed.DropSilent(kStart + milliseconds(1));
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -124,7 +124,8 @@
   }
 }
 
-// Guards against hosts that all turn to the same host once their source is gone.
+// Guards against hosts that all turn to the same host once their source is
+// gone.
 TEST(PlanSourcesTest, NoHostWithoutDiskIsTheSourceOfMany) {
   constexpr int kHosts = 97;
   constexpr int kMostFollowers = 8;
--- a/packages/control/tests/slow_link_tests.cc
+++ b/packages/control/tests/slow_link_tests.cc
@@ -13,8 +13,9 @@
  protected:
   static constexpr std::size_t kEntryHosts = 48;
   static constexpr std::size_t kControlHosts = 2;
-  //! 10 Mbit/s.
-  static constexpr std::uint64_t kLinkRate = 1'250'000;
+  //! 10 Mbit/s and 100 Mbit/s.
+  static constexpr std::uint64_t kEntryLink = 1'250'000;
+  static constexpr std::uint64_t kControlLink = 12'500'000;
   static constexpr std::size_t kSetBytes = 200'000;
   static constexpr milliseconds kChangeInterval{1'400};
   static constexpr int kChanges = 6;
@@ -26,9 +27,8 @@
     ASSERT_TRUE(this->cluster.RunUntil([&] { return this->cluster.AllReady(); },
                                        milliseconds(20'000)));
     for (const state::HostRecord& host : Hosts()) {
-      if (!host.has_disk) {
-        this->cluster.LimitLink(host.name, kLinkRate);
-      }
+      this->cluster.LimitLink(host.name,
+                              host.has_disk ? kControlLink : kEntryLink);
     }
     this->cluster.Run(milliseconds(3'000));
     ASSERT_FALSE(this->cluster.Leader().IsEmpty());
@@ -108,6 +108,26 @@
   Duration oldest_contact{};
 };
 
+// Guards against hosts that are sent the same sets again and again while these
+// are on their way.
+TEST_F(SlowLinkTest, SetsAreSentOnceToEachHost) {
+  const std::uint64_t before = this->cluster.LinkBytes();
+  EXPECT_LT(this->ChangeSets(), kFreshness);
+  EXPECT_EQ(this->HostsWithNewestSet(), this->EntryHosts().size());
+  const std::uint64_t sets = kChanges * kSetBytes * this->EntryHosts().size();
+  EXPECT_LE(this->cluster.LinkBytes() - before, 2 * sets);
+}
+
+// Guards against a region that loses leader contact, because all its hosts
+// fetch the sets from the same entry host once its control hosts are gone.
+TEST_F(SlowLinkTest, RegionWithoutControlHostsKeepsLeaderContact) {
+  this->cluster.Suspend(HostName("muscat-100"));
+  this->cluster.Suspend(HostName("muscat-101"));
+  this->Watch(kFreshness);
+  EXPECT_LT(this->ChangeSets(), kFreshness);
+  EXPECT_EQ(this->HostsWithNewestSet(), this->EntryHosts().size());
+}
+
 // Guards against hosts that stay with an entry host as their source after their
 // region's control hosts are back.
 TEST_F(SlowLinkTest, HostsReturnToControlHostsOfTheirRegion) {
