hosts: a connection whose bytes move is not taken for silent

A connection now ends if for that long no call gets its reply and no bytes of a large message are taken; a host that follows a source counts bytes that arrive as a sign of its life.

One timer for all connections takes the place of one for each call.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -64,6 +64,12 @@
   ControlEffects Receive(const HostName& from,
                          const PeerMessage& message,
                          TimePoint now);
+  //! Records that bytes of a message from another host were arriving at `at`.
+  void NoteBytes(const HostName& from, TimePoint at) {
+    this->follower.NoteBytes(from, at);
+  }
+  //! Returns the source of the log's entries; an empty name if there is none.
+  const HostName& Source() const { return this->follower.Source(); }
   //! Records that all log batches up to `ticket` are on disk.
   ControlEffects LogPersisted(std::uint64_t ticket, TimePoint now);
   //! Records that all ledger batches up to `ticket` are on disk.
--- a/packages/control/include/tamarackwing/control/feed_follower.h
+++ b/packages/control/include/tamarackwing/control/feed_follower.h
@@ -38,6 +38,11 @@
   //! Returns whether the current source still has to be asked for entries, so
   //! that it sends new ones by itself.
   bool IsNewSource() const { return this->source != this->entries_source; }
+  //! Records that bytes of a host were arriving at `at`, also of a message that
+  //! is not complete.
+  void NoteBytes(const HostName& from, TimePoint at);
+  //! Returns the source that Choose returned last; an empty name before.
+  const HostName& Source() const { return this->source; }
   //! Returns which better source than the current one to ask, from time to
   //! time, how far it is; nullopt if it is not time or there is none.
   std::optional<HostName> Look(const std::vector<HostName>& sources,
@@ -45,7 +50,7 @@
   //! As MakeProbe, for a source that Look returned.
   FeedRequest MakeLook(const HostName& to, TimePoint now);
   //! Returns whether a request for entries waits for its reply, and its source
-  //! has neither replied to a later request nor been silent for long.
+  //! has neither replied to a later request nor been silent for long since.
   bool AwaitsEntries(TimePoint now) const;
   //! Handles a reply after its entries have been applied; `applied` is the
   //! index of the last applied entry. Returns false if the reply matches no
@@ -93,6 +98,8 @@
   //! The last request for entries, and the source that it was made to.
   std::uint64_t entries_request = 0;
   HostName entries_source;
+  //! When bytes of that source last arrived.
+  TimePoint entries_bytes;
   TimePoint last_reply;
   //! The last leader contact of the current source, whether or not this host
   //! has applied what was committed then.
--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -60,12 +60,12 @@
 
 //! Returns the hosts from which this host may receive the log's entries, best
 //! first. A voter prefers the leader. Any other host prefers the voters of its
-//! region, then the hosts with disks of its region; of these, a host with a disk
-//! follows only those whose names come before its own. A host without a disk
-//! then prefers the hosts above it in a tree of those without disks, so that
-//! none of them feeds many others. A host that is not ready may use any host of
-//! its region. The leader and all other voters come last. Thread safety:
-//! reentrant.
+//! region, then the hosts with disks of its region; of these, a host with a
+//! disk follows only those whose names come before its own. A host without a
+//! disk then prefers the hosts above it in a tree of those without disks, so
+//! that none of them feeds many others. A host that is not ready may use any
+//! host of its region. The leader and all other voters come last. Thread
+//! safety: reentrant.
 std::vector<HostName> PlanSources(const SourceInput& input);
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/feed_follower.cc
+++ b/packages/control/src/feed_follower.cc
@@ -104,10 +104,19 @@
   return this->MakeRequest(to, FeedRequest::kNoEntries, now);
 }
 
+void FeedFollower::NoteBytes(const HostName& from, TimePoint at) {
+  if (from == this->source) {
+    this->last_reply = std::max(this->last_reply, at);
+  }
+  if (from == this->entries_source) {
+    this->entries_bytes = std::max(this->entries_bytes, at);
+  }
+}
+
 bool FeedFollower::AwaitsEntries(TimePoint now) const {
   const auto request = this->sent.find(this->entries_request);
   return request != this->sent.end() &&
-         now - request->second.at <=
+         now - std::max(request->second.at, this->entries_bytes) <=
              kMaxSilentIntervals * this->request_interval;
 }
 
--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -6,10 +6,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/expected.h"
 #include "tamarackwing/base/identifiers.h"
 #include "tamarackwing/control/peer_message.h"
@@ -30,8 +32,8 @@
   std::uint16_t port = 0;
   //! Shared by all hosts of the cluster and known to nobody else.
   std::string secret;
-  //! Timeout of connecting and of each call. A call that times out closes its
-  //! connection.
+  //! Timeout of connecting. A connection with calls that wait is closed if for
+  //! this long none gets its reply, and no bytes of a large one are taken.
   std::chrono::milliseconds call_timeout{2'000};
   //! Minimum time between two attempts to connect to a peer.
   std::chrono::milliseconds reconnect_interval{200};
@@ -86,6 +88,10 @@
   void Post(std::function<void()> task);
   //! Makes Run return after its next tick.
   void Stop();
+  //! Returns how long ago bytes of a host last arrived, also of a message that
+  //! is not complete; nullopt if it has no connection to this one. Takes time
+  //! that grows with the number of connections.
+  std::optional<Duration> SilenceOf(const HostName& host) const;
   //! Returns the total size of the sent messages in bytes.
   std::uint64_t SentBytes() const;
   //! Returns what was sent, by kind of message.
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -5,6 +5,7 @@
 #include <capnp/serialize.h>
 #include <kj/async-io.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <functional>
@@ -71,6 +72,89 @@
   PeerHandler& handler;
 };
 
+//! A stream that records when bytes arrive and when the other side makes room
+//! for more, also within one large message.
+class WatchedStream final : public kj::AsyncIoStream {
+ public:
+  explicit WatchedStream(kj::Own<kj::AsyncIoStream> inner)
+      : inner(kj::mv(inner)) {}
+
+  //! Returns when bytes last arrived; TimePoint() if none have.
+  TimePoint LastRead() const { return this->last_read; }
+  //! Returns when a write that had waited for room last went on; TimePoint() if
+  //! none has. That bytes were taken without a wait does not show that the
+  //! other side is alive.
+  TimePoint LastRoom() const { return this->last_room; }
+
+  kj::Promise<std::size_t> tryRead(void* buffer,
+                                   std::size_t min_bytes,
+                                   std::size_t max_bytes) override {
+    return this->inner->tryRead(buffer, 1, max_bytes)
+        .then([this, buffer, min_bytes,
+               max_bytes](std::size_t count) -> kj::Promise<std::size_t> {
+          if (count > 0) {
+            this->last_read = std::chrono::steady_clock::now();
+          }
+          if (count == 0 || count >= min_bytes) {
+            return count;
+          }
+          return this
+              ->tryRead(static_cast<kj::byte*>(buffer) + count,
+                        min_bytes - count, max_bytes - count)
+              .then([count](std::size_t rest) { return count + rest; });
+        });
+  }
+
+  kj::Promise<void> write(const void* buffer, std::size_t size) override {
+    const std::size_t part = std::min(size, kMaxWriteBytes);
+    const TimePoint begun = std::chrono::steady_clock::now();
+    return this->inner->write(buffer, part)
+        .then([this, buffer, size, part, begun]() -> kj::Promise<void> {
+          const TimePoint now = std::chrono::steady_clock::now();
+          if (now - begun >= kWaitedForRoom) {
+            this->last_room = now;
+          }
+          if (part == size) {
+            return kj::READY_NOW;
+          }
+          return this->write(static_cast<const kj::byte*>(buffer) + part,
+                             size - part);
+        });
+  }
+
+  kj::Promise<void> write(
+      kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override {
+    std::size_t size = 0;
+    for (const auto& piece : pieces) {
+      size += piece.size();
+    }
+    if (size <= kMaxWriteBytes) {
+      return this->inner->write(pieces);
+    }
+    const auto& first = pieces.front();
+    return this->write(first.begin(), first.size())
+        .then([this, rest = pieces.slice(1, pieces.size())]() {
+          return this->write(rest);
+        });
+  }
+
+  kj::Promise<void> whenWriteDisconnected() override {
+    return this->inner->whenWriteDisconnected();
+  }
+  void shutdownWrite() override { this->inner->shutdownWrite(); }
+  void abortRead() override { this->inner->abortRead(); }
+
+ private:
+  //! Bytes of a large message that are written at once.
+  static constexpr std::size_t kMaxWriteBytes = 16 * 1024;
+  //! Shorter writes did not wait.
+  static constexpr std::chrono::milliseconds kWaitedForRoom{1};
+
+  kj::Own<kj::AsyncIoStream> inner;
+  TimePoint last_read;
+  TimePoint last_room;
+};
+
 //! Where a host says that it accepts connections.
 struct PeerAddress {
   HostName host;
@@ -108,12 +192,12 @@
   IncomingConnection(kj::Own<kj::AsyncIoStream> given,
                      wire::Entry::Client entry)
       : stream(kj::mv(given)),
-        network(*stream,
+        network(stream,
                 capnp::rpc::twoparty::Side::SERVER,
                 MakeReaderOptions()),
         rpc(capnp::makeRpcServer(network, kj::mv(entry))) {}
 
-  kj::Own<kj::AsyncIoStream> stream;
+  WatchedStream stream;
   capnp::TwoPartyVatNetwork network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
 };
@@ -123,7 +207,7 @@
   OutgoingConnection(kj::Own<kj::AsyncIoStream> given,
                      const NetworkOptions& options)
       : stream(kj::mv(given)),
-        client(*stream),
+        client(stream),
         session(OpenSession(client, options)),
         opened(std::chrono::steady_clock::now()),
         last_reply(opened) {}
@@ -138,13 +222,22 @@
     return request.send().getSession();
   }
 
-  kj::Own<kj::AsyncIoStream> stream;
+  //! Returns whether calls wait for a reply, and the other side has shown no
+  //! sign of life since `since`.
+  bool IsSilentSince(TimePoint since) const {
+    return this->pending_calls > 0 && this->waiting_since <= since &&
+           this->last_reply <= since && this->stream.LastRoom() <= since;
+  }
+
+  WatchedStream stream;
   capnp::TwoPartyClient client;
   wire::Session::Client session;
   std::size_t pending_calls = 0;
   std::uint64_t pending_bytes = 0;
   TimePoint opened;
   TimePoint last_reply;
+  //! Since when there have been calls without a reply.
+  TimePoint waiting_since;
 };
 
 }  // namespace
@@ -173,19 +266,33 @@
     std::uint64_t generation = 0;
   };
 
+  //! A connection that another host has opened.
+  struct Incoming {
+    //! Empty until it has said its name.
+    HostName host;
+    const WatchedStream* stream = nullptr;
+  };
+
   void taskFailed(kj::Exception&&) override {}
 
   kj::Promise<void> Accept(kj::Own<kj::ConnectionReceiver> receiver) {
     auto& listener = *receiver;
     return listener.accept()
         .then([this](kj::Own<kj::AsyncIoStream> stream) {
+          const std::uint64_t number = ++this->accepted;
           auto accepted = kj::heap<IncomingConnection>(
               kj::mv(stream),
-              kj::heap<EntryServer>(
-                  this->options.secret, this->handler,
-                  [this](const PeerAddress& peer) { this->Learn(peer); }));
+              kj::heap<EntryServer>(this->options.secret, this->handler,
+                                    [this, number](const PeerAddress& peer) {
+                                      this->Learn(peer);
+                                      this->incoming[number].host = peer.host;
+                                    }));
+          this->incoming[number].stream = &accepted->stream;
           auto ended = accepted->network.onDisconnect();
-          this->tasks.add(ended.attach(kj::mv(accepted)));
+          this->tasks.add(
+              ended.attach(kj::mv(accepted)).attach(kj::defer([this, number]() {
+                this->incoming.erase(number);
+              })));
         })
         .catch_([this](kj::Exception&& exception) {
           LogEvent(Event::kPeerNotAccepted, LogLevel::kWarning,
@@ -271,14 +378,15 @@
         this->sent[{control::MessageKind(message), crosses_regions}];
     traffic.messages += 1;
     traffic.bytes += bytes;
+    if (peer.connection->pending_calls == 0) {
+      peer.connection->waiting_since = std::chrono::steady_clock::now();
+    }
     peer.connection->pending_calls += 1;
     peer.connection->pending_bytes += bytes;
     const std::uint64_t generation = peer.generation;
     auto reply = request.send().ignoreResult();
-    auto timed = this->io.provider->getTimer().timeoutAfter(
-        ToKj(this->options.call_timeout), kj::mv(reply));
     this->tasks.add(
-        timed.then([this, name, generation,
+        reply.then([this, name, generation,
                     bytes]() { this->NoteReply(name, generation, bytes); },
                    [this, name, generation](kj::Exception&&) {
                      const auto found = this->peers.find(name);
@@ -315,9 +423,20 @@
               {"open_ms", MillisecondsText(now - connection.opened)}});
   }
 
-  //! Closes the connection to a host and discards its queued messages. Also
-  //! called when a call times out, since a peer that stops responding may never
-  //! close its connection.
+  //! Closes the connections that have been silent for too long: a peer that
+  //! stops responding may never close its connection.
+  void DropSilent() {
+    const TimePoint since =
+        std::chrono::steady_clock::now() - this->options.call_timeout;
+    for (const auto& [name, peer] : this->peers) {
+      if (peer.connection.get() != nullptr &&
+          peer.connection->IsSilentSince(since)) {
+        this->Drop(name);
+      }
+    }
+  }
+
+  //! Closes the connection to a host and discards its queued messages.
   void Drop(const HostName& name) {
     const auto found = this->peers.find(name);
     if (found == this->peers.end()) {
@@ -364,6 +483,7 @@
     return this->io.provider->getTimer()
         .afterDelay(ToKj(interval))
         .then([this, interval, &tick]() -> kj::Promise<void> {
+          this->DropSilent();
           tick();
           if (this->stopping.load()) {
             return kj::READY_NOW;
@@ -376,6 +496,9 @@
   PeerHandler& handler;
   kj::AsyncIoContext io;
   std::map<HostName, Peer> peers;
+  //! By the order in which they were accepted.
+  std::map<std::uint64_t, Incoming> incoming;
+  std::uint64_t accepted = 0;
   std::mutex mutex;
   std::deque<std::function<void()>> posted;
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake;
@@ -459,6 +582,18 @@
   this->state->stopping.store(true);
 }
 
+std::optional<Duration> PeerNetwork::SilenceOf(const HostName& host) const {
+  std::optional<Duration> silence;
+  const TimePoint now = std::chrono::steady_clock::now();
+  for (const auto& [number, connection] : this->state->incoming) {
+    if (connection.host == host) {
+      const Duration age = now - connection.stream->LastRead();
+      silence = silence ? std::min(*silence, age) : age;
+    }
+  }
+  return silence;
+}
+
 std::uint64_t PeerNetwork::SentBytes() const {
   return this->state->sent_bytes.load();
 }
