gateway: silence ends no answer that cannot go on elsewhere

A try is now given up for silence only if another may follow; connections that acknowledge nothing are still found by their probes.

--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -113,7 +113,7 @@
 }
 
 TimePoint PathRequest::FirstByteDeadline() const {
-  if (!this->IsRepeatable()) {
+  if (!this->plan->MayFollowLoss()) {
     return this->deadline;
   }
   const TimePoint now = this->gateway.Dependencies().clock.Now();
@@ -357,8 +357,10 @@
   AnswerReader reader(connection, &this->events, sender);
   while (true) {
     const TimePoint now = this->gateway.Dependencies().clock.Now();
-    auto piece =
-        co_await reader.Read(std::min(this->deadline, now + gap_timeout));
+    const TimePoint give_up = this->plan->MayFollowLoss()
+                                  ? std::min(this->deadline, now + gap_timeout)
+                                  : this->deadline;
+    auto piece = co_await reader.Read(give_up);
     this->NoteEnd(connection, reader.End());
     if (!piece) {
       co_return this->HandleConnectionError(piece.error());
--- a/packages/policy/include/tamarackwing/policy/try_plan.h
+++ b/packages/policy/include/tamarackwing/policy/try_plan.h
@@ -46,6 +46,8 @@
 
   //! Records the outcome of a try and returns what to do next.
   NextStep Next(TryOutcome outcome);
+  //! Returns whether another try may follow if the current one is lost.
+  bool MayFollowLoss() const;
   //! Returns whether a server may have run the request.
   bool MayHaveRun() const { return this->runs > 0; }
   //! Returns the number of tries that were sent.
@@ -55,6 +57,9 @@
   NextStep Stop() const;
 
  private:
+  //! Returns whether another try may follow after so many tries and runs.
+  bool MayTry(std::size_t after_tries, std::size_t after_runs) const;
+
   TryRules rules;
   std::size_t tries = 0;
   std::size_t sends = 0;
--- a/packages/policy/src/try_plan.cc
+++ b/packages/policy/src/try_plan.cc
@@ -23,15 +23,23 @@
   if (outcome == TryOutcome::kServed) {
     return NextStep::kPassOn;
   }
-  const bool may_run_again =
-      this->runs == 0 ||
-      (this->rules.repeatable && this->runs < this->rules.max_runs);
-  if (may_run_again && this->tries < this->rules.max_runs + kMaxExtraTries) {
+  if (this->MayTry(this->tries, this->runs)) {
     return NextStep::kTryAnother;
   }
   return outcome == TryOutcome::kFailed ? NextStep::kPassOn : this->Stop();
 }
 
+bool TryPlan::MayFollowLoss() const {
+  return this->MayTry(this->tries + 1, this->runs + 1);
+}
+
+bool TryPlan::MayTry(std::size_t after_tries, std::size_t after_runs) const {
+  const bool may_run_again =
+      after_runs == 0 ||
+      (this->rules.repeatable && after_runs < this->rules.max_runs);
+  return may_run_again && after_tries < this->rules.max_runs + kMaxExtraTries;
+}
+
 NextStep TryPlan::Stop() const {
   return this->MayHaveRun() ? NextStep::kGiveUp : NextStep::kRefuse;
 }
--- a/packages/policy/tests/try_plan_tests.cc
+++ b/packages/policy/tests/try_plan_tests.cc
@@ -44,7 +44,10 @@
                           TryOutcome::kLost, TryOutcome::kFailed);
     runs +=
         outcome == TryOutcome::kLost || outcome == TryOutcome::kFailed ? 1 : 0;
+    const bool may_follow_loss = plan.MayFollowLoss();
     step = plan.Next(outcome);
+    RC_ASSERT(outcome != TryOutcome::kLost ||
+              may_follow_loss == (step == NextStep::kTryAnother));
   }
   RC_ASSERT(runs <= (repeatable ? max_runs : 1));
   RC_ASSERT(step != NextStep::kRefuse || runs == 0);
