control: hosts that start together do not all ask the leader

A host that knows only its seeds asked the leader first. Hosts without disks now prefer different voters.

StartingHostsDoNotAllAskTheLeader fails before by the order that PlanSources had: the leader first, for every host.

--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -64,8 +64,8 @@
 //! disk follows only those whose names come before its own. A host without a
 //! disk then prefers the hosts above it in a tree of those without disks, so
 //! that none of them feeds many others. A host that is not ready may use any
-//! host of its region. The leader and all other voters come last. Thread
-//! safety: reentrant.
+//! host of its region. The leader and all other voters come last; of these,
+//! too, hosts without disks prefer different ones. Thread safety: reentrant.
 std::vector<HostName> PlanSources(const SourceInput& input);
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/membership_plan.cc
+++ b/packages/control/src/membership_plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <tuple>
+#include <utility>
 
 #include "tamarackwing/policy/rendezvous.h"
 
@@ -11,7 +12,7 @@
 
 //! Maximum number of hosts without disks that prefer the same host without a
 //! disk as their source. Such hosts may have slow links.
-constexpr std::size_t kFeedFanOut = 8;
+constexpr std::size_t kFeedFanOut = 4;
 
 //! Returns a live host that has a disk, does not drain and is not a voter, from
 //! the region, and then from the data centre, with the fewest replying voters;
@@ -48,7 +49,22 @@
   return best;
 }
 
-//! Returns the region's hosts with disks. Hosts without prefer different ones.
+//! Returns the hosts in the order in which a host prefers them: as given if it
+//! has a disk; hosts without prefer different ones.
+std::vector<HostName> InOrderOf(const state::HostRecord& self,
+                                std::vector<HostName> hosts) {
+  if (!self.has_disk) {
+    const std::uint64_t key = policy::RendezvousKey(self.name.Text());
+    std::sort(hosts.begin(), hosts.end(),
+              [key](const HostName& left, const HostName& right) {
+                return policy::RendezvousWeight(key, left.Text()) >
+                       policy::RendezvousWeight(key, right.Text());
+              });
+  }
+  return hosts;
+}
+
+//! Returns the region's hosts with disks, in the order that `self` prefers.
 std::vector<HostName> DiskHostsOfRegion(const SourceInput& input) {
   std::vector<HostName> hosts;
   for (const state::HostRecord& host : input.hosts) {
@@ -56,15 +72,7 @@
       hosts.push_back(host.name);
     }
   }
-  if (!input.self.has_disk) {
-    const std::uint64_t self = policy::RendezvousKey(input.self.name.Text());
-    std::sort(hosts.begin(), hosts.end(),
-              [self](const HostName& left, const HostName& right) {
-                return policy::RendezvousWeight(self, left.Text()) >
-                       policy::RendezvousWeight(self, right.Text());
-              });
-  }
-  return hosts;
+  return InOrderOf(input.self, std::move(hosts));
 }
 
 //! Returns the hosts above this one in the tree of the region's hosts without
@@ -155,10 +163,14 @@
       }
     }
   }
-  add(input.leader);
-  for (const HostName& voter : voters) {
+  if (input.self.has_disk) {
+    add(input.leader);
+  }
+  for (const HostName& voter :
+       InOrderOf(input.self, {voters.begin(), voters.end()})) {
     add(voter);
   }
+  add(input.leader);
   return sources;
 }
 
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -128,7 +128,7 @@
 // gone.
 TEST(PlanSourcesTest, NoHostWithoutDiskIsTheSourceOfMany) {
   constexpr int kHosts = 97;
-  constexpr int kMostFollowers = 8;
+  constexpr int kMostFollowers = 4;
   std::vector<state::HostRecord> hosts{HostAt("1", true), HostAt("2", true),
                                        HostAt("3", true)};
   for (int i = 0; i < kHosts; ++i) {
@@ -159,6 +159,27 @@
   }
 }
 
+// Guards against hundreds of hosts that start together and all fetch the state
+// from the leader, which then cannot keep its lease.
+TEST(PlanSourcesTest, StartingHostsDoNotAllAskTheLeader) {
+  constexpr int kHosts = 100;
+  const HostName leader("a");
+  int ask_leader = 0;
+  for (int i = 0; i < kHosts; ++i) {
+    SourceInput input;
+    input.self = HostAt(std::to_string(100 + i), false);
+    input.leader = leader;
+    for (const char* seed : {"a", "b", "c"}) {
+      state::HostRecord host;
+      host.name = HostName(seed);
+      host.has_disk = true;
+      input.hosts.push_back(host);
+    }
+    ask_leader += PlanSources(input).front() == leader ? 1 : 0;
+  }
+  EXPECT_LE(ask_leader, kHosts / 2);
+}
+
 //! Five hosts with disks, of which three are seeds, and three without, in three
 //! regions.
 class BootstrapTest : public testing::Test {
