hosts: reading a large message takes no memory for each part of it

Found in review: each part of a message that arrived by itself nested a promise until the whole message was there, also for a sender that had not shown the secret yet. And a process that was suspended could close its connections before it had read the replies that had arrived meanwhile.

--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -89,20 +89,8 @@
   kj::Promise<std::size_t> tryRead(void* buffer,
                                    std::size_t min_bytes,
                                    std::size_t max_bytes) override {
-    return this->inner->tryRead(buffer, 1, max_bytes)
-        .then([this, buffer, min_bytes,
-               max_bytes](std::size_t count) -> kj::Promise<std::size_t> {
-          if (count > 0) {
-            this->last_read = std::chrono::steady_clock::now();
-          }
-          if (count == 0 || count >= min_bytes) {
-            return count;
-          }
-          return this
-              ->tryRead(static_cast<kj::byte*>(buffer) + count,
-                        min_bytes - count, max_bytes - count)
-              .then([count](std::size_t rest) { return count + rest; });
-        });
+    return this->ReadOn(static_cast<kj::byte*>(buffer), min_bytes, max_bytes,
+                        0);
   }
 
   kj::Promise<void> write(const void* buffer, std::size_t size) override {
@@ -145,6 +133,25 @@
   void abortRead() override { this->inner->abortRead(); }
 
  private:
+  //! Reads until `min_bytes` have arrived, of which `count` have before.
+  kj::Promise<std::size_t> ReadOn(kj::byte* buffer,
+                                  std::size_t min_bytes,
+                                  std::size_t max_bytes,
+                                  std::size_t count) {
+    return this->inner->tryRead(buffer + count, 1, max_bytes - count)
+        .then([this, buffer, min_bytes, max_bytes,
+               count](std::size_t next) -> kj::Promise<std::size_t> {
+          if (next > 0) {
+            this->last_read = std::chrono::steady_clock::now();
+          }
+          const std::size_t all = count + next;
+          if (next == 0 || all >= min_bytes) {
+            return all;
+          }
+          return this->ReadOn(buffer, min_bytes, max_bytes, all);
+        });
+  }
+
   //! Bytes of a large message that are written at once.
   static constexpr std::size_t kMaxWriteBytes = 16 * 1024;
   //! Shorter writes did not wait.
@@ -425,9 +432,14 @@
 
   //! Closes the connections that have been silent for too long: a peer that
   //! stops responding may never close its connection.
-  void DropSilent() {
-    const TimePoint since =
-        std::chrono::steady_clock::now() - this->options.call_timeout;
+  void DropSilent(std::chrono::milliseconds interval) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    const Duration pause = now - std::exchange(this->ticked, now);
+    if (pause > interval + this->options.call_timeout / 2) {
+      // Replies that arrived meanwhile have not been read yet.
+      return;
+    }
+    const TimePoint since = now - this->options.call_timeout;
     for (const auto& [name, peer] : this->peers) {
       if (peer.connection.get() != nullptr &&
           peer.connection->IsSilentSince(since)) {
@@ -483,7 +495,7 @@
     return this->io.provider->getTimer()
         .afterDelay(ToKj(interval))
         .then([this, interval, &tick]() -> kj::Promise<void> {
-          this->DropSilent();
+          this->DropSilent(interval);
           tick();
           if (this->stopping.load()) {
             return kj::READY_NOW;
@@ -499,6 +511,8 @@
   //! By the order in which they were accepted.
   std::map<std::uint64_t, Incoming> incoming;
   std::uint64_t accepted = 0;
+  //! When connections were last checked for silence.
+  TimePoint ticked;
   std::mutex mutex;
   std::deque<std::function<void()>> posted;
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake;
