control: a host leaves a source that brings it no further

Three requests for entries in a row without progress now end with another source; the leader is named by the source with the newest contact; a source without contact is one whose contact does not advance, however old it is, since it ages on the way through the tree.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -68,8 +68,11 @@
   void NoteBytes(const HostName& from, TimePoint at) {
     this->follower.NoteBytes(from, at);
   }
-  //! Returns the source of the log's entries; an empty name if there is none.
-  const HostName& Source() const { return this->follower.Source(); }
+  //! Returns the hosts whose bytes have to be passed to NoteBytes: those that
+  //! this host has asked for the log's entries.
+  std::set<HostName> AwaitedHosts() const {
+    return {this->follower.Source(), this->follower.EntriesSource()};
+  }
   //! Records that all log batches up to `ticket` are on disk.
   ControlEffects LogPersisted(std::uint64_t ticket, TimePoint now);
   //! Records that all ledger batches up to `ticket` are on disk.
--- a/packages/control/include/tamarackwing/control/feed_follower.h
+++ b/packages/control/include/tamarackwing/control/feed_follower.h
@@ -24,10 +24,11 @@
                std::uint64_t last_number = 0);
 
   //! Returns the source to send the next request to. `sources` begins with the
-  //! best. Moves on to another source if the current one does not reply or has
-  //! no leader contact itself, goes back to a better one that has replied to a
-  //! MakeLook, and starts again with the first when the known leader changes.
-  //! Precondition: `sources` is not empty.
+  //! best. Moves on to another source if the current one does not reply, has no
+  //! leader contact itself or sends no entries that were asked for, goes back
+  //! to a better one that has replied to a MakeBetterProbe, and starts again
+  //! with the first when the known leader changes. Precondition: `sources` is
+  //! not empty.
   const HostName& Choose(const std::vector<HostName>& sources,
                          const HostName& known_leader,
                          TimePoint now);
@@ -43,12 +44,14 @@
   void NoteBytes(const HostName& from, TimePoint at);
   //! Returns the source that Choose returned last; an empty name before.
   const HostName& Source() const { return this->source; }
+  //! Returns the source that was last asked for entries.
+  const HostName& EntriesSource() const { return this->entries_source; }
   //! Returns which better source than the current one to ask, from time to
   //! time, how far it is; nullopt if it is not time or there is none.
-  std::optional<HostName> Look(const std::vector<HostName>& sources,
-                               TimePoint now);
-  //! As MakeProbe, for a source that Look returned.
-  FeedRequest MakeLook(const HostName& to, TimePoint now);
+  std::optional<HostName> ProbeBetter(const std::vector<HostName>& sources,
+                                      TimePoint now);
+  //! As MakeProbe, for a source that ProbeBetter returned.
+  FeedRequest MakeBetterProbe(const HostName& to, TimePoint now);
   //! Returns whether a request for entries waits for its reply, and its source
   //! has neither replied to a later request nor been silent for long since.
   bool AwaitsEntries(TimePoint now) const;
@@ -60,7 +63,8 @@
                    LogIndex applied,
                    TimePoint now);
 
-  //! Records who leads, as a host said that had not been asked.
+  //! Records who leads, as a host said that had not been asked. Precondition:
+  //! this host has no leader contact.
   void NoteLeader(const HostName& announced) { this->leader = announced; }
 
   //! Returns the last leader contact as proven by replies to this host's own
@@ -72,19 +76,14 @@
   LogIndex Commit() const { return this->commit; }
 
  private:
-  //! Returns the place of the current source in `sources`; zero if it is not
-  //! among them.
-  std::size_t PlaceOf(const HostName& host,
-                      const std::vector<HostName>& sources) const;
   void StartWith(const HostName& host, TimePoint now);
 
   std::chrono::milliseconds request_interval;
   HostName source;
-  TimePoint source_since;
   //! The last request to a better source, and when it was made.
-  std::uint64_t look_request = 0;
-  TimePoint look_since;
-  std::size_t looks = 0;
+  std::uint64_t better_request = 0;
+  TimePoint better_since;
+  std::size_t better_probes = 0;
   //! A better source with leader contact.
   HostName better;
   HostName source_leader;
@@ -98,15 +97,22 @@
   //! The last request for entries, and the source that it was made to.
   std::uint64_t entries_request = 0;
   HostName entries_source;
+  LogIndex entries_next = 0;
+  //! Number of requests for entries in a row that brought this host no further.
+  int vain_requests = 0;
   //! When bytes of that source last arrived.
   TimePoint entries_bytes;
   TimePoint last_reply;
   //! The last leader contact of the current source, whether or not this host
-  //! has applied what was committed then.
+  //! has applied what was committed then, and when it was last heard to be
+  //! newer than before.
   TimePoint source_contact;
+  TimePoint contact_advanced;
   TimePoint leader_contact;
   LogIndex commit = 0;
   HostName leader;
+  //! The leader contact of the source that named the leader.
+  TimePoint leader_named;
 };
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1069,10 +1069,10 @@
       this->SendProbe(source, this->follower.MakeProbe(source, now), now,
                       effects);
     }
-    const auto better = this->follower.Look(sources, now);
+    const auto better = this->follower.ProbeBetter(sources, now);
     if (better) {
-      this->SendProbe(*better, this->follower.MakeLook(*better, now), now,
-                      effects);
+      this->SendProbe(*better, this->follower.MakeBetterProbe(*better, now),
+                      now, effects);
     }
     return;
   }
--- a/packages/control/src/feed_follower.cc
+++ b/packages/control/src/feed_follower.cc
@@ -10,9 +10,21 @@
 //! tried.
 constexpr int kMaxSilentIntervals = 4;
 //! Number of request intervals between two questions to better sources.
-constexpr int kLookIntervals = 4;
+constexpr int kBetterProbeIntervals = 4;
 //! Maximum number of requests that still wait for a reply.
 constexpr std::size_t kMaxPendingRequests = 128;
+//! Number of requests for entries in a row that may bring a host no further
+//! before another source is tried.
+constexpr int kMaxVainRequests = 3;
+
+std::optional<std::size_t> PlaceOf(const HostName& host,
+                                   const std::vector<HostName>& sources) {
+  const auto found = std::find(sources.begin(), sources.end(), host);
+  if (found == sources.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - sources.begin());
+}
 
 }  // namespace
 
@@ -20,9 +32,9 @@
                            TimePoint now,
                            std::uint64_t last_number)
     : request_interval(request_interval),
-      source_since(now),
       number(last_number),
-      last_reply(now) {}
+      last_reply(now),
+      contact_advanced(now) {}
 
 const HostName& FeedFollower::Choose(const std::vector<HostName>& sources,
                                      const HostName& known_leader,
@@ -33,53 +45,49 @@
     this->source_leader = known_leader;
     this->StartWith(sources.front(), now);
   }
-  std::size_t place = this->PlaceOf(this->source, sources);
-  const HostName returned = std::exchange(this->better, HostName());
-  if (!returned.IsEmpty() && this->PlaceOf(returned, sources) < place) {
-    this->StartWith(returned, now);
-    place = this->PlaceOf(returned, sources);
+  auto place = PlaceOf(this->source, sources);
+  const auto better_place =
+      PlaceOf(std::exchange(this->better, HostName()), sources);
+  if (!place || (better_place && *better_place < *place)) {
+    place = better_place.value_or(0);
+    this->StartWith(sources[*place], now);
   }
   // A source that replies but has no leader contact itself is no better than
   // one that does not reply.
   const Duration silence = kMaxSilentIntervals * this->request_interval;
-  const bool has_leader_contact = now - this->source_contact <= 2 * silence;
+  const bool has_leader_contact = now - this->contact_advanced <= 2 * silence;
   const bool has_recent_reply = now - this->last_reply <= silence;
-  if (!has_recent_reply ||
-      (!has_leader_contact && now - this->source_since > 2 * silence)) {
-    place = (place + 1) % sources.size();
-    this->StartWith(sources[place], now);
+  if (!has_recent_reply || !has_leader_contact ||
+      this->vain_requests >= kMaxVainRequests) {
+    place = (*place + 1) % sources.size();
+    this->StartWith(sources[*place], now);
   }
-  return sources[place];
-}
-
-std::size_t FeedFollower::PlaceOf(const HostName& host,
-                                  const std::vector<HostName>& sources) const {
-  const auto found = std::find(sources.begin(), sources.end(), host);
-  return found == sources.end()
-             ? 0
-             : static_cast<std::size_t>(found - sources.begin());
+  return sources[*place];
 }
 
 void FeedFollower::StartWith(const HostName& host, TimePoint now) {
   this->source = host;
-  this->source_since = now;
   this->last_reply = now;
+  this->source_contact = TimePoint();
+  this->contact_advanced = now;
+  this->vain_requests = 0;
 }
 
-std::optional<HostName> FeedFollower::Look(const std::vector<HostName>& sources,
-                                           TimePoint now) {
-  const std::size_t place = this->PlaceOf(this->source, sources);
-  if (place == 0 ||
-      now - this->look_since < kLookIntervals * this->request_interval) {
+std::optional<HostName> FeedFollower::ProbeBetter(
+    const std::vector<HostName>& sources,
+    TimePoint now) {
+  const std::size_t place = PlaceOf(this->source, sources).value_or(0);
+  if (place == 0 || now - this->better_since <
+                        kBetterProbeIntervals * this->request_interval) {
     return std::nullopt;
   }
-  this->look_since = now;
-  return sources[this->looks++ % place];
+  this->better_since = now;
+  return sources[this->better_probes++ % place];
 }
 
-FeedRequest FeedFollower::MakeLook(const HostName& to, TimePoint now) {
+FeedRequest FeedFollower::MakeBetterProbe(const HostName& to, TimePoint now) {
   FeedRequest request = this->MakeProbe(to, now);
-  this->look_request = request.number;
+  this->better_request = request.number;
   return request;
 }
 
@@ -93,6 +101,7 @@
   if (next != FeedRequest::kNoEntries) {
     this->entries_request = request.number;
     this->entries_source = to;
+    this->entries_next = next;
   }
   if (this->sent.size() > kMaxPendingRequests) {
     this->sent.erase(this->sent.begin());
@@ -132,16 +141,25 @@
   const bool has_contact =
       reply.leader_contact_age &&
       *reply.leader_contact_age <= kMaxSilentIntervals * this->request_interval;
-  if (reply.number != this->look_request) {
+  if (from == this->source) {
     this->last_reply = now;
-  } else if (has_contact) {
+  } else if (has_contact && reply.number == this->better_request) {
     this->better = from;
   }
-  this->leader = reply.leader;
   this->commit = std::max(this->commit, reply.commit);
-  if (from == this->source && reply.leader_contact_age) {
-    this->source_contact =
-        std::max(this->source_contact, sent_at - *reply.leader_contact_age);
+  if (reply.leader_contact_age) {
+    const TimePoint contact = sent_at - *reply.leader_contact_age;
+    if (from == this->source && contact > this->source_contact) {
+      this->source_contact = contact;
+      this->contact_advanced = now;
+    }
+    // A source without recent contact may name a former leader.
+    if (!reply.leader.IsEmpty() && contact >= this->leader_named) {
+      this->leader = reply.leader;
+      this->leader_named = contact;
+    }
+  } else if (this->leader.IsEmpty()) {
+    this->leader = reply.leader;
   }
   // The contact counts only if this host has applied everything that the source
   // reported as committed.
@@ -149,6 +167,13 @@
     this->leader_contact =
         std::max(this->leader_contact, sent_at - *reply.leader_contact_age);
   }
+  const bool ends_entries_request = from == this->entries_source &&
+                                    reply.number >= this->entries_request &&
+                                    this->sent.contains(this->entries_request);
+  if (ends_entries_request) {
+    const bool is_vain = applied < this->entries_next && applied < reply.commit;
+    this->vain_requests = is_vain ? this->vain_requests + 1 : 0;
+  }
   // A source replies in the order in which it was asked, so earlier requests to
   // it were lost, or their replies were.
   std::erase_if(this->sent, [&](const auto& entry) {
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -177,7 +177,8 @@
     has_sent = false;
     for (auto& [connection, queue] : this->transfers) {
       const auto& [from, to] = connection;
-      if (queue.empty()) {
+      if (queue.empty() || this->suspended.contains(from) ||
+          this->suspended.contains(to)) {
         continue;
       }
       Transfer& next = queue.front();
@@ -193,7 +194,7 @@
       this->link_bytes += bytes;
       next.unsent -= bytes;
       next.moved = this->now;
-      if (this->IsUp(to)) {
+      if (this->IsUp(to) && this->Node(to).AwaitedHosts().contains(from)) {
         this->Node(to).NoteBytes(from, this->now);
       }
       if (next.unsent == 0) {
--- a/packages/control/tests/feed_tests.cc
+++ b/packages/control/tests/feed_tests.cc
@@ -124,13 +124,55 @@
   follower.Choose(kSources, HostName(), kStart);
   TimePoint now = kStart + 5 * kReport;
   EXPECT_EQ(follower.Choose(kSources, HostName(), now), kSources[1]);
-  const auto better = follower.Look(kSources, now);
+  const auto better = follower.ProbeBetter(kSources, now);
   EXPECT_EQ(better, kSources[0]);
-  EXPECT_FALSE(follower.Look(kSources, now + kReport).has_value());
-  const FeedRequest look = follower.MakeLook(*better, now);
-  EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(look, 3), 3, now));
+  EXPECT_FALSE(follower.ProbeBetter(kSources, now + kReport).has_value());
+  const FeedRequest probe = follower.MakeBetterProbe(*better, now);
+  EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(probe, 3), 3, now));
   EXPECT_EQ(follower.Choose(kSources, HostName(), now), kSources[0]);
-  EXPECT_FALSE(follower.Look(kSources, now + 5 * kReport).has_value());
+  EXPECT_FALSE(follower.ProbeBetter(kSources, now + 5 * kReport).has_value());
+}
+
+// Guards against a host that stays for good with a source whose entries never
+// arrive.
+TEST(FeedFollowerTest, LeavesSourceWhoseEntriesNeverArrive) {
+  FeedFollower follower(kReport, kStart);
+  TimePoint now = kStart;
+  HostName source = follower.Choose(kSources, HostName(), now);
+  for (int i = 0; i < 4 && source == kSources[0]; ++i) {
+    now += kReport;
+    follower.MakeRequest(kSources[0], 3, now);
+    const FeedRequest probe = follower.MakeProbe(kSources[0], now);
+    EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(probe, 3), 2, now));
+    source = follower.Choose(kSources, HostName(), now);
+  }
+  EXPECT_EQ(source, kSources[1]);
+}
+
+// Guards against a host that restarts its choice of a source whenever a host
+// without leader contact names another leader.
+TEST(FeedFollowerTest, LeaderIsNamedByTheSourceWithTheNewestContact) {
+  FeedFollower follower(kReport, kStart);
+  const TimePoint later = kStart + 2 * kReport;
+  const FeedRequest request = follower.MakeProbe(kSources[0], later);
+  EXPECT_TRUE(follower.HandleReply(kSources[0], ReplyTo(request, 3), 3, later));
+  EXPECT_EQ(follower.Leader(), HostName("a"));
+  for (const char* name : {"", "former"}) {
+    const FeedRequest probe = follower.MakeProbe(kSources[1], later);
+    FeedReply reply = ReplyTo(probe, 3);
+    reply.leader = HostName(name);
+    reply.leader_contact_age = milliseconds(5'000);
+    EXPECT_TRUE(follower.HandleReply(kSources[1], reply, 3, later));
+    EXPECT_EQ(follower.Leader(), HostName("a"));
+  }
+}
+
+TEST(FeedFollowerTest, SourceThatIsNoLongerListedIsReplaced) {
+  FeedFollower follower(kReport, kStart);
+  const HostName gone("gone");
+  EXPECT_EQ(follower.Choose({gone}, HostName(), kStart), gone);
+  EXPECT_EQ(follower.Choose(kSources, HostName(), kStart), kSources[0]);
+  EXPECT_EQ(follower.Source(), kSources[0]);
 }
 
 class FeedSourceTest : public testing::Test {
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -467,10 +467,11 @@
 void ControlThread::Tick() {
   this->WatchTurns();
   const TurnWatch::Turn turn(this->turns, this->dependencies.clock, "tick");
-  const auto silence = this->network->SilenceOf(this->node->Source());
-  if (silence) {
-    this->node->NoteBytes(this->node->Source(),
-                          this->dependencies.clock.Now() - *silence);
+  for (const HostName& awaited : this->node->AwaitedHosts()) {
+    const auto silence = this->network->SilenceOf(awaited);
+    if (silence) {
+      this->node->NoteBytes(awaited, this->dependencies.clock.Now() - *silence);
+    }
   }
   this->Execute(this->node->Tick(this->dependencies.clock.Now()));
   const TimePoint now = this->dependencies.clock.Now();
