--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -132,8 +132,8 @@
   }
   if (this->IsLimited(from, send.to)) {
     const std::uint64_t size = SizeOf(send.message);
-    this->transfers[{from, send.to}].push_back(
-        {std::move(send), size, this->now});
+    std::deque<Transfer>& queue = this->transfers[{from, send.to}];
+    queue.push_back({std::move(send), size, this->now});
     return;
   }
   this->messages.emplace(at, Message{from, std::move(send)});
