--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -45,6 +45,7 @@
   kControlLate = 3013,
   kFeedSourceChanged = 3014,
   kControlTraffic = 3015,
+  kControlLoad = 3016,
   kPeerConnected = 3101,
   kPeerLost = 3102,
   kPeerMessageRejected = 3103,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -148,6 +148,8 @@
       return "feed_source_changed";
     case Event::kControlTraffic:
       return "control_traffic";
+    case Event::kControlLoad:
+      return "control_load";
     case Event::kPeerConnected:
       return "peer_connected";
     case Event::kPeerLost:
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -144,6 +144,11 @@
   const ControlOptions& Options() const { return this->options; }
   bool IsLeader() const { return this->log.IsLeader(); }
   const HostName& Leader() const;
+  //! See state::AgreedLog.
+  std::optional<Duration> QuorumAge(TimePoint now) const {
+    return this->log.QuorumAge(now);
+  }
+  Duration TakeSlowestAppend() { return this->log.TakeSlowestAppend(); }
   Term CurrentTerm() const { return this->log.CurrentTerm(); }
   const std::set<HostName>& Voters() const { return this->log.Voters(); }
   const state::OperationLedger& Ledger() const { return this->ledger; }
--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -96,6 +96,12 @@
   std::uint64_t SentBytes() const;
   //! Returns what was sent, by kind of message.
   const std::map<TrafficKind, SentTraffic>& Sent() const;
+  //! Returns the messages that other hosts have not said they handled. Takes
+  //! time that grows with the number of hosts.
+  SentTraffic Unanswered() const;
+  //! Returns the longest time until a host handled a message of the agreed log
+  //! since the last call.
+  Duration TakeSlowestLogCall();
 
  private:
   struct State;
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -391,17 +391,25 @@
     peer.connection->pending_calls += 1;
     peer.connection->pending_bytes += bytes;
     const std::uint64_t generation = peer.generation;
+    const bool is_log = std::holds_alternative<state::LogMessage>(message);
+    const TimePoint begun = std::chrono::steady_clock::now();
     auto reply = request.send().ignoreResult();
-    this->tasks.add(
-        reply.then([this, name, generation,
-                    bytes]() { this->NoteReply(name, generation, bytes); },
-                   [this, name, generation](kj::Exception&&) {
-                     const auto found = this->peers.find(name);
-                     if (found != this->peers.end() &&
-                         found->second.generation == generation) {
-                       this->Drop(name);
-                     }
-                   }));
+    this->tasks.add(reply.then(
+        [this, name, generation, bytes, is_log, begun]() {
+          this->NoteReply(name, generation, bytes);
+          if (is_log) {
+            this->slowest_log_call =
+                std::max<Duration>(this->slowest_log_call,
+                                   std::chrono::steady_clock::now() - begun);
+          }
+        },
+        [this, name, generation](kj::Exception&&) {
+          const auto found = this->peers.find(name);
+          if (found != this->peers.end() &&
+              found->second.generation == generation) {
+            this->Drop(name);
+          }
+        }));
   }
 
   void NoteReply(const HostName& name,
@@ -519,6 +527,7 @@
   std::atomic<bool> stopping{false};
   std::atomic<std::uint64_t> sent_bytes{0};
   std::map<TrafficKind, SentTraffic> sent;
+  Duration slowest_log_call{0};
   kj::TaskSet tasks;
 };
 
@@ -616,4 +625,19 @@
   return this->state->sent;
 }
 
+SentTraffic PeerNetwork::Unanswered() const {
+  SentTraffic unanswered;
+  for (const auto& [name, peer] : this->state->peers) {
+    if (peer.connection.get() != nullptr) {
+      unanswered.messages += peer.connection->pending_calls;
+      unanswered.bytes += peer.connection->pending_bytes;
+    }
+  }
+  return unanswered;
+}
+
+Duration PeerNetwork::TakeSlowestLogCall() {
+  return std::exchange(this->state->slowest_log_call, Duration(0));
+}
+
 }  // namespace tamarackwing::hosts
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -166,6 +166,13 @@
   //! Returns true if this host is the leader and its lease has not expired, so
   //! that no other host can be the leader.
   bool HasLease(TimePoint now) const;
+  //! Returns how long ago a majority of the voters, counting this host, last
+  //! had contact with this leader; nullopt if this host does not lead, or has
+  //! had none.
+  std::optional<Duration> QuorumAge(TimePoint now) const;
+  //! Returns the longest time until another host acknowledged an append since
+  //! the last call.
+  Duration TakeSlowestAppend();
   //! Returns the leader known to this host; empty if none is known.
   const HostName& Leader() const { return this->leader; }
   Term CurrentTerm() const { return this->vote.term; }
@@ -321,6 +328,7 @@
   //! Send times of the latest rounds.
   std::deque<std::pair<std::uint64_t, TimePoint>> round_times;
   TimePoint lease_until;
+  Duration slowest_append{0};
 
   std::uint64_t next_ticket = 1;
   std::uint64_t persisted_ticket = 0;
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -226,6 +226,18 @@
   return this->role == Role::kLeader && now < this->lease_until;
 }
 
+std::optional<Duration> AgreedLog::QuorumAge(TimePoint now) const {
+  if (this->role != Role::kLeader || this->lease_until == TimePoint()) {
+    return std::nullopt;
+  }
+  return now - this->lease_until + this->options.election_timeout -
+         this->options.drift;
+}
+
+Duration AgreedLog::TakeSlowestAppend() {
+  return std::exchange(this->slowest_append, Duration(0));
+}
+
 LogIndex AgreedLog::LastIndex() const {
   return this->entries.empty() ? this->snapshot.index
                                : this->entries.back().index;
@@ -611,6 +623,7 @@
   for (const auto& [number, sent] : this->round_times) {
     if (number == reply.round) {
       peer.lease_from = std::max(peer.lease_from, sent);
+      this->slowest_append = std::max(this->slowest_append, now - sent);
     }
   }
   this->UpdateLease(now);
--- /dev/null
+++ b/programs/tamarackwingd/src/control_load.cc
@@ -0,0 +1,69 @@
+#include "control_load.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "tamarackwing/base/event.h"
+
+namespace tamarackwing::daemon {
+namespace {
+
+std::string MillisecondsText(Duration time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+}  // namespace
+
+void ControlLoad::NoteTick(TimePoint now, std::optional<Duration> quorum_age) {
+  const TimePoint previous = std::exchange(this->last_tick, now).value_or(now);
+  this->longest.gap = std::max(this->longest.gap, now - previous);
+  this->longest.quorum_age = std::max(this->longest.quorum_age, quorum_age);
+}
+
+void ControlLoad::NoteWrite(Duration took) {
+  this->longest.write = std::max(this->longest.write, took);
+}
+
+void ControlLoad::NoteAppend(Duration took) {
+  this->longest.append = std::max(this->longest.append, took);
+}
+
+void ControlLoad::NoteLogCall(Duration took) {
+  this->longest.log_call = std::max(this->longest.log_call, took);
+}
+
+void ControlLoad::Log(const LoadReading& reading) {
+  Duration busy{0};
+  Duration most{0};
+  std::string_view most_kind;
+  for (const auto& [kind, time] : reading.spent) {
+    const auto before = this->last.spent.find(kind);
+    const Duration spent =
+        before == this->last.spent.end() ? time : time - before->second;
+    busy += spent;
+    if (spent > most) {
+      most = spent;
+      most_kind = kind;
+    }
+  }
+  const auto& longest_age = this->longest.quorum_age;
+  LogEvent(Event::kControlLoad, LogLevel::kInfo,
+           {{"busy_ms", MillisecondsText(busy)},
+            {"turns", std::to_string(reading.turns - this->last.turns)},
+            {"most", std::string(most_kind)},
+            {"most_ms", MillisecondsText(most)},
+            {"gap_ms", MillisecondsText(this->longest.gap)},
+            {"log_call_ms", MillisecondsText(this->longest.log_call)},
+            {"append_ms", MillisecondsText(this->longest.append)},
+            {"disk_ms", MillisecondsText(this->longest.write)},
+            {"quorum_ms", longest_age ? MillisecondsText(*longest_age) : ""},
+            {"calls", std::to_string(reading.unanswered_calls)},
+            {"bytes", std::to_string(reading.unanswered_bytes)}});
+  this->last = reading;
+  this->longest = Longest();
+}
+
+}  // namespace tamarackwing::daemon
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -421,6 +421,7 @@
     DiskThread::Callbacks callbacks;
     callbacks.log_written = [this](std::uint64_t ticket) {
       this->network->Post([this, ticket] {
+        this->NoteWritten(ticket);
         this->Execute(
             this->node->LogPersisted(ticket, this->dependencies.clock.Now()));
       });
@@ -453,7 +454,9 @@
 }
 
 void ControlThread::WatchTurns() {
-  const auto late = this->turns.NoteTick(this->dependencies.clock.Now());
+  const TimePoint now = this->dependencies.clock.Now();
+  this->load.NoteTick(now, this->node->QuorumAge(now));
+  const auto late = this->turns.NoteTick(now);
   if (late) {
     LogEvent(Event::kControlLate, LogLevel::kWarning,
              {{"gap_ms", std::to_string(late->gap.count())},
@@ -504,6 +507,7 @@
 
 void ControlThread::Execute(control::ControlEffects effects) {
   for (state::LogBatch& batch : effects.log_batches) {
+    this->unwritten[batch.ticket] = this->dependencies.clock.Now();
     this->disk_thread->Write(std::move(batch));
   }
   for (state::LedgerBatch& batch : effects.ledger_batches) {
@@ -570,6 +574,15 @@
   }
 }
 
+void ControlThread::NoteWritten(std::uint64_t ticket) {
+  const auto end = this->unwritten.upper_bound(ticket);
+  const TimePoint now = this->dependencies.clock.Now();
+  for (auto batch = this->unwritten.begin(); batch != end; ++batch) {
+    this->load.NoteWrite(now - batch->second);
+  }
+  this->unwritten.erase(this->unwritten.begin(), end);
+}
+
 void ControlThread::HandleRegionStatus(
     const control::RegionStatusUpdate& update) {
   this->status_received_at[update.from] = this->dependencies.clock.Now();
@@ -854,9 +867,20 @@
     this->traffic_metrics_at = now + kTrafficMetricsInterval;
     this->PublishTrafficMetrics();
     this->LogTraffic();
+    if (this->disk != nullptr) {
+      this->LogLoad();
+    }
   }
 }
 
+void ControlThread::LogLoad() {
+  const hosts::SentTraffic unanswered = this->network->Unanswered();
+  this->load.NoteAppend(this->node->TakeSlowestAppend());
+  this->load.NoteLogCall(this->network->TakeSlowestLogCall());
+  this->load.Log({this->turns.Spent(), this->turns.Count(), unanswered.messages,
+                  unanswered.bytes});
+}
+
 void ControlThread::PublishTrafficMetrics() {
   Metrics& metrics = this->dependencies.metrics;
   for (const auto& [kind, traffic] : this->network->Sent()) {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "chunk_budget.h"
+#include "control_load.h"
 #include "leased_rate_budget.h"
 #include "region_table.h"
 #include "settings.h"
@@ -162,6 +163,8 @@
   //! Logs if the previous tick was long ago.
   void WatchTurns();
   void Execute(control::ControlEffects effects);
+  //! Records that all log batches up to `ticket` are on disk.
+  void NoteWritten(std::uint64_t ticket);
   void HandleRegionStatus(const control::RegionStatusUpdate& update);
   void HandleProbeResult(const control::ProbeResult& probe_result);
   void ReportRates();
@@ -182,6 +185,8 @@
   void PublishTrafficMetrics();
   //! Logs what was sent since the last call, if it was much.
   void LogTraffic();
+  //! Logs what this host with a disk did since the last call.
+  void LogLoad();
   void LimitRetries();
   void ApplyHosts(const std::map<HostName, state::HostRecord>& hosts);
   void ExpireRequests();
@@ -206,6 +211,7 @@
   std::unique_ptr<hosts::PeerNetwork> network;
   std::thread thread;
   TurnWatch turns;
+  ControlLoad load;
   std::atomic<bool> updates_acknowledged{false};
   std::atomic<bool> failed{false};
   std::atomic<bool> drain_requested{false};
@@ -241,6 +247,8 @@
   TimePoint traffic_metrics_at;
   //! What was sent until the traffic was last logged.
   std::map<hosts::TrafficKind, hosts::SentTraffic> logged_traffic;
+  //! When the log batches that are not on disk were handed over, by ticket.
+  std::map<std::uint64_t, TimePoint> unwritten;
   //! The leader that gets the rate and crash reports, and since when.
   HostName rates_leader;
   TimePoint rates_leader_since;
--- a/programs/tamarackwingd/src/turn_watch.cc
+++ b/programs/tamarackwingd/src/turn_watch.cc
@@ -42,6 +42,7 @@
 
 void TurnWatch::NoteTurn(std::string_view kind, Duration took) {
   this->turns += 1;
+  this->count += 1;
   this->busy += took;
   this->spent[kind] += took;
   if (took >= this->longest) {
--- a/programs/tamarackwingd/src/turn_watch.h
+++ b/programs/tamarackwingd/src/turn_watch.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -45,6 +46,8 @@
   const std::map<std::string_view, Duration>& Spent() const {
     return this->spent;
   }
+  //! Returns the number of all turns.
+  std::uint64_t Count() const { return this->count; }
 
  private:
   void NoteTurn(std::string_view kind, Duration took);
@@ -55,6 +58,7 @@
   Duration longest{0};
   std::string_view longest_kind;
   std::map<std::string_view, Duration> spent;
+  std::uint64_t count = 0;
 };
 
 }  // namespace tamarackwing::daemon
