--- a/programs/tamarackwingd/src/control_load.cc
+++ b/programs/tamarackwingd/src/control_load.cc
@@ -36,25 +36,33 @@
 }
 
 void ControlLoad::Log(const LoadReading& reading) {
-  Duration busy{0};
-  Duration most{0};
-  std::string_view most_kind;
-  for (const auto& [kind, time] : reading.spent) {
-    const auto before = this->last.spent.find(kind);
-    const Duration spent =
-        before == this->last.spent.end() ? time : time - before->second;
-    busy += spent;
-    if (spent > most) {
-      most = spent;
-      most_kind = kind;
+  TurnCount all;
+  TurnCount longest_kind;
+  std::string_view most;
+  TurnCount frequent_kind;
+  std::string_view often;
+  for (const auto& [kind, total] : reading.turns) {
+    const TurnCount& before = this->last.turns[kind];
+    const TurnCount count{total.turns - before.turns, total.time - before.time};
+    all.turns += count.turns;
+    all.time += count.time;
+    if (count.time > longest_kind.time) {
+      longest_kind = count;
+      most = kind;
+    }
+    if (count.turns > frequent_kind.turns) {
+      frequent_kind = count;
+      often = kind;
     }
   }
   const auto& longest_age = this->longest.quorum_age;
   LogEvent(Event::kControlLoad, LogLevel::kInfo,
-           {{"busy_ms", MillisecondsText(busy)},
-            {"turns", std::to_string(reading.turns - this->last.turns)},
-            {"most", std::string(most_kind)},
-            {"most_ms", MillisecondsText(most)},
+           {{"busy_ms", MillisecondsText(all.time)},
+            {"turns", std::to_string(all.turns)},
+            {"most", std::string(most)},
+            {"most_ms", MillisecondsText(longest_kind.time)},
+            {"often", std::string(often)},
+            {"often_turns", std::to_string(frequent_kind.turns)},
             {"gap_ms", MillisecondsText(this->longest.gap)},
             {"log_call_ms", MillisecondsText(this->longest.log_call)},
             {"append_ms", MillisecondsText(this->longest.append)},
--- a/programs/tamarackwingd/src/control_load.h
+++ b/programs/tamarackwingd/src/control_load.h
@@ -6,15 +6,15 @@
 #include <string_view>
 
 #include "tamarackwing/base/clock.h"
+#include "turn_watch.h"
 
 namespace tamarackwing::daemon {
 
 //! What the control thread has handled since its start, and what other hosts
 //! have not answered.
 struct LoadReading {
-  //! Time spent in all turns of each kind.
-  std::map<std::string_view, Duration> spent;
-  std::uint64_t turns = 0;
+  //! All turns of each kind.
+  std::map<std::string_view, TurnCount> turns;
   std::uint64_t unanswered_calls = 0;
   std::uint64_t unanswered_bytes = 0;
 };
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -877,8 +877,7 @@
   const hosts::SentTraffic unanswered = this->network->Unanswered();
   this->load.NoteAppend(this->node->TakeSlowestAppend());
   this->load.NoteLogCall(this->network->TakeSlowestLogCall());
-  this->load.Log({this->turns.Spent(), this->turns.Count(), unanswered.messages,
-                  unanswered.bytes});
+  this->load.Log({this->turns.Counts(), unanswered.messages, unanswered.bytes});
 }
 
 void ControlThread::PublishTrafficMetrics() {
@@ -892,9 +891,9 @@
     metrics.Set("tamarackwing_control_sent_bytes_" + suffix,
                 static_cast<double>(traffic.bytes));
   }
-  for (const auto& [kind, time] : this->turns.Spent()) {
+  for (const auto& [kind, count] : this->turns.Counts()) {
     metrics.Set("tamarackwing_control_turn_seconds_" + std::string(kind),
-                std::chrono::duration<double>(time).count());
+                std::chrono::duration<double>(count.time).count());
   }
 }
 
@@ -903,10 +902,17 @@
   std::uint64_t bytes = 0;
   std::uint64_t most_bytes = 0;
   std::string_view most_kind;
+  std::uint64_t most_messages = 0;
+  std::string_view often_kind;
   for (const auto& [kind, traffic] : this->network->Sent()) {
     hosts::SentTraffic& logged = this->logged_traffic[kind];
     const std::uint64_t new_bytes = traffic.bytes - logged.bytes;
-    messages += traffic.messages - logged.messages;
+    const std::uint64_t new_messages = traffic.messages - logged.messages;
+    messages += new_messages;
+    if (new_messages > most_messages) {
+      most_messages = new_messages;
+      often_kind = kind.message;
+    }
     bytes += new_bytes;
     if (new_bytes > most_bytes) {
       most_bytes = new_bytes;
@@ -919,7 +925,9 @@
              {{"messages", std::to_string(messages)},
               {"bytes", std::to_string(bytes)},
               {"most", std::string(most_kind)},
-              {"most_bytes", std::to_string(most_bytes)}});
+              {"most_bytes", std::to_string(most_bytes)},
+              {"often", std::string(often_kind)},
+              {"often_messages", std::to_string(most_messages)}});
   }
 }
 
--- a/programs/tamarackwingd/src/turn_watch.cc
+++ b/programs/tamarackwingd/src/turn_watch.cc
@@ -42,9 +42,10 @@
 
 void TurnWatch::NoteTurn(std::string_view kind, Duration took) {
   this->turns += 1;
-  this->count += 1;
   this->busy += took;
-  this->spent[kind] += took;
+  TurnCount& count = this->counts[kind];
+  count.turns += 1;
+  count.time += took;
   if (took >= this->longest) {
     this->longest = took;
     this->longest_kind = kind;
--- a/programs/tamarackwingd/src/turn_watch.h
+++ b/programs/tamarackwingd/src/turn_watch.h
@@ -21,6 +21,12 @@
   std::string_view longest_kind;
 };
 
+//! The turns of one kind.
+struct TurnCount {
+  std::uint64_t turns = 0;
+  Duration time{0};
+};
+
 //! Measures the turns of the control thread. Not thread-safe.
 class TurnWatch {
  public:
@@ -42,12 +48,10 @@
 
   //! Returns what happened since the previous tick if that is long ago.
   std::optional<LateTick> NoteTick(TimePoint now);
-  //! Returns the time spent in all turns of each kind.
-  const std::map<std::string_view, Duration>& Spent() const {
-    return this->spent;
+  //! Returns all turns of each kind.
+  const std::map<std::string_view, TurnCount>& Counts() const {
+    return this->counts;
   }
-  //! Returns the number of all turns.
-  std::uint64_t Count() const { return this->count; }
 
  private:
   void NoteTurn(std::string_view kind, Duration took);
@@ -57,8 +61,7 @@
   Duration busy{0};
   Duration longest{0};
   std::string_view longest_kind;
-  std::map<std::string_view, Duration> spent;
-  std::uint64_t count = 0;
+  std::map<std::string_view, TurnCount> counts;
 };
 
 }  // namespace tamarackwing::daemon
