control: an order whose outcome is known is answered at once

Control hosts that had applied it answered 200 after 1.0 to 4.0 s, to callers that had moved on after one second (order_taken: held 20, ms 2148, caller gone), and each order that was sent again went through the log once more.

Cause: each order was proposed, even one with a known outcome, so that the answer needed a leader with a majority and two round trips. Class of fault: an answer that waits for an agreement which it does not need.

Now ControlState::KnownOutcome tells the outcome of sets with a number up to the one in force, of publishes and grants with a recorded outcome, and of withdrawals in effect; such orders end at once on any host, when they arrive or when an entry determines it. A leader appends a set once while it is on its way; hosts of the former build, which wait for their own entry, send no number and are served as before. Orders to close a data centre still go through the log: a host that is behind cannot tell that a later order has undone them.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -79,8 +79,9 @@
   ControlEffects LedgerPersisted(std::uint64_t ticket, TimePoint now);
 
   //! Proposes a change, as the leader or by sending it to the leader, and
-  //! repeats that until it is applied. Returns the proposal's number, under
-  //! which the outcome appears in ControlEffects::changes.
+  //! repeats that until its outcome is known, which may be at once. Returns the
+  //! proposal's number, under which the outcome appears in
+  //! ControlEffects::changes.
   std::uint64_t Propose(const state::ControlChange& change,
                         TimePoint now,
                         ControlEffects& effects);
@@ -281,6 +282,11 @@
   //! Returns whether a host of this region counts as lost because this one has
   //! not heard it, although it could have.
   bool IsSilent(const HostName& host, TimePoint now) const;
+  //! Returns whether a set with this or a higher number is in force, or in this
+  //! leader's log. Zero is the number of no set.
+  bool IsSetOvertaken(std::uint64_t number) const;
+  //! Records a set that this leader has put into its log.
+  void NoteSetAppended(std::uint64_t number, LogIndex index);
   //! Logs loss and recovery of leader contact.
   void WatchLeaderContact(TimePoint now);
   //! Returns the hosts that accept callers.
@@ -342,6 +348,9 @@
   std::vector<TargetLoad> region_loads;
   std::map<HostName, std::uint64_t> status_number;
   std::map<HostName, std::map<std::uint64_t, TimePoint>> status_sent;
+  //! The last set that this host has appended as the leader of this term.
+  std::uint64_t appended_set = 0;
+  LogIndex appended_set_index = 0;
   std::map<HostName, std::uint64_t> status_received;
 };
 
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -66,6 +66,9 @@
 struct ProposeRequest {
   std::uint64_t number = 0;
   std::string payload;
+  //! Number of the set that the change puts in force; zero if it is no
+  //! ReplaceSet, or the sender is of a build that waits for ProposeReply.
+  std::uint64_t set_number = 0;
 };
 
 //! The outcome of a proposed change. Only hosts of the former build wait for
--- a/packages/control/include/tamarackwing/control/proposal_tracker.h
+++ b/packages/control/include/tamarackwing/control/proposal_tracker.h
@@ -9,6 +9,9 @@
 #include <vector>
 
 #include "tamarackwing/base/clock.h"
+#include "tamarackwing/control/control_effects.h"
+#include "tamarackwing/state/control_change.h"
+#include "tamarackwing/state/control_state.h"
 #include "tamarackwing/state/log_entry.h"
 
 namespace tamarackwing::control {
@@ -37,13 +40,17 @@
 
   //! Adds a proposal of this host. Preconditions: `number` is from NextNumber;
   //! no other proposal has the same payload.
-  void Add(std::uint64_t number, std::string payload, TimePoint now);
+  void Add(std::uint64_t number,
+           const state::ControlChange& change,
+           std::string payload,
+           TimePoint now);
   //! Returns a number that no proposal has.
   std::uint64_t NextNumber() { return this->next_number++; }
   //! Whether a proposal of this host is open.
   bool IsOpen(std::uint64_t number) const;
   bool HasOpen() const { return !this->own.empty(); }
-  //! Precondition of PayloadOf and IndexOf: IsOpen(number).
+  //! Precondition of ChangeOf, PayloadOf and IndexOf: IsOpen(number).
+  const state::ControlChange& ChangeOf(std::uint64_t number) const;
   const std::string& PayloadOf(std::uint64_t number) const;
   LogIndex IndexOf(std::uint64_t number) const;
   //! Records the index of a proposal in this host's own log; zero if it was
@@ -56,6 +63,9 @@
   //! Removes the proposal of this host that an applied entry completes, and
   //! returns its number.
   std::optional<std::uint64_t> Finish(const state::LogEntry& entry);
+  //! Removes the proposals of this host whose outcome `state` determines, and
+  //! returns it.
+  std::vector<ChangeDone> FinishKnown(const state::ControlState& state);
 
   //! Whether another host's proposal is in this host's log and not yet applied.
   bool IsForwardedOpen(const ForwardedProposal& proposal) const;
@@ -74,6 +84,7 @@
 
  private:
   struct Own {
+    state::ControlChange change;
     std::string payload;
     TimePoint sent;
     LogIndex index = 0;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -236,9 +236,13 @@
       change,
       {this->options.self.name, this->options.self.incarnation, number});
   if (this->state.AllHostsRead(state::kPackedFormat)) {
+  if (auto known = this->state.KnownOutcome(change)) {
+    effects.changes.push_back({number, std::move(*known)});
+    return number;
+  }
     payload = state::Pack(std::move(payload));
   }
-  this->proposals.Add(number, std::move(payload), now);
+  this->proposals.Add(number, change, std::move(payload), now);
   this->SendProposal(number, now, effects);
   return number;
 }
@@ -697,6 +701,8 @@
                              ControlEffects& effects) {
   // The log and the feed deliver the same entries; each is applied once.
   if (entry.index != this->state.Applied() + 1) {
+    this->appended_set = 0;
+    this->appended_set_index = 0;
     return;
   }
   state::ApplyOutcome outcome;
@@ -825,6 +831,9 @@
                                     const FeedRequest& request,
                                     TimePoint now,
                                     ControlEffects& effects) {
+  for (ChangeDone& done : this->proposals.FinishKnown(this->state)) {
+    effects.changes.push_back(std::move(done));
+  }
   for (const HostStatus& status : request.statuses) {
     this->monitor.NoteStatus(status, now - status.age);
   }
@@ -878,7 +887,8 @@
                                 ControlEffects& effects) {
   const ForwardedProposal proposal{from, request.number,
                                    Sha256Prefix(request.payload)};
-  if (!this->log.IsLeader() || this->proposals.IsForwardedOpen(proposal)) {
+  if (!this->log.IsLeader() || this->proposals.IsForwardedOpen(proposal) ||
+      this->IsSetOvertaken(request.set_number)) {
     return;
   }
   state::LogEffects log_effects;
@@ -925,10 +935,27 @@
     this->allocator.NoteConfirmed(from, status.epoch, echoed->second);
     sent.erase(sent.begin(), std::next(echoed));
   }
+    this->NoteSetAppended(request.set_number, *index);
   effects.status_updates.push_back({from, status});
 }
 
 void ControlNode::HandleLedger(const HostName& from,
+bool ControlNode::IsSetOvertaken(std::uint64_t number) const {
+  if (number == 0) {
+    return false;
+  }
+  const bool is_under_way = number <= this->appended_set &&
+                            this->appended_set_index > this->state.Applied();
+  return is_under_way || number <= this->state.SetNumber();
+}
+
+void ControlNode::NoteSetAppended(std::uint64_t number, LogIndex index) {
+  if (number != 0) {
+    this->appended_set = number;
+    this->appended_set_index = index;
+  }
+}
+
                                const state::LedgerMessage& message,
                                TimePoint now,
                                ControlEffects& effects) {
@@ -1240,11 +1267,12 @@
     this->proposals.SetIndex(number, 0);
     if (!this->Leader().IsEmpty()) {
       effects.sends.push_back(
-          {this->Leader(), ProposeRequest{number, payload}});
+          {this->Leader(), ProposeRequest{number, payload, set_number}});
     }
     return;
   }
-  if (this->proposals.IndexOf(number) > this->state.Applied()) {
+  if (this->proposals.IndexOf(number) > this->state.Applied() ||
+      this->IsSetOvertaken(set_number)) {
     return;
   }
   state::LogEffects log_effects;
@@ -1276,6 +1304,9 @@
   } else if (this->ready && !this->contact_lost_at) {
     this->contact_lost_at = now;
     LogEvent(Event::kWordLost, LogLevel::kWarning,
+  const auto* replace =
+      std::get_if<state::ReplaceSet>(&this->proposals.ChangeOf(number));
+  const std::uint64_t set_number = replace == nullptr ? 0 : replace->number;
              {{"leader", this->Leader().Text()},
               {"set", std::to_string(this->state.SetNumber())}});
   }
@@ -1291,6 +1322,7 @@
       this->state.Hosts().contains(this->options.self.name) &&
       self->incarnation == this->options.self.incarnation;
   const auto leader_contact = this->LeaderContact(now);
+    this->NoteSetAppended(set_number, *index);
   const bool is_fresh = leader_contact &&
                         now - *leader_contact < this->options.key_freshness &&
                         this->state.Applied() >= this->follower.Commit();
--- a/packages/control/src/proposal_tracker.cc
+++ b/packages/control/src/proposal_tracker.cc
@@ -13,9 +13,11 @@
 }  // namespace
 
 void ProposalTracker::Add(std::uint64_t number,
+                          const state::ControlChange& change,
                           std::string payload,
                           TimePoint now) {
   Own& proposal = this->own[number];
+  proposal.change = change;
   proposal.payload = std::move(payload);
   proposal.sent = now;
 }
@@ -24,6 +26,11 @@
   return this->own.contains(number);
 }
 
+const state::ControlChange& ProposalTracker::ChangeOf(
+    std::uint64_t number) const {
+  return this->own.at(number).change;
+}
+
 const std::string& ProposalTracker::PayloadOf(std::uint64_t number) const {
   return this->own.at(number).payload;
 }
@@ -67,6 +74,19 @@
   return number;
 }
 
+std::vector<ChangeDone> ProposalTracker::FinishKnown(
+    const state::ControlState& state) {
+  std::vector<ChangeDone> done;
+  std::erase_if(this->own, [&](const auto& open) {
+    auto outcome = state.KnownOutcome(open.second.change);
+    if (outcome) {
+      done.push_back({open.first, std::move(*outcome)});
+    }
+    return outcome.has_value();
+  });
+  return done;
+}
+
 bool ProposalTracker::IsForwardedOpen(const ForwardedProposal& proposal) const {
   return this->forwarded_open.contains(proposal);
 }
--- a/packages/control/tests/proposal_tracker_tests.cc
+++ b/packages/control/tests/proposal_tracker_tests.cc
@@ -24,7 +24,7 @@
 TEST(ProposalTracker, ProposalIsSentAgainUntilApplied) {
   ProposalTracker tracker;
   const std::uint64_t number = tracker.NextNumber();
-  tracker.Add(number, "change", kStart);
+  tracker.Add(number, {}, "change", kStart);
   EXPECT_TRUE(tracker.Due(kStart).empty());
   const TimePoint later = kStart + std::chrono::seconds(1);
   EXPECT_EQ(tracker.Due(later), std::vector<std::uint64_t>{number});
@@ -37,7 +37,7 @@
 TEST(ProposalTracker, OtherEntryAtSameIndexDoesNotCompleteProposal) {
   ProposalTracker tracker;
   const std::uint64_t number = tracker.NextNumber();
-  tracker.Add(number, "change", kStart);
+  tracker.Add(number, {}, "change", kStart);
   tracker.SetIndex(number, 4);
   EXPECT_FALSE(tracker.Finish(Entry(4, "of a later leader")).has_value());
   EXPECT_TRUE(tracker.IsOpen(number));
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -174,6 +174,7 @@
 struct ProposeRequest {
   number @0 :UInt64;
   payload @1 :Data;
+  setNumber @2 :UInt64;
 }
 
 struct SetFault {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -507,7 +507,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8f40efe273e85055, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8f40efe273e85055, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3619,6 +3619,8 @@
   inline bool hasPayload() const;
   inline  ::capnp::Data::Reader getPayload() const;
 
+  inline  ::uint64_t getSetNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3657,6 +3659,9 @@
   inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
+  inline  ::uint64_t getSetNumber();
+  inline void setSetNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9522,6 +9527,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ProposeRequest::Reader::getSetNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProposeRequest::Builder::getSetNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ProposeRequest::Builder::setSetNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t SetFault::Reader::getCode() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -499,6 +499,7 @@
                                   static_cast<unsigned>(value.digests.size())));
   }
   void operator()(const control::RegionStatus& value) {
+    to.setSetNumber(value.set_number);
     auto to = this->out.initRegionStatus();
     to.setNumber(value.number);
     to.setEcho(value.echo);
@@ -981,8 +982,8 @@
       return ReadFeedReply(in.getFeedReply(), valid);
     case Wire::PROPOSE_REQUEST: {
       const auto from = in.getProposeRequest();
-      return control::ProposeRequest{from.getNumber(),
-                                     ToString(from.getPayload())};
+      return control::ProposeRequest{
+          from.getNumber(), ToString(from.getPayload()), from.getSetNumber()};
     }
     case Wire::PROPOSE_REPLY:
       return ReadProposeReply(in.getProposeReply(), valid);
--- a/packages/state/include/tamarackwing/state/control_state.h
+++ b/packages/state/include/tamarackwing/state/control_state.h
@@ -97,6 +97,10 @@
   }
   //! Returns the newest version that every host is known to have applied.
   SetVersion Confirmed() const { return this->confirmed; }
+  //! Returns the outcome that a change has whenever it is applied from now on,
+  //! because the change, or one that overtakes it, is in effect; nullopt if
+  //! that is open.
+  std::optional<ApplyOutcome> KnownOutcome(const ControlChange& change) const;
   //! Returns the recorded outcome of a publish with this id; nullopt if there
   //! is none.
   std::optional<ApplyOutcome> OutcomeOf(const PublishId& id) const;
--- a/packages/state/src/control_state.cc
+++ b/packages/state/src/control_state.cc
@@ -87,6 +87,27 @@
   return outcome;
 }
 
+std::optional<ApplyOutcome> ControlState::KnownOutcome(
+    const ControlChange& change) const {
+  if (const auto* set = std::get_if<ReplaceSet>(&change)) {
+    if (set->number <= this->set_number) {
+      return ApplyOutcome{ApplyKind::kOvertaken, this->version, {}};
+    }
+  } else if (const auto* publish = std::get_if<PublishSet>(&change)) {
+    return this->OutcomeOf(publish->id);
+  } else if (const auto* grant = std::get_if<GrantKey>(&change)) {
+    return this->OutcomeOf(grant->id);
+  } else if (const auto* withdraw = std::get_if<WithdrawKeys>(&change)) {
+    const bool all_withdrawn = std::all_of(
+        withdraw->digests.begin(), withdraw->digests.end(),
+        [&](const KeyDigest& key) { return this->withdrawn->contains(key); });
+    if (all_withdrawn) {
+      return this->Applied(this->version);
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<ApplyOutcome> ControlState::OutcomeOf(const PublishId& id) const {
   const auto found = this->outcomes.find(id);
   if (found == this->outcomes.end()) {
