hosts: messages of the agreed log have connections of their own

Cause: heartbeats and their replies, on which the leader's lease rests, shared a connection with feed replies and sets to the same host, and waited behind them. Class of fault: what carries liveness waits in a queue behind bulk.

Each host now opens a second connection to the hosts with which it exchanges messages of the log (control::Channel). The hello names the channel: bytes on that of the log are no sign of life of a feed's source. A host of the former build takes both for the same.

PeerNetwork.HeartbeatArrivesBeforeLargeMessageSentEarlier fails on the former code. The tests' cluster can limit each connection as well as each link.

--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -132,7 +132,8 @@
   }
   if (this->IsLimited(from, send.to)) {
     const std::uint64_t size = SizeOf(send.message);
-    std::deque<Transfer>& queue = this->transfers[{from, send.to}];
+    std::deque<Transfer>& queue =
+        this->transfers[{from, send.to, ChannelOf(send.message)}];
     queue.push_back({std::move(send), size, this->now});
     return;
   }
@@ -154,6 +155,10 @@
     may_send[host] = rate / kStepsPerSecond;
   }
   std::map<HostName, std::uint64_t> may_receive = may_send;
+  std::map<Connection, std::uint64_t> may_carry;
+  for (const auto& [connection, queue] : this->transfers) {
+    may_carry[connection] = this->connection_rate / kStepsPerSecond;
+  }
   // As PeerNetwork: a connection on which nothing moves for this long ends.
   constexpr std::chrono::milliseconds kCallTimeout{2'000};
   std::erase_if(this->transfers, [&](const auto& entry) {
@@ -176,7 +181,8 @@
   while (has_sent) {
     has_sent = false;
     for (auto& [connection, queue] : this->transfers) {
-      const auto& [from, to] = connection;
+      const auto& [from, to, channel] = connection;
+      std::uint64_t& carries = may_carry[connection];
       if (queue.empty() || this->suspended.contains(from) ||
           this->suspended.contains(to)) {
         continue;
@@ -184,17 +190,19 @@
       Transfer& next = queue.front();
       const std::uint64_t bytes =
           std::min({next.unsent, kLinkPacket, left(may_send, from),
-                    left(may_receive, to)});
+                    left(may_receive, to), carries});
       if (bytes == 0) {
         continue;
       }
       has_sent = true;
       spend(may_send, from, bytes);
       spend(may_receive, to, bytes);
+      carries -= bytes;
       this->link_bytes += bytes;
       next.unsent -= bytes;
       next.moved = this->now;
-      if (this->IsUp(to) && this->Node(to).AwaitedHosts().contains(from)) {
+      if (channel == Channel::kMain && this->IsUp(to) &&
+          this->Node(to).AwaitedHosts().contains(from)) {
         this->Node(to).NoteBytes(from, this->now);
       }
       if (next.unsent == 0) {
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "tamarackwing/base/random_source.h"
+#include "tamarackwing/control/channel.h"
 #include "tamarackwing/control/control_node.h"
 
 namespace tamarackwing::control {
@@ -68,6 +71,9 @@
   //! The connections of a host share its link evenly, and each delivers its
   //! messages in order. Precondition: `rate` is positive.
   void LimitLink(const HostName& host, std::uint64_t rate);
+  //! Limits what each connection between hosts with limited links can send, in
+  //! bytes a second, as a small window over a long distance does.
+  void LimitConnections(std::uint64_t rate) { this->connection_rate = rate; }
   //! Returns the bytes that hosts with limited links have sent and received, up
   //! to those of messages that were dropped on the way.
   std::uint64_t LinkBytes() const { return this->link_bytes; }
@@ -157,7 +163,7 @@
     //! When bytes of it were last sent.
     TimePoint moved;
   };
-  using Connection = std::pair<HostName, HostName>;
+  using Connection = std::tuple<HostName, HostName, Channel>;
 
   //! Sends for one step over the limited links.
   void RunLinks();
@@ -190,6 +196,7 @@
   std::map<Connection, std::deque<Transfer>> transfers;
   std::uint64_t link_bytes = 0;
   Disturbance disturbance;
+  std::uint64_t connection_rate = std::numeric_limits<std::uint64_t>::max();
   std::set<HostName> partition;
   std::set<HostName> suspended;
   std::map<std::pair<HostName, std::uint64_t>, state::ApplyOutcome> outcomes;
--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -61,7 +61,8 @@
 enum class NetworkError { kCannotListen };
 
 //! Connections to the other hosts over Cap'n Proto RPC, and the event loop of
-//! the control thread.
+//! the control thread. Messages of the agreed log have connections of their
+//! own; otherwise a host gets messages in the order in which they are sent.
 //! Thread safety: must be created, used and destroyed on one thread, except
 //! that Post, Stop and SentBytes are callable from any thread.
 class PeerNetwork {
@@ -89,8 +90,9 @@
   //! Makes Run return after its next tick.
   void Stop();
   //! Returns how long ago bytes of a host last arrived, also of a message that
-  //! is not complete; nullopt if it has no connection to this one. Takes time
-  //! that grows with the number of connections.
+  //! is not complete, but not of the agreed log's messages; nullopt if it has
+  //! no connection to this one. Takes time that grows with the number of
+  //! connections.
   std::optional<Duration> SilenceOf(const HostName& host) const;
   //! Returns the total size of the sent messages in bytes.
   std::uint64_t SentBytes() const;
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -9,7 +9,8 @@
   # The bootstrap capability of a connection: opens a session for a host that
   # presents the cluster's secret.
   # `address` and `port` are where that host accepts connections itself.
-  hello @0 (host :Text, secret :Text, address :Text, port :UInt16)
+  hello @0 (host :Text, secret :Text, address :Text, port :UInt16,
+            channel :UInt8)
       -> (session :Session);
 }
 
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -1103,6 +1103,8 @@
 
   inline  ::uint16_t getPort() const;
 
+  inline  ::uint8_t getChannel() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1155,6 +1157,9 @@
   inline  ::uint16_t getPort();
   inline void setPort( ::uint16_t value);
 
+  inline  ::uint8_t getChannel();
+  inline void setChannel( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7368,6 +7373,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Entry::HelloParams::Reader::getChannel() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Entry::HelloParams::Builder::getChannel() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Entry::HelloParams::Builder::setChannel( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Entry::HelloResults::Reader::hasSession() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -6,6 +6,7 @@
 #include <kj/async-io.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <deque>
 #include <functional>
@@ -17,6 +18,7 @@
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/event.h"
+#include "tamarackwing/control/channel.h"
 #include "tamarackwing/control/message_kind.h"
 #include "tamarackwing/hosts/peer_handler.h"
 #include "wire_codec.h"
@@ -44,6 +46,14 @@
   return time.count() * kj::MILLISECONDS;
 }
 
+using control::Channel;
+
+//! A connection to another host, open or not.
+struct LinkName {
+  HostName host;
+  Channel channel = Channel::kMain;
+};
+
 std::string MillisecondsText(Duration time) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -162,9 +172,9 @@
   TimePoint last_room;
 };
 
-//! Where a host says that it accepts connections.
-struct PeerAddress {
-  HostName host;
+//! Who opened a connection, and where that host accepts connections.
+struct Hello {
+  LinkName link;
   std::string address;
   std::uint16_t port = 0;
 };
@@ -174,7 +184,7 @@
  public:
   EntryServer(const std::string& secret,
               PeerHandler& handler,
-              std::function<void(const PeerAddress&)> learn)
+              std::function<void(const Hello&)> learn)
       : secret(secret), handler(handler), learn(std::move(learn)) {}
 
   kj::Promise<void> hello(HelloContext context) override {
@@ -182,7 +192,9 @@
     const std::string given(params.getSecret().cStr());
     KJ_REQUIRE(EqualInConstantTime(given, this->secret), "unknown host");
     const HostName host(params.getHost().cStr());
-    this->learn({host, params.getAddress().cStr(), params.getPort()});
+    this->learn({{host, static_cast<Channel>(params.getChannel())},
+                 params.getAddress().cStr(),
+                 params.getPort()});
     context.getResults().setSession(
         kj::heap<SessionServer>(host, this->handler));
     return kj::READY_NOW;
@@ -191,7 +203,7 @@
  private:
   const std::string& secret;
   PeerHandler& handler;
-  std::function<void(const PeerAddress&)> learn;
+  std::function<void(const Hello&)> learn;
 };
 
 //! The RPC server side of a connection accepted from a peer.
@@ -212,20 +224,23 @@
 //! The RPC client side of a connection opened to a peer.
 struct OutgoingConnection {
   OutgoingConnection(kj::Own<kj::AsyncIoStream> given,
-                     const NetworkOptions& options)
+                     const NetworkOptions& options,
+                     Channel channel)
       : stream(kj::mv(given)),
         client(stream),
-        session(OpenSession(client, options)),
+        session(OpenSession(client, options, channel)),
         opened(std::chrono::steady_clock::now()),
         last_reply(opened) {}
 
   static wire::Session::Client OpenSession(capnp::TwoPartyClient& client,
-                                           const NetworkOptions& options) {
+                                           const NetworkOptions& options,
+                                           Channel channel) {
     auto request = client.bootstrap().castAs<wire::Entry>().helloRequest();
     request.setHost(options.self.Text().c_str());
     request.setSecret(options.secret.c_str());
     request.setAddress(options.address.c_str());
     request.setPort(options.port);
+    request.setChannel(static_cast<std::uint8_t>(channel));
     return request.send().getSession();
   }
 
@@ -258,12 +273,7 @@
     this->io.waitScope.setBusyPollInterval(kEventsPerPoll);
   }
 
-  //! Another host and the connection to it.
-  struct Peer {
-    std::string address;
-    std::uint16_t port = 0;
-    //! Empty until SetHosts gives it.
-    RegionName region;
+  struct Link {
     kj::Own<OutgoingConnection> connection;
     bool connecting = false;
     TimePoint retry_at;
@@ -273,10 +283,23 @@
     std::uint64_t generation = 0;
   };
 
+  //! Another host and the connections to it.
+  struct Peer {
+    Link& To(Channel channel) {
+      return this->links.at(static_cast<std::size_t>(channel));
+    }
+
+    std::string address;
+    std::uint16_t port = 0;
+    //! Empty until SetHosts gives it.
+    RegionName region;
+    std::array<Link, control::kChannels> links;
+  };
+
   //! A connection that another host has opened.
   struct Incoming {
-    //! Empty until it has said its name.
-    HostName host;
+    //! The host is empty until it has said its name.
+    LinkName link;
     const WatchedStream* stream = nullptr;
   };
 
@@ -290,9 +313,9 @@
           auto accepted = kj::heap<IncomingConnection>(
               kj::mv(stream),
               kj::heap<EntryServer>(this->options.secret, this->handler,
-                                    [this, number](const PeerAddress& peer) {
-                                      this->Learn(peer);
-                                      this->incoming[number].host = peer.host;
+                                    [this, number](const Hello& hello) {
+                                      this->Learn(hello);
+                                      this->incoming[number].link = hello.link;
                                     }));
           this->incoming[number].stream = &accepted->stream;
           auto ended = accepted->network.onDisconnect();
@@ -314,25 +337,33 @@
 
   //! Keeps the address of a host that SetHosts has not given, so that it gets
   //! replies. A host that has lost its disk knows only its seeds.
-  void Learn(const PeerAddress& learnt) {
-    if (learnt.address.empty() || learnt.host == this->options.self) {
+  void Learn(const Hello& hello) {
+    if (hello.address.empty() || hello.link.host == this->options.self) {
       return;
     }
-    Peer& peer = this->peers[learnt.host];
+    Peer& peer = this->peers[hello.link.host];
     if (peer.address.empty()) {
-      peer.address = learnt.address;
-      peer.port = learnt.port;
+      peer.address = hello.address;
+      peer.port = hello.port;
     }
   }
 
+  //! Returns null if the host is unknown.
+  Link* Find(const LinkName& name) {
+    const auto found = this->peers.find(name.host);
+    return found == this->peers.end() ? nullptr
+                                      : &found->second.To(name.channel);
+  }
+
   //! Starts connecting to a host, at most once per reconnect interval.
-  void Connect(const HostName& name, Peer& peer) {
+  void Connect(const LinkName& name, Peer& peer) {
     const TimePoint now = std::chrono::steady_clock::now();
-    if (peer.connecting || now < peer.retry_at || peer.address.empty()) {
+    Link& link = peer.To(name.channel);
+    if (link.connecting || now < link.retry_at || peer.address.empty()) {
       return;
     }
-    peer.connecting = true;
-    peer.retry_at = now + this->options.reconnect_interval;
+    link.connecting = true;
+    link.retry_at = now + this->options.reconnect_interval;
     auto connected = this->io.provider->getNetwork()
                          .parseAddress(peer.address.c_str(), peer.port)
                          .then([](kj::Own<kj::NetworkAddress> address) {
@@ -348,33 +379,37 @@
         [this, name](kj::Exception&&) { this->Drop(name); }));
   }
 
-  void FinishConnect(const HostName& name, kj::Own<kj::AsyncIoStream> stream) {
-    const auto found = this->peers.find(name);
+  void FinishConnect(const LinkName& name, kj::Own<kj::AsyncIoStream> stream) {
+    const auto found = this->peers.find(name.host);
     if (found == this->peers.end()) {
       return;
     }
-    Peer& peer = found->second;
-    peer.connecting = false;
-    peer.generation += 1;
-    peer.connection =
-        kj::heap<OutgoingConnection>(kj::mv(stream), this->options);
-    LogEvent(Event::kPeerConnected, LogLevel::kInfo, {{"peer", name.Text()}});
+    Link& link = found->second.To(name.channel);
+    link.connecting = false;
+    link.generation += 1;
+    link.connection = kj::heap<OutgoingConnection>(kj::mv(stream),
+                                                   this->options, name.channel);
+    LogEvent(Event::kPeerConnected, LogLevel::kInfo,
+             {{"peer", name.host.Text()},
+              {"channel", std::string(control::ChannelName(name.channel))}});
     std::deque<control::PeerMessage> queued;
-    queued.swap(peer.queued);
+    queued.swap(link.queued);
     for (const control::PeerMessage& message : queued) {
-      this->Call(name, peer, message);
+      this->Call(name, found->second, message);
     }
   }
 
   //! Sends a message over the open connection. Drops it if too many calls are
   //! in flight. Precondition: the peer is connected.
-  void Call(const HostName& name,
+  void Call(const LinkName& name,
             Peer& peer,
             const control::PeerMessage& message) {
-    if (peer.connection->pending_calls >= this->options.max_pending) {
+    Link& link = peer.To(name.channel);
+    OutgoingConnection& connection = *link.connection;
+    if (connection.pending_calls >= this->options.max_pending) {
       return;
     }
-    auto request = peer.connection->session.deliverRequest();
+    auto request = connection.session.deliverRequest();
     WriteMessage(message, request.initMessage());
     const std::uint64_t bytes =
         request.totalSize().wordCount * sizeof(capnp::word);
@@ -385,53 +420,51 @@
         this->sent[{control::MessageKind(message), crosses_regions}];
     traffic.messages += 1;
     traffic.bytes += bytes;
-    if (peer.connection->pending_calls == 0) {
-      peer.connection->waiting_since = std::chrono::steady_clock::now();
-    }
-    peer.connection->pending_calls += 1;
-    peer.connection->pending_bytes += bytes;
-    const std::uint64_t generation = peer.generation;
-    const bool is_log = std::holds_alternative<state::LogMessage>(message);
     const TimePoint begun = std::chrono::steady_clock::now();
+    if (connection.pending_calls == 0) {
+      connection.waiting_since = begun;
+    }
+    connection.pending_calls += 1;
+    connection.pending_bytes += bytes;
+    const std::uint64_t generation = link.generation;
     auto reply = request.send().ignoreResult();
     this->tasks.add(reply.then(
-        [this, name, generation, bytes, is_log, begun]() {
+        [this, name, generation, bytes, begun]() {
           this->NoteReply(name, generation, bytes);
-          if (is_log) {
+          if (name.channel == Channel::kLog) {
             this->slowest_log_call =
                 std::max<Duration>(this->slowest_log_call,
                                    std::chrono::steady_clock::now() - begun);
           }
         },
         [this, name, generation](kj::Exception&&) {
-          const auto found = this->peers.find(name);
-          if (found != this->peers.end() &&
-              found->second.generation == generation) {
+          const Link* current = this->Find(name);
+          if (current != nullptr && current->generation == generation) {
             this->Drop(name);
           }
         }));
   }
 
-  void NoteReply(const HostName& name,
+  void NoteReply(const LinkName& name,
                  std::uint64_t generation,
                  std::uint64_t bytes) {
-    const auto found = this->peers.find(name);
-    const bool is_current = found != this->peers.end() &&
-                            found->second.generation == generation &&
-                            found->second.connection.get() != nullptr;
+    Link* link = this->Find(name);
+    const bool is_current = link != nullptr && link->generation == generation &&
+                            link->connection.get() != nullptr;
     if (is_current) {
-      OutgoingConnection& connection = *found->second.connection;
+      OutgoingConnection& connection = *link->connection;
       connection.pending_calls -= 1;
       connection.pending_bytes -= bytes;
       connection.last_reply = std::chrono::steady_clock::now();
     }
   }
 
-  static void LogLost(const HostName& name,
+  static void LogLost(const LinkName& name,
                       const OutgoingConnection& connection) {
     const TimePoint now = std::chrono::steady_clock::now();
     LogEvent(Event::kPeerLost, LogLevel::kInfo,
-             {{"peer", name.Text()},
+             {{"peer", name.host.Text()},
+              {"channel", std::string(control::ChannelName(name.channel))},
               {"calls", std::to_string(connection.pending_calls)},
               {"bytes", std::to_string(connection.pending_bytes)},
               {"reply_ms", MillisecondsText(now - connection.last_reply)},
@@ -448,32 +481,34 @@
       return;
     }
     const TimePoint since = now - this->options.call_timeout;
-    for (const auto& [name, peer] : this->peers) {
-      if (peer.connection.get() != nullptr &&
-          peer.connection->IsSilentSince(since)) {
-        this->Drop(name);
+    for (auto& [host, peer] : this->peers) {
+      for (const Channel channel : control::kAllChannels) {
+        const Link& link = peer.To(channel);
+        if (link.connection.get() != nullptr &&
+            link.connection->IsSilentSince(since)) {
+          this->Drop({host, channel});
+        }
       }
     }
   }
 
-  //! Closes the connection to a host and discards its queued messages.
-  void Drop(const HostName& name) {
-    const auto found = this->peers.find(name);
-    if (found == this->peers.end()) {
+  //! Closes a connection to a host and discards its queued messages.
+  void Drop(const LinkName& name) {
+    Link* link = this->Find(name);
+    if (link == nullptr) {
       return;
     }
-    Peer& peer = found->second;
-    if (peer.connection.get() != nullptr) {
-      LogLost(name, *peer.connection);
+    if (link->connection.get() != nullptr) {
+      LogLost(name, *link->connection);
       // This may run in a callback of the connection, so the connection is
       // destroyed in a later turn of the event loop.
       this->tasks.add(kj::evalLater(
-          [old = kj::mv(peer.connection)]() mutable { old = nullptr; }));
+          [old = kj::mv(link->connection)]() mutable { old = nullptr; }));
     }
-    peer.connection = nullptr;
-    peer.connecting = false;
-    peer.generation += 1;
-    peer.queued.clear();
+    link->connection = nullptr;
+    link->connecting = false;
+    link->generation += 1;
+    link->queued.clear();
   }
 
   kj::Promise<void> RunPostedTasks() {
@@ -562,7 +597,9 @@
     if (address_changed) {
       peer.address = host.peer_address;
       peer.port = host.peer_port;
-      this->state->Drop(host.name);
+      for (const Channel channel : control::kAllChannels) {
+        this->state->Drop({host.name, channel});
+      }
     }
   }
 }
@@ -574,14 +611,16 @@
     return;
   }
   State::Peer& peer = found->second;
-  if (peer.connection.get() != nullptr) {
-    this->state->Call(to, peer, message);
+  const LinkName name{to, control::ChannelOf(message)};
+  State::Link& link = peer.To(name.channel);
+  if (link.connection.get() != nullptr) {
+    this->state->Call(name, peer, message);
     return;
   }
-  if (peer.queued.size() < this->state->options.max_pending) {
-    peer.queued.push_back(message);
+  if (link.queued.size() < this->state->options.max_pending) {
+    link.queued.push_back(message);
   }
-  this->state->Connect(to, peer);
+  this->state->Connect(name, peer);
 }
 
 void PeerNetwork::Run(std::chrono::milliseconds interval,
@@ -609,7 +648,8 @@
   std::optional<Duration> silence;
   const TimePoint now = std::chrono::steady_clock::now();
   for (const auto& [number, connection] : this->state->incoming) {
-    if (connection.host == host) {
+    const bool is_main = connection.link.channel == Channel::kMain;
+    if (is_main && connection.link.host == host) {
       const Duration age = now - connection.stream->LastRead();
       silence = silence ? std::min(*silence, age) : age;
     }
@@ -628,9 +668,11 @@
 SentTraffic PeerNetwork::Unanswered() const {
   SentTraffic unanswered;
   for (const auto& [name, peer] : this->state->peers) {
-    if (peer.connection.get() != nullptr) {
-      unanswered.messages += peer.connection->pending_calls;
-      unanswered.bytes += peer.connection->pending_bytes;
+    for (const State::Link& link : peer.links) {
+      if (link.connection.get() != nullptr) {
+        unanswered.messages += link.connection->pending_calls;
+        unanswered.bytes += link.connection->pending_bytes;
+      }
     }
   }
   return unanswered;
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -233,6 +233,38 @@
   EXPECT_EQ(relay.Accepted(), 1);
 }
 
+// Guards against a leader that loses its lease because heartbeats wait behind
+// the sets that it sends to the same host.
+TEST(PeerNetwork, HeartbeatArrivesBeforeLargeMessageSentEarlier) {
+  constexpr std::size_t kMessageBytes = 8 * 1024 * 1024;
+  constexpr std::size_t kRelayBytes = 64 * 1024;
+  std::promise<void> both_arrived;
+  std::vector<std::string> arrived;
+  TestPeer second(
+      kSecond, kSecondAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
+        arrived.push_back(std::holds_alternative<state::LogMessage>(message)
+                              ? "heartbeat"
+                              : "large");
+        if (arrived.size() == 2) {
+          both_arrived.set_value();
+        }
+      });
+  SlowRelay relay(kRelayBytes);
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [](PeerNetwork&, const HostName&, const control::PeerMessage&) {});
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kRelayAddress)});
+    first.Network().Send(
+        kSecond, control::ProposeRequest{1, std::string(kMessageBytes, 'x')});
+    first.Network().Send(kSecond, state::LogMessage(state::AppendRequest{}));
+  });
+  ASSERT_EQ(both_arrived.get_future().wait_for(kLong),
+            std::future_status::ready);
+  EXPECT_EQ(arrived, (std::vector<std::string>{"heartbeat", "large"}));
+}
+
 TEST(PeerNetwork, SilentConnectionIsOpenedAnew) {
   constexpr milliseconds kCallTimeout{300};
   TestPeer second(
