state: a follower gets entries once, and no more than a bounded amount at a time

Cause: a leader sent all entries that a follower lacked for each message that the follower rejected, among them those that were on their way when the entries were first sent again (VoterCatchUpTest: 556 entries where 120 are new); and it sent all new entries at once, so that heartbeats waited behind them. Class of fault: what carries liveness waits in a queue behind bulk, and the bulk is sent more than once.

A rejection of what was sent before entries were last sent again is ignored, and a follower that has 64 KiB on their way gets the next entries once it has acknowledged these; heartbeats go on meanwhile.

VoterCatchUpTest.EntriesAreSentAgainOnce and LeaderLeaseTest.LeaderKeepsItsLeaseWhileSetsAreSent fail on the former code (556 of 240 entries; the majority's contact 1.95 s old, of 1.35 s).

--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -35,7 +35,8 @@
   //! Maximum number of entries in one AppendRequest.
   std::size_t entries_per_message = 64;
   //! Payload size, in bytes, from which on an AppendRequest takes no further
-  //! entry.
+  //! entry, and a follower gets no further entries before it has acknowledged
+  //! those on their way. Heartbeats wait behind no more than that.
   std::size_t bytes_per_message = std::size_t{64} * 1024;
 };
 
@@ -213,6 +214,15 @@
     TimePoint last_reply;
     //! Send time of the latest heartbeat that the follower acknowledged.
     TimePoint lease_from;
+    //! The round in which entries were last sent again. The follower may reject
+    //! what was sent before it, which says nothing new.
+    std::uint64_t resent_in = 0;
+    //! Payload of the entries sent since the follower had acknowledged all.
+    std::size_t bytes_on_way = 0;
+    //! Entries are sent only once the follower has acknowledged this one.
+    LogIndex awaited = 0;
+
+    bool MaySend() const { return this->match >= this->awaited; }
   };
   //! A message held back until the batch with this ticket is on disk.
   struct DeferredSend {
@@ -276,6 +286,9 @@
                     TimePoint now,
                     LogEffects& effects);
   void SendToAll(TimePoint now, LogEffects& effects);
+  //! Begins a round: what is sent from `now` on has a higher round than what
+  //! was sent before.
+  void BeginRound(TimePoint now);
   void SendTo(const HostName& host, LogEffects& effects);
   void AdvanceCommit(TimePoint now, LogEffects& effects);
   void PersistCommit(LogEffects& effects);
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -628,22 +628,32 @@
   }
   this->UpdateLease(now);
   if (!reply.accepted) {
+    if (reply.round < peer.resent_in) {
+      return;
+    }
     // A host that has lost its disk no longer holds entries that it
     // acknowledged earlier, so `match` can decrease.
     peer.match = std::min(peer.match, reply.match);
     peer.next = std::max<LogIndex>(1, std::min(peer.next - 1, reply.match + 1));
+    this->BeginRound(now);
+    peer.resent_in = this->round;
+    peer.bytes_on_way = 0;
+    peer.awaited = 0;
     this->SendTo(from, effects);
     return;
   }
   peer.match = std::max(peer.match, reply.match);
   peer.next = std::max(peer.next, peer.match + 1);
+  if (peer.match + 1 == peer.next) {
+    peer.bytes_on_way = 0;
+  }
   this->AdvanceCommit(now, effects);
   // AdvanceCommit makes this leader step down if it committed its own removal.
   if (this->role != Role::kLeader) {
     return;
   }
   this->FinishJoin(now, effects);
-  if (peer.next <= this->LastIndex()) {
+  if (peer.next <= this->LastIndex() && peer.MaySend()) {
     this->SendTo(from, effects);
   }
 }
@@ -713,11 +723,7 @@
 
 void AgreedLog::SendToAll(TimePoint now, LogEffects& effects) {
   this->heartbeat_at = now + this->options.heartbeat;
-  this->round += 1;
-  this->round_times.emplace_back(this->round, now);
-  if (this->round_times.size() > kMaxRounds) {
-    this->round_times.pop_front();
-  }
+  this->BeginRound(now);
   for (const HostName& host : this->Followers()) {
     this->progress.try_emplace(
         host, Progress{this->LastIndex() + 1, 0, now, TimePoint()});
@@ -726,6 +732,14 @@
   this->UpdateLease(now);
 }
 
+void AgreedLog::BeginRound(TimePoint now) {
+  this->round += 1;
+  this->round_times.emplace_back(this->round, now);
+  if (this->round_times.size() > kMaxRounds) {
+    this->round_times.pop_front();
+  }
+}
+
 void AgreedLog::SendTo(const HostName& host, LogEffects& effects) {
   // What has been sent is not sent again unless the follower rejects what comes
   // after it: large entries would delay the heartbeats behind them.
@@ -734,6 +748,7 @@
     effects.sends.push_back(
         {host, InstallRequest{this->vote.term, this->snapshot, this->round}});
     peer.next = this->snapshot.index + 1;
+    peer.awaited = this->snapshot.index;
     return;
   }
   AppendRequest request;
@@ -743,13 +758,18 @@
   request.commit = this->commit;
   request.round = this->round;
   std::size_t bytes = 0;
-  while (peer.next <= this->LastIndex() &&
+  while (peer.MaySend() && peer.next <= this->LastIndex() &&
          request.entries.size() < this->options.entries_per_message &&
          bytes < this->options.bytes_per_message) {
     request.entries.push_back(*this->EntryAt(peer.next));
     bytes += request.entries.back().payload.size();
     peer.next += 1;
   }
+  peer.bytes_on_way += bytes;
+  if (peer.bytes_on_way >= this->options.bytes_per_message) {
+    peer.bytes_on_way = 0;
+    peer.awaited = peer.next - 1;
+  }
   effects.sends.push_back({host, std::move(request)});
 }
 
