state, daemon: batches of the log that wait for the disk share one sync

Cause: the disk thread wrote and synced each batch of the log on its own, and each committed change makes two.

LogStore.QueuedBatchesShareOneSync; a property compares the recovery of batches written together with that of batches written one by one.

--- a/packages/state/include/tamarackwing/state/log_store.h
+++ b/packages/state/include/tamarackwing/state/log_store.h
@@ -23,6 +23,9 @@
   //! the journal records that it replaces are removed. Errors: as for
   //! Journal::Append.
   Expected<void, JournalError> Write(const LogBatch& batch);
+  //! Writes batches, in order, with as few syncs as possible; they are durable
+  //! on return. Errors: as for Write; some of the batches may be durable then.
+  Expected<void, JournalError> WriteAll(const std::vector<LogBatch>& batches);
 
  private:
   Expected<void, JournalError> WriteSnapshot(const LogBatch& batch);
--- a/packages/state/src/log_store.cc
+++ b/packages/state/src/log_store.cc
@@ -90,6 +90,24 @@
   }
 }
 
+//! Adds a batch without a snapshot to an earlier one, so that applying the
+//! result is the same as applying both.
+void Append(const LogBatch& batch, LogBatch& earlier) {
+  earlier.commit = std::max(earlier.commit, batch.commit);
+  if (batch.vote) {
+    earlier.vote = batch.vote;
+  }
+  if (batch.truncate_from != 0) {
+    Truncate(earlier.entries, batch.truncate_from);
+    earlier.truncate_from =
+        earlier.truncate_from == 0
+            ? batch.truncate_from
+            : std::min(earlier.truncate_from, batch.truncate_from);
+  }
+  earlier.entries.insert(earlier.entries.end(), batch.entries.begin(),
+                         batch.entries.end());
+}
+
 LogBatch DecodeBatch(const json& document) {
   LogBatch batch;
   const auto vote = document.find("vote");
@@ -145,6 +163,33 @@
   return this->journal.Append({EncodeBatch(batch)});
 }
 
+Expected<void, JournalError> LogStore::WriteAll(
+    const std::vector<LogBatch>& batches) {
+  std::optional<LogBatch> merged;
+  const auto write_merged = [&]() -> Expected<void, JournalError> {
+    const auto batch = std::exchange(merged, std::nullopt);
+    return batch ? this->Write(*batch) : Expected<void, JournalError>();
+  };
+  for (const LogBatch& batch : batches) {
+    if (!batch.snapshot) {
+      if (merged) {
+        Append(batch, *merged);
+      } else {
+        merged = batch;
+      }
+      continue;
+    }
+    auto written = write_merged();
+    if (written) {
+      written = this->Write(batch);
+    }
+    if (!written) {
+      return written;
+    }
+  }
+  return write_merged();
+}
+
 Expected<void, JournalError> LogStore::WriteSnapshot(const LogBatch& batch) {
   Journal snapshots(this->disk, kSnapshotName);
   const auto written = snapshots.Rewrite({EncodeSnapshot(*batch.snapshot)});
--- a/packages/state/tests/journal_tests.cc
+++ b/packages/state/tests/journal_tests.cc
@@ -93,6 +93,71 @@
   EXPECT_EQ(log->commit, 6U);
 }
 
+// Guards against acknowledgements that wait for a sync of each batch queued
+// before them.
+TEST(LogStore, QueuedBatchesShareOneSync) {
+  FakeDisk disk;
+  LogStore store(disk);
+  ASSERT_TRUE(store.Recover().has_value());
+  std::vector<LogBatch> batches;
+  for (LogIndex i = 1; i <= 20; ++i) {
+    batches.push_back(Entries(i, i));
+  }
+  // One write and one sync.
+  disk.FailAfter(2, DiskError::kFull);
+  ASSERT_TRUE(store.WriteAll(batches).has_value());
+  disk.Crash(0);
+  const auto log = LogStore(disk).Recover();
+  ASSERT_TRUE(log.has_value());
+  EXPECT_EQ(log->entries.size(), 20U);
+  EXPECT_EQ(log->commit, 20U);
+}
+
+//! Returns a batch that may follow a log that ends at `last`, and updates that.
+LogBatch AnyBatch(LogIndex& last) {
+  LogBatch batch;
+  const auto count = *rc::gen::inRange<LogIndex>(0, 4);
+  if (*rc::gen::arbitrary<bool>()) {
+    batch.truncate_from = *rc::gen::inRange<LogIndex>(1, last + 2);
+    last = batch.truncate_from - 1;
+  }
+  const auto term = *rc::gen::inRange<Term>(1, 9);
+  batch.entries = Entries(last + 1, last + count, term).entries;
+  last += count;
+  if (*rc::gen::arbitrary<bool>()) {
+    batch.vote = VoteRecord{term, HostName("b"), false};
+  }
+  batch.commit = *rc::gen::inRange<LogIndex>(0, last + 1);
+  return batch;
+}
+
+RC_GTEST_PROP(LogStore, BatchesWrittenTogetherRecoverAsWrittenOneByOne, ()) {
+  LogIndex last = 0;
+  std::vector<LogBatch> batches;
+  const auto count = *rc::gen::inRange(1, 12);
+  for (int i = 0; i < count; ++i) {
+    batches.push_back(AnyBatch(last));
+  }
+  FakeDisk disk_one_by_one;
+  LogStore one_by_one(disk_one_by_one);
+  for (const LogBatch& batch : batches) {
+    RC_ASSERT(one_by_one.Write(batch).has_value());
+  }
+  FakeDisk disk_together;
+  LogStore together(disk_together);
+  RC_ASSERT(together.WriteAll(batches).has_value());
+  const auto expected = one_by_one.Recover();
+  const auto found = together.Recover();
+  RC_ASSERT(expected.has_value() && found.has_value());
+  RC_ASSERT(found->vote == expected->vote);
+  RC_ASSERT(found->commit == expected->commit);
+  RC_ASSERT(found->entries.size() == expected->entries.size());
+  for (std::size_t i = 0; i < found->entries.size(); ++i) {
+    RC_ASSERT(found->entries[i].index == expected->entries[i].index);
+    RC_ASSERT(found->entries[i].term == expected->entries[i].term);
+  }
+}
+
 TEST(LogStore, ACrashAtAnyStepOfASnapshotLosesNoCommittedEntry) {
   for (std::size_t step = 0; step < 4; ++step) {
     FakeDisk disk;
--- a/programs/tamarackwingd/src/disk_thread.cc
+++ b/programs/tamarackwingd/src/disk_thread.cc
@@ -46,20 +46,23 @@
       }
       batches.swap(this->waiting);
     }
-    if (!this->WriteAll(batches)) {
+    if (!this->WriteAll(std::move(batches))) {
       return;
     }
   }
 }
 
-bool DiskThread::WriteAll(const std::deque<Batch>& batches) {
-  // All queued ledger records are appended together, with a single sync.
+bool DiskThread::WriteAll(std::deque<Batch> batches) {
+  // What is queued is written together, with a single sync for each journal.
   std::vector<std::string> records;
   std::uint64_t ledger_ticket = 0;
-  for (const Batch& batch : batches) {
+  std::vector<state::LogBatch> log_batches;
+  for (Batch& batch : batches) {
     if (const auto* ledger_batch = std::get_if<state::LedgerBatch>(&batch)) {
       records.push_back(state::EncodeLedgerBatch(*ledger_batch));
       ledger_ticket = ledger_batch->ticket;
+    } else {
+      log_batches.push_back(std::move(std::get<state::LogBatch>(batch)));
     }
   }
   if (!records.empty()) {
@@ -70,15 +73,13 @@
     }
     this->callbacks.ledger_written(ledger_ticket);
   }
-  for (const Batch& batch : batches) {
-    if (const auto* log_batch = std::get_if<state::LogBatch>(&batch)) {
-      const auto written = this->store.Write(*log_batch);
-      if (!written) {
-        this->callbacks.failed(written.error());
-        return false;
-      }
-      this->callbacks.log_written(log_batch->ticket);
+  if (!log_batches.empty()) {
+    const auto written = this->store.WriteAll(log_batches);
+    if (!written) {
+      this->callbacks.failed(written.error());
+      return false;
     }
+    this->callbacks.log_written(log_batches.back().ticket);
   }
   return true;
 }
--- a/programs/tamarackwingd/src/disk_thread.h
+++ b/programs/tamarackwingd/src/disk_thread.h
@@ -45,7 +45,7 @@
   using Batch = std::variant<state::LogBatch, state::LedgerBatch>;
 
   void Run();
-  bool WriteAll(const std::deque<Batch>& batches);
+  bool WriteAll(std::deque<Batch> batches);
 
   state::LogStore& store;
   state::Journal ledger;
