--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -345,6 +345,10 @@
 
   std::uint64_t next_ticket = 1;
   std::uint64_t persisted_ticket = 0;
+  //! Ticket of the last batch with a vote or with entries: what this host tells
+  //! others rests on it, but not on commit indexes and compacted logs, which
+  //! may take long to write.
+  std::uint64_t promised_ticket = 0;
   //! Tickets of batches that are not yet synced, each with the last index that
   //! is on disk once that batch is synced.
   std::deque<std::pair<std::uint64_t, LogIndex>> batch_ends;
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -436,7 +436,7 @@
   }
   LogSend reply{from, VoteReply{this->vote.term, !refusal.has_value(), false}};
   if (this->vote == before) {
-    this->SendAfter(this->next_ticket - 1, std::move(reply), effects);
+    this->SendAfter(this->promised_ticket, std::move(reply), effects);
     return;
   }
   LogBatch batch;
@@ -587,7 +587,7 @@
     this->vote.catching_up = false;
     batch.vote = this->vote;
   }
-  std::uint64_t ticket = this->next_ticket - 1;
+  std::uint64_t ticket = this->promised_ticket;
   if (batch.vote || !batch.entries.empty()) {
     ticket = this->AddBatch(std::move(batch), effects);
   }
@@ -668,7 +668,7 @@
     return;
   }
   const LogSnapshot& newer = request.snapshot;
-  std::uint64_t ticket = this->next_ticket - 1;
+  std::uint64_t ticket = this->promised_ticket;
   if (newer.index > this->commit) {
     batch.snapshot = newer;
     batch.truncate_from = this->snapshot.index + 1;
@@ -851,6 +851,9 @@
 
 std::uint64_t AgreedLog::AddBatch(LogBatch batch, LogEffects& effects) {
   batch.ticket = this->next_ticket++;
+  if (batch.vote || batch.truncate_from != 0 || !batch.entries.empty()) {
+    this->promised_ticket = batch.ticket;
+  }
   this->batch_ends.emplace_back(batch.ticket, this->LastIndex());
   effects.batches.push_back(std::move(batch));
   return this->next_ticket - 1;
--- a/packages/state/tests/agreed_log_tests.cc
+++ b/packages/state/tests/agreed_log_tests.cc
@@ -292,6 +292,47 @@
   }
 }
 
+//! Returns the replies to appends among `effects`.
+std::vector<AppendReply> RepliesIn(const LogEffects& effects) {
+  std::vector<AppendReply> replies;
+  for (const LogSend& send : effects.sends) {
+    if (const auto* reply = std::get_if<AppendReply>(&send.message)) {
+      replies.push_back(*reply);
+    }
+  }
+  return replies;
+}
+
+// Guards against a leader that loses its lease while a voter's disk is slow or
+// writes a snapshot.
+TEST(AgreedLog, HeartbeatIsAnsweredWhileACommitIndexIsWritten) {
+  const HostName leader("a");
+  const TimePoint now{std::chrono::hours(1)};
+  SeededRandom random(3);
+  AgreedLog log(HostName("b"), {}, {leader, HostName("b"), HostName("c")}, {},
+                random, now);
+  AppendRequest request;
+  request.term = 1;
+  LogEntry entry;
+  entry.index = 1;
+  entry.term = 1;
+  request.entries.push_back(entry);
+  LogEffects effects = log.Receive(leader, request, now);
+  EXPECT_TRUE(RepliesIn(effects).empty());
+  ASSERT_EQ(effects.batches.size(), 1U);
+  EXPECT_EQ(RepliesIn(log.Persisted(effects.batches[0].ticket, now)).size(),
+            1U);
+  AppendRequest heartbeat;
+  heartbeat.term = 1;
+  heartbeat.previous_index = 1;
+  heartbeat.previous_term = 1;
+  heartbeat.commit = 1;
+  effects = log.Receive(leader, heartbeat, now);
+  ASSERT_EQ(effects.batches.size(), 1U);
+  EXPECT_EQ(effects.batches[0].commit, 1U);
+  EXPECT_EQ(RepliesIn(log.Receive(leader, heartbeat, now)).size(), 1U);
+}
+
 TEST(AgreedLog, TheCheckerDetectsEntriesAcknowledgedBeforeTheyAreWritten) {
   LogCluster cluster(3);
   cluster.confirms_too_early = true;
