policy, gateway: a late acknowledgement ends the repetition of a crash report

Cause: a host repeated what it had seen of a crash in each report, five times a second, until the last of these reports was acknowledged. Where the round trip takes longer than the 200 ms between two reports, none ever was: each host repeated each crash for ever. Answers to watched blocks and refusals were repeated as often. Class of fault: repetition on a timer that grows as the receiver falls behind.

All reports of a crash say the same of it, so the acknowledgement of any of them to this leader ends its repetition. What is not acknowledged is repeated once a second, and at once to a new leader.

--- a/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
+++ b/packages/gateway/include/tamarackwing/gateway/block_quarantine.h
@@ -79,6 +79,9 @@
     TimePoint trial_until;
     //! When the last request was refused.
     std::optional<TimePoint> refused;
+    //! When the leader was last told of the refusal, and of the entry.
+    TimePoint refused_reported;
+    TimePoint held_reported;
   };
 
   const Clock& clock;
--- a/packages/gateway/src/block_quarantine.cc
+++ b/packages/gateway/src/block_quarantine.cc
@@ -18,6 +18,9 @@
 constexpr milliseconds kTrialLife{8'000};
 //! How long a refused request counts as demand for a trial.
 constexpr milliseconds kDemand{3'000};
+//! Pause between two reports of the same refusal, or of the same quarantined
+//! block: the leader gets them from all hosts.
+constexpr milliseconds kRepeatInterval{1'000};
 //! How long a host without a leader keeps its quarantine.
 constexpr std::chrono::minutes kHold{10};
 //! Max suspects in the log line of a crash.
@@ -126,10 +129,14 @@
     report.number = ++this->number;
     new_crashes = this->observer.AddTo(report, now);
     for (auto& [block, entry] : this->entries) {
-      if (entry.refused && now - *entry.refused <= kDemand) {
+      const bool is_wanted = entry.refused && now - *entry.refused <= kDemand;
+      if (is_wanted && now - entry.refused_reported >= kRepeatInterval) {
+        entry.refused_reported = now;
         report.refused.push_back(block);
       }
-      if (is_new_leader || this->is_awaited) {
+      const bool is_awaited = is_new_leader || this->is_awaited;
+      if (is_awaited && now - entry.held_reported >= kRepeatInterval) {
+        entry.held_reported = now;
         report.held.push_back(
             {block, Until(entry.next_trial, now), entry.failed_trials});
       }
@@ -147,12 +154,19 @@
 void BlockQuarantine::Accept(const policy::QuarantineNotice& notice) {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
+  if (notice.term < this->term) {
+    // A host that passes on notices may be late with those of a former leader.
+    return;
+  }
   this->is_awaited = !notice.complete;
   if (notice.term == this->term) {
     this->observer.Acknowledge(notice.number);
   } else {
     this->term = notice.term;
     this->observer.ReportAgain();
+    for (auto& [block, entry] : this->entries) {
+      entry.held_reported = TimePoint();
+    }
   }
   this->observer.Watch(notice.watched);
   std::set<BlockDigest> listed;
--- a/packages/policy/include/tamarackwing/policy/crash_observer.h
+++ b/packages/policy/include/tamarackwing/policy/crash_observer.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -33,6 +34,9 @@
   std::size_t answers = 4'096;
   //! An answer is reported for this long, because reports can be lost.
   std::chrono::milliseconds repeat{2'000};
+  //! Pause between two reports of the same crash, or of answers to the same
+  //! block: a leader that cannot acknowledge them gets them from all hosts.
+  std::chrono::milliseconds repeat_interval{1'000};
 };
 
 //! What one host sees of crashes of backend servers: which of its requests
@@ -59,10 +63,11 @@
   void Watch(const std::vector<BlockDigest>& blocks);
   //! Adds confirmed crashes that are not acknowledged, and the last answers to
   //! requests with watched blocks: recent ones repeatedly, older ones once.
+  //! None is added again within `repeat_interval`.
   //! Returns the crashes that this report contains for the first time.
   std::vector<ServerCrash> AddTo(CrashReport& report, TimePoint now);
-  //! Ends the repetition of the crashes that report `number` and earlier ones
-  //! contained.
+  //! Ends the repetition of the crashes that report `number` or an earlier one
+  //! contained. All reports of a crash say the same of it.
   void Acknowledge(std::uint64_t number);
   //! Drops the crashes that no report has contained yet: they had another
   //! cause.
@@ -78,8 +83,13 @@
     BackendServerName server;
     std::vector<CrashSuspect> suspects;
     std::vector<BlockDigest> requests;
-    //! Number of the last report that contained it; zero if none.
-    std::uint64_t reported = 0;
+    //! Whether any report has contained it.
+    bool is_reported = false;
+    //! Number of the first report to this leader that contained it; zero if
+    //! none has.
+    std::uint64_t first_report = 0;
+    //! When a report last contained it.
+    TimePoint reported_at;
     bool acknowledged = false;
   };
 
@@ -95,8 +105,8 @@
   std::vector<Crash> open;
   std::vector<Crash> confirmed;
   std::unordered_map<BlockDigest, TimePoint> answered;
-  //! Watched blocks, and whether their last answer was reported.
-  std::map<BlockDigest, bool> watched;
+  //! Watched blocks, and when an answer of each was last reported.
+  std::map<BlockDigest, std::optional<TimePoint>> watched;
 };
 
 }  // namespace tamarackwing::policy
--- a/packages/policy/src/crash_observer.cc
+++ b/packages/policy/src/crash_observer.cc
@@ -28,7 +28,7 @@
     if (this->open.size() >= this->options.crashes) {
       return false;
     }
-    this->open.push_back({now, server, {}, {}, 0, false});
+    this->open.push_back({now, server, {}, {}, false, 0, TimePoint(), false});
     crash = std::prev(this->open.end());
   }
   for (const BlockDigest block : blocks) {
@@ -75,10 +75,10 @@
 }
 
 void CrashObserver::Watch(const std::vector<BlockDigest>& blocks) {
-  std::map<BlockDigest, bool> next;
+  std::map<BlockDigest, std::optional<TimePoint>> next;
   for (const BlockDigest block : blocks) {
     const auto known = this->watched.find(block);
-    next[block] = known != this->watched.end() && known->second;
+    next[block] = known == this->watched.end() ? std::nullopt : known->second;
   }
   this->watched = std::move(next);
 }
@@ -91,22 +91,34 @@
     return crash.acknowledged && now - crash.at > this->options.kept;
   });
   for (Crash& crash : this->confirmed) {
-    if (crash.acknowledged) {
+    const bool was_reported_lately =
+        crash.first_report != 0 &&
+        now - crash.reported_at < this->options.repeat_interval;
+    if (crash.acknowledged || was_reported_lately) {
       continue;
     }
     ServerCrash seen{crash.server, AgeOf(crash.at, now), crash.suspects,
                      crash.requests};
-    if (crash.reported == 0) {
+    if (!crash.is_reported) {
       first_time.push_back(seen);
     }
-    crash.reported = report.number;
+    crash.is_reported = true;
+    if (crash.first_report == 0) {
+      crash.first_report = report.number;
+    }
+    crash.reported_at = now;
     report.crashes.push_back(std::move(seen));
   }
-  for (auto& [block, is_reported] : this->watched) {
+  for (auto& [block, reported] : this->watched) {
     const auto last = this->answered.find(block);
-    if (last != this->answered.end() &&
-        (!is_reported || now - last->second <= this->options.repeat)) {
-      is_reported = true;
+    if (last == this->answered.end()) {
+      continue;
+    }
+    const bool repeats =
+        now - last->second <= this->options.repeat &&
+        now - reported.value_or(now) >= this->options.repeat_interval;
+    if (!reported || repeats) {
+      reported = now;
       report.answered.push_back({block, AgeOf(last->second, now)});
     }
   }
@@ -115,7 +127,7 @@
 
 void CrashObserver::Acknowledge(std::uint64_t number) {
   for (Crash& crash : this->confirmed) {
-    if (crash.reported != 0 && crash.reported <= number) {
+    if (crash.first_report != 0 && crash.first_report <= number) {
       crash.acknowledged = true;
     }
   }
@@ -124,12 +136,13 @@
 void CrashObserver::DropUnreported() {
   this->open.clear();
   std::erase_if(this->confirmed,
-                [](const Crash& crash) { return crash.reported == 0; });
+                [](const Crash& crash) { return !crash.is_reported; });
 }
 
 void CrashObserver::ReportAgain() {
   for (Crash& crash : this->confirmed) {
     crash.acknowledged = false;
+    crash.first_report = 0;
   }
 }
 
