control: the leader's notices go through the other hosts with disks

It now sends a notice to the live hosts with disks of each region, with the entry hosts to which each passes it on; hosts of former builds, and regions without another live one, are served by the leader itself. A report that only tells answers or the host's quarantine gets no reply. A host whose relay is lost but not yet known to be lost misses notices for up to host_lost.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -231,6 +231,12 @@
                      ControlEffects& effects);
   //! Sends the quarantine to all entry hosts if it has changed or is due.
   void SendQuarantine(TimePoint now, ControlEffects& effects);
+  //! Returns the hosts that pass on notices, with the entry hosts to which each
+  //! does; this leader, for those that have no other.
+  std::map<HostName, std::vector<HostName>> NoticeRelays() const;
+  void DeliverNotice(const HostName& to,
+                     const policy::QuarantineNotice& notice,
+                     ControlEffects& effects) const;
   void LogVerdicts();
   void HandleStatusRequest(const HostName& from,
                            const StatusRequest& request,
@@ -276,17 +282,17 @@
   void SendProposal(std::uint64_t number,
                     TimePoint now,
                     ControlEffects& effects);
+  //! Returns whether a set with this or a higher number is in force, or in this
+  //! leader's log. Zero is the number of no set.
+  bool IsSetOvertaken(std::uint64_t number) const;
+  //! Records a set that this leader has put into its log.
+  void NoteSetAppended(std::uint64_t number, LogIndex index);
   void UpdateReady(TimePoint now, ControlEffects& effects);
   //! Notes that the node runs, and whether it was suspended before.
   void NoteRunning(TimePoint now);
   //! Returns whether a host of this region counts as lost because this one has
   //! not heard it, although it could have.
   bool IsSilent(const HostName& host, TimePoint now) const;
-  //! Returns whether a set with this or a higher number is in force, or in this
-  //! leader's log. Zero is the number of no set.
-  bool IsSetOvertaken(std::uint64_t number) const;
-  //! Records a set that this leader has put into its log.
-  void NoteSetAppended(std::uint64_t number, LogIndex index);
   //! Logs loss and recovery of leader contact.
   void WatchLeaderContact(TimePoint now);
   //! Returns the hosts that accept callers.
@@ -342,15 +348,15 @@
   bool had_leader_contact = false;
   std::optional<TimePoint> contact_lost_at;
   ProposalTracker proposals;
+  //! The last set that this host has appended as the leader of this term.
+  std::uint64_t appended_set = 0;
+  LogIndex appended_set_index = 0;
   std::map<std::string, LogIndex> pending_tasks;
   std::set<KeyDigest> uncommitted_withdrawn;
   RegionStatus region_status;
   std::vector<TargetLoad> region_loads;
   std::map<HostName, std::uint64_t> status_number;
   std::map<HostName, std::map<std::uint64_t, TimePoint>> status_sent;
-  //! The last set that this host has appended as the leader of this term.
-  std::uint64_t appended_set = 0;
-  LogIndex appended_set_index = 0;
   std::map<HostName, std::uint64_t> status_received;
 };
 
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -171,6 +171,13 @@
   std::vector<policy::ServerReport> reports;
 };
 
+//! A notice of the leader that the recipient passes on to other hosts, so that
+//! the leader need not send it to each of them.
+struct RelayedNotice {
+  policy::QuarantineNotice notice;
+  std::vector<HostName> recipients;
+};
+
 //! All messages between hosts.
 using PeerMessage = std::variant<state::LogMessage,
                                  state::LedgerMessage,
@@ -199,7 +206,8 @@
                                  RosterReply,
                                  policy::TokenRequest,
                                  policy::TokenReply,
-                                 policy::TokenReturn>;
+                                 policy::TokenReturn,
+                                 RelayedNotice>;
 
 //! A message and its recipient.
 struct PeerSend {
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -207,6 +207,10 @@
   } else if (const auto* quarantine_notice =
                  std::get_if<policy::QuarantineNotice>(&message)) {
     effects.quarantine_notices.push_back(*quarantine_notice);
+  } else if (const auto* relayed = std::get_if<RelayedNotice>(&message)) {
+    for (const HostName& host : relayed->recipients) {
+      this->DeliverNotice(host, relayed->notice, effects);
+    }
   } else {
     this->HandleChunkOrProbe(from, message, now, effects);
   }
@@ -232,14 +236,14 @@
                                    TimePoint now,
                                    ControlEffects& effects) {
   const std::uint64_t number = this->proposals.NextNumber();
-  std::string payload = state::EncodeProposal(
-      change,
-      {this->options.self.name, this->options.self.incarnation, number});
-  if (this->state.AllHostsRead(state::kPackedFormat)) {
   if (auto known = this->state.KnownOutcome(change)) {
     effects.changes.push_back({number, std::move(*known)});
     return number;
   }
+  std::string payload = state::EncodeProposal(
+      change,
+      {this->options.self.name, this->options.self.incarnation, number});
+  if (this->state.AllHostsRead(state::kPackedFormat)) {
     payload = state::Pack(std::move(payload));
   }
   this->proposals.Add(number, change, std::move(payload), now);
@@ -411,15 +415,25 @@
   if (!this->log.HasLease(now)) {
     return;
   }
-  policy::QuarantineNotice notice = this->judge.Handle(report, now);
-  if (from == this->options.self.name) {
-    effects.quarantine_notices.push_back(std::move(notice));
-  } else {
-    effects.sends.push_back({from, std::move(notice)});
+  const policy::QuarantineNotice notice = this->judge.Handle(report, now);
+  // What else hosts report, they report again, and learn the decisions when all
+  // hosts do.
+  if (!report.crashes.empty() || !report.refused.empty()) {
+    this->DeliverNotice(from, notice, effects);
   }
   this->LogVerdicts();
 }
 
+void ControlNode::DeliverNotice(const HostName& to,
+                                const policy::QuarantineNotice& notice,
+                                ControlEffects& effects) const {
+  if (to == this->options.self.name) {
+    effects.quarantine_notices.push_back(notice);
+  } else {
+    effects.sends.push_back({to, notice});
+  }
+}
+
 void ControlNode::SendQuarantine(TimePoint now, ControlEffects& effects) {
   if (!this->log.HasLease(now)) {
     return;
@@ -429,13 +443,39 @@
   if (!notice) {
     return;
   }
-  for (const HostName& host : this->EntryHosts()) {
-    if (host == this->options.self.name) {
-      effects.quarantine_notices.push_back(*notice);
+  for (auto& [relay, recipients] : this->NoticeRelays()) {
+    if (relay == this->options.self.name) {
+      for (const HostName& host : recipients) {
+        this->DeliverNotice(host, *notice, effects);
+      }
     } else {
-      effects.sends.push_back({host, *notice});
+      effects.sends.push_back({relay, RelayedNotice{*notice, recipients}});
+    }
+  }
+}
+
+std::map<HostName, std::vector<HostName>> ControlNode::NoticeRelays() const {
+  std::map<RegionName, std::vector<HostName>> relays;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    const auto live = this->state.Live().find(host.region);
+    const bool is_live =
+        live != this->state.Live().end() && live->second.contains(name);
+    if (host.has_disk && is_live && name != this->options.self.name &&
+        host.reads_format >= state::kRelayFormat) {
+      relays[host.region].push_back(name);
     }
   }
+  std::map<HostName, std::vector<HostName>> recipients;
+  std::map<RegionName, std::size_t> next;
+  for (const HostName& host : this->EntryHosts()) {
+    const RegionName& region = this->state.Hosts().at(host).region;
+    const std::vector<HostName>& of_region = relays[region];
+    const HostName& relay = of_region.empty()
+                                ? this->options.self.name
+                                : of_region[next[region]++ % of_region.size()];
+    recipients[relay].push_back(host);
+  }
+  return recipients;
 }
 
 void ControlNode::LogVerdicts() {
@@ -661,6 +701,8 @@
     this->judge.StartTerm(this->log.CurrentTerm(), now);
     this->pending_tasks.clear();
     this->proposals.ClearForwarded();
+    this->appended_set = 0;
+    this->appended_set_index = 0;
     LogEvent(Event::kLeaderElected, LogLevel::kInfo,
              {{"host", this->options.self.name.Text()},
               {"term", std::to_string(this->log.CurrentTerm())},
@@ -701,8 +743,6 @@
                              ControlEffects& effects) {
   // The log and the feed deliver the same entries; each is applied once.
   if (entry.index != this->state.Applied() + 1) {
-    this->appended_set = 0;
-    this->appended_set_index = 0;
     return;
   }
   state::ApplyOutcome outcome;
@@ -791,6 +831,9 @@
 
 void ControlNode::AfterApply(TimePoint now, ControlEffects& effects) {
   this->ApplyView(now, effects);
+  for (ChangeDone& done : this->proposals.FinishKnown(this->state)) {
+    effects.changes.push_back(std::move(done));
+  }
   for (FeedUpdate& update : this->feed.PendingUpdates(this->Knowledge(now))) {
     effects.sends.push_back({update.to, std::move(update.reply)});
   }
@@ -831,9 +874,6 @@
                                     const FeedRequest& request,
                                     TimePoint now,
                                     ControlEffects& effects) {
-  for (ChangeDone& done : this->proposals.FinishKnown(this->state)) {
-    effects.changes.push_back(std::move(done));
-  }
   for (const HostStatus& status : request.statuses) {
     this->monitor.NoteStatus(status, now - status.age);
   }
@@ -895,10 +935,27 @@
   const auto index = this->log.Propose(request.payload, now, log_effects);
   if (index) {
     this->proposals.NoteForwarded(*index, this->log.CurrentTerm(), proposal);
+    this->NoteSetAppended(request.set_number, *index);
   }
   this->ApplyLogEffects(std::move(log_effects), now, effects);
 }
 
+bool ControlNode::IsSetOvertaken(std::uint64_t number) const {
+  if (number == 0) {
+    return false;
+  }
+  const bool is_under_way = number <= this->appended_set &&
+                            this->appended_set_index > this->state.Applied();
+  return is_under_way || number <= this->state.SetNumber();
+}
+
+void ControlNode::NoteSetAppended(std::uint64_t number, LogIndex index) {
+  if (number != 0) {
+    this->appended_set = number;
+    this->appended_set_index = index;
+  }
+}
+
 void ControlNode::HandleWithdrawal(const HostName& from,
                                    const WithdrawalNotice& notice,
                                    TimePoint now,
@@ -935,27 +992,10 @@
     this->allocator.NoteConfirmed(from, status.epoch, echoed->second);
     sent.erase(sent.begin(), std::next(echoed));
   }
-    this->NoteSetAppended(request.set_number, *index);
   effects.status_updates.push_back({from, status});
 }
 
 void ControlNode::HandleLedger(const HostName& from,
-bool ControlNode::IsSetOvertaken(std::uint64_t number) const {
-  if (number == 0) {
-    return false;
-  }
-  const bool is_under_way = number <= this->appended_set &&
-                            this->appended_set_index > this->state.Applied();
-  return is_under_way || number <= this->state.SetNumber();
-}
-
-void ControlNode::NoteSetAppended(std::uint64_t number, LogIndex index) {
-  if (number != 0) {
-    this->appended_set = number;
-    this->appended_set_index = index;
-  }
-}
-
                                const state::LedgerMessage& message,
                                TimePoint now,
                                ControlEffects& effects) {
@@ -1263,6 +1303,9 @@
                                TimePoint now,
                                ControlEffects& effects) {
   const std::string payload = this->proposals.PayloadOf(number);
+  const auto* replace =
+      std::get_if<state::ReplaceSet>(&this->proposals.ChangeOf(number));
+  const std::uint64_t set_number = replace == nullptr ? 0 : replace->number;
   if (!this->log.IsLeader()) {
     this->proposals.SetIndex(number, 0);
     if (!this->Leader().IsEmpty()) {
@@ -1279,6 +1322,7 @@
   const auto index = this->log.Propose(payload, now, log_effects);
   if (index) {
     this->proposals.SetIndex(number, *index);
+    this->NoteSetAppended(set_number, *index);
   }
   this->ApplyLogEffects(std::move(log_effects), now, effects);
 }
@@ -1304,9 +1348,6 @@
   } else if (this->ready && !this->contact_lost_at) {
     this->contact_lost_at = now;
     LogEvent(Event::kWordLost, LogLevel::kWarning,
-  const auto* replace =
-      std::get_if<state::ReplaceSet>(&this->proposals.ChangeOf(number));
-  const std::uint64_t set_number = replace == nullptr ? 0 : replace->number;
              {{"leader", this->Leader().Text()},
               {"set", std::to_string(this->state.SetNumber())}});
   }
@@ -1322,7 +1363,6 @@
       this->state.Hosts().contains(this->options.self.name) &&
       self->incarnation == this->options.self.incarnation;
   const auto leader_contact = this->LeaderContact(now);
-    this->NoteSetAppended(set_number, *index);
   const bool is_fresh = leader_contact &&
                         now - *leader_contact < this->options.key_freshness &&
                         this->state.Applied() >= this->follower.Commit();
--- a/packages/control/src/message_kind.cc
+++ b/packages/control/src/message_kind.cc
@@ -14,7 +14,8 @@
         "chunk_settled", "status_request", "status_reply",  "servers",
         "rate_report",   "rate_grant",     "crash_report",  "quarantine",
         "stream_begun",  "stream_query",   "stream_answer", "roster_request",
-        "roster_reply",  "token_request",  "token_reply",   "token_return"};
+        "roster_reply",  "token_request",  "token_reply",   "token_return",
+        "relayed_notice"};
 
 }  // namespace
 
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -283,6 +283,11 @@
       host, this->nodes.at(host)->Withdraw(KeyDigest(digest), this->now));
 }
 
+void ControlCluster::ReportCrashes(const HostName& host,
+                                   const policy::CrashReport& report) {
+  this->ApplyEffects(host, this->Node(host).ReportCrashes(report, this->now));
+}
+
 void ControlCluster::RelayServer(const HostName& host,
                                  const policy::ServerReport& report) {
   this->ApplyEffects(host, this->Node(host).RelayServer(report, this->now));
@@ -430,6 +435,7 @@
   for (const policy::ServerReport& report : effects.servers) {
     this->servers[host][report.name] = report;
   }
+  this->notices[host] += effects.quarantine_notices.size();
   for (const ChangeDone& done : effects.changes) {
     this->outcomes[{host, done.number}] = done.outcome;
   }
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -106,6 +106,9 @@
   std::optional<state::ApplyOutcome> Outcome(const HostName& host,
                                              std::uint64_t number) const;
   void Withdraw(const HostName& host, const std::string& digest);
+  void ReportCrashes(const HostName& host, const policy::CrashReport& report);
+  //! Returns how many notices of the quarantine a host has got.
+  std::size_t NoticesAt(const HostName& host) { return this->notices[host]; }
   //! Delivers a backend server's report to a host.
   void RelayServer(const HostName& host, const policy::ServerReport& report);
   //! Returns the last report that a host has got of each server.
@@ -193,10 +196,10 @@
   std::multimap<TimePoint, Message> messages;
   //! Bytes a second, of the hosts whose links are limited.
   std::map<HostName, std::uint64_t> link_rates;
+  std::uint64_t connection_rate = std::numeric_limits<std::uint64_t>::max();
   std::map<Connection, std::deque<Transfer>> transfers;
   std::uint64_t link_bytes = 0;
   Disturbance disturbance;
-  std::uint64_t connection_rate = std::numeric_limits<std::uint64_t>::max();
   std::set<HostName> partition;
   std::set<HostName> suspended;
   std::map<std::pair<HostName, std::uint64_t>, state::ApplyOutcome> outcomes;
@@ -209,6 +212,7 @@
   std::uint64_t entries_sent = 0;
   std::map<std::string, std::uint64_t> sent_by_kind;
   std::map<HostName, std::map<BackendServerName, policy::ServerReport>> servers;
+  std::map<HostName, std::size_t> notices;
   TokenCount tokens = 0;
 };
 
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -378,6 +378,11 @@
   term @5 :UInt64;
 }
 
+struct RelayedNotice {
+  notice @0 :QuarantineNotice;
+  recipients @1 :List(Text);
+}
+
 struct StreamOrigin {
   service @0 :UInt64;
   software @1 :UInt64;
@@ -441,5 +446,6 @@
     tokenRequest @36 :TokenRequest;
     tokenReply @37 :TokenReply;
     tokenReturn @38 :TokenReturn;
+    relayedNotice @39 :RelayedNotice;
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -73,6 +73,7 @@
 CAPNP_DECLARE_SCHEMA(f2cedf8c0b35b660);
 CAPNP_DECLARE_SCHEMA(c599e415db806885);
 CAPNP_DECLARE_SCHEMA(d5055214dee5ffe9);
+CAPNP_DECLARE_SCHEMA(8ff4c5c386f53fe6);
 CAPNP_DECLARE_SCHEMA(adc60c715e507e43);
 CAPNP_DECLARE_SCHEMA(c86ca25a46fa43a2);
 CAPNP_DECLARE_SCHEMA(d4d553d0e9143dfb);
@@ -904,6 +905,21 @@
   };
 };
 
+struct RelayedNotice {
+  RelayedNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ff4c5c386f53fe6, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StreamOrigin {
   StreamOrigin() = delete;
 
@@ -1010,6 +1026,7 @@
     TOKEN_REQUEST,
     TOKEN_REPLY,
     TOKEN_RETURN,
+    RELAYED_NOTICE,
   };
 
   struct _capnpPrivate {
@@ -6353,6 +6370,99 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayedNotice::Reader {
+public:
+  typedef RelayedNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNotice() const;
+  inline  ::tamarackwing::hosts::wire::QuarantineNotice::Reader getNotice() const;
+
+  inline bool hasRecipients() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRecipients() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedNotice::Builder {
+public:
+  typedef RelayedNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNotice();
+  inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder getNotice();
+  inline void setNotice( ::tamarackwing::hosts::wire::QuarantineNotice::Reader value);
+  inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice> disownNotice();
+
+  inline bool hasRecipients();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRecipients();
+  inline void setRecipients( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRecipients(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRecipients(unsigned int size);
+  inline void adoptRecipients(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRecipients();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedNotice::Pipeline {
+public:
+  typedef RelayedNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::tamarackwing::hosts::wire::QuarantineNotice::Pipeline getNotice();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StreamOrigin::Reader {
 public:
   typedef StreamOrigin Reads;
@@ -6871,6 +6981,10 @@
   inline bool hasTokenReturn() const;
   inline  ::tamarackwing::hosts::wire::TokenReturn::Reader getTokenReturn() const;
 
+  inline bool isRelayedNotice() const;
+  inline bool hasRelayedNotice() const;
+  inline  ::tamarackwing::hosts::wire::RelayedNotice::Reader getRelayedNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7205,6 +7319,14 @@
   inline void adoptTokenReturn(::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReturn>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::TokenReturn> disownTokenReturn();
 
+  inline bool isRelayedNotice();
+  inline bool hasRelayedNotice();
+  inline  ::tamarackwing::hosts::wire::RelayedNotice::Builder getRelayedNotice();
+  inline void setRelayedNotice( ::tamarackwing::hosts::wire::RelayedNotice::Reader value);
+  inline  ::tamarackwing::hosts::wire::RelayedNotice::Builder initRelayedNotice();
+  inline void adoptRelayedNotice(::capnp::Orphan< ::tamarackwing::hosts::wire::RelayedNotice>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RelayedNotice> disownRelayedNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12120,6 +12242,83 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayedNotice::Reader::hasNotice() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedNotice::Builder::hasNotice() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::QuarantineNotice::Reader RelayedNotice::Reader::getNotice() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder RelayedNotice::Builder::getNotice() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tamarackwing::hosts::wire::QuarantineNotice::Pipeline RelayedNotice::Pipeline::getNotice() {
+  return  ::tamarackwing::hosts::wire::QuarantineNotice::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedNotice::Builder::setNotice( ::tamarackwing::hosts::wire::QuarantineNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::QuarantineNotice::Builder RelayedNotice::Builder::initNotice() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedNotice::Builder::adoptNotice(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::QuarantineNotice> RelayedNotice::Builder::disownNotice() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::QuarantineNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedNotice::Reader::hasRecipients() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedNotice::Builder::hasRecipients() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RelayedNotice::Reader::getRecipients() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RelayedNotice::Builder::getRecipients() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayedNotice::Builder::setRecipients( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void RelayedNotice::Builder::setRecipients(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RelayedNotice::Builder::initRecipients(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayedNotice::Builder::adoptRecipients(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RelayedNotice::Builder::disownRecipients() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t StreamOrigin::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -14381,6 +14580,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isRelayedNotice() const {
+  return which() == PeerMessage::RELAYED_NOTICE;
+}
+inline bool PeerMessage::Builder::isRelayedNotice() {
+  return which() == PeerMessage::RELAYED_NOTICE;
+}
+inline bool PeerMessage::Reader::hasRelayedNotice() const {
+  if (which() != PeerMessage::RELAYED_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRelayedNotice() {
+  if (which() != PeerMessage::RELAYED_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::RelayedNotice::Reader PeerMessage::Reader::getRelayedNotice() const {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RelayedNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::RelayedNotice::Builder PeerMessage::Builder::getRelayedNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RelayedNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRelayedNotice( ::tamarackwing::hosts::wire::RelayedNotice::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_NOTICE);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RelayedNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::RelayedNotice::Builder PeerMessage::Builder::initRelayedNotice() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_NOTICE);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RelayedNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRelayedNotice(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::RelayedNotice>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RELAYED_NOTICE);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RelayedNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RelayedNotice> PeerMessage::Builder::disownRelayedNotice() {
+  KJ_IREQUIRE((which() == PeerMessage::RELAYED_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::RelayedNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -366,6 +366,20 @@
 }
 
 //! Visitor that encodes the alternative held by a PeerMessage.
+void Write(const policy::QuarantineNotice& notice,
+           wire::QuarantineNotice::Builder out) {
+  out.setNumber(notice.number);
+  out.setComplete(notice.complete);
+  WriteNumbers(notice.watched,
+               out.initWatched(static_cast<unsigned>(notice.watched.size())));
+  WriteList(
+      notice.quarantined,
+      out.initQuarantined(static_cast<unsigned>(notice.quarantined.size())));
+  WriteNumbers(notice.trials,
+               out.initTrials(static_cast<unsigned>(notice.trials.size())));
+  out.setTerm(notice.term);
+}
+
 class MessageWriter {
  public:
   explicit MessageWriter(wire::PeerMessage::Builder out) : out(out) {}
@@ -485,6 +499,7 @@
     auto to = this->out.initProposeRequest();
     to.setNumber(value.number);
     to.setPayload(ToData(value.payload));
+    to.setSetNumber(value.set_number);
   }
   void operator()(const control::ProposeReply& value) {
     auto to = this->out.initProposeReply();
@@ -499,7 +514,6 @@
                                   static_cast<unsigned>(value.digests.size())));
   }
   void operator()(const control::RegionStatus& value) {
-    to.setSetNumber(value.set_number);
     auto to = this->out.initRegionStatus();
     to.setNumber(value.number);
     to.setEcho(value.echo);
@@ -614,17 +628,14 @@
               to.initHeld(static_cast<unsigned>(value.held.size())));
   }
   void operator()(const policy::QuarantineNotice& value) {
-    auto to = this->out.initQuarantineNotice();
-    to.setNumber(value.number);
-    to.setComplete(value.complete);
-    WriteNumbers(value.watched,
-                 to.initWatched(static_cast<unsigned>(value.watched.size())));
-    WriteList(
-        value.quarantined,
-        to.initQuarantined(static_cast<unsigned>(value.quarantined.size())));
-    WriteNumbers(value.trials,
-                 to.initTrials(static_cast<unsigned>(value.trials.size())));
-    to.setTerm(value.term);
+    Write(value, this->out.initQuarantineNotice());
+  }
+  void operator()(const control::RelayedNotice& value) {
+    auto to = this->out.initRelayedNotice();
+    Write(value.notice, to.initNotice());
+    WriteNames(
+        value.recipients,
+        to.initRecipients(static_cast<unsigned>(value.recipients.size())));
   }
   void operator()(const policy::StreamBegun& value) {
     auto to = this->out.initStreamBegun();
@@ -1033,6 +1044,11 @@
     }
     case Wire::QUARANTINE_NOTICE:
       return ReadQuarantineNotice(in.getQuarantineNotice());
+    case Wire::RELAYED_NOTICE: {
+      const auto from = in.getRelayedNotice();
+      return control::RelayedNotice{ReadQuarantineNotice(from.getNotice()),
+                                    ReadNames<HostName>(from.getRecipients())};
+    }
     case Wire::SERVER_NEWS: {
       control::ServerReports server_reports;
       for (const auto report : in.getServerNews()) {
--- a/packages/state/include/tamarackwing/state/host_record.h
+++ b/packages/state/include/tamarackwing/state/host_record.h
@@ -13,8 +13,10 @@
 //! Format from which on a change of a data centre may name the revision that it
 //! is based on. Builds of older formats apply it to any revision.
 inline constexpr std::uint32_t kRevisionFormat = 2;
+//! Format of the builds that pass on the leader's notices (RelayedNotice).
+inline constexpr std::uint32_t kRelayFormat = 3;
 //! Newest format that this build reads.
-inline constexpr std::uint32_t kNewestFormat = kRevisionFormat;
+inline constexpr std::uint32_t kNewestFormat = kRelayFormat;
 
 //! A host's entry in the agreed membership.
 struct HostRecord {
