hosts: reports are not repeated to a host that has not handled the last one

Cause: probes of the feed, requests for the roster and reports to the leader are sent on timers, whether or not the last one was handled, so that a host that is behind gets as many as ever, and answers questions that are asked anew. Class of fault: repetition on a timer that does not yield to a receiver that is behind.

PeerNetwork drops such a message while a call with one of its kind to that host has no reply. What has to arrive is still sent: requests for entries, outcomes, statuses of the region.

PeerNetwork.ReportsAreNotRepeatedToAHostThatIsBehind.

--- a/packages/control/include/tamarackwing/control/message_kind.h
+++ b/packages/control/include/tamarackwing/control/message_kind.h
@@ -10,4 +10,9 @@
 //! reentrant.
 std::string_view MessageKind(const PeerMessage& message);
 
+//! Returns whether a message is one that its sender repeats at short intervals
+//! in any case, so that it need not be sent while the recipient has not handled
+//! the last one of its kind. Thread safety: reentrant.
+bool IsRepeated(const PeerMessage& message);
+
 }  // namespace tamarackwing::control
--- a/packages/control/src/message_kind.cc
+++ b/packages/control/src/message_kind.cc
@@ -23,4 +23,13 @@
   return kMessageKinds.at(message.index());
 }
 
+bool IsRepeated(const PeerMessage& message) {
+  if (const auto* request = std::get_if<FeedRequest>(&message)) {
+    return request->next == FeedRequest::kNoEntries;
+  }
+  return std::holds_alternative<RosterRequest>(message) ||
+         std::holds_alternative<policy::RateReport>(message) ||
+         std::holds_alternative<policy::CrashReport>(message);
+}
+
 }  // namespace tamarackwing::control
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -254,6 +254,8 @@
   WatchedStream stream;
   capnp::TwoPartyClient client;
   wire::Session::Client session;
+  //! Number of calls without a reply, by kind of message.
+  std::map<std::string_view, std::size_t> pending_kinds;
   std::size_t pending_calls = 0;
   std::uint64_t pending_bytes = 0;
   TimePoint opened;
@@ -406,7 +408,10 @@
             const control::PeerMessage& message) {
     Link& link = peer.To(name.channel);
     OutgoingConnection& connection = *link.connection;
-    if (connection.pending_calls >= this->options.max_pending) {
+    const std::string_view kind = control::MessageKind(message);
+    std::size_t& pending_of_kind = connection.pending_kinds[kind];
+    const bool is_behind = pending_of_kind > 0 && control::IsRepeated(message);
+    if (is_behind || connection.pending_calls >= this->options.max_pending) {
       return;
     }
     auto request = connection.session.deliverRequest();
@@ -416,21 +421,21 @@
     this->sent_bytes.fetch_add(bytes);
     const bool crosses_regions =
         !peer.region.IsEmpty() && peer.region != this->options.region;
-    SentTraffic& traffic =
-        this->sent[{control::MessageKind(message), crosses_regions}];
+    SentTraffic& traffic = this->sent[{kind, crosses_regions}];
     traffic.messages += 1;
     traffic.bytes += bytes;
     const TimePoint begun = std::chrono::steady_clock::now();
     if (connection.pending_calls == 0) {
       connection.waiting_since = begun;
     }
+    pending_of_kind += 1;
     connection.pending_calls += 1;
     connection.pending_bytes += bytes;
     const std::uint64_t generation = link.generation;
     auto reply = request.send().ignoreResult();
     this->tasks.add(reply.then(
-        [this, name, generation, bytes, begun]() {
-          this->NoteReply(name, generation, bytes);
+        [this, name, generation, kind, bytes, begun]() {
+          this->NoteReply(name, generation, kind, bytes);
           if (name.channel == Channel::kLog) {
             this->slowest_log_call =
                 std::max<Duration>(this->slowest_log_call,
@@ -447,12 +452,14 @@
 
   void NoteReply(const LinkName& name,
                  std::uint64_t generation,
+                 std::string_view kind,
                  std::uint64_t bytes) {
     Link* link = this->Find(name);
     const bool is_current = link != nullptr && link->generation == generation &&
                             link->connection.get() != nullptr;
     if (is_current) {
       OutgoingConnection& connection = *link->connection;
+      connection.pending_kinds[kind] -= 1;
       connection.pending_calls -= 1;
       connection.pending_bytes -= bytes;
       connection.last_reply = std::chrono::steady_clock::now();
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -287,6 +287,42 @@
   EXPECT_GE(relay.Accepted(), 2);
 }
 
+// Guards against a leader that never catches up, because hosts go on to repeat
+// their reports while it has not handled the last ones.
+TEST(PeerNetwork, ReportsAreNotRepeatedToAHostThatIsBehind) {
+  constexpr int kReports = 100;
+  constexpr milliseconds kTurn{50};
+  std::atomic<int> reports{0};
+  std::promise<void> done;
+  TestPeer second(
+      kSecond, kSecondAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
+        std::this_thread::sleep_for(kTurn);
+        if (std::holds_alternative<policy::CrashReport>(message)) {
+          reports += 1;
+        } else {
+          done.set_value();
+        }
+      });
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [](PeerNetwork&, const HostName&, const control::PeerMessage&) {});
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
+    first.Network().Send(kSecond, policy::CrashReport());
+  });
+  for (int i = 0; i < kReports; ++i) {
+    std::this_thread::sleep_for(kTick);
+    first.Network().Post(
+        [&] { first.Network().Send(kSecond, policy::CrashReport()); });
+  }
+  first.Network().Post(
+      [&] { first.Network().Send(kSecond, control::ProbeRequest{1}); });
+  ASSERT_EQ(done.get_future().wait_for(kLong), std::future_status::ready);
+  EXPECT_GE(reports.load(), 2);
+  EXPECT_LE(reports.load(), kReports * kTick / kTurn + 2);
+}
+
 //! Guards against heartbeats and elections that wait until a host has handled
 //! all that others send it.
 TEST(PeerNetwork, TimersRunWhileMessagesKeepComing) {
