--- a/packages/control/src/membership_plan.cc
+++ b/packages/control/src/membership_plan.cc
@@ -72,7 +72,14 @@
       hosts.push_back(host.name);
     }
   }
-  return InOrderOf(input.self, std::move(hosts));
+  hosts = InOrderOf(input.self, std::move(hosts));
+  if (!input.self.has_disk) {
+    // The leader has to send heartbeats, and gets reports of all hosts.
+    std::stable_partition(
+        hosts.begin(), hosts.end(),
+        [&](const HostName& host) { return host != input.leader; });
+  }
+  return hosts;
 }
 
 //! Returns the hosts above this one in the tree of the region's hosts without
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -180,6 +180,28 @@
   EXPECT_LE(ask_leader, kHosts / 2);
 }
 
+// Guards against a leader that has no time left for heartbeats, because it is
+// the source of a third of its region's hosts.
+TEST(PlanSourcesTest, EntryHostsFollowTheLeaderLast) {
+  constexpr int kHosts = 100;
+  const HostName leader("2");
+  std::vector<state::HostRecord> hosts{HostAt("1", true), HostAt("2", true),
+                                       HostAt("3", true)};
+  std::map<HostName, int> first;
+  for (int i = 0; i < kHosts; ++i) {
+    SourceInput input;
+    input.self = HostAt(std::to_string(100 + i), false);
+    input.ready = true;
+    input.leader = leader;
+    input.hosts = hosts;
+    const std::vector<HostName> sources = PlanSources(input);
+    first[sources.front()] += 1;
+    EXPECT_EQ(sources.at(2), leader);
+  }
+  EXPECT_GT(first[HostName("1")], kHosts / 4);
+  EXPECT_GT(first[HostName("3")], kHosts / 4);
+}
+
 //! Five hosts with disks, of which three are seeds, and three without, in three
 //! regions.
 class BootstrapTest : public testing::Test {
