control: the leader keeps no buckets while its region has another host for them

What all keepers grant together is bounded by the leader's leases, so the choice of keeper is free; a new leader's bucket moves to the next one, as when a host is lost.

BucketKeepersTest.LeaderComesLastInItsRegion.

--- a/packages/control/tests/bucket_keepers_tests.cc
+++ b/packages/control/tests/bucket_keepers_tests.cc
@@ -24,9 +24,10 @@
 
   std::vector<HostName> Keepers(const std::string& workspace) {
     return BucketKeepers(WorkspaceName(workspace), RegionName("muscat"),
-                         this->hosts, this->live);
+                         this->leader, this->hosts, this->live);
   }
 
+  HostName leader;
   std::map<HostName, state::HostRecord> hosts;
   std::map<RegionName, std::set<HostName>> live;
 };
@@ -40,6 +41,20 @@
   }
 }
 
+// Guards against a leader that has no time left for heartbeats, because it
+// answers each request of its region for tokens.
+TEST_F(BucketKeepersTest, LeaderComesLastInItsRegion) {
+  this->leader = HostName("muscat1");
+  for (int i = 0; i < 60; ++i) {
+    const auto keepers = this->Keepers("w" + std::to_string(i));
+    ASSERT_EQ(keepers.size(), 6U);
+    EXPECT_EQ(keepers[2], this->leader);
+  }
+  // It still comes before the hosts of other regions.
+  this->live[RegionName("muscat")] = {this->leader};
+  EXPECT_EQ(this->Keepers("desk").front(), this->leader);
+}
+
 TEST_F(BucketKeepersTest, LostHostMovesOnlyItsWorkspaces) {
   std::map<std::string, HostName> before;
   std::map<HostName, int> kept;
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -309,9 +309,9 @@
 HostName ControlThread::KeeperOf(const WorkspaceName& workspace) const {
   const TimePoint now = this->dependencies.clock.Now();
   const state::ControlState& state = this->node->State();
-  for (const HostName& keeper :
-       control::BucketKeepers(workspace, this->settings.gateway.region,
-                              state.Hosts(), state.Live())) {
+  for (const HostName& keeper : control::BucketKeepers(
+           workspace, this->settings.gateway.region, this->node->Leader(),
+           state.Hosts(), state.Live())) {
     const auto silent = this->silent_keepers.find(keeper);
     if (silent == this->silent_keepers.end() || silent->second <= now) {
       return keeper;
