--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -80,8 +80,8 @@
   void SetHosts(const std::vector<state::HostRecord>& hosts);
   //! Sends a message, after connecting if needed. Drops the message if the host
   //! is unknown or unreachable, or if `max_pending` is reached, or if it is
-  //! repeated in any case (control::IsRepeated) and the host has not handled the
-  //! last one of its kind. Known are those of SetHosts and those that have
+  //! repeated in any case (control::IsRepeated) and the host has not handled
+  //! the last one of its kind. Known are those of SetHosts and those that have
   //! connected to this host.
   void Send(const HostName& to, const control::PeerMessage& message);
   //! Runs the event loop and calls `tick` every `interval`, until Stop.
