policy: only the acknowledgement of a report that contained a crash ends it

Cause: since a crash is not in each report any more, a later report without it may be acknowledged although those with it were lost. The crash remembers the reports that contained it. CrashObserverTest.ReportsCrashWithItsSuspectsUntilAcknowledged checks both neighbours.

--- a/packages/policy/include/tamarackwing/policy/crash_observer.h
+++ b/packages/policy/include/tamarackwing/policy/crash_observer.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -66,8 +67,8 @@
   //! None is added again within `repeat_interval`.
   //! Returns the crashes that this report contains for the first time.
   std::vector<ServerCrash> AddTo(CrashReport& report, TimePoint now);
-  //! Ends the repetition of the crashes that report `number` or an earlier one
-  //! contained. All reports of a crash say the same of it.
+  //! Ends the repetition of the crashes that report `number` contained. All
+  //! reports of a crash say the same of it.
   void Acknowledge(std::uint64_t number);
   //! Drops the crashes that no report has contained yet: they had another
   //! cause.
@@ -85,9 +86,8 @@
     std::vector<BlockDigest> requests;
     //! Whether any report has contained it.
     bool is_reported = false;
-    //! Number of the first report to this leader that contained it; zero if
-    //! none has.
-    std::uint64_t first_report = 0;
+    //! Numbers of the last reports to this leader that contained it.
+    std::deque<std::uint64_t> reports;
     //! When a report last contained it.
     TimePoint reported_at;
     bool acknowledged = false;
--- a/packages/policy/src/crash_observer.cc
+++ b/packages/policy/src/crash_observer.cc
@@ -6,6 +6,9 @@
 namespace tamarackwing::policy {
 namespace {
 
+//! Max reports of a crash whose acknowledgement counts.
+constexpr std::size_t kMaxReports = 16;
+
 std::chrono::milliseconds AgeOf(TimePoint at, TimePoint now) {
   return std::chrono::ceil<std::chrono::milliseconds>(now - at);
 }
@@ -28,7 +31,7 @@
     if (this->open.size() >= this->options.crashes) {
       return false;
     }
-    this->open.push_back({now, server, {}, {}, false, 0, TimePoint(), false});
+    this->open.push_back({now, server, {}, {}, false, {}, TimePoint(), false});
     crash = std::prev(this->open.end());
   }
   for (const BlockDigest block : blocks) {
@@ -92,7 +95,7 @@
   });
   for (Crash& crash : this->confirmed) {
     const bool was_reported_lately =
-        crash.first_report != 0 &&
+        !crash.reports.empty() &&
         now - crash.reported_at < this->options.repeat_interval;
     if (crash.acknowledged || was_reported_lately) {
       continue;
@@ -103,8 +106,9 @@
       first_time.push_back(seen);
     }
     crash.is_reported = true;
-    if (crash.first_report == 0) {
-      crash.first_report = report.number;
+    crash.reports.push_back(report.number);
+    if (crash.reports.size() > kMaxReports) {
+      crash.reports.pop_front();
     }
     crash.reported_at = now;
     report.crashes.push_back(std::move(seen));
@@ -127,9 +131,10 @@
 
 void CrashObserver::Acknowledge(std::uint64_t number) {
   for (Crash& crash : this->confirmed) {
-    if (crash.first_report != 0 && crash.first_report <= number) {
-      crash.acknowledged = true;
-    }
+    const auto& reports = crash.reports;
+    crash.acknowledged =
+        crash.acknowledged ||
+        std::find(reports.begin(), reports.end(), number) != reports.end();
   }
 }
 
@@ -142,7 +147,7 @@
 void CrashObserver::ReportAgain() {
   for (Crash& crash : this->confirmed) {
     crash.acknowledged = false;
-    crash.first_report = 0;
+    crash.reports.clear();
   }
 }
 
--- a/packages/policy/tests/crash_observer_tests.cc
+++ b/packages/policy/tests/crash_observer_tests.cc
@@ -41,10 +41,12 @@
   EXPECT_EQ(report.crashes[0].suspects.size(), 3U);
   this->Wait(CrashObserverOptions().repeat_interval);
   EXPECT_EQ(this->Report().crashes.size(), 1U);
+  EXPECT_TRUE(this->Report().crashes.empty()) << "too soon to be repeated";
   this->observer.Acknowledge(report.number - 1);
+  this->observer.Acknowledge(this->number);
   this->Wait(CrashObserverOptions().repeat_interval);
   EXPECT_EQ(this->Report().crashes.size(), 1U)
-      << "the acknowledged report did not contain it";
+      << "the acknowledged reports did not contain it";
   this->observer.Acknowledge(report.number);
   this->Wait(CrashObserverOptions().repeat_interval);
   EXPECT_TRUE(this->Report().crashes.empty());
