control: an open proposal keeps what identifies it, not its content

What KnownOutcome needs is the number of a set or the id of a publish. Found in review: the copy of a bulk publish would have stayed in memory beside its payload until it is applied.

--- a/packages/control/include/tamarackwing/control/proposal_tracker.h
+++ b/packages/control/include/tamarackwing/control/proposal_tracker.h
@@ -38,8 +38,9 @@
   explicit ProposalTracker(std::uint64_t last_number = 0)
       : next_number(last_number + 1) {}
 
-  //! Adds a proposal of this host. Preconditions: `number` is from NextNumber;
-  //! no other proposal has the same payload.
+  //! Adds a proposal of this host. `change` tells its known outcome and needs
+  //! no content. Preconditions: `number` is from NextNumber; no other proposal
+  //! has the same payload.
   void Add(std::uint64_t number,
            const state::ControlChange& change,
            std::string payload,
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -66,6 +66,18 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
+//! Returns a change without its content, which may be large; its known outcome
+//! (state::ControlState::KnownOutcome) is the same.
+state::ControlChange WithoutContent(const state::ControlChange& change) {
+  if (const auto* set = std::get_if<state::ReplaceSet>(&change)) {
+    return state::ReplaceSet{set->number, {}, {}};
+  }
+  if (const auto* publish = std::get_if<state::PublishSet>(&change)) {
+    return state::PublishSet{publish->id, publish->base, {}};
+  }
+  return change;
+}
+
 state::RecoveredLedger MoveLedger(RecoveredControl& recovered) {
   return std::move(recovered.ledger);
 }
@@ -246,7 +258,7 @@
   if (this->state.AllHostsRead(state::kPackedFormat)) {
     payload = state::Pack(std::move(payload));
   }
-  this->proposals.Add(number, change, std::move(payload), now);
+  this->proposals.Add(number, WithoutContent(change), std::move(payload), now);
   this->SendProposal(number, now, effects);
   return number;
 }
@@ -416,8 +428,8 @@
     return;
   }
   const policy::QuarantineNotice notice = this->judge.Handle(report, now);
-  // What else hosts report, they report again, and learn the decisions when all
-  // hosts do.
+  // Other reports are repeated in any case, and their senders learn the
+  // decisions from the notices to all hosts.
   if (!report.crashes.empty() || !report.refused.empty()) {
     this->DeliverNotice(from, notice, effects);
   }
