--- a/packages/gateway/src/block_quarantine.cc
+++ b/packages/gateway/src/block_quarantine.cc
@@ -154,7 +154,8 @@
 void BlockQuarantine::Accept(const policy::QuarantineNotice& notice) {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
-  if (notice.term < this->term) {
+  const bool is_former = notice.term != 0 && notice.term < this->term;
+  if (is_former) {
     // A host that passes on notices may be late with those of a former leader.
     return;
   }
--- a/packages/gateway/tests/block_quarantine_tests.cc
+++ b/packages/gateway/tests/block_quarantine_tests.cc
@@ -125,6 +125,11 @@
   former.complete = true;
   this->quarantine.Accept(former);
   EXPECT_FALSE(this->quarantine.Check({kDeadly}).has_value());
+  // A leader of a build that names no term is not a former one.
+  policy::QuarantineNotice unnamed;
+  unnamed.complete = true;
+  this->quarantine.Accept(unnamed);
+  EXPECT_TRUE(this->quarantine.Check({kDeadly}).has_value());
 }
 
 // Guards against a leader that has no time left for heartbeats, because each
