--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -937,10 +937,12 @@
                                 const ProposeRequest& request,
                                 TimePoint now,
                                 ControlEffects& effects) {
+  if (!this->log.IsLeader() || this->IsSetOvertaken(request.set_number)) {
+    return;
+  }
   const ForwardedProposal proposal{from, request.number,
                                    Sha256Prefix(request.payload)};
-  if (!this->log.IsLeader() || this->proposals.IsForwardedOpen(proposal) ||
-      this->IsSetOvertaken(request.set_number)) {
+  if (this->proposals.IsForwardedOpen(proposal)) {
     return;
   }
   state::LogEffects log_effects;
