hosts, daemon: a report is not made while the last one has not been handled

Callers could see requests refused that fit the rate, or a sound block quarantined: a host counted what a report contained as reported, although PeerNetwork then dropped it because the leader was behind: the demand of an interval was lost, and a first answer to a watched block was told a second later, after the hearing of 0.7 s.

The control thread asks IsBehind first and makes no report then. While a connection is being opened, a repeated message replaces the one before.

PeerNetwork.ReportsAreNotRepeatedToAHostThatIsBehind counted reports against time, which a loaded machine stretches. It now holds the receiver until all are sent and expects exactly one, both before and after the connection is open.

--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -84,6 +84,9 @@
   //! the last one of its kind. Known are those of SetHosts and those that have
   //! connected to this host.
   void Send(const HostName& to, const control::PeerMessage& message);
+  //! Returns whether a message of this kind (control::MessageKind) to a host
+  //! waits for its connection, or has not been handled by the host.
+  bool IsBehind(const HostName& host, std::string_view kind) const;
   //! Runs the event loop and calls `tick` every `interval`, until Stop.
   void Run(std::chrono::milliseconds interval,
            const std::function<void()>& tick);
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -624,12 +624,45 @@
     this->state->Call(name, peer, message);
     return;
   }
+  if (control::IsRepeated(message)) {
+    // Only the newest of them is of use once the connection is open.
+    const std::string_view kind = control::MessageKind(message);
+    std::erase_if(link.queued, [&](const control::PeerMessage& queued) {
+      return control::IsRepeated(queued) &&
+             control::MessageKind(queued) == kind;
+    });
+  }
   if (link.queued.size() < this->state->options.max_pending) {
     link.queued.push_back(message);
   }
   this->state->Connect(name, peer);
 }
 
+bool PeerNetwork::IsBehind(const HostName& host, std::string_view kind) const {
+  const auto found = this->state->peers.find(host);
+  if (found == this->state->peers.end()) {
+    return false;
+  }
+  for (const State::Link& link : found->second.links) {
+    const bool is_queued =
+        std::any_of(link.queued.begin(), link.queued.end(),
+                    [&](const control::PeerMessage& message) {
+                      return control::MessageKind(message) == kind;
+                    });
+    if (is_queued) {
+      return true;
+    }
+    if (link.connection.get() != nullptr) {
+      const auto pending = link.connection->pending_kinds.find(kind);
+      if (pending != link.connection->pending_kinds.end() &&
+          pending->second > 0) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void PeerNetwork::Run(std::chrono::milliseconds interval,
                       const std::function<void()>& tick) {
   auto posted = this->state->RunPostedTasks().eagerlyEvaluate(
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "tamarackwing/base/clock.h"
+#include "tamarackwing/control/message_kind.h"
 #include "tamarackwing/hosts/peer_handler.h"
 
 namespace tamarackwing::hosts {
@@ -291,36 +292,49 @@
 // their reports while it has not handled the last ones.
 TEST(PeerNetwork, ReportsAreNotRepeatedToAHostThatIsBehind) {
   constexpr int kReports = 100;
-  constexpr milliseconds kTurn{50};
-  std::atomic<int> reports{0};
+  const std::string_view kind = control::MessageKind(policy::CrashReport());
+  std::promise<void> arrived;
+  std::promise<void> all_sent;
+  const auto handles = all_sent.get_future().share();
   std::promise<void> done;
+  int reports = 0;
   TestPeer second(
       kSecond, kSecondAddress,
       [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
-        std::this_thread::sleep_for(kTurn);
-        if (std::holds_alternative<policy::CrashReport>(message)) {
-          reports += 1;
-        } else {
+        if (!std::holds_alternative<policy::CrashReport>(message)) {
           done.set_value();
+          return;
+        }
+        reports += 1;
+        if (reports == 1) {
+          arrived.set_value();
+          handles.wait();
         }
       });
   TestPeer first(
       kFirst, kFirstAddress,
       [](PeerNetwork&, const HostName&, const control::PeerMessage&) {});
-  first.Network().Post([&] {
-    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
-    first.Network().Send(kSecond, policy::CrashReport());
+  PeerNetwork& network = first.Network();
+  const auto send_reports = [&] {
+    for (int i = 0; i < kReports; ++i) {
+      network.Send(kSecond, policy::CrashReport());
+      EXPECT_TRUE(network.IsBehind(kSecond, kind));
+    }
+  };
+  network.Post([&] {
+    network.SetHosts({RecordOf(kSecond, kSecondAddress)});
+    EXPECT_FALSE(network.IsBehind(kSecond, kind));
+    send_reports();
+  });
+  // The connection is open, and the first report has not been handled.
+  ASSERT_EQ(arrived.get_future().wait_for(kLong), std::future_status::ready);
+  network.Post([&] {
+    send_reports();
+    network.Send(kSecond, control::ProbeRequest{1});
+    all_sent.set_value();
   });
-  for (int i = 0; i < kReports; ++i) {
-    std::this_thread::sleep_for(kTick);
-    first.Network().Post(
-        [&] { first.Network().Send(kSecond, policy::CrashReport()); });
-  }
-  first.Network().Post(
-      [&] { first.Network().Send(kSecond, control::ProbeRequest{1}); });
   ASSERT_EQ(done.get_future().wait_for(kLong), std::future_status::ready);
-  EXPECT_GE(reports.load(), 2);
-  EXPECT_LE(reports.load(), kReports * kTick / kTurn + 2);
+  EXPECT_EQ(reports, 1);
 }
 
 //! Guards against heartbeats and elections that wait until a host has handled
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -632,7 +632,10 @@
   // A new leader grants leases only after all holders have reported theirs,
   // so a host without demand reports to it, too.
   const bool is_new_leader = now - this->rates_leader_since < kNewLeaderPeriod;
-  if (this->disk == nullptr) {
+  // What a report contains counts as reported, so none is made in vain.
+  const bool is_behind = this->network->IsBehind(
+      leader, control::MessageKind(policy::RateReport()));
+  if (this->disk == nullptr || is_behind) {
     return;
   }
   const policy::RateReport report = this->dependencies.rates.MakeReport();
@@ -651,6 +654,11 @@
   if (links == policy::LinkState::kDown) {
     this->dependencies.quarantine.DropUnreported();
   }
+  // As for the rates.
+  if (this->network->IsBehind(this->node->Leader(),
+                              control::MessageKind(policy::CrashReport()))) {
+    return;
+  }
   // A new leader does not know the quarantine.
   const bool is_new_leader = now - this->rates_leader_since < kNewLeaderPeriod;
   const auto report = this->dependencies.quarantine.MakeReport(is_new_leader);
