hosts: the log's connection is opened along with the main one

Cause: the connection of the log was opened with the first request for a vote, and the one for the reply with the reply, two round trips more than before it had a connection of its own. Hosts that take part in the log now open it with the main connection. PeerNetwork.ConnectionOfTheLogIsOpenedWithTheMainOne.

--- a/packages/hosts/include/tamarackwing/hosts/peer_network.h
+++ b/packages/hosts/include/tamarackwing/hosts/peer_network.h
@@ -37,6 +37,9 @@
   std::chrono::milliseconds call_timeout{2'000};
   //! Minimum time between two attempts to connect to a peer.
   std::chrono::milliseconds reconnect_interval{200};
+  //! Whether this host takes part in the agreed log. It then opens the log's
+  //! connection to each other such host along with the main one.
+  bool has_log = false;
   //! Maximum number of messages queued for a peer that is not connected, and of
   //! calls in flight to a connected peer. Further messages are dropped.
   std::size_t max_pending = 1'024;
--- a/packages/hosts/src/peer_network.cc
+++ b/packages/hosts/src/peer_network.cc
@@ -295,6 +295,8 @@
     std::uint16_t port = 0;
     //! Empty until SetHosts gives it.
     RegionName region;
+    //! Whether it takes part in the agreed log.
+    bool has_log = false;
     std::array<Link, control::kChannels> links;
   };
 
@@ -599,6 +601,7 @@
     }
     State::Peer& peer = this->state->peers[host.name];
     peer.region = host.region;
+    peer.has_log = host.has_disk;
     const bool address_changed =
         peer.address != host.peer_address || peer.port != host.peer_port;
     if (address_changed) {
@@ -619,6 +622,13 @@
   }
   State::Peer& peer = found->second;
   const LinkName name{to, control::ChannelOf(message)};
+  const LinkName log_link{to, Channel::kLog};
+  const bool opens_log = this->state->options.has_log && peer.has_log &&
+                         peer.To(Channel::kLog).connection.get() == nullptr;
+  if (opens_log) {
+    // The first request for a vote need not wait for it.
+    this->state->Connect(log_link, peer);
+  }
   State::Link& link = peer.To(name.channel);
   if (link.connection.get() != nullptr) {
     this->state->Call(name, peer, message);
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -40,21 +40,24 @@
   TestPeer(const HostName& name,
            const std::string& address,
            Callback callback,
-           milliseconds call_timeout = kLong)
+           milliseconds call_timeout = kLong,
+           bool has_log = false)
       : callback(std::move(callback)) {
     std::promise<bool> listens;
-    this->thread = std::thread([this, name, address, call_timeout, &listens] {
-      NetworkOptions options;
-      options.self = name;
-      options.address = address;
-      options.port = kPort;
-      options.secret = "secret";
-      options.call_timeout = call_timeout;
-      PeerNetwork own(options, *this);
-      this->network = &own;
-      listens.set_value(own.Listen().has_value());
-      own.Run(kTick, [this] { this->ticks += 1; });
-    });
+    this->thread =
+        std::thread([this, name, address, call_timeout, has_log, &listens] {
+          NetworkOptions options;
+          options.self = name;
+          options.address = address;
+          options.port = kPort;
+          options.secret = "secret";
+          options.call_timeout = call_timeout;
+          options.has_log = has_log;
+          PeerNetwork own(options, *this);
+          this->network = &own;
+          listens.set_value(own.Listen().has_value());
+          own.Run(kTick, [this] { this->ticks += 1; });
+        });
     EXPECT_TRUE(listens.get_future().get());
   }
 
@@ -337,6 +340,32 @@
   EXPECT_EQ(reports, 1);
 }
 
+// Guards against an election that waits until connections of the log are open.
+TEST(PeerNetwork, ConnectionOfTheLogIsOpenedWithTheMainOne) {
+  std::promise<void> arrived;
+  TestPeer second(kSecond, kSecondAddress,
+                  [&](PeerNetwork&, const HostName&,
+                      const control::PeerMessage&) { arrived.set_value(); });
+  SlowRelay relay(64 * 1024);
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [](PeerNetwork&, const HostName&, const control::PeerMessage&) {}, kLong,
+      true);
+  first.Network().Post([&] {
+    state::HostRecord record = RecordOf(kSecond, kRelayAddress);
+    record.has_disk = true;
+    first.Network().SetHosts({record});
+    first.Network().Send(kSecond, control::ProbeRequest{1});
+  });
+  ASSERT_EQ(arrived.get_future().wait_for(kLong), std::future_status::ready);
+  const auto start = std::chrono::steady_clock::now();
+  while (relay.Accepted() < 2 &&
+         std::chrono::steady_clock::now() - start < kLong) {
+    std::this_thread::sleep_for(kTick);
+  }
+  EXPECT_EQ(relay.Accepted(), 2);
+}
+
 //! Guards against heartbeats and elections that wait until a host has handled
 //! all that others send it.
 TEST(PeerNetwork, TimersRunWhileMessagesKeepComing) {
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -410,6 +410,7 @@
   network_options.region = options.self.region;
   network_options.address = options.self.peer_address;
   network_options.port = options.self.peer_port;
+  network_options.has_log = this->disk != nullptr;
   network_options.secret = this->settings.gateway.cluster_secret;
   hosts::PeerHandler& handler = *this;
   this->network =
