--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -475,6 +475,41 @@
   disk.commit = std::max(disk.commit, batch.commit);
 }
 
+std::vector<state::HostRecord> HostsOf(const std::vector<std::string>& regions,
+                                       std::size_t with_disks,
+                                       std::size_t entry_hosts) {
+  constexpr std::size_t kFirstNumber = 100;
+  std::vector<state::HostRecord> hosts;
+  for (const std::string& region : regions) {
+    for (std::size_t i = 0; i < with_disks + entry_hosts; ++i) {
+      state::HostRecord host;
+      host.name = HostName(region + "-" + std::to_string(kFirstNumber + i));
+      host.region = RegionName(region);
+      host.has_disk = i < with_disks;
+      host.caller_port = host.has_disk ? 0 : 80;
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+std::vector<HostName> NamesWithoutDisks(
+    const std::vector<state::HostRecord>& hosts) {
+  std::vector<HostName> names;
+  for (const state::HostRecord& host : hosts) {
+    if (!host.has_disk) {
+      names.push_back(host.name);
+    }
+  }
+  return names;
+}
+
+state::ReplaceSet NumberedSet(std::uint64_t number) {
+  state::ReplaceSet change;
+  change.number = number;
+  return change;
+}
+
 state::ConfigurationSet SmallSet(const std::string& region, TokenCount rate) {
   state::ConfigurationSet set;
   const state::ResidencyRuleName rule("here");
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -216,6 +216,19 @@
   TokenCount tokens = 0;
 };
 
+//! Returns hosts of each region, named and ordered by number: `with_disks`
+//! first, then `entry_hosts` without disks.
+std::vector<state::HostRecord> HostsOf(const std::vector<std::string>& regions,
+                                       std::size_t with_disks,
+                                       std::size_t entry_hosts);
+
+//! Returns the names of the hosts without disks.
+std::vector<HostName> NamesWithoutDisks(
+    const std::vector<state::HostRecord>& hosts);
+
+//! Returns an empty configuration set with a number.
+state::ReplaceSet NumberedSet(std::uint64_t number);
+
 //! Returns a configuration set with one residency rule, one workspace and one
 //! key, whose home region is `region`.
 state::ConfigurationSet SmallSet(const std::string& region, TokenCount rate);
--- a/packages/control/tests/leader_lease_tests.cc
+++ b/packages/control/tests/leader_lease_tests.cc
@@ -27,18 +27,7 @@
   static constexpr milliseconds kAcknowledged{8'000};
 
   static std::vector<state::HostRecord> Hosts() {
-    std::vector<state::HostRecord> hosts;
-    for (const std::string region : {"muscat", "salalah", "sohar"}) {
-      for (std::size_t i = 0; i < kControlHosts + kEntryHosts; ++i) {
-        state::HostRecord host;
-        host.name = HostName(region + "-" + std::to_string(100 + i));
-        host.region = RegionName(region);
-        host.has_disk = i < kControlHosts;
-        host.caller_port = host.has_disk ? 0 : 80;
-        hosts.push_back(host);
-      }
-    }
-    return hosts;
+    return HostsOf({"muscat", "salalah", "sohar"}, kControlHosts, kEntryHosts);
   }
 
   void SetUp() override {
--- a/packages/control/tests/proposal_identity_tests.cc
+++ b/packages/control/tests/proposal_identity_tests.cc
@@ -14,12 +14,6 @@
 
 constexpr milliseconds kTimeout{20'000};
 
-state::ReplaceSet NumberedSet(std::uint64_t number) {
-  state::ReplaceSet change;
-  change.number = number;
-  return change;
-}
-
 class ProposalIdentityTest : public testing::Test {
  protected:
   void SetUp() override {
--- a/packages/control/tests/quarantine_notice_tests.cc
+++ b/packages/control/tests/quarantine_notice_tests.cc
@@ -15,17 +15,10 @@
   static constexpr std::size_t kEntryHosts = 20;
 
   static std::vector<state::HostRecord> Hosts() {
-    std::vector<state::HostRecord> hosts;
-    for (const std::string region : {"muscat", "salalah", "sohar"}) {
-      for (std::size_t i = 0; i < kControlHosts + kEntryHosts; ++i) {
-        state::HostRecord host;
-        host.name = HostName(region + "-" + std::to_string(100 + i));
-        host.region = RegionName(region);
-        host.has_disk = i < kControlHosts;
-        host.caller_port = host.has_disk ? 0 : 80;
-        host.reads_format = state::kNewestFormat;
-        hosts.push_back(host);
-      }
+    std::vector<state::HostRecord> hosts =
+        HostsOf({"muscat", "salalah", "sohar"}, kControlHosts, kEntryHosts);
+    for (state::HostRecord& host : hosts) {
+      host.reads_format = state::kNewestFormat;
     }
     return hosts;
   }
@@ -39,13 +32,7 @@
   }
 
   std::vector<HostName> EntryHosts() const {
-    std::vector<HostName> entries;
-    for (const state::HostRecord& host : Hosts()) {
-      if (!host.has_disk) {
-        entries.push_back(host.name);
-      }
-    }
-    return entries;
+    return NamesWithoutDisks(Hosts());
   }
 
   //! Returns how many entry hosts have got more notices than `before`.
--- a/packages/control/tests/resent_order_tests.cc
+++ b/packages/control/tests/resent_order_tests.cc
@@ -12,12 +12,6 @@
 
 constexpr milliseconds kTimeout{20'000};
 
-state::ReplaceSet NumberedSet(std::uint64_t number) {
-  state::ReplaceSet change;
-  change.number = number;
-  return change;
-}
-
 class ResentOrderTest : public testing::Test {
  protected:
   void SetUp() override {
--- a/packages/control/tests/slow_link_tests.cc
+++ b/packages/control/tests/slow_link_tests.cc
@@ -35,17 +35,8 @@
   }
 
   static std::vector<state::HostRecord> Hosts() {
-    std::vector<state::HostRecord> hosts;
-    for (const std::string region : {"muscat", "sohar"}) {
-      for (std::size_t i = 0; i < kControlHosts + kEntryHosts; ++i) {
-        state::HostRecord host;
-        host.name = HostName(region + "-" + std::to_string(100 + i));
-        host.region = RegionName(region);
-        host.has_disk = i < kControlHosts;
-        host.caller_port = host.has_disk ? 0 : 80;
-        hosts.push_back(host);
-      }
-    }
+    std::vector<state::HostRecord> hosts =
+        HostsOf({"muscat", "sohar"}, kControlHosts, kEntryHosts);
     state::HostRecord third;
     third.name = HostName("sohar-099");
     third.region = RegionName("sohar");
@@ -82,13 +73,7 @@
   }
 
   std::vector<HostName> EntryHosts() const {
-    std::vector<HostName> entries;
-    for (const state::HostRecord& host : Hosts()) {
-      if (!host.has_disk) {
-        entries.push_back(host.name);
-      }
-    }
-    return entries;
+    return NamesWithoutDisks(Hosts());
   }
 
   std::size_t HostsWithNewestSet() {
