control: log changes of voters, their replacement, and elections that fail

The users' record has no line that tells who the voters were, since when one was silent and what was done about it, nor whether anybody stood for election. Events 3017 to 3020; no decision is changed.

--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -150,6 +150,14 @@
       return "control_traffic";
     case Event::kControlLoad:
       return "control_load";
+    case Event::kVotersChanged:
+      return "voters_changed";
+    case Event::kVoterSilent:
+      return "voter_silent";
+    case Event::kVoterJoining:
+      return "voter_joining";
+    case Event::kElectionFailed:
+      return "election_failed";
     case Event::kPeerConnected:
       return "peer_connected";
     case Event::kPeerLost:
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -22,6 +22,7 @@
 #include "tamarackwing/control/roster_follower.h"
 #include "tamarackwing/control/server_relay.h"
 #include "tamarackwing/control/server_roster.h"
+#include "tamarackwing/control/voter_log.h"
 #include "tamarackwing/state/agreed_log.h"
 #include "tamarackwing/state/control_state.h"
 #include "tamarackwing/state/operation_ledger.h"
@@ -321,6 +322,7 @@
   RosterFollower roster_follower;
   policy::RateLeases rates;
   policy::QuarantineJudge judge;
+  VoterLog voter_log;
 
   bool was_leader = false;
   bool ready = false;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -699,6 +699,11 @@
               {"pre_vote", vote.is_pre_vote ? "yes" : "no"},
               {"reason", std::string(RefusalName(vote.refusal))}});
   }
+  if (log_effects.failed_election) {
+    this->voter_log.NoteFailedElection(*log_effects.failed_election,
+                                       this->log.Voters());
+  }
+  this->voter_log.NoteVoters(this->log.Voters(), this->Leader());
   if (log_effects.installed) {
     this->InstallSnapshot(*log_effects.installed, now, effects);
   }
@@ -1283,12 +1288,15 @@
   input.target = this->options.voters != 0
                      ? this->options.voters
                      : this->options.initial_voters.size();
+  this->voter_log.NoteSilent(
+      this->log.SilentSince(now - this->options.host_lost), input.voters);
   const VoterPlan plan = PlanVoters(input, this->state, this->monitor, now);
   if (!plan.remove.IsEmpty()) {
     static_cast<void>(this->log.RemoveVoter(plan.remove, now, log_effects));
   } else if (!plan.add.IsEmpty() && this->log.Joining().IsEmpty()) {
     static_cast<void>(this->log.AddVoter(plan.add, now, log_effects));
   }
+  this->voter_log.NoteJoining(this->log.Joining());
   this->ApplyLogEffects(std::move(log_effects), now, effects);
 }
 
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -93,6 +93,16 @@
   VoteRefusal refusal = VoteRefusal::kVoted;
 };
 
+//! An election, or the pre-vote before one, that this host did not win in time.
+struct FailedElection {
+  Term term = 0;
+  bool is_pre_vote = false;
+  //! The voters that voted for this host, itself among them, and those that
+  //! refused; the others did not reply.
+  std::set<HostName> granted;
+  std::set<HostName> refused;
+};
+
 //! Actions that the caller must carry out. Their order is free, except that
 //! batches are written in order and acknowledged by their tickets.
 struct LogEffects {
@@ -104,6 +114,7 @@
   std::optional<LogSnapshot> installed;
   //! For the caller's log.
   std::vector<WithheldVote> withheld;
+  std::optional<FailedElection> failed_election;
 };
 
 //! Reason why the log did not accept a change.
@@ -237,6 +248,8 @@
   void StartPreVote(TimePoint now, LogEffects& effects);
   void StartElection(TimePoint now, LogEffects& effects);
   void BecomeLeader(TimePoint now, LogEffects& effects);
+  //! Counts votes anew, beginning with this host's own.
+  void BeginVotes();
   void ResetElectionTimer(TimePoint now);
   //! Makes this host stand for election after one to two times `min_wait`.
   void StandAfter(std::chrono::milliseconds min_wait, TimePoint now);
@@ -334,6 +347,8 @@
   LogIndex persisted = 0;
 
   std::set<HostName> votes;
+  //! Voters that refused their vote in this election.
+  std::set<HostName> refusals;
   std::map<HostName, Progress> progress;
   HostName joining;
   //! Number of the latest heartbeat round.
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -311,9 +311,14 @@
 }
 
 void AgreedLog::StartPreVote(TimePoint now, LogEffects& effects) {
+  if (this->role != Role::kFollower) {
+    const bool is_pre_vote = this->role == Role::kPreCandidate;
+    effects.failed_election = {this->vote.term + (is_pre_vote ? 1 : 0),
+                               is_pre_vote, this->votes, this->refusals};
+  }
   this->role = Role::kPreCandidate;
   this->leader = HostName();
-  this->votes = {this->self};
+  this->BeginVotes();
   // A pre-vote changes nothing at the others, so it is soon asked for again:
   // they may have started, or lost their leader, a little later.
   this->StandAfter(this->options.heartbeat, now);
@@ -332,7 +337,7 @@
   this->role = Role::kCandidate;
   this->vote.term += 1;
   this->vote.vote = this->self;
-  this->votes = {this->self};
+  this->BeginVotes();
   this->ResetElectionTimer(now);
   LogBatch batch;
   batch.vote = this->vote;
@@ -364,6 +369,11 @@
   this->Append({std::move(first)}, now, effects);
 }
 
+void AgreedLog::BeginVotes() {
+  this->votes = {this->self};
+  this->refusals.clear();
+}
+
 void AgreedLog::ResetElectionTimer(TimePoint now) {
   this->StandAfter(this->options.election_timeout, now);
 }
@@ -485,6 +495,7 @@
                                 TimePoint now,
                                 LogEffects& effects) {
   if (!reply.granted) {
+    this->refusals.insert(from);
     if (reply.term > this->vote.term) {
       this->BecomeFollower(reply.term, HostName(), now);
       LogBatch batch;
