control: a voter's silence counts on through leaders, and a successor soon takes its place

Callers were refused and no configuration came, for good, after control hosts had been lost one after another and replaced, each well after the last: three of five voters were gone at the same time.

Cause: a voter was replaced after ten seconds without a reply, a constant, while the deployment lets the next loss come CatchUpS (4 s) after a successor's start; and a new leader began the ten seconds anew. Class: a wait of our own that is longer than what the deployment states, and that starts again with each leader.

Now VoterKeeper knows how long each voter has been silent: leaders tell the other voters in the replies of the feed (FeedReply.silences; former builds ignore it), so the next leader goes on counting; time in which nobody listened does not count, and each leader first listens for an election timeout. A host that joins while a voter is silent is its successor, and takes its place after half of `membership.catch_up_s`, new, which the template fills in from the deployment. Hosts that stood by still wait ten seconds, so a cut of 7.6 or 9.5 s moves no voter to them. The voter silent for longest goes first, and a host that falls silent while it catches up is given up after the shorter wait, unless its statuses still arrive.

PlanVoters' tests pass lost voters with the hosts that may not replace them; their checks are as before.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -22,6 +22,7 @@
 #include "tamarackwing/control/roster_follower.h"
 #include "tamarackwing/control/server_relay.h"
 #include "tamarackwing/control/server_roster.h"
+#include "tamarackwing/control/voter_keeper.h"
 #include "tamarackwing/control/voter_log.h"
 #include "tamarackwing/state/agreed_log.h"
 #include "tamarackwing/state/control_state.h"
@@ -276,6 +277,8 @@
   FeedKnowledge Knowledge(TimePoint now) const;
   void RunLeaderTasks(TimePoint now, ControlEffects& effects);
   void ChangeVoters(TimePoint now, ControlEffects& effects);
+  //! Returns whether the host that is to become a voter is given up.
+  bool HasJoiningFailed(TimePoint now) const;
   void CompactLog(ControlEffects& effects, TimePoint now);
   void ResendProposals(TimePoint now, ControlEffects& effects);
   //! Appends an open proposal of this host to the log if this host leads, else
@@ -322,7 +325,10 @@
   RosterFollower roster_follower;
   policy::RateLeases rates;
   policy::QuarantineJudge judge;
+  VoterKeeper voter_keeper;
   VoterLog voter_log;
+  //! The hosts that `voter_keeper` knows of.
+  std::shared_ptr<const std::map<HostName, state::HostRecord>> kept_hosts;
 
   bool was_leader = false;
   bool ready = false;
--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -32,9 +32,13 @@
   std::chrono::milliseconds probe{1'000};
   //! A host without contact for this long is considered failed.
   std::chrono::milliseconds host_lost{3'000};
-  //! A voter that has not replied to the leader for this long is replaced. Long
-  //! enough for most cuts between regions to end: VotersFor allows for a voter
-  //! that is gone and not replaced yet.
+  //! Time after the start of a host that takes another's place within which the
+  //! losses that the deployment tolerates do not come. A voter that falls
+  //! silent while such a host joins is replaced within it.
+  std::chrono::milliseconds catch_up{4'000};
+  //! A voter that has been silent for this long is replaced by any host, also
+  //! by one that stood by before. Long enough for most cuts between regions to
+  //! end.
   std::chrono::milliseconds voter_lost{10'000};
   //! How long after the last leader contact a host still serves keys that do
   //! not have its region as a home region.
--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -18,11 +18,18 @@
   return 2 * (tolerated_losses + 1) + 1;
 }
 
+//! A voter to replace.
+struct LostVoter {
+  HostName host;
+  //! Hosts that may not take its place.
+  std::set<HostName> not_by;
+};
+
 //! The input of PlanVoters.
 struct VoterPlanInput {
   std::set<HostName> voters;
-  //! Voters that have not replied for ControlOptions::voter_lost.
-  std::set<HostName> silent;
+  //! The first is replaced first.
+  std::vector<LostVoter> lost;
   //! Desired number of voters, if enough hosts have disks; zero leaves the
   //! voters as they are.
   std::size_t target = 0;
@@ -36,11 +43,11 @@
 };
 
 //! Returns the next voter to add or to remove. Live hosts with disks are added
-//! up to the target, and one more for each silent voter; a silent voter is
+//! up to the target, and one more while a voter is lost; a lost voter is
 //! removed only once its replacement is a voter, so that a plan never shrinks
 //! the group below the target. New voters come from the region with the fewest
-//! replying voters, then from the data centre with the fewest. Thread safety:
-//! reentrant.
+//! voters that are not lost, then from the data centre with the fewest. Thread
+//! safety: reentrant.
 VoterPlan PlanVoters(const VoterPlanInput& input,
                      const state::ControlState& state,
                      const HostMonitor& monitor,
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -47,6 +47,16 @@
   std::vector<HostStatus> statuses;
 };
 
+//! How long a voter has not replied to its leaders.
+struct VoterSilence {
+  HostName host;
+  //! Without the time in which no leader listened.
+  std::chrono::milliseconds silence{0};
+  //! Time since its last reply; nullopt if the leaders' processes have had none
+  //! since they started.
+  std::optional<std::chrono::milliseconds> reply_age;
+};
+
 //! A snapshot, committed entries, or a snapshot and the entries after it: all
 //! that the follower lacks, or only the first of them.
 struct FeedReply {
@@ -60,6 +70,9 @@
   //! Time since the source's last leader contact; nullopt if it never had one.
   std::optional<std::chrono::milliseconds> leader_contact_age;
   HostName leader;
+  //! What a leader tells a voter of the other voters; empty from other hosts,
+  //! and from builds that do not know it.
+  std::vector<VoterSilence> silences;
 };
 
 //! Asks the leader to propose a change.
--- a/packages/control/include/tamarackwing/control/voter_log.h
+++ b/packages/control/include/tamarackwing/control/voter_log.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <set>
+#include <vector>
 
 #include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/control/peer_message.h"
 #include "tamarackwing/state/agreed_log.h"
 
 namespace tamarackwing::control {
@@ -13,9 +15,8 @@
  public:
   //! Records the voters in this host's log.
   void NoteVoters(const std::set<HostName>& next, const HostName& leader);
-  //! Records which voters do not reply to this leader.
-  void NoteSilent(const std::set<HostName>& next,
-                  const std::set<HostName>& all_voters);
+  //! Records which voters this leader considers lost.
+  void NoteLost(const std::vector<VoterSilence>& next);
   //! Records which host catches up before it becomes a voter; an empty name if
   //! none does.
   void NoteJoining(const HostName& next);
@@ -24,7 +25,7 @@
 
  private:
   std::set<HostName> voters;
-  std::set<HostName> silent;
+  std::set<HostName> lost;
   HostName joining;
   //! Of the last election that failed.
   std::set<HostName> granted;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -117,6 +117,7 @@
                       options.self.incarnation),
       rates(options.rates),
       judge(options.quarantine),
+      voter_keeper(options),
       started(now),
       last_tick(now),
       running_since(now),
@@ -714,6 +715,7 @@
   if (this->log.IsLeader() && !this->was_leader) {
     this->was_leader = true;
     this->leader_tasks.StartTerm(now);
+    this->voter_keeper.StartTerm(now);
     this->rates.StartTerm(this->RateHolders(), now);
     this->judge.StartTerm(this->log.CurrentTerm(), now);
     this->pending_tasks.clear();
@@ -847,6 +849,10 @@
 }
 
 void ControlNode::AfterApply(TimePoint now, ControlEffects& effects) {
+  if (this->kept_hosts != this->state.HostTable()) {
+    this->kept_hosts = this->state.HostTable();
+    this->voter_keeper.NoteHosts(this->state.Hosts(), now);
+  }
   this->ApplyView(now, effects);
   for (ChangeDone& done : this->proposals.FinishKnown(this->state)) {
     effects.changes.push_back(std::move(done));
@@ -894,8 +900,12 @@
   for (const HostStatus& status : request.statuses) {
     this->monitor.NoteStatus(status, now - status.age);
   }
-  effects.sends.push_back(
-      {from, this->feed.HandleRequest(from, request, this->Knowledge(now))});
+  FeedReply reply =
+      this->feed.HandleRequest(from, request, this->Knowledge(now));
+  if (this->log.HasLease(now) && this->log.Voters().contains(from)) {
+    reply.silences = this->voter_keeper.Report(now);
+  }
+  effects.sends.push_back({from, std::move(reply)});
 }
 
 void ControlNode::HandleFeedReply(const HostName& from,
@@ -911,6 +921,9 @@
   }
   if (this->follower.HandleReply(from, reply, this->state.Applied(), now)) {
     this->source_replied_at = now;
+    if (!reply.silences.empty() && from == this->Leader()) {
+      this->voter_keeper.NoteReport(from, reply.silences, now);
+    }
     const state::HostRecord* host = this->FindHost(from);
     this->region_replied =
         this->region_replied ||
@@ -1275,22 +1288,16 @@
 }
 
 void ControlNode::ChangeVoters(TimePoint now, ControlEffects& effects) {
-  const TimePoint silent_since = now - this->options.voter_lost;
+  this->voter_keeper.NoteReplies(this->log.LastReplies(), now);
+  this->voter_log.NoteLost(this->voter_keeper.LostVoters(now));
   state::LogEffects log_effects;
-  if (this->log.IsJoiningSilentSince(silent_since)) {
+  if (this->HasJoiningFailed(now)) {
     // Otherwise no voter could be replaced until the host is back.
     static_cast<void>(
         this->log.RemoveVoter(this->log.Joining(), now, log_effects));
   }
-  VoterPlanInput input;
-  input.voters = this->log.Voters();
-  input.silent = this->log.SilentSince(silent_since);
-  input.target = this->options.voters != 0
-                     ? this->options.voters
-                     : this->options.initial_voters.size();
-  this->voter_log.NoteSilent(
-      this->log.SilentSince(now - this->options.host_lost), input.voters);
-  const VoterPlan plan = PlanVoters(input, this->state, this->monitor, now);
+  const VoterPlan plan = this->voter_keeper.NextChange(
+      this->log.Voters(), this->state, this->monitor, now);
   if (!plan.remove.IsEmpty()) {
     static_cast<void>(this->log.RemoveVoter(plan.remove, now, log_effects));
   } else if (!plan.add.IsEmpty() && this->log.Joining().IsEmpty()) {
@@ -1300,6 +1307,14 @@
   this->ApplyLogEffects(std::move(log_effects), now, effects);
 }
 
+bool ControlNode::HasJoiningFailed(TimePoint now) const {
+  // Replies also wait while a large state is on its way.
+  const auto limit = this->monitor.IsLive(this->log.Joining(), now)
+                         ? this->options.voter_lost
+                         : this->voter_keeper.SuccessorWait();
+  return this->log.IsJoiningSilentSince(now - limit);
+}
+
 void ControlNode::CompactLog(ControlEffects& effects, TimePoint now) {
   const LogIndex applied = this->state.Applied();
   const bool is_long =
--- a/packages/control/src/membership_plan.cc
+++ b/packages/control/src/membership_plan.cc
@@ -14,10 +14,11 @@
 //! disk as their source. Such hosts may have slow links.
 constexpr std::size_t kFeedFanOut = 4;
 
-//! Returns a live host that has a disk, does not drain and is not a voter, from
-//! the region, and then from the data centre, with the fewest replying voters;
-//! an empty name if there is none.
+//! Returns a live host that has a disk, does not drain, is not a voter and not
+//! one of `excluded`, from the region, and then from the data centre, with the
+//! fewest voters that are not lost; an empty name if there is none.
 HostName PickNewVoter(const VoterPlanInput& input,
+                      const std::set<HostName>& excluded,
                       const state::ControlState& state,
                       const HostMonitor& monitor,
                       TimePoint now) {
@@ -25,7 +26,10 @@
   std::map<DataCentreName, int> in_data_centre;
   for (const HostName& voter : input.voters) {
     const auto host = state.Hosts().find(voter);
-    if (host != state.Hosts().end() && !input.silent.contains(voter)) {
+    const bool is_lost =
+        std::any_of(input.lost.begin(), input.lost.end(),
+                    [&](const LostVoter& lost) { return lost.host == voter; });
+    if (host != state.Hosts().end() && !is_lost) {
       in_region[host->second.region] += 1;
       in_data_centre[host->second.data_centre] += 1;
     }
@@ -33,9 +37,9 @@
   HostName best;
   std::tuple<int, int> fewest;
   for (const auto& [name, host] : state.Hosts()) {
-    const bool is_eligible = host.has_disk && !host.draining &&
-                             !input.voters.contains(name) &&
-                             monitor.IsLive(name, now);
+    const bool is_eligible =
+        host.has_disk && !host.draining && !input.voters.contains(name) &&
+        !excluded.contains(name) && monitor.IsLive(name, now);
     if (!is_eligible) {
       continue;
     }
@@ -116,12 +120,18 @@
   if (input.target == 0) {
     return plan;
   }
-  if (!input.silent.empty() && input.voters.size() > input.target) {
-    plan.remove = *input.silent.begin();
+  if (!input.lost.empty() && input.voters.size() > input.target) {
+    plan.remove = input.lost.front().host;
     return plan;
   }
-  if (input.voters.size() < input.target + input.silent.size()) {
-    plan.add = PickNewVoter(input, state, monitor, now);
+  if (input.voters.size() < input.target) {
+    plan.add = PickNewVoter(input, {}, state, monitor, now);
+    return plan;
+  }
+  for (const LostVoter& lost : input.lost) {
+    if (plan.add.IsEmpty()) {
+      plan.add = PickNewVoter(input, lost.not_by, state, monitor, now);
+    }
   }
   return plan;
 }
--- a/packages/control/src/voter_log.cc
+++ b/packages/control/src/voter_log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <string>
+#include <utility>
 
 #include "tamarackwing/base/event.h"
 
@@ -41,21 +42,25 @@
   this->voters = next;
 }
 
-void VoterLog::NoteSilent(const std::set<HostName>& next,
-                          const std::set<HostName>& all_voters) {
-  for (const HostName& host : Without(next, this->silent)) {
-    LogEvent(Event::kVoterSilent, LogLevel::kWarning,
-             {{"voter", host.Text()},
-              {"silent", std::to_string(next.size())},
-              {"voters", std::to_string(all_voters.size())}});
+void VoterLog::NoteLost(const std::vector<VoterSilence>& next) {
+  std::set<HostName> hosts;
+  for (const VoterSilence& voter : next) {
+    hosts.insert(voter.host);
+    if (!this->lost.contains(voter.host)) {
+      LogEvent(Event::kVoterSilent, LogLevel::kWarning,
+               {{"voter", voter.host.Text()},
+                {"silent_ms", std::to_string(voter.silence.count())},
+                {"lost", std::to_string(next.size())},
+                {"voters", std::to_string(this->voters.size())}});
+    }
   }
-  this->silent = next;
+  this->lost = std::move(hosts);
 }
 
 void VoterLog::NoteJoining(const HostName& next) {
   if (next != this->joining && !next.IsEmpty()) {
     LogEvent(Event::kVoterJoining, LogLevel::kInfo,
-             {{"host", next.Text()}, {"silent", ListOf(this->silent)}});
+             {{"host", next.Text()}, {"lost", ListOf(this->lost)}});
   }
   this->joining = next;
 }
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -24,10 +24,10 @@
   }
 
   VoterPlan Plan(std::set<HostName> voters,
-                 std::set<HostName> silent,
+                 std::vector<LostVoter> lost,
                  std::size_t target) {
-    return PlanVoters({std::move(voters), std::move(silent), target},
-                      this->state, this->monitor, this->clock.Now());
+    return PlanVoters({std::move(voters), std::move(lost), target}, this->state,
+                      this->monitor, this->clock.Now());
   }
 
   ManualClock clock;
@@ -56,18 +56,19 @@
   this->Add("m2", "muscat", true);
   this->Add("s1", "sohar", true);
   const std::set<HostName> voters{HostName("m1"), HostName("lost")};
-  const VoterPlan first = this->Plan(voters, {HostName("lost")}, 2);
+  const VoterPlan first = this->Plan(voters, {{HostName("lost"), {}}}, 2);
   EXPECT_FALSE(first.add.IsEmpty());
   EXPECT_TRUE(first.remove.IsEmpty());
   std::set<HostName> grown = voters;
   grown.insert(first.add);
-  EXPECT_EQ(this->Plan(grown, {HostName("lost")}, 2).remove, HostName("lost"));
+  EXPECT_EQ(this->Plan(grown, {{HostName("lost"), {}}}, 2).remove,
+            HostName("lost"));
 }
 
 TEST_F(PlanVotersTest, KeepsSilentVoterWithoutReplacement) {
   this->Add("m1", "muscat", true);
-  const VoterPlan plan =
-      this->Plan({HostName("m1"), HostName("lost")}, {HostName("lost")}, 2);
+  const VoterPlan plan = this->Plan({HostName("m1"), HostName("lost")},
+                                    {{HostName("lost"), {}}}, 2);
   EXPECT_TRUE(plan.add.IsEmpty());
   EXPECT_TRUE(plan.remove.IsEmpty());
 }
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -170,6 +170,14 @@
   # has.
   wordAgeMs @4 :Int64 = -1;
   leader @5 :Text;
+  silences @6 :List(VoterSilence);
+}
+
+struct VoterSilence {
+  host @0 :Text;
+  silenceMs @1 :Int64;
+  # Negative if there was no reply.
+  replyAgeMs @2 :Int64 = -1;
 }
 
 struct ProposeRequest {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -46,6 +46,7 @@
 CAPNP_DECLARE_SCHEMA(a8428ee6ef6a2593);
 CAPNP_DECLARE_SCHEMA(c877b138ca0d8079);
 CAPNP_DECLARE_SCHEMA(c9694bfe4d0b5f23);
+CAPNP_DECLARE_SCHEMA(f32f0535c2de6b4b);
 CAPNP_DECLARE_SCHEMA(8f40efe273e85055);
 CAPNP_DECLARE_SCHEMA(f006573370636aa3);
 CAPNP_DECLARE_SCHEMA(8f36956ff03630a1);
@@ -493,7 +494,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c9694bfe4d0b5f23, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c9694bfe4d0b5f23, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VoterSilence {
+  VoterSilence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f32f0535c2de6b4b, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3534,6 +3550,9 @@
   inline bool hasLeader() const;
   inline  ::capnp::Text::Reader getLeader() const;
 
+  inline bool hasSilences() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader getSilences() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3592,6 +3611,13 @@
   inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownLeader();
 
+  inline bool hasSilences();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder getSilences();
+  inline void setSilences( ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder initSilences(unsigned int size);
+  inline void adoptSilences(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>> disownSilences();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3619,6 +3645,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class VoterSilence::Reader {
+public:
+  typedef VoterSilence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline  ::int64_t getSilenceMs() const;
+
+  inline  ::int64_t getReplyAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VoterSilence::Builder {
+public:
+  typedef VoterSilence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline  ::int64_t getSilenceMs();
+  inline void setSilenceMs( ::int64_t value);
+
+  inline  ::int64_t getReplyAgeMs();
+  inline void setReplyAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VoterSilence::Pipeline {
+public:
+  typedef VoterSilence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ProposeRequest::Reader {
 public:
   typedef ProposeRequest Reads;
@@ -9620,6 +9737,102 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool FeedReply::Reader::hasSilences() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedReply::Builder::hasSilences() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader FeedReply::Reader::getSilences() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder FeedReply::Builder::getSilences() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FeedReply::Builder::setSilences( ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder FeedReply::Builder::initSilences(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FeedReply::Builder::adoptSilences(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>> FeedReply::Builder::disownSilences() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool VoterSilence::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VoterSilence::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VoterSilence::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VoterSilence::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VoterSilence::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VoterSilence::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VoterSilence::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VoterSilence::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t VoterSilence::Reader::getSilenceMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t VoterSilence::Builder::getSilenceMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VoterSilence::Builder::setSilenceMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t VoterSilence::Reader::getReplyAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t VoterSilence::Builder::getReplyAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void VoterSilence::Builder::setReplyAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint64_t ProposeRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -209,6 +209,22 @@
           in.getSyncedEpoch(), milliseconds(in.getAgeMs())};
 }
 
+void Write(const control::VoterSilence& voter,
+           wire::VoterSilence::Builder out) {
+  out.setHost(ToText(voter.host.Text()));
+  out.setSilenceMs(voter.silence.count());
+  out.setReplyAgeMs(voter.reply_age ? voter.reply_age->count() : -1);
+}
+
+control::VoterSilence Read(wire::VoterSilence::Reader in) {
+  control::VoterSilence voter{
+      HostName(ToString(in.getHost())), milliseconds(in.getSilenceMs()), {}};
+  if (in.getReplyAgeMs() >= 0) {
+    voter.reply_age = milliseconds(in.getReplyAgeMs());
+  }
+  return voter;
+}
+
 void Write(const config::Fault& fault, wire::SetFault::Builder out) {
   out.setCode(static_cast<std::uint8_t>(fault.code));
   out.setPath(ToText(fault.path));
@@ -494,6 +510,8 @@
     to.setWordAgeMs(value.leader_contact_age ? value.leader_contact_age->count()
                                              : -1);
     to.setLeader(ToText(value.leader.Text()));
+    WriteList(value.silences,
+              to.initSilences(static_cast<unsigned>(value.silences.size())));
   }
   void operator()(const control::ProposeRequest& value) {
     auto to = this->out.initProposeRequest();
@@ -715,6 +733,9 @@
     reply.leader_contact_age = milliseconds(in.getWordAgeMs());
   }
   reply.leader = HostName(ToString(in.getLeader()));
+  for (const auto voter : in.getSilences()) {
+    reply.silences.push_back(Read(voter));
+  }
   return reply;
 }
 
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -196,8 +196,9 @@
   std::size_t PayloadBytes() const;
   const std::set<HostName>& Voters() const { return this->voters; }
   bool IsVoter() const { return this->voters.contains(this->self); }
-  //! Returns the voters whose last reply to this leader is older than `time`.
-  std::set<HostName> SilentSince(TimePoint time) const;
+  //! Returns when each other voter last replied to this leader; for one that
+  //! has not replied, when this leader began to expect it.
+  std::map<HostName, TimePoint> LastReplies() const;
   //! Returns the host that is catching up before it becomes a voter; empty if
   //! there is none.
   const HostName& Joining() const { return this->joining; }
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -251,16 +251,14 @@
   return bytes;
 }
 
-std::set<HostName> AgreedLog::SilentSince(TimePoint time) const {
-  std::set<HostName> silent;
-  for (const HostName& host : this->voters) {
-    const auto peer = this->progress.find(host);
-    if (host != this->self && peer != this->progress.end() &&
-        peer->second.last_reply < time) {
-      silent.insert(host);
+std::map<HostName, TimePoint> AgreedLog::LastReplies() const {
+  std::map<HostName, TimePoint> replies;
+  for (const auto& [host, peer] : this->progress) {
+    if (this->voters.contains(host)) {
+      replies[host] = peer.last_reply;
     }
   }
-  return silent;
+  return replies;
 }
 
 bool AgreedLog::IsJoiningSilentSince(TimePoint time) const {
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -1089,6 +1089,7 @@
   options.report = times.heartbeat;
   options.host_lost = times.host_lost;
   options.key_freshness = times.key_freshness;
+  options.catch_up = this->settings.membership.catch_up;
   options.catch_up_wait = times.host_lost;
   options.chunk_life = times.chunk_life;
   options.server_lease = this->settings.servers.lease;
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -142,7 +142,7 @@
     return;
   }
   reader->RejectUnknownFields(
-      {"seeds", "peer_port", "voters", "tolerated_losses"});
+      {"seeds", "peer_port", "voters", "tolerated_losses", "catch_up_s"});
   Membership& membership = settings.membership;
   for (const std::string& seed : reader->Texts("seeds")) {
     // A port in a seed is ignored: it may be that of another listener, and all
@@ -155,6 +155,10 @@
     membership.voters = control::VotersFor(static_cast<std::size_t>(
         reader->Number("tolerated_losses", 0, kMaxLosses, 1, true)));
   }
+  if (reader->Has("catch_up_s")) {
+    membership.catch_up = std::chrono::seconds(
+        reader->RoundedDown("catch_up_s", 0, kMaxTimeMs / 1'000, 4));
+  }
 }
 
 void ReadDataCentres(TableReader& document, Settings& settings) {
--- a/programs/tamarackwingd/src/settings.h
+++ b/programs/tamarackwingd/src/settings.h
@@ -45,6 +45,8 @@
   std::uint16_t peer_port = 0;
   //! Max voters; hosts with disks become voters up to this number.
   std::size_t voters = 5;
+  //! See control::ControlOptions::catch_up.
+  std::chrono::milliseconds catch_up{4'000};
 
   bool IsUsed() const { return !this->seeds.empty(); }
 };
