state: a new leader changes no voters before its term has a committed entry

Only the last change of voters had to be committed. A leader could append a change before its first entry was committed, beside one of a former leader that few hosts have: the majorities of the two need not overlap, so an acknowledged change might be lost.

--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -309,6 +309,10 @@
   //! Delivers entries that are committed and on disk, along with their commit
   //! index.
   void DeliverCommitted(LogEffects& effects);
+  //! Returns whether this leader may append other voters: the last change of
+  //! voters is committed, and so is an entry of this term, without which the
+  //! majorities of two leaders' changes need not overlap.
+  bool MayChangeVoters() const;
   //! Makes the joining host a voter once it has caught up.
   void FinishJoin(TimePoint now, LogEffects& effects);
   void UpdateLease(TimePoint now);
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -163,7 +163,7 @@
   if (this->voters.contains(host) || this->joining == host) {
     return {};
   }
-  if (!this->joining.IsEmpty() || this->voters_index > this->commit) {
+  if (!this->joining.IsEmpty() || !this->MayChangeVoters()) {
     return unexpected(ProposeError::kChangeInProgress);
   }
   this->joining = host;
@@ -186,7 +186,7 @@
   if (!this->voters.contains(host)) {
     return {};
   }
-  if (!this->joining.IsEmpty() || this->voters_index > this->commit ||
+  if (!this->joining.IsEmpty() || !this->MayChangeVoters() ||
       this->voters.size() == 1) {
     return unexpected(ProposeError::kChangeInProgress);
   }
@@ -823,12 +823,17 @@
   }
 }
 
+bool AgreedLog::MayChangeVoters() const {
+  return this->voters_index <= this->commit &&
+         this->TermAt(this->commit) == this->vote.term;
+}
+
 void AgreedLog::FinishJoin(TimePoint now, LogEffects& effects) {
   if (this->joining.IsEmpty()) {
     return;
   }
   if (this->progress.at(this->joining).match < this->commit ||
-      this->voters_index > this->commit) {
+      !this->MayChangeVoters()) {
     return;
   }
   std::set<HostName> extended = this->voters;
--- a/packages/state/tests/agreed_log_tests.cc
+++ b/packages/state/tests/agreed_log_tests.cc
@@ -77,6 +77,41 @@
             (std::vector<std::string>{"before", "after"}));
 }
 
+//! Guards against two leaders that each append another change of voters, of
+//! which the majorities need not overlap.
+TEST(AgreedLog, ANewLeaderChangesNoVotersBeforeItsTermHasACommittedEntry) {
+  LogCluster cluster(5, 1);
+  cluster.RunFor(kElectionTime);
+  const HostName old = cluster.Leader();
+  ASSERT_FALSE(old.IsEmpty());
+  cluster.Crash(old);
+  const auto is_led = [&] {
+    for (const HostName& host : cluster.Names()) {
+      if (cluster.IsUp(host) && cluster.Log(host).IsLeader()) {
+        return true;
+      }
+    }
+    return false;
+  };
+  for (int step = 0; step < 10'000 && !is_led(); ++step) {
+    if (cluster.Pending() == 0) {
+      cluster.Advance(milliseconds(10));
+    } else {
+      cluster.Deliver(0, false);
+    }
+    for (const HostName& host : cluster.Names()) {
+      if (!is_led()) {
+        cluster.Persist(host);
+      }
+    }
+  }
+  ASSERT_TRUE(is_led());
+  EXPECT_FALSE(cluster.RemoveVoter(old));
+  EXPECT_FALSE(cluster.AddVoter(HostName("host-5")));
+  cluster.RunFor(milliseconds(500));
+  EXPECT_TRUE(cluster.RemoveVoter(old));
+}
+
 TEST(AgreedLog, ALeaderThatRemovesItselfStepsDownAndAnotherIsElected) {
   LogCluster cluster(3);
   cluster.RunFor(kElectionTime);
