control: what the review of a voter's replacement found

- A voter that a process has never heard is silent from the process's start, not from its leader's term: when all processes end beside a loss, lost voters still counted when the next loss came.
Leaders listen for three heartbeats, not for an election timeout, before they call a voter lost.
- The voter that is removed is one whose place a new voter may take, not the one silent for longest, which may only be cut off.
- A host that was given up while it caught up comes last the next time, and is given up sooner if another stands ready.
It was picked again and again, ten seconds each time.
- A leader whose report is old is not taken for silent since then: others may have led meanwhile.
New tests: VoterIsLostIfItIsSilentFromTheStartOfTheProcess, VoterWithoutReplacementIsNotRemoved, HostThatWasGivenUpComesLast, ReporterThatNoLongerLedIsNotTakenForSilent; not run without the change.
PlanVotersTest builds its input with one more, empty, field; its checks are as before.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -277,8 +277,6 @@
   FeedKnowledge Knowledge(TimePoint now) const;
   void RunLeaderTasks(TimePoint now, ControlEffects& effects);
   void ChangeVoters(TimePoint now, ControlEffects& effects);
-  //! Returns whether the host that is to become a voter is given up.
-  bool HasJoiningFailed(TimePoint now) const;
   void CompactLog(ControlEffects& effects, TimePoint now);
   void ResendProposals(TimePoint now, ControlEffects& effects);
   //! Appends an open proposal of this host to the log if this host leads, else
--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -33,8 +33,8 @@
   //! A host without contact for this long is considered failed.
   std::chrono::milliseconds host_lost{3'000};
   //! Time after the start of a host that takes another's place within which the
-  //! losses that the deployment tolerates do not come. A voter that falls
-  //! silent while such a host joins is replaced within it.
+  //! next losses that the deployment tolerates do not come. A voter that was
+  //! already silent when such a host joined is replaced within it.
   std::chrono::milliseconds catch_up{4'000};
   //! A voter that has been silent for this long is replaced by any host, also
   //! by one that stood by before. Long enough for most cuts between regions to
--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -30,6 +30,8 @@
   std::set<HostName> voters;
   //! The first is replaced first.
   std::vector<LostVoter> lost;
+  //! Hosts that become voters only if there are no others.
+  std::set<HostName> avoided;
   //! Desired number of voters, if enough hosts have disks; zero leaves the
   //! voters as they are.
   std::size_t target = 0;
@@ -44,10 +46,10 @@
 
 //! Returns the next voter to add or to remove. Live hosts with disks are added
 //! up to the target, and one more while a voter is lost; a lost voter is
-//! removed only once its replacement is a voter, so that a plan never shrinks
-//! the group below the target. New voters come from the region with the fewest
-//! voters that are not lost, then from the data centre with the fewest. Thread
-//! safety: reentrant.
+//! removed only once a host that may take its place is a voter, so that a plan
+//! never shrinks the group below the target. New voters come from the region
+//! with the fewest voters that are not lost, then from the data centre with the
+//! fewest. Thread safety: reentrant.
 VoterPlan PlanVoters(const VoterPlanInput& input,
                      const state::ControlState& state,
                      const HostMonitor& monitor,
--- a/packages/control/include/tamarackwing/control/voter_keeper.h
+++ b/packages/control/include/tamarackwing/control/voter_keeper.h
@@ -19,15 +19,17 @@
 //! silence goes on counting when another host becomes the leader.
 //!
 //! A host that joins while a voter is silent is taken for its successor and
-//! soon replaces it. A host that stood by before replaces it only after
-//! ControlOptions::voter_lost, since the voter may be back after a short cut,
-//! or at once if the voter has drained or this process has never heard it.
+//! replaces it after SuccessorWait. A host that stood by before replaces it
+//! only after ControlOptions::voter_lost, since the voter may be back after a
+//! short cut; but also after SuccessorWait if the voter has drained, or has not
+//! been heard since the processes of the leaders started.
 //!
 //! A state machine without I/O. Not thread-safe.
 class VoterKeeper {
  public:
-  //! Precondition: `options` outlives this object.
-  explicit VoterKeeper(const ControlOptions& options);
+  //! `now` is when this process started. Precondition: `options` outlives this
+  //! object.
+  VoterKeeper(const ControlOptions& options, TimePoint now);
 
   //! Records the hosts of the agreed state as of `now`.
   void NoteHosts(const std::map<HostName, state::HostRecord>& hosts,
@@ -45,14 +47,23 @@
   std::vector<VoterSilence> Report(TimePoint now) const;
 
   //! Returns the voters that have been silent for SuccessorWait, the one silent
-  //! for longest first; none until they have had the time to reply to this
-  //! leader.
+  //! for longest first; none until there was time to reply to this leader.
   std::vector<VoterSilence> LostVoters(TimePoint now) const;
   //! Returns the next change of voters.
   VoterPlan NextChange(const std::set<HostName>& voters,
                        const state::ControlState& state,
                        const HostMonitor& monitor,
                        TimePoint now) const;
+  //! Records that a host was given up before it became a voter. Others are
+  //! preferred from then on.
+  void NoteGivenUp(const HostName& host) { this->given_up.insert(host); }
+  //! Returns how long a host that is to become a voter may not reply before it
+  //! is given up.
+  std::chrono::milliseconds JoinWait(const HostName& joining,
+                                     const std::set<HostName>& voters,
+                                     const state::ControlState& state,
+                                     const HostMonitor& monitor,
+                                     TimePoint now) const;
   //! Returns how long a voter is silent before a successor takes its place.
   std::chrono::milliseconds SuccessorWait() const;
 
@@ -65,9 +76,14 @@
     std::optional<TimePoint> last_reply;
   };
 
+  std::chrono::milliseconds ElectionTime() const;
+  VoterPlanInput MakeInput(const std::set<HostName>& voters,
+                           const state::ControlState& state,
+                           TimePoint now) const;
   std::set<HostName> JoinedBefore(TimePoint time) const;
 
   const ControlOptions* options;
+  TimePoint started;
   std::map<HostName, Contact> contacts;
   //! The leader that made the last report; empty if that is this host.
   HostName reporter;
@@ -75,6 +91,7 @@
   TimePoint term_start;
   //! When this process first saw each host with a disk in the agreed state.
   std::map<HostName, TimePoint> joined;
+  std::set<HostName> given_up;
 };
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -117,7 +117,7 @@
                       options.self.incarnation),
       rates(options.rates),
       judge(options.quarantine),
-      voter_keeper(options),
+      voter_keeper(options, now),
       started(now),
       last_tick(now),
       running_since(now),
@@ -1291,10 +1291,13 @@
   this->voter_keeper.NoteReplies(this->log.LastReplies(), now);
   this->voter_log.NoteLost(this->voter_keeper.LostVoters(now));
   state::LogEffects log_effects;
-  if (this->HasJoiningFailed(now)) {
+  const HostName joining = this->log.Joining();
+  const milliseconds join_wait = this->voter_keeper.JoinWait(
+      joining, this->log.Voters(), this->state, this->monitor, now);
+  if (this->log.IsJoiningSilentSince(now - join_wait)) {
     // Otherwise no voter could be replaced until the host is back.
-    static_cast<void>(
-        this->log.RemoveVoter(this->log.Joining(), now, log_effects));
+    static_cast<void>(this->log.RemoveVoter(joining, now, log_effects));
+    this->voter_keeper.NoteGivenUp(joining);
   }
   const VoterPlan plan = this->voter_keeper.NextChange(
       this->log.Voters(), this->state, this->monitor, now);
@@ -1307,14 +1310,6 @@
   this->ApplyLogEffects(std::move(log_effects), now, effects);
 }
 
-bool ControlNode::HasJoiningFailed(TimePoint now) const {
-  // Replies also wait while a large state is on its way.
-  const auto limit = this->monitor.IsLive(this->log.Joining(), now)
-                         ? this->options.voter_lost
-                         : this->voter_keeper.SuccessorWait();
-  return this->log.IsJoiningSilentSince(now - limit);
-}
-
 void ControlNode::CompactLog(ControlEffects& effects, TimePoint now) {
   const LogIndex applied = this->state.Applied();
   const bool is_long =
--- a/packages/control/src/membership_plan.cc
+++ b/packages/control/src/membership_plan.cc
@@ -14,9 +14,23 @@
 //! disk as their source. Such hosts may have slow links.
 constexpr std::size_t kFeedFanOut = 4;
 
+bool IsLost(const VoterPlanInput& input, const HostName& voter) {
+  return std::any_of(input.lost.begin(), input.lost.end(),
+                     [&](const LostVoter& lost) { return lost.host == voter; });
+}
+
+//! Returns whether a voter that is not lost may take the place of one that is.
+bool HasReplacement(const VoterPlanInput& input, const LostVoter& lost) {
+  return std::any_of(
+      input.voters.begin(), input.voters.end(), [&](const HostName& voter) {
+        return !IsLost(input, voter) && !lost.not_by.contains(voter);
+      });
+}
+
 //! Returns a live host that has a disk, does not drain, is not a voter and not
-//! one of `excluded`, from the region, and then from the data centre, with the
-//! fewest voters that are not lost; an empty name if there is none.
+//! one of `excluded`, rather one that is not to be avoided, from the region,
+//! and then from the data centre, with the fewest voters that are not lost; an
+//! empty name if there is none.
 HostName PickNewVoter(const VoterPlanInput& input,
                       const std::set<HostName>& excluded,
                       const state::ControlState& state,
@@ -26,16 +40,13 @@
   std::map<DataCentreName, int> in_data_centre;
   for (const HostName& voter : input.voters) {
     const auto host = state.Hosts().find(voter);
-    const bool is_lost =
-        std::any_of(input.lost.begin(), input.lost.end(),
-                    [&](const LostVoter& lost) { return lost.host == voter; });
-    if (host != state.Hosts().end() && !is_lost) {
+    if (host != state.Hosts().end() && !IsLost(input, voter)) {
       in_region[host->second.region] += 1;
       in_data_centre[host->second.data_centre] += 1;
     }
   }
   HostName best;
-  std::tuple<int, int> fewest;
+  std::tuple<bool, int, int> fewest;
   for (const auto& [name, host] : state.Hosts()) {
     const bool is_eligible =
         host.has_disk && !host.draining && !input.voters.contains(name) &&
@@ -43,7 +54,8 @@
     if (!is_eligible) {
       continue;
     }
-    const std::tuple voter_count{in_region[host.region],
+    const std::tuple voter_count{input.avoided.contains(name),
+                                 in_region[host.region],
                                  in_data_centre[host.data_centre]};
     if (best.IsEmpty() || voter_count < fewest) {
       best = name;
@@ -120,9 +132,14 @@
   if (input.target == 0) {
     return plan;
   }
-  if (!input.lost.empty() && input.voters.size() > input.target) {
-    plan.remove = input.lost.front().host;
-    return plan;
+  if (input.voters.size() > input.target) {
+    const auto replaced = std::find_if(
+        input.lost.begin(), input.lost.end(),
+        [&](const LostVoter& lost) { return HasReplacement(input, lost); });
+    if (replaced != input.lost.end()) {
+      plan.remove = replaced->host;
+      return plan;
+    }
   }
   if (input.voters.size() < input.target) {
     plan.add = PickNewVoter(input, {}, state, monitor, now);
--- a/packages/control/src/voter_keeper.cc
+++ b/packages/control/src/voter_keeper.cc
@@ -7,7 +7,17 @@
 
 using std::chrono::milliseconds;
 
-VoterKeeper::VoterKeeper(const ControlOptions& options) : options(&options) {}
+namespace {
+
+//! Election timeouts within which a leader is usually followed by the next.
+constexpr int kElectionTimeouts = 4;
+//! Heartbeats of a new leader within which a voter that is up replies to one.
+constexpr int kHeartbeats = 3;
+
+}  // namespace
+
+VoterKeeper::VoterKeeper(const ControlOptions& options, TimePoint now)
+    : options(&options), started(now) {}
 
 void VoterKeeper::NoteHosts(const std::map<HostName, state::HostRecord>& hosts,
                             TimePoint now) {
@@ -39,10 +49,15 @@
 
 void VoterKeeper::StartTerm(TimePoint now) {
   // Nobody has listened to the other voters since the last report. The leader
-  // that made it has been silent to this host itself.
+  // that made it has been silent to this host itself, unless others led since.
+  const Duration gap = now - this->reported_at;
+  const bool is_last_leader = gap <= this->ElectionTime();
   for (auto& [host, contact] : this->contacts) {
-    if (host != this->reporter) {
-      contact.silent_since += now - this->reported_at;
+    if (!is_last_leader && contact.last_reply) {
+      *contact.last_reply += gap;
+    }
+    if (!is_last_leader || host != this->reporter) {
+      contact.silent_since += gap;
     }
   }
   this->reporter = HostName();
@@ -55,9 +70,12 @@
   std::erase_if(this->contacts, [&](const auto& entry) {
     return !replies.contains(entry.first);
   });
+  const TimePoint unheard_since =
+      std::max(this->started, this->term_start - this->ElectionTime());
   for (const auto& [host, at] : replies) {
     Contact& contact =
-        this->contacts.try_emplace(host, Contact{at, {}}).first->second;
+        this->contacts.try_emplace(host, Contact{unheard_since, {}})
+            .first->second;
     if (at > this->term_start) {
       contact = {at, at};
     }
@@ -80,6 +98,10 @@
   return silences;
 }
 
+milliseconds VoterKeeper::ElectionTime() const {
+  return kElectionTimeouts * this->options->log.election_timeout;
+}
+
 milliseconds VoterKeeper::SuccessorWait() const {
   // The other half is for the change itself.
   const milliseconds wait = this->options->catch_up / 2;
@@ -89,7 +111,7 @@
 
 std::vector<VoterSilence> VoterKeeper::LostVoters(TimePoint now) const {
   std::vector<VoterSilence> lost;
-  if (now - this->term_start < this->options->log.election_timeout) {
+  if (now - this->term_start < kHeartbeats * this->options->log.heartbeat) {
     return lost;
   }
   for (const VoterSilence& voter : this->Report(now)) {
@@ -108,11 +130,32 @@
                                   const state::ControlState& state,
                                   const HostMonitor& monitor,
                                   TimePoint now) const {
+  return PlanVoters(this->MakeInput(voters, state, now), state, monitor, now);
+}
+
+milliseconds VoterKeeper::JoinWait(const HostName& joining,
+                                   const std::set<HostName>& voters,
+                                   const state::ControlState& state,
+                                   const HostMonitor& monitor,
+                                   TimePoint now) const {
+  VoterPlanInput input = this->MakeInput(voters, state, now);
+  input.avoided.insert(joining);
+  const HostName other = PlanVoters(input, state, monitor, now).add;
+  const bool has_other = !other.IsEmpty() && !input.avoided.contains(other);
+  // Replies also wait while a large state is on its way to a live host.
+  return has_other || !monitor.IsLive(joining, now) ? this->SuccessorWait()
+                                                    : this->options->voter_lost;
+}
+
+VoterPlanInput VoterKeeper::MakeInput(const std::set<HostName>& voters,
+                                      const state::ControlState& state,
+                                      TimePoint now) const {
   VoterPlanInput input;
   input.voters = voters;
   input.target = this->options->voters != 0
                      ? this->options->voters
                      : this->options->initial_voters.size();
+  input.avoided = this->given_up;
   for (const VoterSilence& voter : this->LostVoters(now)) {
     const auto host = state.Hosts().find(voter.host);
     const bool has_drained =
@@ -125,7 +168,7 @@
     }
     input.lost.push_back(std::move(lost));
   }
-  return PlanVoters(input, state, monitor, now);
+  return input;
 }
 
 std::set<HostName> VoterKeeper::JoinedBefore(TimePoint time) const {
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -26,8 +26,8 @@
   VoterPlan Plan(std::set<HostName> voters,
                  std::vector<LostVoter> lost,
                  std::size_t target) {
-    return PlanVoters({std::move(voters), std::move(lost), target}, this->state,
-                      this->monitor, this->clock.Now());
+    return PlanVoters({std::move(voters), std::move(lost), {}, target},
+                      this->state, this->monitor, this->clock.Now());
   }
 
   ManualClock clock;
@@ -73,6 +73,23 @@
   EXPECT_TRUE(plan.remove.IsEmpty());
 }
 
+// Guards against the removal of a voter that was only cut off, in place of the
+// one for which the new voter was added.
+TEST_F(PlanVotersTest, VoterWithoutReplacementIsNotRemoved) {
+  for (const char* name : {"cut", "lost", "m1", "new"}) {
+    this->Add(name, "muscat", true);
+  }
+  const std::vector<LostVoter> lost{
+      {HostName("cut"), {HostName("m1"), HostName("lost"), HostName("new")}},
+      {HostName("lost"), {HostName("m1"), HostName("cut")}}};
+  const std::set<HostName> voters{HostName("cut"), HostName("lost"),
+                                  HostName("m1")};
+  EXPECT_EQ(this->Plan(voters, lost, 3).add, HostName("new"));
+  std::set<HostName> grown = voters;
+  grown.insert(HostName("new"));
+  EXPECT_EQ(this->Plan(grown, lost, 3).remove, HostName("lost"));
+}
+
 TEST(PlanSourcesTest, HostThatKnowsOnlySeedsFollowsThem) {
   SourceInput input;
   input.self.name = HostName("front");
--- a/packages/control/tests/voter_keeper_tests.cc
+++ b/packages/control/tests/voter_keeper_tests.cc
@@ -72,7 +72,7 @@
   LogIndex index = 0;
   std::set<HostName> voters;
   std::map<HostName, TimePoint> replies;
-  VoterKeeper keeper{options};
+  VoterKeeper keeper{options, clock.Now()};
 };
 
 TEST_F(VoterKeeperTest, HostThatJoinsWhileVoterIsSilentReplacesItSoon) {
@@ -135,7 +135,7 @@
   this->Listen(milliseconds(1'000), {this->b});
   this->Join("new");
   const TimePoint joined = this->clock.Now();
-  VoterKeeper next(this->options);
+  VoterKeeper next(this->options, this->clock.Now());
   next.NoteHosts(this->state.Hosts(), joined);
   for (int term = 0; term < 2; ++term) {
     this->Listen(this->keeper.SuccessorWait() / 4, {this->b});
@@ -156,7 +156,7 @@
 TEST_F(VoterKeeperTest, TimeInWhichNobodyListenedDoesNotCount) {
   this->StartTerm();
   this->Listen(milliseconds(5'000), {});
-  VoterKeeper next(this->options);
+  VoterKeeper next(this->options, this->clock.Now());
   next.NoteHosts(this->state.Hosts(), this->clock.Now());
   next.NoteReport(HostName("a"), this->keeper.Report(this->clock.Now()),
                   this->clock.Now());
@@ -180,6 +180,47 @@
   EXPECT_EQ(this->keeper.LostVoters(this->clock.Now()).size(), 1U);
 }
 
+// Guards against a silence that begins anew with each process, when all end at
+// the same time.
+TEST_F(VoterKeeperTest, VoterIsLostIfItIsSilentFromTheStartOfTheProcess) {
+  VoterKeeper next(this->options, this->clock.Now());
+  next.NoteHosts(this->state.Hosts(), this->clock.Now());
+  this->clock.Advance(this->keeper.SuccessorWait());
+  this->keeper = next;
+  this->StartTerm();
+  this->Listen(milliseconds(1'000), {this->b});
+  ASSERT_EQ(this->keeper.LostVoters(this->clock.Now()).size(), 1U);
+  EXPECT_EQ(this->keeper.LostVoters(this->clock.Now()).front().host, this->b);
+}
+
+// Guards against a host that catches up in vain again and again, while another
+// one could.
+TEST_F(VoterKeeperTest, HostThatWasGivenUpComesLast) {
+  this->StartTerm();
+  this->Listen(milliseconds(5'000), {});
+  this->Listen(milliseconds(1'000), {this->b});
+  this->Join("new-1");
+  this->Join("new-2");
+  this->Listen(this->keeper.SuccessorWait(), {this->b});
+  ASSERT_EQ(this->NextAdded(), HostName("new-1"));
+  const auto wait = [&](const char* joining) {
+    return this->keeper.JoinWait(HostName(joining), this->voters, this->state,
+                                 this->monitor, this->clock.Now());
+  };
+  EXPECT_EQ(wait("new-1"), this->keeper.SuccessorWait());
+  this->keeper.NoteGivenUp(HostName("new-1"));
+  EXPECT_EQ(this->NextAdded(), HostName("new-2"));
+  EXPECT_EQ(wait("new-2"), this->options.voter_lost);
+}
+
+TEST_F(VoterKeeperTest, ReporterThatNoLongerLedIsNotTakenForSilent) {
+  this->keeper.NoteReport(this->b, {}, this->clock.Now());
+  this->clock.Advance(2 * this->options.voter_lost);
+  this->StartTerm();
+  this->Listen(milliseconds(1'000), {this->b});
+  EXPECT_TRUE(this->keeper.LostVoters(this->clock.Now()).empty());
+}
+
 TEST_F(VoterKeeperTest, VoterSilentForLongestIsReplacedFirst) {
   this->StartTerm();
   this->Listen(milliseconds(5'000), {});
