control, operators: the status tells which voters are lost and how many losses are left

VoterKeeper::Health tells the voters that are lost, with their silence, the host that is joining, and LossesLeft: the voters that are not lost less a majority of all, never negative. Only a leader with a lease that has listened for an election timeout knows; otherwise it is unknown. StatusReply carries it in a new last field, absent if unknown. The JSON of GET /v1/status (tamarackwing status) has it as voter_health, and is made by a function of its own, StatusDocument, for tests; its other fields are as before.

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -154,6 +154,9 @@
   Duration TakeSlowestAppend() { return this->log.TakeSlowestAppend(); }
   Term CurrentTerm() const { return this->log.CurrentTerm(); }
   const std::set<HostName>& Voters() const { return this->log.Voters(); }
+  //! Returns how the voters stand; nullopt if this host does not lead with a
+  //! lease, or has not listened to them for long enough.
+  std::optional<VoterHealth> FindVoterHealth(TimePoint now);
   const state::OperationLedger& Ledger() const { return this->ledger; }
   //! Whether this host may serve.
   bool IsReady() const { return this->ready; }
--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <set>
 #include <vector>
 
@@ -18,6 +19,15 @@
   return 2 * (tolerated_losses + 1) + 1;
 }
 
+//! Returns how many more of the voters may be lost before those that are left
+//! are no majority of all; zero also if they are none already. Precondition:
+//! `lost` is at most `voters`.
+constexpr std::size_t LossesLeft(std::size_t voters, std::size_t lost) {
+  const std::size_t majority = voters / 2 + 1;
+  const std::size_t left = voters - lost;
+  return left > majority ? left - majority : 0;
+}
+
 //! A voter to replace.
 struct LostVoter {
   HostName host;
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -169,6 +169,17 @@
   bool is_live = false;
 };
 
+//! How the voters stand, as the leader knows it.
+struct VoterHealth {
+  //! The voters that are lost, the one silent for longest first.
+  std::vector<VoterSilence> lost;
+  //! The host that catches up before it becomes a voter; empty if there is
+  //! none.
+  HostName joining;
+  //! How many more voters may be lost before there is no majority.
+  std::uint32_t losses_left = 0;
+};
+
 //! The progress of all hosts as known to the leader.
 struct StatusReply {
   std::uint64_t number = 0;
@@ -176,6 +187,9 @@
   SetVersion version = 0;
   std::vector<HostName> voters;
   std::vector<HostProgress> hosts;
+  //! nullopt if the leader does not know, since it has no lease or has not
+  //! listened for long enough, or is of a build that does not tell.
+  std::optional<VoterHealth> voter_health;
 };
 
 //! Reports of backend servers that a control host received, for the hosts with
--- a/packages/control/include/tamarackwing/control/voter_keeper.h
+++ b/packages/control/include/tamarackwing/control/voter_keeper.h
@@ -49,6 +49,11 @@
   //! Returns the voters that have been silent for SuccessorWait, the one silent
   //! for longest first; none until there was time to reply to this leader.
   std::vector<VoterSilence> LostVoters(TimePoint now) const;
+  //! Returns how `voters` stand, of which `joining` is to become one; nullopt
+  //! until they have had the time to reply to this leader.
+  std::optional<VoterHealth> Health(const std::set<HostName>& voters,
+                                    const HostName& joining,
+                                    TimePoint now) const;
   //! Returns the next change of voters.
   VoterPlan NextChange(const std::set<HostName>& voters,
                        const state::ControlState& state,
@@ -80,6 +85,7 @@
   VoterPlanInput MakeInput(const std::set<HostName>& voters,
                            const state::ControlState& state,
                            TimePoint now) const;
+  bool HasListened(TimePoint now) const;
   std::set<HostName> JoinedBefore(TimePoint time) const;
 
   const ControlOptions* options;
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1091,6 +1091,7 @@
     reply.hosts.push_back({name, status == nullptr ? 0 : status->version,
                            this->monitor.IsLive(name, now)});
   }
+  reply.voter_health = this->FindVoterHealth(now);
   if (from == this->options.self.name) {
     effects.statuses.push_back(std::move(reply));
   } else {
@@ -1098,6 +1099,15 @@
   }
 }
 
+std::optional<VoterHealth> ControlNode::FindVoterHealth(TimePoint now) {
+  if (!this->log.HasLease(now)) {
+    return std::nullopt;
+  }
+  this->voter_keeper.NoteReplies(this->log.LastReplies(), now);
+  return this->voter_keeper.Health(this->log.Voters(), this->log.Joining(),
+                                   now);
+}
+
 void ControlNode::SendReports(TimePoint now, ControlEffects& effects) {
   this->monitor.NoteStatus(this->OwnStatus(), now);
   this->SendFeedRequest(now, effects);
--- a/packages/control/src/voter_keeper.cc
+++ b/packages/control/src/voter_keeper.cc
@@ -111,7 +111,7 @@
 
 std::vector<VoterSilence> VoterKeeper::LostVoters(TimePoint now) const {
   std::vector<VoterSilence> lost;
-  if (now - this->term_start < kHeartbeats * this->options->log.heartbeat) {
+  if (!this->HasListened(now)) {
     return lost;
   }
   for (const VoterSilence& voter : this->Report(now)) {
@@ -126,6 +126,23 @@
   return lost;
 }
 
+std::optional<VoterHealth> VoterKeeper::Health(const std::set<HostName>& voters,
+                                               const HostName& joining,
+                                               TimePoint now) const {
+  if (!this->HasListened(now)) {
+    return std::nullopt;
+  }
+  VoterHealth health;
+  health.lost = this->LostVoters(now);
+  std::erase_if(health.lost, [&](const VoterSilence& voter) {
+    return !voters.contains(voter.host);
+  });
+  health.joining = joining;
+  health.losses_left =
+      static_cast<std::uint32_t>(LossesLeft(voters.size(), health.lost.size()));
+  return health;
+}
+
 VoterPlan VoterKeeper::NextChange(const std::set<HostName>& voters,
                                   const state::ControlState& state,
                                   const HostMonitor& monitor,
@@ -171,6 +188,10 @@
   return input;
 }
 
+bool VoterKeeper::HasListened(TimePoint now) const {
+  return now - this->term_start >= kHeartbeats * this->options->log.heartbeat;
+}
+
 std::set<HostName> VoterKeeper::JoinedBefore(TimePoint time) const {
   std::set<HostName> hosts;
   for (const auto& [host, at] : this->joined) {
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -484,5 +484,28 @@
   EXPECT_GE(this->FewestLiveAt(resumed), kHosts - 1);
 }
 
+TEST(LossesLeft, AreTheVotersThatAreLeftBeyondAMajorityOfAll) {
+  EXPECT_EQ(LossesLeft(5, 0), 2U);
+  EXPECT_EQ(LossesLeft(5, 1), 1U);
+  EXPECT_EQ(LossesLeft(5, 2), 0U);
+  EXPECT_EQ(LossesLeft(6, 1), 1U);
+  EXPECT_EQ(LossesLeft(0, 0), 0U);
+  constexpr std::size_t kMaxVoters = 11;
+  for (std::size_t voters = 1; voters <= kMaxVoters; ++voters) {
+    for (std::size_t lost = 0; lost <= voters; ++lost) {
+      const std::size_t left = voters - lost;
+      const std::size_t more = LossesLeft(voters, lost);
+      const bool has_majority = 2 * left > voters;
+      ASSERT_LE(more, left);
+      EXPECT_EQ(2 * (left - more) > voters, has_majority);
+      if (has_majority) {
+        EXPECT_LE(2 * (left - more - 1), voters);
+      } else {
+        EXPECT_EQ(more, 0U);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/control/tests/voter_keeper_tests.cc
+++ b/packages/control/tests/voter_keeper_tests.cc
@@ -241,5 +241,59 @@
   EXPECT_EQ(this->keeper.SuccessorWait(), this->options.voter_lost);
 }
 
+TEST_F(VoterKeeperTest, HealthTellsWhoIsLostAndHowManyLossesAreLeft) {
+  const auto health = [this] {
+    return this->keeper.Health(this->voters, HostName("new"), this->clock.Now())
+        .value();
+  };
+  this->StartTerm();
+  this->Listen(milliseconds(5'000), {});
+  EXPECT_TRUE(health().lost.empty());
+  EXPECT_EQ(health().losses_left, 2U);
+  EXPECT_EQ(health().joining, HostName("new"));
+  this->Listen(this->keeper.SuccessorWait(), {this->b});
+  ASSERT_EQ(health().lost.size(), 1U);
+  EXPECT_EQ(health().lost.front().host, this->b);
+  EXPECT_EQ(health().lost.front().silence, this->keeper.SuccessorWait());
+  EXPECT_EQ(health().losses_left, 1U);
+  this->Listen(this->keeper.SuccessorWait(), {this->b, HostName("d")});
+  ASSERT_EQ(health().lost.size(), 2U);
+  EXPECT_EQ(health().lost.front().host, this->b);
+  EXPECT_EQ(health().losses_left, 0U);
+  this->Listen(this->keeper.SuccessorWait(),
+               {this->b, HostName("c"), HostName("d")});
+  EXPECT_EQ(health().lost.size(), 3U);
+  EXPECT_EQ(health().losses_left, 0U);
+  this->Listen(milliseconds(100), {HostName("d")});
+  ASSERT_EQ(health().lost.size(), 1U);
+  EXPECT_EQ(health().lost.front().host, HostName("d"));
+  EXPECT_EQ(health().losses_left, 1U);
+}
+
+TEST_F(VoterKeeperTest, LostHostThatIsNoVoterAnyMoreDoesNotCount) {
+  this->StartTerm();
+  this->Listen(milliseconds(5'000), {});
+  this->Listen(this->keeper.SuccessorWait(), {this->b});
+  this->voters.erase(this->b);
+  this->voters.insert(HostName("new"));
+  const std::optional<VoterHealth> health =
+      this->keeper.Health(this->voters, HostName(), this->clock.Now());
+  ASSERT_TRUE(health);
+  EXPECT_TRUE(health->lost.empty());
+  EXPECT_EQ(health->losses_left, 2U);
+}
+
+// Guards against a new leader that reports all voters as well before it has
+// heard any.
+TEST_F(VoterKeeperTest, HealthIsUnknownBeforeThereWasTimeToReply) {
+  this->StartTerm();
+  this->Listen(this->options.log.election_timeout - milliseconds(100),
+               {this->b});
+  EXPECT_FALSE(
+      this->keeper.Health(this->voters, HostName(), this->clock.Now()));
+  this->Listen(milliseconds(100), {this->b});
+  EXPECT_TRUE(this->keeper.Health(this->voters, HostName(), this->clock.Now()));
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -304,6 +304,14 @@
   version @2 :UInt64;
   voters @3 :List(Text);
   hosts @4 :List(HostProgress);
+  # Absent if the leader does not know, or is of a build that does not tell.
+  voterHealth @5 :VoterHealth;
+}
+
+struct VoterHealth {
+  lost @0 :List(VoterSilence);
+  joining @1 :Text;
+  lossesLeft @2 :UInt32;
 }
 
 struct RateDemand {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -61,6 +61,7 @@
 CAPNP_DECLARE_SCHEMA(a40b44560d9320af);
 CAPNP_DECLARE_SCHEMA(dca475e2f5e15253);
 CAPNP_DECLARE_SCHEMA(a40492e39665d6aa);
+CAPNP_DECLARE_SCHEMA(8d986fbe066cd9d1);
 CAPNP_DECLARE_SCHEMA(c6f2cc3b9c4e0e36);
 CAPNP_DECLARE_SCHEMA(cb4e76993b91987f);
 CAPNP_DECLARE_SCHEMA(a21119767f86ed6f);
@@ -719,7 +720,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a40492e39665d6aa, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a40492e39665d6aa, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VoterHealth {
+  VoterHealth() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8d986fbe066cd9d1, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5193,6 +5209,9 @@
   inline bool hasHosts() const;
   inline  ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
 
+  inline bool hasVoterHealth() const;
+  inline  ::tamarackwing::hosts::wire::VoterHealth::Reader getVoterHealth() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5249,6 +5268,13 @@
   inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::HostProgress,  ::capnp::Kind::STRUCT>> disownHosts();
 
+  inline bool hasVoterHealth();
+  inline  ::tamarackwing::hosts::wire::VoterHealth::Builder getVoterHealth();
+  inline void setVoterHealth( ::tamarackwing::hosts::wire::VoterHealth::Reader value);
+  inline  ::tamarackwing::hosts::wire::VoterHealth::Builder initVoterHealth();
+  inline void adoptVoterHealth(::capnp::Orphan< ::tamarackwing::hosts::wire::VoterHealth>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoterHealth> disownVoterHealth();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5267,6 +5293,103 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::tamarackwing::hosts::wire::VoterHealth::Pipeline getVoterHealth();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class VoterHealth::Reader {
+public:
+  typedef VoterHealth Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLost() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader getLost() const;
+
+  inline bool hasJoining() const;
+  inline  ::capnp::Text::Reader getJoining() const;
+
+  inline  ::uint32_t getLossesLeft() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VoterHealth::Builder {
+public:
+  typedef VoterHealth Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLost();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder getLost();
+  inline void setLost( ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder initLost(unsigned int size);
+  inline void adoptLost(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>> disownLost();
+
+  inline bool hasJoining();
+  inline  ::capnp::Text::Builder getJoining();
+  inline void setJoining( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJoining(unsigned int size);
+  inline void adoptJoining(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJoining();
+
+  inline  ::uint32_t getLossesLeft();
+  inline void setLossesLeft( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VoterHealth::Pipeline {
+public:
+  typedef VoterHealth Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -11545,6 +11668,127 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool StatusReply::Reader::hasVoterHealth() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool StatusReply::Builder::hasVoterHealth() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::VoterHealth::Reader StatusReply::Reader::getVoterHealth() const {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoterHealth>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::VoterHealth::Builder StatusReply::Builder::getVoterHealth() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoterHealth>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::tamarackwing::hosts::wire::VoterHealth::Pipeline StatusReply::Pipeline::getVoterHealth() {
+  return  ::tamarackwing::hosts::wire::VoterHealth::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void StatusReply::Builder::setVoterHealth( ::tamarackwing::hosts::wire::VoterHealth::Reader value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoterHealth>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::VoterHealth::Builder StatusReply::Builder::initVoterHealth() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoterHealth>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StatusReply::Builder::adoptVoterHealth(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::VoterHealth>&& value) {
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoterHealth>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::VoterHealth> StatusReply::Builder::disownVoterHealth() {
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::VoterHealth>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool VoterHealth::Reader::hasLost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VoterHealth::Builder::hasLost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader VoterHealth::Reader::getLost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder VoterHealth::Builder::getLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VoterHealth::Builder::setLost( ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>::Builder VoterHealth::Builder::initLost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VoterHealth::Builder::adoptLost(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>> VoterHealth::Builder::disownLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::VoterSilence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VoterHealth::Reader::hasJoining() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool VoterHealth::Builder::hasJoining() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VoterHealth::Reader::getJoining() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VoterHealth::Builder::getJoining() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void VoterHealth::Builder::setJoining( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VoterHealth::Builder::initJoining(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void VoterHealth::Builder::adoptJoining(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VoterHealth::Builder::disownJoining() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t VoterHealth::Reader::getLossesLeft() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t VoterHealth::Builder::getLossesLeft() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VoterHealth::Builder::setLossesLeft( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RateDemand::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -594,6 +594,14 @@
       hosts[i].setVersion(value.hosts[i].version);
       hosts[i].setIsLive(value.hosts[i].is_live);
     }
+    if (value.voter_health) {
+      const control::VoterHealth& from = *value.voter_health;
+      auto health = to.initVoterHealth();
+      WriteList(from.lost,
+                health.initLost(static_cast<unsigned>(from.lost.size())));
+      health.setJoining(ToText(from.joining.Text()));
+      health.setLossesLeft(from.losses_left);
+    }
   }
   void operator()(const policy::RateReport& value) {
     auto to = this->out.initRateReport();
@@ -789,6 +797,15 @@
     reply.hosts.push_back({HostName(ToString(host.getHost())),
                            host.getVersion(), host.getIsLive()});
   }
+  if (in.hasVoterHealth()) {
+    const auto from = in.getVoterHealth();
+    control::VoterHealth& health = reply.voter_health.emplace();
+    for (const auto voter : from.getLost()) {
+      health.lost.push_back(Read(voter));
+    }
+    health.joining = HostName(ToString(from.getJoining()));
+    health.losses_left = from.getLossesLeft();
+  }
   return reply;
 }
 
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -409,5 +409,54 @@
   EXPECT_LE(most_turns_without_tick, kMaxTurnsWithoutTick);
 }
 
+TEST(PeerNetwork, StatusReplyArrivesWithAndWithoutVoterHealth) {
+  control::StatusReply known;
+  known.number = 1;
+  known.voters = {kFirst, kSecond};
+  control::VoterHealth& health = known.voter_health.emplace();
+  health.lost = {{kFirst, milliseconds(4'000), milliseconds(5'000)},
+                 {kSecond, milliseconds(3'000), {}}};
+  health.joining = HostName("third");
+  health.losses_left = 1;
+  control::StatusReply unknown;
+  unknown.number = 2;
+  std::promise<void> done;
+  std::vector<control::StatusReply> arrived;
+  TestPeer second(
+      kSecond, kSecondAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
+        arrived.push_back(std::get<control::StatusReply>(message));
+        if (arrived.size() == 2) {
+          done.set_value();
+        }
+      });
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [](PeerNetwork&, const HostName&, const control::PeerMessage&) {});
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
+    first.Network().Send(kSecond, known);
+    first.Network().Send(kSecond, unknown);
+  });
+  ASSERT_EQ(done.get_future().wait_for(kLong), std::future_status::ready);
+  std::sort(
+      arrived.begin(), arrived.end(),
+      [](const control::StatusReply& left, const control::StatusReply& right) {
+        return left.number < right.number;
+      });
+  ASSERT_TRUE(arrived[0].voter_health);
+  const control::VoterHealth& read = *arrived[0].voter_health;
+  ASSERT_EQ(read.lost.size(), 2U);
+  EXPECT_EQ(read.lost[0].host, kFirst);
+  EXPECT_EQ(read.lost[0].silence, milliseconds(4'000));
+  EXPECT_EQ(read.lost[0].reply_age, milliseconds(5'000));
+  EXPECT_EQ(read.lost[1].host, kSecond);
+  EXPECT_EQ(read.lost[1].silence, milliseconds(3'000));
+  EXPECT_FALSE(read.lost[1].reply_age);
+  EXPECT_EQ(read.joining, HostName("third"));
+  EXPECT_EQ(read.losses_left, 1U);
+  EXPECT_FALSE(arrived[1].voter_health);
+}
+
 }  // namespace
 }  // namespace tamarackwing::hosts
--- a/packages/operators/src/operator_listener.cc
+++ b/packages/operators/src/operator_listener.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "set_document.h"
+#include "status_document.h"
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/http/handoff.h"
 #include "tamarackwing/operators/operator_service.h"
@@ -257,25 +258,8 @@
   const auto result = co_await handoff->Wait(std::chrono::steady_clock::now() +
                                              kLeaderReplyTimeout);
   const auto snapshot = this->service.Snapshot();
-  ordered_json body;
-  body["here"]["version"] = snapshot->version;
-  body["here"]["applied"] = snapshot->applied;
-  body["here"]["ready"] = snapshot->ready;
-  body["leader"] = nullptr;
-  if (result && *result) {
-    const control::StatusReply& status = **result;
-    body["leader"] = status.leader.Text();
-    body["version"] = status.version;
-    for (const HostName& voter : status.voters) {
-      body["voters"].push_back(voter.Text());
-    }
-    for (const control::HostProgress& host : status.hosts) {
-      body["hosts"].push_back({{"name", host.host.Text()},
-                               {"version", host.version},
-                               {"live", host.is_live}});
-    }
-  }
-  co_return JsonResponse(kOk, body);
+  co_return JsonResponse(
+      kOk, StatusDocument(*snapshot, result ? *result : std::nullopt));
 }
 
 http::Response OperatorListener::ShowSet() {
