tamarackwingd: metrics of lost voters and of the losses that are left

Now hosts with disks report tamarackwing_voters, and the leader, while it has a lease and has listened for an election timeout, tamarackwing_voters_lost and tamarackwing_voter_losses_left. Metrics::Remove is new: a host that no longer leads would otherwise go on reporting what it last knew.

--- a/packages/base/include/tamarackwing/base/metrics.h
+++ b/packages/base/include/tamarackwing/base/metrics.h
@@ -22,6 +22,8 @@
   void Count(const std::string& name, std::uint64_t by = 1);
   //! Sets a gauge. Precondition: `name` is a valid metric name.
   void Set(const std::string& name, double value);
+  //! Removes a gauge, if there is one, until it is set again.
+  void Remove(const std::string& name);
   //! Records one latency, rendered in seconds. Precondition: `name` is a valid
   //! metric name.
   void Record(const std::string& name, std::chrono::nanoseconds latency);
--- a/packages/base/src/metrics.cc
+++ b/packages/base/src/metrics.cc
@@ -40,6 +40,11 @@
   this->gauges[name] = value;
 }
 
+void Metrics::Remove(const std::string& name) {
+  const std::lock_guard lock(this->mutex);
+  this->gauges.erase(name);
+}
+
 void Metrics::Record(const std::string& name,
                      std::chrono::nanoseconds latency) {
   const std::lock_guard lock(this->mutex);
--- a/packages/base/tests/base_tests.cc
+++ b/packages/base/tests/base_tests.cc
@@ -75,5 +75,17 @@
   EXPECT_NE(text.find("first_byte_seconds_count 1"), std::string::npos);
 }
 
+// Guards against a value that its host no longer knows and still reports.
+TEST(Metrics, RemovedGaugeIsNotRenderedUntilItIsSetAgain) {
+  Metrics metrics;
+  metrics.Remove("voters_lost");
+  metrics.Set("voters_lost", 2);
+  metrics.Set("voters", 5);
+  metrics.Remove("voters_lost");
+  EXPECT_EQ(metrics.Render(), "voters 5\n");
+  metrics.Set("voters_lost", 1);
+  EXPECT_EQ(metrics.Render(), "voters 5\nvoters_lost 1\n");
+}
+
 }  // namespace
 }  // namespace tamarackwing
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -872,6 +872,9 @@
   metrics.Set("tamarackwing_ledger_operations",
               static_cast<double>(this->node->Ledger().Size()));
   const TimePoint now = this->dependencies.clock.Now();
+  if (this->disk != nullptr) {
+    this->PublishVoterMetrics(now);
+  }
   if (now >= this->traffic_metrics_at) {
     this->traffic_metrics_at = now + kTrafficMetricsInterval;
     this->PublishTrafficMetrics();
@@ -882,6 +885,22 @@
   }
 }
 
+void ControlThread::PublishVoterMetrics(TimePoint now) {
+  Metrics& metrics = this->dependencies.metrics;
+  metrics.Set("tamarackwing_voters",
+              static_cast<double>(this->node->Voters().size()));
+  if (const auto health = this->node->FindVoterHealth(now)) {
+    metrics.Set("tamarackwing_voters_lost",
+                static_cast<double>(health->lost.size()));
+    metrics.Set("tamarackwing_voter_losses_left",
+                static_cast<double>(health->losses_left));
+  } else {
+    // The values of an earlier leader would hide those of the present one.
+    metrics.Remove("tamarackwing_voters_lost");
+    metrics.Remove("tamarackwing_voter_losses_left");
+  }
+}
+
 void ControlThread::LogLoad() {
   const hosts::SentTraffic unanswered = this->network->Unanswered();
   this->load.NoteAppend(this->node->TakeSlowestAppend());
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -182,6 +182,7 @@
   void ProbeRegions();
   void PublishSnapshot();
   void PublishMetrics();
+  void PublishVoterMetrics(TimePoint now);
   void PublishTrafficMetrics();
   //! Logs what was sent since the last call, if it was much.
   void LogTraffic();
--- a/tests/cluster_tests.cc
+++ b/tests/cluster_tests.cc
@@ -2,6 +2,9 @@
 
 #include <array>
 #include <future>
+#include <map>
+#include <optional>
+#include <sstream>
 #include <vector>
 
 #include "tamarackwing/base/digest.h"
@@ -103,6 +106,28 @@
     return serves && !refused;
   }
 
+  //! Returns the values of a gauge on the running hosts that report it.
+  std::map<std::size_t, std::string> Reported(const std::string& gauge) {
+    std::map<std::size_t, std::string> values;
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+      if (!this->hosts[i]) {
+        continue;
+      }
+      http::Request request;
+      request.head.method = "GET";
+      request.head.target = "/metrics";
+      request.head.headers.Add("Host", "gateway");
+      std::istringstream lines(this->Send(i, std::move(request)).body);
+      std::string line;
+      while (std::getline(lines, line)) {
+        if (line.starts_with(gauge + " ")) {
+          values[i] = line.substr(gauge.size() + 1);
+        }
+      }
+    }
+    return values;
+  }
+
   CallResult Send(std::size_t host, http::Request request) {
     const daemon::Settings settings =
         ClusterSettings(host, kPort, this->folders[host].Path());
@@ -187,6 +212,41 @@
   EXPECT_TRUE(this->ServesAfterStart(1));
 }
 
+// Guards against a loss of voters that on-call see only once no majority is
+// left.
+TEST_F(ClusterTest, OperatorsSeeThatNoFurtherVoterMayBeLost) {
+  const std::string losses_left = "tamarackwing_voter_losses_left";
+  ASSERT_TRUE(WaitFor([&] {
+    const auto reported = this->Reported(losses_left);
+    return reported.size() == 1 && reported.begin()->second == "1";
+  }));
+  const std::size_t leader = this->Reported(losses_left).begin()->first;
+  const std::size_t lost = (leader + 1) % this->hosts.size();
+  const std::size_t other = (leader + 2) % this->hosts.size();
+  this->hosts[lost].reset();
+  EXPECT_TRUE(WaitFor([&] {
+    const auto reported = this->Reported(losses_left);
+    return reported.size() == 1 && reported.begin()->second == "0";
+  }));
+  const auto lost_voters = this->Reported("tamarackwing_voters_lost");
+  ASSERT_EQ(lost_voters.size(), 1U);
+  EXPECT_EQ(lost_voters.begin()->second, "1");
+  for (const auto& [host, voters] : this->Reported("tamarackwing_voters")) {
+    EXPECT_EQ(voters, "3") << host;
+  }
+  std::promise<std::optional<control::StatusReply>> status;
+  this->hosts[other]->Operators().Status(
+      [&](std::optional<control::StatusReply> reply) {
+        status.set_value(std::move(reply));
+      });
+  const std::optional<control::StatusReply> reply = status.get_future().get();
+  ASSERT_TRUE(reply && reply->voter_health);
+  ASSERT_EQ(reply->voter_health->lost.size(), 1U);
+  EXPECT_EQ(reply->voter_health->lost.front().host,
+            ClusterSettings(lost, kPort, "").gateway.host);
+  EXPECT_EQ(reply->voter_health->losses_left, 0U);
+}
+
 TEST_F(ClusterTest, HostThatWasOrderedToDrainRefuses) {
   this->hosts[1]->Operators().Change(
       state::DrainHost{HostName("sohar-1"), true},
