--- a/packages/control/tests/voter_replacement_tests.cc
+++ b/packages/control/tests/voter_replacement_tests.cc
@@ -5,24 +5,17 @@
 
 #include <algorithm>
 
-#include "control_cluster.h"
-#include "tamarackwing/control/membership_plan.h"
+#include "replacement_site.h"
 
 namespace tamarackwing::control {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kOneWay{80};
-constexpr milliseconds kStartLimit{30'000};
-//! Time from the loss of a host to the start of the one that takes its place.
-constexpr milliseconds kSuccessorAfter{1'000};
-//! Time from then on after which the next losses must be borne.
-constexpr milliseconds kCatchUp{4'000};
-//! Time in which operators expect an acknowledgement, and to read it back after
-//! a loss of power.
-constexpr milliseconds kAcknowledgeLimit{8'000};
-constexpr milliseconds kReadLimit{6'000};
+//! How often hosts are lost or replaced.
+constexpr int kRounds = 5;
+//! How long all processes are gone that end at once.
+constexpr milliseconds kProcessesGone{1'000};
 
 //! Which hosts are lost first.
 enum class Order { kLeaderFirst, kLeaderLast, kLeaderEachTime };
@@ -38,75 +31,23 @@
        << static_cast<int>(which.order);
 }
 
-//! Three regions with as many hosts with disks as there are to be voters, and
-//! an entry host each.
-std::vector<state::HostRecord> HostsFor(std::size_t tolerated) {
-  const std::size_t per_region = (VotersFor(tolerated) + 2) / 3;
-  std::vector<state::HostRecord> hosts =
-      HostsOf({"muscat", "salalah", "sohar"}, per_region, 1);
-  while (hosts.size() > VotersFor(tolerated) + 3) {
-    hosts.erase(std::find_if(
-        hosts.begin(), hosts.end(), [](const state::HostRecord& host) {
-          return host.has_disk && host.region == RegionName("sohar");
-        }));
-  }
-  return hosts;
-}
-
 class VoterReplacementTest : public testing::TestWithParam<Case> {
  protected:
-  void SetUp() override {
-    ASSERT_TRUE(this->cluster.RunUntil([&] { return this->cluster.AllReady(); },
-                                       kStartLimit));
-    ASSERT_TRUE(this->cluster.RunUntil(
-        [&] {
-          return this->Voters().size() == VotersFor(GetParam().tolerated);
-        },
-        kStartLimit));
-    this->cluster.Run(milliseconds(1'000));
-  }
-
-  std::set<HostName> Voters() {
-    const HostName leader = this->cluster.Leader();
-    return leader.IsEmpty() ? std::set<HostName>()
-                            : this->cluster.Node(leader).Voters();
-  }
-
-  //! Replaces the set and returns whether that was acknowledged in time.
-  bool Replace() {
-    state::ReplaceSet change;
-    change.number = ++this->set_number;
-    change.document = "document " + std::to_string(change.number);
-    const HostName host("muscat-103");
-    const HostName at = this->cluster.IsUp(host) ? host : this->AnyEntryHost();
-    const std::uint64_t id = this->cluster.Change(at, change);
-    return this->cluster
-        .RunUntil([&] { return this->cluster.Outcome(at, id).has_value(); },
-                  kAcknowledgeLimit)
-        .has_value();
-  }
-
-  HostName AnyEntryHost() const {
-    for (const state::HostRecord& host : this->first_hosts) {
-      if (host.IsEntryHost()) {
-        return host.name;
-      }
-    }
-    return {};
-  }
+  void SetUp() override { ASSERT_TRUE(this->site.Start()); }
 
   //! Returns the next host to lose: one of the first hosts while there are any,
   //! or whoever leads.
   HostName NextLost() {
-    const HostName leader = this->cluster.Leader();
+    const HostName leader = this->site.cluster.Leader();
     const Order order = GetParam().order;
-    const bool takes_leader = order == Order::kLeaderEachTime ||
-                              (order == Order::kLeaderFirst && this->lost == 0);
+    const bool takes_leader =
+        order == Order::kLeaderEachTime ||
+        (order == Order::kLeaderFirst && this->site.lost == 0);
     if (takes_leader && !leader.IsEmpty()) {
       return leader;
     }
     for (const state::HostRecord& host : this->first_hosts) {
-      if (host.has_disk && this->cluster.IsUp(host.name) &&
+      if (host.has_disk && this->site.cluster.IsUp(host.name) &&
           host.name != leader) {
         return host.name;
       }
@@ -114,99 +55,77 @@
     return leader;
   }
 
-  //! Loses as many hosts as may be lost at once and starts their successors.
-  void LoseAndReplace() {
+  //! Loses as many hosts as may be lost at once. Returns their successors.
+  std::vector<state::HostRecord> Lose() {
     std::vector<state::HostRecord> successors;
     for (std::size_t i = 0; i < GetParam().tolerated; ++i) {
       const HostName host = this->NextLost();
-      if (host.IsEmpty()) {
-        continue;
+      if (!host.IsEmpty()) {
+        successors.push_back(this->site.Lose(host));
       }
-      state::HostRecord successor = this->RecordOf(host);
-      this->cluster.Crash(host);
-      this->lost += 1;
-      successor.name =
-          HostName(successor.region.Text() + "-" + std::to_string(200 + lost));
-      successors.push_back(successor);
-    }
-    this->cluster.Run(kSuccessorAfter);
-    this->NameSeeds();
-    for (const state::HostRecord& successor : successors) {
-      this->records.push_back(successor);
-      this->cluster.Add(successor);
     }
-    this->cluster.Run(kCatchUp);
+    return successors;
   }
 
-  //! Names hosts that are up as the seeds of those that start from now on.
-  void NameSeeds() {
-    constexpr std::size_t kSeeds = 3;
-    std::set<HostName> seeds;
-    for (const state::HostRecord& host : this->records) {
-      if (host.has_disk && this->cluster.IsUp(host.name) &&
-          seeds.size() < kSeeds) {
-        seeds.insert(host.name);
-      }
-    }
-    this->cluster.SetSeeds(seeds);
+  //! Loses as many hosts as may be lost at once and starts their successors.
+  void LoseAndReplace() {
+    const std::vector<state::HostRecord> successors = this->Lose();
+    this->site.cluster.Run(kSuccessorAfter);
+    this->site.StartSuccessors(successors);
+    this->site.cluster.Run(kCatchUp);
   }
 
-  state::HostRecord RecordOf(const HostName& name) const {
-    return *std::find_if(
-        this->records.begin(), this->records.end(),
-        [&](const state::HostRecord& host) { return host.name == name; });
+  //! Starts a successor of the next host, which then drains and ends.
+  void ReplaceAsPlanned() {
+    const HostName leaving = this->NextLost();
+    this->site.StartSuccessors({this->site.SuccessorOf(leaving)});
+    this->site.cluster.Run(milliseconds(1'000));
+    this->site.cluster.Node(leaving).StartDrain();
+    this->site.cluster.Run(milliseconds(3'000));
+    this->site.Lose(leaving);
+    this->site.cluster.Run(milliseconds(5'000));
   }
 
-  //! Returns whether every running host has the newest set and recent leader
-  //! contact.
-  bool IsReadable() {
-    const std::vector<HostName> names = this->cluster.Names();
-    return std::all_of(names.begin(), names.end(), [&](const HostName& host) {
-      return !this->cluster.IsUp(host) ||
-             (this->cluster.Now() -
-                      this->cluster.SnapshotOf(host)->leader_contact <
-                  std::chrono::seconds(4) &&
-              this->cluster.Node(host).State().SetNumber() == this->set_number);
-    });
+  //! Expects a set to be acknowledged, and to be read after a loss of power.
+  void ExpectMajorityRemains() {
+    ASSERT_TRUE(this->site.Replace()) << this->site.Describe();
+    this->site.NameSeeds();
+    const std::vector<HostName> up = this->site.CrashAll();
+    this->site.cluster.Run(kProcessesGone);
+    this->site.RestartAll(up);
+    EXPECT_TRUE(this->site.cluster.RunUntil(
+        [&] { return this->site.IsReadable(); }, kReadLimit))
+        << this->site.Describe();
+    EXPECT_TRUE(this->site.cluster.Violations().empty());
   }
 
   std::vector<state::HostRecord> first_hosts = HostsFor(GetParam().tolerated);
-  std::vector<state::HostRecord> records = first_hosts;
-  ControlCluster cluster{
+  ReplacementSite site{
       first_hosts,
       {HostName("muscat-100"), HostName("salalah-100"), HostName("sohar-101")},
-      kOneWay,
-      VotersFor(GetParam().tolerated)};
-  std::size_t lost = 0;
-  std::uint64_t set_number = 0;
+      GetParam().tolerated};
 };
 
 //! Guards against a configuration that nobody can read or change any more: the
 //! voters that are gone, and still count, become a majority.
 TEST_P(VoterReplacementTest, MajorityRemainsWhileHostsAreLostInTurn) {
-  constexpr int kRounds = 5;
-  ASSERT_TRUE(this->Replace());
+  ASSERT_TRUE(this->site.Replace());
   for (int i = 0; i < kRounds; ++i) {
     this->LoseAndReplace();
   }
-  ASSERT_TRUE(this->Replace());
-  this->NameSeeds();
-  std::vector<HostName> up;
-  for (const HostName& host : this->cluster.Names()) {
-    if (this->cluster.IsUp(host)) {
-      up.push_back(host);
-    }
-  }
-  for (const HostName& host : up) {
-    this->cluster.Crash(host);
-  }
-  this->cluster.Run(milliseconds(1'000));
-  for (const HostName& host : up) {
-    this->cluster.Restart(host);
+  this->ExpectMajorityRemains();
+}
+
+//! Guards against voters that still count after they have drained and ended,
+//! and become a majority with those that are lost next.
+TEST_P(VoterReplacementTest, MajorityRemainsWhileHostsAreReplacedAsPlanned) {
+  ASSERT_TRUE(this->site.Replace());
+  for (int i = 0; i < kRounds; ++i) {
+    this->ReplaceAsPlanned();
   }
-  EXPECT_TRUE(
-      this->cluster.RunUntil([&] { return this->IsReadable(); }, kReadLimit));
-  EXPECT_TRUE(this->cluster.Violations().empty());
+  // The losses that must be borne now.
+  this->LoseAndReplace();
+  this->ExpectMajorityRemains();
 }
 
 INSTANTIATE_TEST_SUITE_P(Orders,
@@ -218,5 +137,47 @@
                                          Case{2, Order::kLeaderLast},
                                          Case{2, Order::kLeaderEachTime}));
 
+//! How long after its start the first successor falls silent.
+class VoterReplacementBySecondTest
+    : public testing::TestWithParam<milliseconds> {};
+
+//! Guards against a replacement that waits for a successor which has fallen
+//! silent itself, beyond the time in which the next successor is to have caught
+//! up.
+TEST_P(VoterReplacementBySecondTest, SilentSuccessorBlocksNoReplacement) {
+  // Both are lost at once, which two tolerated losses cover.
+  const std::vector<state::HostRecord> hosts = HostsFor(2);
+  ReplacementSite site(hosts, FirstWithDisks(hosts), 2);
+  ASSERT_TRUE(site.Start());
+  ASSERT_TRUE(site.Replace());
+  const std::vector<HostName> voters = site.Holders(2);
+  ASSERT_EQ(voters.size(), 2U);
+  const state::HostRecord first = site.Lose(voters.back());
+  site.cluster.Run(kSuccessorAfter);
+  site.StartSuccessors({first});
+  site.cluster.Run(GetParam());
+  const state::HostRecord second = site.Lose(first.name);
+  site.cluster.Run(kSuccessorAfter);
+  site.StartSuccessors({second});
+  site.cluster.Run(kCatchUp);
+  EXPECT_TRUE(site.GoneVoters().empty()) << site.Describe();
+  EXPECT_TRUE(site.Voters().contains(second.name)) << site.Describe();
+  EXPECT_TRUE(site.Replace());
+  EXPECT_TRUE(site.cluster.Violations().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments,
+                         VoterReplacementBySecondTest,
+                         testing::Values(milliseconds(300),
+                                         milliseconds(600),
+                                         milliseconds(900),
+                                         milliseconds(1'100),
+                                         milliseconds(1'200),
+                                         milliseconds(1'300),
+                                         milliseconds(1'400),
+                                         milliseconds(1'500),
+                                         milliseconds(1'700),
+                                         milliseconds(2'000)));
+
 }  // namespace
 }  // namespace tamarackwing::control
