tests: all processes that end between a loss and the replacement leave no majority

The restarted processes do not know how long the lost voters have been silent, elect a leader about 2 s after their start, and count from then on, so lost voters are replaced 4.75 to 5.75 s after that start (CatchUpS is 4 s).

--- a/packages/control/tests/voter_replacement_tests.cc
+++ b/packages/control/tests/voter_replacement_tests.cc
@@ -75,6 +75,33 @@
     this->site.cluster.Run(kCatchUp);
   }
 
+  //! Ends all processes and starts them again.
+  void EndAll() {
+    this->site.NameSeeds();
+    const std::vector<HostName> up = this->site.CrashAll();
+    this->site.cluster.Run(kProcessesGone);
+    this->site.RestartAll(up);
+  }
+
+  //! As LoseAndReplace; all processes end before the successors start.
+  void LoseAndEndAllBeforeSuccessors() {
+    const std::vector<state::HostRecord> successors = this->Lose();
+    this->site.cluster.Run(kSuccessorAfter / 2);
+    this->EndAll();
+    this->site.StartSuccessors(successors);
+    this->site.cluster.Run(kCatchUp);
+  }
+
+  //! As LoseAndReplace; all processes end after the successors have joined.
+  void LoseAndEndAllWithSuccessors() {
+    const std::vector<state::HostRecord> successors = this->Lose();
+    this->site.cluster.Run(kSuccessorAfter);
+    this->site.StartSuccessors(successors);
+    this->site.cluster.Run(milliseconds(700));
+    this->EndAll();
+    this->site.cluster.Run(kCatchUp);
+  }
+
   //! Starts a successor of the next host, which then drains and ends.
   void ReplaceAsPlanned() {
     const HostName leaving = this->NextLost();
@@ -116,6 +143,47 @@
   this->ExpectMajorityRemains();
 }
 
+//! Guards against a silence that no process remembers: all end after the
+//! losses, before the successors start, and the lost voters still count when
+//! the next ones are lost.
+TEST_P(VoterReplacementTest, MajorityRemainsAlthoughAllEndBeforeSuccessors) {
+  ASSERT_TRUE(this->site.Replace());
+  this->LoseAndEndAllBeforeSuccessors();
+  for (int i = 1; i < kRounds; ++i) {
+    this->LoseAndReplace();
+  }
+  this->ExpectMajorityRemains();
+}
+
+//! As before, and all end after each of the losses.
+TEST_P(VoterReplacementTest, MajorityRemainsAlthoughAllEndEachTime) {
+  ASSERT_TRUE(this->site.Replace());
+  for (int i = 0; i < kRounds; ++i) {
+    this->LoseAndEndAllBeforeSuccessors();
+  }
+  this->ExpectMajorityRemains();
+}
+
+//! Guards against successors that are not taken for such any more: they joined
+//! before all processes ended.
+TEST_P(VoterReplacementTest, MajorityRemainsAlthoughAllEndWithSuccessors) {
+  ASSERT_TRUE(this->site.Replace());
+  this->LoseAndEndAllWithSuccessors();
+  for (int i = 1; i < kRounds; ++i) {
+    this->LoseAndReplace();
+  }
+  this->ExpectMajorityRemains();
+}
+
+//! As before, and all end after each of the losses.
+TEST_P(VoterReplacementTest, MajorityRemainsAlthoughAllEndEachTimeWithThem) {
+  ASSERT_TRUE(this->site.Replace());
+  for (int i = 0; i < kRounds; ++i) {
+    this->LoseAndEndAllWithSuccessors();
+  }
+  this->ExpectMajorityRemains();
+}
+
 //! Guards against voters that still count after they have drained and ended,
 //! and become a majority with those that are lost next.
 TEST_P(VoterReplacementTest, MajorityRemainsWhileHostsAreReplacedAsPlanned) {
@@ -128,6 +196,24 @@
   this->ExpectMajorityRemains();
 }
 
+//! Guards against a voter that has drained and ended, and still counts when the
+//! next losses must be borne: its successor started long before.
+TEST_P(VoterReplacementTest, NoVoterRemainsThatHasEndedAsPlanned) {
+  ASSERT_TRUE(this->site.Replace());
+  for (int i = 0; i < kRounds; ++i) {
+    this->ReplaceAsPlanned();
+    EXPECT_TRUE(this->site.GoneVoters().empty()) << this->site.Describe();
+  }
+}
+
+//! Guards against lost voters that still count when the next losses must be
+//! borne, because all processes ended before the successors started.
+TEST_P(VoterReplacementTest, NoVoterRemainsThatWasLostBeforeAllEnded) {
+  ASSERT_TRUE(this->site.Replace());
+  this->LoseAndEndAllBeforeSuccessors();
+  EXPECT_TRUE(this->site.GoneVoters().empty()) << this->site.Describe();
+}
+
 INSTANTIATE_TEST_SUITE_P(Orders,
                          VoterReplacementTest,
                          testing::Values(Case{1, Order::kLeaderFirst},
