control: hosts that are lost come last among the sources of a host that starts

After a loss of power entry hosts had no leader contact, and so no configuration, for up to 10.7 s: they know the hosts of the agreed state, of which those that are gone for good are never removed, and asked one after another, 1.5 s each. The same for rosters of backend servers, which returned to the first of the dead every five seconds: lost hosts come last there for all. Lost is who is not live in the agreed state. Hosts that serve keep their order of feed sources: with it changed, SlowLinkTest.RegionWithoutControlHostsKeepsLeaderContact fails (5.66 s of 5).

--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -306,6 +306,8 @@
   std::set<HostName> RateHolders() const;
   HostStatus OwnStatus() const;
   std::vector<HostName> Sources() const;
+  //! Returns the hosts that are lost as the agreed state says.
+  std::set<HostName> LostHosts() const;
   std::optional<TimePoint> LeaderContact(TimePoint now) const;
   bool IsAlive(const state::PermitRequestId& id) const;
   std::uint64_t IncarnationOf(const HostName& host) const;
--- a/packages/control/include/tamarackwing/control/membership_plan.h
+++ b/packages/control/include/tamarackwing/control/membership_plan.h
@@ -75,6 +75,8 @@
   std::set<HostName> voters;
   //! All known hosts: those of the agreed state and the seeds.
   std::vector<state::HostRecord> hosts;
+  //! Hosts that are lost as the agreed state says.
+  std::set<HostName> lost;
 };
 
 //! Returns the hosts from which this host may receive the log's entries, best
@@ -84,7 +86,8 @@
 //! disk then prefers the hosts above it in a tree of those without disks, so
 //! that none of them feeds many others. A host that is not ready may use any
 //! host of its region. The leader and all other voters come last; of these,
-//! too, hosts without disks prefer different ones. Thread safety: reentrant.
+//! too, hosts without disks prefer different ones. To a host that is not ready,
+//! lost hosts come after all others. Thread safety: reentrant.
 std::vector<HostName> PlanSources(const SourceInput& input);
 
 }  // namespace tamarackwing::control
--- a/packages/control/include/tamarackwing/control/roster_follower.h
+++ b/packages/control/include/tamarackwing/control/roster_follower.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "tamarackwing/base/clock.h"
@@ -59,10 +60,12 @@
 
 //! Returns the hosts with disks in the order in which `self` asks them: those
 //! of its region first, in an order that differs between hosts and so spreads
-//! them. `seeds` count while no host is known. Thread safety: reentrant.
+//! them, and those of `lost` last. `seeds` count while no host is known. Thread
+//! safety: reentrant.
 std::vector<HostName> RosterSources(
     const state::HostRecord& self,
     const std::map<HostName, state::HostRecord>& hosts,
-    const std::vector<state::HostRecord>& seeds);
+    const std::vector<state::HostRecord>& seeds,
+    const std::set<HostName>& lost);
 
 }  // namespace tamarackwing::control
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -567,7 +567,7 @@
   }
   const auto request = this->roster_follower.Due(
       RosterSources(this->options.self, this->state.Hosts(),
-                    this->options.seeds),
+                    this->options.seeds, this->LostHosts()),
       now);
   if (request) {
     effects.sends.push_back({request->to, request->request});
@@ -1445,9 +1445,21 @@
     });
     input.hosts.push_back(host);
   }
+  input.lost = this->LostHosts();
   return PlanSources(input);
 }
 
+std::set<HostName> ControlNode::LostHosts() const {
+  std::set<HostName> lost;
+  for (const auto& [name, host] : this->state.Hosts()) {
+    const auto live = this->state.Live().find(host.region);
+    if (live != this->state.Live().end() && !live->second.contains(name)) {
+      lost.insert(name);
+    }
+  }
+  return lost;
+}
+
 std::optional<TimePoint> ControlNode::LeaderContact(TimePoint now) const {
   if (this->log.HasLease(now)) {
     return now;
--- a/packages/control/src/membership_plan.cc
+++ b/packages/control/src/membership_plan.cc
@@ -205,6 +205,11 @@
     add(voter);
   }
   add(input.leader);
+  if (!input.ready) {
+    std::stable_partition(
+        sources.begin(), sources.end(),
+        [&](const HostName& host) { return !input.lost.contains(host); });
+  }
   return sources;
 }
 
--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -99,7 +99,8 @@
 std::vector<HostName> RosterSources(
     const state::HostRecord& self,
     const std::map<HostName, state::HostRecord>& hosts,
-    const std::vector<state::HostRecord>& seeds) {
+    const std::vector<state::HostRecord>& seeds,
+    const std::set<HostName>& lost) {
   std::vector<const state::HostRecord*> candidates;
   const auto add = [&](const state::HostRecord& host) {
     if (host.has_disk && host.name != self.name) {
@@ -112,8 +113,12 @@
   if (candidates.empty()) {
     std::for_each(seeds.begin(), seeds.end(), add);
   }
-  return RankByRegion(policy::RendezvousKey(self.name.Text()), self.region,
-                      candidates);
+  std::vector<HostName> sources = RankByRegion(
+      policy::RendezvousKey(self.name.Text()), self.region, candidates);
+  std::stable_partition(
+      sources.begin(), sources.end(),
+      [&](const HostName& host) { return !lost.contains(host); });
+  return sources;
 }
 
 }  // namespace tamarackwing::control
--- a/packages/control/tests/membership_tests.cc
+++ b/packages/control/tests/membership_tests.cc
@@ -4,6 +4,7 @@
 
 #include "control_cluster.h"
 #include "tamarackwing/control/membership_plan.h"
+#include "tamarackwing/control/roster_follower.h"
 
 namespace tamarackwing::control {
 namespace {
@@ -177,6 +178,25 @@
   }
 }
 
+// Guards against hosts that are without the newest set for long after a loss of
+// power, because they ask one host after another that is gone for good.
+TEST(PlanSourcesTest, LostHostsComeLastForHostThatStarts) {
+  SourceInput input;
+  input.self = HostAt("9", false);
+  for (const char* name : {"1", "2", "3", "4"}) {
+    input.hosts.push_back(HostAt(name, true));
+  }
+  input.lost = {HostName("1"), HostName("2"), HostName("4")};
+  const std::vector<HostName> sources = PlanSources(input);
+  EXPECT_EQ(sources.size(), 4U);
+  EXPECT_EQ(sources.front(), HostName("3"));
+  const std::vector<HostName> rosters = RosterSources(
+      input.self,
+      {{HostName("1"), HostAt("1", true)}, {HostName("3"), HostAt("3", true)}},
+      {}, input.lost);
+  EXPECT_EQ(rosters, (std::vector<HostName>{HostName("3"), HostName("1")}));
+}
+
 // Guards against hundreds of hosts that start together and all fetch the state
 // from the leader, which then cannot keep its lease.
 TEST(PlanSourcesTest, StartingHostsDoNotAllAskTheLeader) {
