--- a/packages/control/tests/replacement_site.cc
+++ b/packages/control/tests/replacement_site.cc
@@ -166,7 +166,7 @@
 }
 
 std::vector<HostName> ReplacementSite::CrashAll() {
-  const std::vector<HostName> up = this->UpHosts();
+  std::vector<HostName> up = this->UpHosts();
   for (const HostName& host : up) {
     this->cluster.Crash(host);
   }
