--- a/packages/control/tests/voter_history_tests.cc
+++ b/packages/control/tests/voter_history_tests.cc
@@ -79,7 +79,7 @@
   Name TakeAny(std::vector<Name>& names) {
     const auto at = names.begin() + static_cast<std::ptrdiff_t>(
                                         this->random.Below(names.size()));
-    const Name name = *at;
+    Name name = *at;
     names.erase(at);
     return name;
   }
--- a/packages/control/tests/voter_replacement_tests.cc
+++ b/packages/control/tests/voter_replacement_tests.cc
@@ -38,7 +38,7 @@
   //! Returns the next host to lose: one of the first hosts while there are any,
   //! or whoever leads.
   HostName NextLost() {
-    const HostName leader = this->site.cluster.Leader();
+    HostName leader = this->site.cluster.Leader();
     const Order order = GetParam().order;
     const bool takes_leader =
         order == Order::kLeaderEachTime ||
