--- a/packages/control/include/tamarackwing/control/control_options.h
+++ b/packages/control/include/tamarackwing/control/control_options.h
@@ -37,8 +37,8 @@
   //! already silent when such a host joined is replaced within it.
   std::chrono::milliseconds catch_up{4'000};
   //! A voter that has been silent for this long is replaced by any host, also
-  //! by one that stood by before. Long enough for most cuts between regions to
-  //! end.
+  //! by one that stood by before, and a host that catches up in silence is
+  //! given up. Long enough for most cuts between regions to end.
   std::chrono::milliseconds voter_lost{10'000};
   //! How long after the last leader contact a host still serves keys that do
   //! not have its region as a home region.
