daemon, operators, platform: log a disk that takes no writes, and what reads are answered with

New: disk_stalled and disk_resumed (3021, 3022), set_read (5104, one a second at most beside changes), `behind` in control_load, tamarackwing_disk_write_waiting_seconds and tamarackwing_commit_behind. disk_ms covers the ledger's writes, too.

--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -50,6 +50,8 @@
   kVoterSilent = 3018,
   kVoterJoining = 3019,
   kElectionFailed = 3020,
+  kDiskStalled = 3021,
+  kDiskResumed = 3022,
   kPeerConnected = 3101,
   kPeerLost = 3102,
   kPeerMessageRejected = 3103,
@@ -69,6 +71,7 @@
   kReportRejected = 5101,
   kOrderTaken = 5102,
   kDirectoryDetour = 5103,
+  kSetRead = 5104,
 };
 
 //! A named value logged with an event.
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -158,6 +158,10 @@
       return "voter_joining";
     case Event::kElectionFailed:
       return "election_failed";
+    case Event::kDiskStalled:
+      return "disk_stalled";
+    case Event::kDiskResumed:
+      return "disk_resumed";
     case Event::kPeerConnected:
       return "peer_connected";
     case Event::kPeerLost:
@@ -196,6 +200,8 @@
       return "order_taken";
     case Event::kDirectoryDetour:
       return "directory_detour";
+    case Event::kSetRead:
+      return "set_read";
   }
   return "unknown";
 }
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -153,6 +153,9 @@
   }
   Duration TakeSlowestAppend() { return this->log.TakeSlowestAppend(); }
   Term CurrentTerm() const { return this->log.CurrentTerm(); }
+  //! Returns how many entries this host's log knows to be committed and the
+  //! host has not applied.
+  std::uint64_t CommitBehind() const;
   const std::set<HostName>& Voters() const { return this->log.Voters(); }
   //! Returns how the voters stand; nullopt if this host does not lead with a
   //! lease, or has not listened to them for long enough.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -619,6 +619,8 @@
   snapshot->live.insert(this->options.self.name);
   const auto leader_contact = this->LeaderContact(now);
   snapshot->leader_contact = leader_contact.value_or(TimePoint());
+  snapshot->contact_source = this->log.HasLease(now) ? this->options.self.name
+                                                     : this->follower.Source();
   snapshot->keys_fresh_until =
       leader_contact ? *leader_contact + this->options.key_freshness
                      : TimePoint::min();
@@ -648,6 +650,11 @@
          !this->monitor.IsHeard(host, limit, now);
 }
 
+std::uint64_t ControlNode::CommitBehind() const {
+  return this->log.Commit() -
+         std::min(this->log.Commit(), this->state.Applied());
+}
+
 const HostName& ControlNode::Leader() const {
   return this->log.Leader().IsEmpty() ? this->follower.Leader()
                                       : this->log.Leader();
--- a/packages/operators/include/tamarackwing/operators.h
+++ b/packages/operators/include/tamarackwing/operators.h
@@ -4,3 +4,4 @@
 
 #include "tamarackwing/operators/operator_listener.h"
 #include "tamarackwing/operators/operator_service.h"
+#include "tamarackwing/operators/set_read.h"
--- a/packages/operators/include/tamarackwing/operators/set_read.h
+++ b/packages/operators/include/tamarackwing/operators/set_read.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 
 #include "tamarackwing/base/clock.h"
@@ -15,4 +18,24 @@
 std::shared_ptr<const std::string> ReadDocument(const state::Snapshot& snapshot,
                                                 TimePoint now);
 
+//! Logs what reads of the configuration set were answered with, as set_read
+//! (docs/events.md): each change of the answer, and else one read a second.
+//! Thread safety: every method is callable from any thread.
+class SetReadLog {
+ public:
+  //! Records a read that got the document of `snapshot`, or was refused.
+  //! Returns whether it was logged.
+  bool Note(const state::Snapshot& snapshot, bool is_answered, TimePoint now);
+
+ private:
+  struct Logged {
+    std::uint64_t set_number = 0;
+    bool is_answered = false;
+    TimePoint at;
+  };
+
+  std::mutex mutex;
+  std::optional<Logged> last;
+};
+
 }  // namespace tamarackwing::operators
--- a/packages/state/include/tamarackwing/state/snapshot.h
+++ b/packages/state/include/tamarackwing/state/snapshot.h
@@ -47,6 +47,8 @@
   //! Time of the last contact with the leader known to this host, which
   //! therefore knows everything that was committed by then.
   TimePoint leader_contact;
+  //! The host that this one asks for the log's entries; itself while it leads.
+  HostName contact_source;
   //! Time until which this host may serve keys that do not have its region as
   //! a home region. Path routes serve no keys at all after this time.
   TimePoint keys_fresh_until;
--- a/programs/tamarackwingd/src/control_load.cc
+++ b/programs/tamarackwingd/src/control_load.cc
@@ -69,7 +69,8 @@
             {"disk_ms", MillisecondsText(this->longest.write)},
             {"quorum_ms", longest_age ? MillisecondsText(*longest_age) : ""},
             {"calls", std::to_string(reading.unanswered_calls)},
-            {"bytes", std::to_string(reading.unanswered_bytes)}});
+            {"bytes", std::to_string(reading.unanswered_bytes)},
+            {"behind", std::to_string(reading.commit_behind)}});
   this->last = reading;
   this->longest = Longest();
 }
--- a/programs/tamarackwingd/src/control_load.h
+++ b/programs/tamarackwingd/src/control_load.h
@@ -10,13 +10,15 @@
 
 namespace tamarackwing::daemon {
 
-//! What the control thread has handled since its start, and what other hosts
-//! have not answered.
+//! What the control thread has handled since its start, what other hosts have
+//! not answered, and what is not applied yet.
 struct LoadReading {
   //! All turns of each kind.
   std::map<std::string_view, TurnCount> turns;
   std::uint64_t unanswered_calls = 0;
   std::uint64_t unanswered_bytes = 0;
+  //! Entries that this host knows to be committed and has not applied.
+  std::uint64_t commit_behind = 0;
 };
 
 //! Collects what delays the agreed log on a host with a disk, and logs it as
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -57,6 +57,10 @@
       std::chrono::nanoseconds(time.tv_nsec));
 }
 
+std::string MillisecondsText(Duration time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
 std::uint64_t NewIncarnation() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -422,15 +426,18 @@
     DiskThread::Callbacks callbacks;
     callbacks.log_written = [this](std::uint64_t ticket) {
       this->network->Post([this, ticket] {
-        this->NoteWritten(ticket);
-        this->Execute(
-            this->node->LogPersisted(ticket, this->dependencies.clock.Now()));
+        const TimePoint now = this->dependencies.clock.Now();
+        this->load.NoteWrite(this->disk_watch.NoteWritten(
+            DiskWatch::Journal::kLog, ticket, now));
+        this->Execute(this->node->LogPersisted(ticket, now));
       });
     };
     callbacks.ledger_written = [this](std::uint64_t ticket) {
       this->network->Post([this, ticket] {
-        this->Execute(this->node->LedgerPersisted(
-            ticket, this->dependencies.clock.Now()));
+        const TimePoint now = this->dependencies.clock.Now();
+        this->load.NoteWrite(this->disk_watch.NoteWritten(
+            DiskWatch::Journal::kLedger, ticket, now));
+        this->Execute(this->node->LedgerPersisted(ticket, now));
       });
     };
     callbacks.failed = [this](state::JournalError error) {
@@ -468,8 +475,22 @@
   }
 }
 
+void ControlThread::WatchDisk() {
+  const TimePoint now = this->dependencies.clock.Now();
+  const std::string leads = this->node->IsLeader() ? "yes" : "no";
+  if (const auto wait = this->disk_watch.TakeStall(now)) {
+    LogEvent(Event::kDiskStalled, LogLevel::kWarning,
+             {{"waiting_ms", MillisecondsText(*wait)}, {"leads", leads}});
+  }
+  if (const auto lasted = this->disk_watch.TakeEndOfStall(now)) {
+    LogEvent(Event::kDiskResumed, LogLevel::kWarning,
+             {{"stalled_ms", MillisecondsText(*lasted)}, {"leads", leads}});
+  }
+}
+
 void ControlThread::Tick() {
   this->WatchTurns();
+  this->WatchDisk();
   const TurnWatch::Turn turn(this->turns, this->dependencies.clock, "tick");
   for (const HostName& awaited : this->node->AwaitedHosts()) {
     const auto silence = this->network->SilenceOf(awaited);
@@ -507,11 +528,13 @@
 }
 
 void ControlThread::Execute(control::ControlEffects effects) {
+  const TimePoint now = this->dependencies.clock.Now();
   for (state::LogBatch& batch : effects.log_batches) {
-    this->unwritten[batch.ticket] = this->dependencies.clock.Now();
+    this->disk_watch.NoteQueued(DiskWatch::Journal::kLog, batch.ticket, now);
     this->disk_thread->Write(std::move(batch));
   }
   for (state::LedgerBatch& batch : effects.ledger_batches) {
+    this->disk_watch.NoteQueued(DiskWatch::Journal::kLedger, batch.ticket, now);
     this->disk_thread->Write(std::move(batch));
   }
   // The traffic threads must know of a key's withdrawal before the requests in
@@ -575,15 +598,6 @@
   }
 }
 
-void ControlThread::NoteWritten(std::uint64_t ticket) {
-  const auto end = this->unwritten.upper_bound(ticket);
-  const TimePoint now = this->dependencies.clock.Now();
-  for (auto batch = this->unwritten.begin(); batch != end; ++batch) {
-    this->load.NoteWrite(now - batch->second);
-  }
-  this->unwritten.erase(this->unwritten.begin(), end);
-}
-
 void ControlThread::HandleRegionStatus(
     const control::RegionStatusUpdate& update) {
   this->status_received_at[update.from] = this->dependencies.clock.Now();
@@ -874,6 +888,11 @@
   const TimePoint now = this->dependencies.clock.Now();
   if (this->disk != nullptr) {
     this->PublishVoterMetrics(now);
+    metrics.Set(
+        "tamarackwing_disk_write_waiting_seconds",
+        std::chrono::duration<double>(this->disk_watch.Waiting(now)).count());
+    metrics.Set("tamarackwing_commit_behind",
+                static_cast<double>(this->node->CommitBehind()));
   }
   if (now >= this->traffic_metrics_at) {
     this->traffic_metrics_at = now + kTrafficMetricsInterval;
@@ -905,7 +924,8 @@
   const hosts::SentTraffic unanswered = this->network->Unanswered();
   this->load.NoteAppend(this->node->TakeSlowestAppend());
   this->load.NoteLogCall(this->network->TakeSlowestLogCall());
-  this->load.Log({this->turns.Counts(), unanswered.messages, unanswered.bytes});
+  this->load.Log({this->turns.Counts(), unanswered.messages, unanswered.bytes,
+                  this->node->CommitBehind()});
 }
 
 void ControlThread::PublishTrafficMetrics() {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -9,6 +9,7 @@
 
 #include "chunk_budget.h"
 #include "control_load.h"
+#include "disk_watch.h"
 #include "leased_rate_budget.h"
 #include "region_table.h"
 #include "settings.h"
@@ -162,9 +163,9 @@
   void Tick();
   //! Logs if the previous tick was long ago.
   void WatchTurns();
+  //! Logs when the disk begins to take no more writes, and when it ends.
+  void WatchDisk();
   void Execute(control::ControlEffects effects);
-  //! Records that all log batches up to `ticket` are on disk.
-  void NoteWritten(std::uint64_t ticket);
   void HandleRegionStatus(const control::RegionStatusUpdate& update);
   void HandleProbeResult(const control::ProbeResult& probe_result);
   void ReportRates();
@@ -213,6 +214,7 @@
   std::thread thread;
   TurnWatch turns;
   ControlLoad load;
+  DiskWatch disk_watch;
   std::atomic<bool> updates_acknowledged{false};
   std::atomic<bool> failed{false};
   std::atomic<bool> drain_requested{false};
@@ -248,8 +250,6 @@
   TimePoint traffic_metrics_at;
   //! What was sent until the traffic was last logged.
   std::map<hosts::TrafficKind, hosts::SentTraffic> logged_traffic;
-  //! When the log batches that are not on disk were handed over, by ticket.
-  std::map<std::uint64_t, TimePoint> unwritten;
   //! The leader that gets the rate and crash reports, and since when.
   HostName rates_leader;
   TimePoint rates_leader_since;
