--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -102,6 +102,9 @@
                                             this->now));
       }
     }
+    if (this->checks_contacts) {
+      this->CheckContacts();
+    }
   }
 }
 
@@ -226,6 +229,9 @@
 void ControlCluster::Crash(const HostName& host) {
   this->nodes.erase(host);
   this->known.erase(host);
+  if (this->IsDiskStalled(host)) {
+    this->unwritten[host].clear();
+  }
   // The next process counts its proposals and requests from the start.
   std::erase_if(this->outcomes, [&](const auto& outcome) {
     return outcome.first.first == host;
@@ -396,7 +402,6 @@
 
 void ControlCluster::ApplyEffects(const HostName& host,
                                   ControlEffects effects) {
-  RecoveredControl& disk = this->disks[host];
   ControlNode& node = this->Node(host);
   if (effects.snapshot_changed) {
     this->LearnHosts(host);
@@ -414,23 +419,19 @@
     this->entries_sent += append == nullptr ? 0 : append->entries.size();
     this->Post(host, std::move(send));
   }
+  const auto write = [&](const auto& batch) {
+    const auto stalled = this->unwritten.find(host);
+    if (stalled == this->unwritten.end()) {
+      this->Write(host, batch);
+    } else {
+      stalled->second.emplace_back(batch);
+    }
+  };
   for (const state::LogBatch& batch : effects.log_batches) {
-    Write(disk.log, batch);
-    this->ApplyEffects(host, node.LogPersisted(batch.ticket, this->now));
+    write(batch);
   }
   for (const state::LedgerBatch& batch : effects.ledger_batches) {
-    if (batch.replaces_all) {
-      disk.ledger.records.clear();
-    }
-    disk.ledger.synced_epoch = batch.synced_epoch;
-    for (const state::OperationRecord& record : batch.records) {
-      std::erase_if(disk.ledger.records,
-                    [&](const state::OperationRecord& known) {
-                      return known.operation == record.operation;
-                    });
-      disk.ledger.records.push_back(record);
-    }
-    this->ApplyEffects(host, node.LedgerPersisted(batch.ticket, this->now));
+    write(batch);
   }
   for (const policy::ServerReport& report : effects.servers) {
     this->servers[host][report.name] = report;
@@ -454,8 +455,8 @@
   }
 }
 
-void ControlCluster::Write(state::RecoveredLog& disk,
-                           const state::LogBatch& batch) {
+void ControlCluster::Write(const HostName& host, const state::LogBatch& batch) {
+  state::RecoveredLog& disk = this->disks[host].log;
   if (batch.vote) {
     disk.vote = *batch.vote;
   }
@@ -473,6 +474,64 @@
   disk.entries.insert(disk.entries.end(), batch.entries.begin(),
                       batch.entries.end());
   disk.commit = std::max(disk.commit, batch.commit);
+  this->ApplyEffects(host,
+                     this->Node(host).LogPersisted(batch.ticket, this->now));
+}
+
+void ControlCluster::Write(const HostName& host,
+                           const state::LedgerBatch& batch) {
+  state::RecoveredLedger& disk = this->disks[host].ledger;
+  if (batch.replaces_all) {
+    disk.records.clear();
+  }
+  disk.synced_epoch = batch.synced_epoch;
+  for (const state::OperationRecord& record : batch.records) {
+    std::erase_if(disk.records, [&](const state::OperationRecord& known) {
+      return known.operation == record.operation;
+    });
+    disk.records.push_back(record);
+  }
+  this->ApplyEffects(host,
+                     this->Node(host).LedgerPersisted(batch.ticket, this->now));
+}
+
+void ControlCluster::ResumeDisk(const HostName& host) {
+  const auto stalled = this->unwritten.find(host);
+  if (stalled == this->unwritten.end()) {
+    return;
+  }
+  const auto batches = std::move(stalled->second);
+  this->unwritten.erase(stalled);
+  for (const auto& batch : batches) {
+    std::visit([&](const auto& written) { this->Write(host, written); }, batch);
+  }
+}
+
+void ControlCluster::CheckContacts() {
+  LogIndex highest = 0;
+  for (const auto& [host, node] : this->nodes) {
+    highest = std::max(highest, node->State().Applied());
+  }
+  const bool is_higher = this->highest_applied.empty() ||
+                         highest > this->highest_applied.rbegin()->second;
+  if (is_higher) {
+    this->highest_applied[this->now] = highest;
+  }
+  for (const auto& [host, node] : this->nodes) {
+    // What was applied before the contact was committed by then.
+    const auto after = this->highest_applied.lower_bound(
+        this->SnapshotOf(host)->leader_contact);
+    if (after == this->highest_applied.begin()) {
+      continue;
+    }
+    const LogIndex committed = std::prev(after)->second;
+    if (node->State().Applied() < committed) {
+      this->violations.push_back(
+          host.Text() + " claims a leader contact newer than its state: " +
+          std::to_string(node->State().Applied()) + " of " +
+          std::to_string(committed));
+    }
+  }
 }
 
 std::vector<state::HostRecord> HostsOf(const std::vector<std::string>& regions,
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <variant>
 #include <vector>
 
 #include "tamarackwing/base/random_source.h"
@@ -26,9 +27,9 @@
 };
 
 //! Control nodes of several regions on simulated time. The network between them
-//! delays messages and can be partitioned; disk writes finish at once. A host
-//! sends messages only to hosts whose addresses its process has learnt: from
-//! its settings, from the agreed state, or from a
+//! delays messages and can be partitioned; disk writes finish at once, unless a
+//! disk is stalled. A host sends messages only to hosts whose addresses its
+//! process has learnt: from its settings, from the agreed state, or from a
 //! message of that host.
 class ControlCluster {
  public:
@@ -82,6 +83,13 @@
   //! Suspends a host: it neither runs nor receives anything until Resume.
   void Suspend(const HostName& host) { this->suspended.insert(host); }
   void Resume(const HostName& host) { this->suspended.erase(host); }
+  //! Stops a host's disk: what is written from now on waits until ResumeDisk,
+  //! and is lost if the host crashes before.
+  void StallDisk(const HostName& host) { this->unwritten[host]; }
+  void ResumeDisk(const HostName& host);
+  bool IsDiskStalled(const HostName& host) const {
+    return this->unwritten.contains(host);
+  }
   void Crash(const HostName& host);
   //! Restarts a crashed host as a new incarnation with its disk.
   void Restart(const HostName& host);
@@ -137,7 +145,11 @@
   std::set<HostName> HostsOf(const std::string& region) const;
   bool AllReady() const;
   TimePoint Now() const { return this->now; }
-  //! Returns a message for each time a ready host reverted to an older version.
+  //! Records a violation from now on whenever a host claims a leader contact
+  //! that is newer than what it has applied.
+  void CheckLeaderContacts() { this->checks_contacts = true; }
+  //! Returns a message for each time a ready host reverted to an older version,
+  //! and for what CheckLeaderContacts records.
   const std::vector<std::string>& Violations() const {
     return this->violations;
   }
@@ -179,7 +191,10 @@
   //! Returns a random number up to `longest`.
   std::chrono::milliseconds RandomDelay(std::chrono::milliseconds longest);
   void ApplyEffects(const HostName& host, ControlEffects effects);
-  static void Write(state::RecoveredLog& disk, const state::LogBatch& batch);
+  //! Writes a batch to a host's disk and acknowledges it.
+  void Write(const HostName& host, const state::LogBatch& batch);
+  void Write(const HostName& host, const state::LedgerBatch& batch);
+  void CheckContacts();
 
   TimePoint now{std::chrono::hours(1)};
   std::chrono::milliseconds delay;
@@ -202,6 +217,14 @@
   Disturbance disturbance;
   std::set<HostName> partition;
   std::set<HostName> suspended;
+  //! Batches that wait for stalled disks.
+  std::map<HostName,
+           std::deque<std::variant<state::LogBatch, state::LedgerBatch>>>
+      unwritten;
+  bool checks_contacts = false;
+  //! The highest entry that any host had applied, by the time of each step in
+  //! which it rose.
+  std::map<TimePoint, LogIndex> highest_applied;
   std::map<std::pair<HostName, std::uint64_t>, state::ApplyOutcome> outcomes;
   std::map<std::pair<HostName, std::uint64_t>, state::PermitVerdict> verdicts;
   std::map<HostName, SetVersion> newest_versions;
