state, control: a leader's contact is as recent as what it has delivered of its commits

Cause: whoever held the lease counted as in contact "now". The lease tells that nobody else leads, not that this host has what was committed: its entries may wait for its disk while the others commit, and a new leader lacks what the former one committed until an entry of its own term is. Now AgreedLog::CurrentAsOf tells the time before which all commits are delivered; ControlNode derives its contact from it, and reads, keys, closes and followers from that.

--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -1468,12 +1468,11 @@
 }
 
 std::optional<TimePoint> ControlNode::LeaderContact(TimePoint now) const {
-  if (this->log.HasLease(now)) {
-    return now;
-  }
   // Only replies to this host's own requests prove how recent the contact is:
   // an append may have waited in a socket while this host was suspended.
-  return this->follower.LeaderContact();
+  const auto followed = this->follower.LeaderContact();
+  const auto led = this->log.CurrentAsOf(now);
+  return led && followed ? std::max(*led, *followed) : led ? led : followed;
 }
 
 bool ControlNode::IsAlive(const state::PermitRequestId& id) const {
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -178,6 +178,11 @@
   //! Returns true if this host is the leader and its lease has not expired, so
   //! that no other host can be the leader.
   bool HasLease(TimePoint now) const;
+  //! Returns the time before which everything that was committed has been
+  //! delivered here: `now`, unless committed entries wait for this host's disk.
+  //! nullopt if this host has no lease, or has not yet delivered an entry of
+  //! its own term, as until then it may lack what former leaders committed.
+  std::optional<TimePoint> CurrentAsOf(TimePoint now) const;
   //! Returns how long ago a majority of the voters, counting this host, last
   //! had contact with this leader; nullopt if this host does not lead, or has
   //! had none.
@@ -236,6 +241,13 @@
 
     bool MaySend() const { return this->match >= this->awaited; }
   };
+  //! A commit index that is not on disk.
+  struct UnpersistedCommit {
+    std::uint64_t ticket = 0;
+    LogIndex commit = 0;
+    //! When this host learnt that the index is committed.
+    TimePoint since;
+  };
   //! A message held back until the batch with this ticket is on disk.
   struct DeferredSend {
     std::uint64_t ticket = 0;
@@ -305,7 +317,7 @@
   void BeginRound(TimePoint now);
   void SendTo(const HostName& host, LogEffects& effects);
   void AdvanceCommit(TimePoint now, LogEffects& effects);
-  void PersistCommit(LogEffects& effects);
+  void PersistCommit(TimePoint now, LogEffects& effects);
   //! Delivers entries that are committed and on disk, along with their commit
   //! index.
   void DeliverCommitted(LogEffects& effects);
@@ -372,8 +384,8 @@
   //! Tickets of batches that are not yet synced, each with the last index that
   //! is on disk once that batch is synced.
   std::deque<std::pair<std::uint64_t, LogIndex>> batch_ends;
-  //! Commit indexes in batches that are not yet synced, by ticket.
-  std::deque<std::pair<std::uint64_t, LogIndex>> unpersisted_commits;
+  //! Commit indexes in batches that are not yet synced, in order.
+  std::deque<UnpersistedCommit> unpersisted_commits;
   //! Highest commit index that is on disk.
   LogIndex persisted_commit = 0;
   std::vector<DeferredSend> deferred_sends;
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -104,9 +104,9 @@
     this->batch_ends.pop_front();
   }
   while (!this->unpersisted_commits.empty() &&
-         this->unpersisted_commits.front().first <= this->persisted_ticket) {
+         this->unpersisted_commits.front().ticket <= this->persisted_ticket) {
     this->persisted_commit = std::max(this->persisted_commit,
-                                      this->unpersisted_commits.front().second);
+                                      this->unpersisted_commits.front().commit);
     this->unpersisted_commits.pop_front();
   }
   for (DeferredSend& deferred : this->deferred_sends) {
@@ -226,6 +226,16 @@
   return this->role == Role::kLeader && now < this->lease_until;
 }
 
+std::optional<TimePoint> AgreedLog::CurrentAsOf(TimePoint now) const {
+  if (!this->HasLease(now) ||
+      this->TermAt(this->delivered) != this->vote.term) {
+    return std::nullopt;
+  }
+  return this->unpersisted_commits.empty()
+             ? now
+             : this->unpersisted_commits.front().since;
+}
+
 std::optional<Duration> AgreedLog::QuorumAge(TimePoint now) const {
   if (this->role != Role::kLeader || this->lease_until == TimePoint()) {
     return std::nullopt;
@@ -603,7 +613,7 @@
   const LogIndex new_commit = std::min(request.commit, match);
   if (new_commit > this->commit) {
     this->commit = new_commit;
-    this->PersistCommit(effects);
+    this->PersistCommit(now, effects);
   }
   this->SendAfter(
       ticket, {from, AppendReply{this->vote.term, true, match, request.round}},
@@ -801,18 +811,18 @@
     return;
   }
   this->commit = quorum_match;
-  this->PersistCommit(effects);
+  this->PersistCommit(now, effects);
   this->SendToAll(now, effects);
   if (this->commit >= this->voters_index && !this->IsVoter()) {
     this->BecomeFollower(this->vote.term, HostName(), now);
   }
 }
 
-void AgreedLog::PersistCommit(LogEffects& effects) {
+void AgreedLog::PersistCommit(TimePoint now, LogEffects& effects) {
   LogBatch batch;
   batch.commit = this->commit;
   const std::uint64_t ticket = this->AddBatch(std::move(batch), effects);
-  this->unpersisted_commits.emplace_back(ticket, this->commit);
+  this->unpersisted_commits.push_back({ticket, this->commit, now});
 }
 
 void AgreedLog::DeliverCommitted(LogEffects& effects) {
