state, control: a leader gives up its office when its disk keeps it behind its own commits

With a contact that is as recent as its state, a leader whose disk stalled took leader contact, and after key_freshness all service, from the whole fleet for as long as the stall lasted. Now it steps down once an entry that the others have committed has waited for its disk for an election timeout, and does not stand for election while its disk is silent, as it could not vote for itself. Where all disks are slow, nothing is committed meanwhile and nobody steps down.

--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -162,6 +162,8 @@
       return "disk_stalled";
     case Event::kDiskResumed:
       return "disk_resumed";
+    case Event::kOfficeGivenUp:
+      return "office_given_up";
     case Event::kPeerConnected:
       return "peer_connected";
     case Event::kPeerLost:
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -711,6 +711,12 @@
     this->voter_log.NoteFailedElection(*log_effects.failed_election,
                                        this->log.Voters());
   }
+  if (log_effects.gave_up_after) {
+    LogEvent(Event::kOfficeGivenUp, LogLevel::kWarning,
+             {{"host", this->options.self.name.Text()},
+              {"term", std::to_string(this->log.CurrentTerm())},
+              {"waiting_ms", MillisecondsText(*log_effects.gave_up_after)}});
+  }
   this->voter_log.NoteVoters(this->log.Voters(), this->Leader());
   if (log_effects.installed) {
     this->InstallSnapshot(*log_effects.installed, now, effects);
@@ -1335,8 +1341,8 @@
   if (!is_long || applied > this->log.Commit()) {
     return;
   }
-  this->ApplyLogEffects(this->log.Compact(applied, this->state.Encode()), now,
-                        effects);
+  this->ApplyLogEffects(this->log.Compact(applied, this->state.Encode(), now),
+                        now, effects);
 }
 
 void ControlNode::ResendProposals(TimePoint now, ControlEffects& effects) {
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -115,6 +115,9 @@
   //! For the caller's log.
   std::vector<WithheldVote> withheld;
   std::optional<FailedElection> failed_election;
+  //! For the caller's log: set if this leader gave up its office, and how long
+  //! an entry that the others had committed had waited for its disk by then.
+  std::optional<Duration> gave_up_after;
 };
 
 //! Reason why the log did not accept a change.
@@ -172,7 +175,7 @@
   //! Replaces the entries up to `index` with a snapshot of the state at
   //! `index`. Precondition: the entry at `index` has been committed and
   //! delivered.
-  LogEffects Compact(LogIndex index, std::string state);
+  LogEffects Compact(LogIndex index, std::string state, TimePoint now);
 
   bool IsLeader() const { return this->role == Role::kLeader; }
   //! Returns true if this host is the leader and its lease has not expired, so
@@ -241,6 +244,13 @@
 
     bool MaySend() const { return this->match >= this->awaited; }
   };
+  //! A batch that is not on disk.
+  struct UnpersistedBatch {
+    std::uint64_t ticket = 0;
+    //! Last index that is on disk once the batch is.
+    LogIndex end = 0;
+    TimePoint since;
+  };
   //! A commit index that is not on disk.
   struct UnpersistedCommit {
     std::uint64_t ticket = 0;
@@ -266,6 +276,15 @@
   void ResetElectionTimer(TimePoint now);
   //! Makes this host stand for election after one to two times `min_wait`.
   void StandAfter(std::chrono::milliseconds min_wait, TimePoint now);
+  //! Returns whether this host's disk has taken no write for so long that it
+  //! does not stand for election: it could not vote for itself.
+  bool IsDiskSilent(TimePoint now) const;
+  //! Returns how long an entry that is committed has waited for this host's
+  //! disk; zero if none does.
+  Duration CommitWait(TimePoint now) const;
+  //! Steps down as a leader whose disk does not keep up with those of the
+  //! others, so that one of them leads.
+  void GiveUpOffice(TimePoint now, LogEffects& effects);
   //! Lets a candidate that got this host's pre-vote go first, for a heartbeat
   //! interval, so that the two do not split the votes. Of two hosts that ask
   //! at the same time, the one with the lesser name goes on.
@@ -328,7 +347,7 @@
   //! Makes the joining host a voter once it has caught up.
   void FinishJoin(TimePoint now, LogEffects& effects);
   void UpdateLease(TimePoint now);
-  std::uint64_t AddBatch(LogBatch batch, LogEffects& effects);
+  std::uint64_t AddBatch(LogBatch batch, TimePoint now, LogEffects& effects);
   //! Sends a message once the batch with this ticket is on disk.
   void SendAfter(std::uint64_t ticket, LogSend send, LogEffects& effects);
   //! Returns the other voters and the joining host.
@@ -381,9 +400,8 @@
   //! others rests on it, but not on commit indexes and compacted logs, which
   //! may take long to write.
   std::uint64_t promised_ticket = 0;
-  //! Tickets of batches that are not yet synced, each with the last index that
-  //! is on disk once that batch is synced.
-  std::deque<std::pair<std::uint64_t, LogIndex>> batch_ends;
+  //! The batches that are not yet synced, in order.
+  std::deque<UnpersistedBatch> unpersisted_batches;
   //! Commit indexes in batches that are not yet synced, in order.
   std::deque<UnpersistedCommit> unpersisted_commits;
   //! Highest commit index that is on disk.
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -57,6 +57,10 @@
       this->BecomeFollower(this->vote.term, HostName(), now);
       return effects;
     }
+    if (this->CommitWait(now) >= this->options.election_timeout) {
+      this->GiveUpOffice(now, effects);
+      return effects;
+    }
     if (now >= this->heartbeat_at) {
       this->SendToAll(now, effects);
     }
@@ -68,7 +72,8 @@
   if (now < this->election_at) {
     return effects;
   }
-  if (may_lead && !this->vote.catching_up) {
+  const bool can_vote = !this->vote.catching_up && !this->IsDiskSilent(now);
+  if (may_lead && can_vote) {
     this->StartPreVote(now, effects);
   } else {
     // A host that was a voter hears of no leader after this one.
@@ -98,10 +103,10 @@
 LogEffects AgreedLog::Persisted(std::uint64_t ticket, TimePoint now) {
   LogEffects effects;
   this->persisted_ticket = std::max(this->persisted_ticket, ticket);
-  while (!this->batch_ends.empty() &&
-         this->batch_ends.front().first <= this->persisted_ticket) {
-    this->persisted = this->batch_ends.front().second;
-    this->batch_ends.pop_front();
+  while (!this->unpersisted_batches.empty() &&
+         this->unpersisted_batches.front().ticket <= this->persisted_ticket) {
+    this->persisted = this->unpersisted_batches.front().end;
+    this->unpersisted_batches.pop_front();
   }
   while (!this->unpersisted_commits.empty() &&
          this->unpersisted_commits.front().ticket <= this->persisted_ticket) {
@@ -196,7 +201,9 @@
   return {};
 }
 
-LogEffects AgreedLog::Compact(LogIndex index, std::string state) {
+LogEffects AgreedLog::Compact(LogIndex index,
+                              std::string state,
+                              TimePoint now) {
   LogEffects effects;
   if (index <= this->snapshot.index || index > this->delivered) {
     return effects;
@@ -218,7 +225,7 @@
   this->snapshot = newer;
   LogBatch batch;
   batch.snapshot = std::move(newer);
-  this->AddBatch(std::move(batch), effects);
+  this->AddBatch(std::move(batch), now, effects);
   return effects;
 }
 
@@ -231,9 +238,7 @@
       this->TermAt(this->delivered) != this->vote.term) {
     return std::nullopt;
   }
-  return this->unpersisted_commits.empty()
-             ? now
-             : this->unpersisted_commits.front().since;
+  return now - this->CommitWait(now);
 }
 
 std::optional<Duration> AgreedLog::QuorumAge(TimePoint now) const {
@@ -349,7 +354,7 @@
   this->ResetElectionTimer(now);
   LogBatch batch;
   batch.vote = this->vote;
-  const std::uint64_t ticket = this->AddBatch(std::move(batch), effects);
+  const std::uint64_t ticket = this->AddBatch(std::move(batch), now, effects);
   const VoteRequest request{this->vote.term, this->LastIndex(),
                             this->TermAt(this->LastIndex()), false};
   for (const HostName& host : this->Followers()) {
@@ -392,6 +397,23 @@
                       std::chrono::milliseconds(this->random.Below(spread + 1));
 }
 
+bool AgreedLog::IsDiskSilent(TimePoint now) const {
+  return !this->unpersisted_batches.empty() &&
+         now - this->unpersisted_batches.front().since >=
+             this->options.election_timeout;
+}
+
+Duration AgreedLog::CommitWait(TimePoint now) const {
+  return this->unpersisted_commits.empty()
+             ? Duration(0)
+             : now - this->unpersisted_commits.front().since;
+}
+
+void AgreedLog::GiveUpOffice(TimePoint now, LogEffects& effects) {
+  effects.gave_up_after = this->CommitWait(now);
+  this->BecomeFollower(this->vote.term, HostName(), now);
+}
+
 void AgreedLog::YieldTo(const HostName& candidate, TimePoint now) {
   if (this->role == Role::kPreCandidate && this->self < candidate) {
     return;
@@ -459,7 +481,7 @@
   }
   LogBatch batch;
   batch.vote = this->vote;
-  const std::uint64_t ticket = this->AddBatch(std::move(batch), effects);
+  const std::uint64_t ticket = this->AddBatch(std::move(batch), now, effects);
   this->SendAfter(ticket, std::move(reply), effects);
 }
 
@@ -508,7 +530,7 @@
       this->BecomeFollower(reply.term, HostName(), now);
       LogBatch batch;
       batch.vote = this->vote;
-      this->AddBatch(std::move(batch), effects);
+      this->AddBatch(std::move(batch), now, effects);
     }
     return;
   }
@@ -566,7 +588,7 @@
        this->TermAt(request.previous_index) == request.previous_term);
   if (!has_previous) {
     if (batch.vote) {
-      this->AddBatch(std::move(batch), effects);
+      this->AddBatch(std::move(batch), now, effects);
     }
     const LogIndex hint =
         std::min(this->LastIndex(), request.previous_index - 1);
@@ -588,8 +610,8 @@
         this->entries.pop_back();
       }
       this->persisted = std::min(this->persisted, entry.index - 1);
-      for (auto& [ticket, end] : this->batch_ends) {
-        end = std::min(end, entry.index - 1);
+      for (UnpersistedBatch& unpersisted : this->unpersisted_batches) {
+        unpersisted.end = std::min(unpersisted.end, entry.index - 1);
       }
     }
     this->entries.push_back(entry);
@@ -608,7 +630,7 @@
   }
   std::uint64_t ticket = this->promised_ticket;
   if (batch.vote || !batch.entries.empty()) {
-    ticket = this->AddBatch(std::move(batch), effects);
+    ticket = this->AddBatch(std::move(batch), now, effects);
   }
   const LogIndex new_commit = std::min(request.commit, match);
   if (new_commit > this->commit) {
@@ -629,7 +651,7 @@
     this->BecomeFollower(reply.term, HostName(), now);
     LogBatch batch;
     batch.vote = this->vote;
-    this->AddBatch(std::move(batch), effects);
+    this->AddBatch(std::move(batch), now, effects);
     return;
   }
   const auto found = this->progress.find(from);
@@ -692,7 +714,7 @@
     batch.snapshot = newer;
     batch.truncate_from = this->snapshot.index + 1;
     this->entries.clear();
-    this->batch_ends.clear();
+    this->unpersisted_batches.clear();
     this->snapshot = newer;
     this->base_voters = newer.voters;
     this->commit = newer.index;
@@ -704,7 +726,7 @@
     effects.installed = newer;
   }
   if (batch.vote || batch.snapshot) {
-    ticket = this->AddBatch(std::move(batch), effects);
+    ticket = this->AddBatch(std::move(batch), now, effects);
   }
   this->SendAfter(
       ticket,
@@ -727,7 +749,7 @@
   if (changes_voters) {
     this->RecomputeVoters();
   }
-  this->AddBatch(std::move(batch), effects);
+  this->AddBatch(std::move(batch), now, effects);
   this->SendToAll(now, effects);
 }
 
@@ -821,7 +843,7 @@
 void AgreedLog::PersistCommit(TimePoint now, LogEffects& effects) {
   LogBatch batch;
   batch.commit = this->commit;
-  const std::uint64_t ticket = this->AddBatch(std::move(batch), effects);
+  const std::uint64_t ticket = this->AddBatch(std::move(batch), now, effects);
   this->unpersisted_commits.push_back({ticket, this->commit, now});
 }
 
@@ -873,12 +895,14 @@
       quorum_from + this->options.election_timeout - this->options.drift;
 }
 
-std::uint64_t AgreedLog::AddBatch(LogBatch batch, LogEffects& effects) {
+std::uint64_t AgreedLog::AddBatch(LogBatch batch,
+                                  TimePoint now,
+                                  LogEffects& effects) {
   batch.ticket = this->next_ticket++;
   if (batch.vote || batch.truncate_from != 0 || !batch.entries.empty()) {
     this->promised_ticket = batch.ticket;
   }
-  this->batch_ends.emplace_back(batch.ticket, this->LastIndex());
+  this->unpersisted_batches.push_back({batch.ticket, this->LastIndex(), now});
   effects.batches.push_back(std::move(batch));
   return this->next_ticket - 1;
 }
--- a/packages/state/tests/log_cluster.cc
+++ b/packages/state/tests/log_cluster.cc
@@ -174,7 +174,8 @@
         host.log->CommittedFrom(host.log->SnapshotIndex() + 1, 1 << 20);
     if (entries && !entries->empty()) {
       this->ApplyEffects(
-          name, host.log->Compact(entries->back().index, Join(host.applied)));
+          name, host.log->Compact(entries->back().index, Join(host.applied),
+                                  this->now));
     }
   }
 }
