state, hosts: a leader that gives up its office asks a voter to stand for election

After a leader had given up its office, the others waited for an election timeout since its last heartbeat, as its lease might still run. A notice tells them that it does not, and the voter with the most entries on disk stands at once (AppendRequest::successor; builds that do not know the field take it for a heartbeat, and wait as before).

--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -53,6 +53,7 @@
   entries @3 :List(LogEntry);
   commit @4 :UInt64;
   round @5 :UInt64;
+  successor @6 :Text;
 }
 
 struct AppendReply {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -255,7 +255,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad59469ff706e7fe, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ad59469ff706e7fe, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1943,6 +1943,9 @@
 
   inline  ::uint64_t getRound() const;
 
+  inline bool hasSuccessor() const;
+  inline  ::capnp::Text::Reader getSuccessor() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1993,6 +1996,13 @@
   inline  ::uint64_t getRound();
   inline void setRound( ::uint64_t value);
 
+  inline bool hasSuccessor();
+  inline  ::capnp::Text::Builder getSuccessor();
+  inline void setSuccessor( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSuccessor(unsigned int size);
+  inline void adoptSuccessor(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSuccessor();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8267,6 +8277,40 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AppendRequest::Reader::hasSuccessor() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AppendRequest::Builder::hasSuccessor() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AppendRequest::Reader::getSuccessor() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AppendRequest::Builder::getSuccessor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AppendRequest::Builder::setSuccessor( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AppendRequest::Builder::initSuccessor(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AppendRequest::Builder::adoptSuccessor(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AppendRequest::Builder::disownSuccessor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t AppendReply::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -428,6 +428,7 @@
               to.initEntries(static_cast<unsigned>(value.entries.size())));
     to.setCommit(value.commit);
     to.setRound(value.round);
+    to.setSuccessor(value.successor.Text());
   }
   void operator()(const state::AppendReply& value) {
     auto to = this->out.initAppendReply();
@@ -827,7 +828,7 @@
     return state::LogMessage(state::AppendRequest{
         from.getTerm(), from.getPreviousIndex(), from.getPreviousTerm(),
         ReadEntries(from.getEntries(), valid), from.getCommit(),
-        from.getRound()});
+        from.getRound(), HostName(ToString(from.getSuccessor()))});
   }
   if (in.which() == Wire::APPEND_REPLY) {
     const auto from = in.getAppendReply();
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -409,6 +409,28 @@
   EXPECT_LE(most_turns_without_tick, kMaxTurnsWithoutTick);
 }
 
+TEST(PeerNetwork, SuccessorOfALeaderArrives) {
+  std::promise<HostName> arrived;
+  TestPeer second(
+      kSecond, kSecondAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
+        const auto& log = std::get<state::LogMessage>(message);
+        arrived.set_value(std::get<state::AppendRequest>(log).successor);
+      });
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [](PeerNetwork&, const HostName&, const control::PeerMessage&) {});
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
+    state::AppendRequest notice;
+    notice.successor = kSecond;
+    first.Network().Send(kSecond, state::LogMessage(notice));
+  });
+  auto successor = arrived.get_future();
+  ASSERT_EQ(successor.wait_for(kLong), std::future_status::ready);
+  EXPECT_EQ(successor.get(), kSecond);
+}
+
 TEST(PeerNetwork, StatusReplyArrivesWithAndWithoutVoterHealth) {
   control::StatusReply known;
   known.number = 1;
--- a/packages/state/include/tamarackwing/state/agreed_log.h
+++ b/packages/state/include/tamarackwing/state/agreed_log.h
@@ -283,8 +283,14 @@
   //! disk; zero if none does.
   Duration CommitWait(TimePoint now) const;
   //! Steps down as a leader whose disk does not keep up with those of the
-  //! others, so that one of them leads.
+  //! others, and asks one of them to stand for election.
   void GiveUpOffice(TimePoint now, LogEffects& effects);
+  //! Returns the other voter that has replied lately and has the most entries
+  //! on disk; empty if none has replied.
+  HostName FindSuccessor(TimePoint now) const;
+  //! Notes that the leader of this term, which asks `successor` to stand for
+  //! election, leads no more.
+  void NoteOfficeGivenUp(const HostName& successor, TimePoint now);
   //! Lets a candidate that got this host's pre-vote go first, for a heartbeat
   //! interval, so that the two do not split the votes. Of two hosts that ask
   //! at the same time, the one with the lesser name goes on.
--- a/packages/state/src/agreed_log.cc
+++ b/packages/state/src/agreed_log.cc
@@ -411,7 +411,42 @@
 
 void AgreedLog::GiveUpOffice(TimePoint now, LogEffects& effects) {
   effects.gave_up_after = this->CommitWait(now);
+  AppendRequest notice;
+  notice.term = this->vote.term;
+  notice.successor = this->FindSuccessor(now);
+  const std::set<HostName> followers = this->Followers();
   this->BecomeFollower(this->vote.term, HostName(), now);
+  if (notice.successor.IsEmpty()) {
+    return;
+  }
+  this->NoteOfficeGivenUp(notice.successor, now);
+  for (const HostName& host : followers) {
+    effects.sends.push_back({host, notice});
+  }
+}
+
+HostName AgreedLog::FindSuccessor(TimePoint now) const {
+  HostName successor;
+  LogIndex most = 0;
+  for (const auto& [host, peer] : this->progress) {
+    const bool has_replied =
+        now - peer.last_reply < this->options.election_timeout;
+    if (this->voters.contains(host) && has_replied && peer.match > most) {
+      successor = host;
+      most = peer.match;
+    }
+  }
+  return successor;
+}
+
+void AgreedLog::NoteOfficeGivenUp(const HostName& successor, TimePoint now) {
+  // The lease ended before the notice was sent, and the same host cannot lead
+  // this term again, so votes need not wait.
+  this->leader = HostName();
+  this->leader_contact = TimePoint();
+  if (successor == this->self) {
+    this->election_at = now;
+  }
 }
 
 void AgreedLog::YieldTo(const HostName& candidate, TimePoint now) {
@@ -582,6 +617,13 @@
                           effects)) {
     return;
   }
+  if (!request.successor.IsEmpty()) {
+    if (batch.vote) {
+      this->AddBatch(std::move(batch), now, effects);
+    }
+    this->NoteOfficeGivenUp(request.successor, now);
+    return;
+  }
   const bool has_previous =
       request.previous_index <= this->snapshot.index ||
       (request.previous_index <= this->LastIndex() &&
--- a/packages/state/tests/agreed_log_tests.cc
+++ b/packages/state/tests/agreed_log_tests.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include <rapidcheck/gtest.h>
 
 #include "log_cluster.h"
@@ -327,6 +329,40 @@
   }
 }
 
+TEST(AgreedLog, ALeaderWhoseDiskStallsHandsItsOfficeOver) {
+  LogCluster cluster(3);
+  cluster.RunFor(kElectionTime);
+  const HostName former = cluster.Leader();
+  ASSERT_FALSE(former.IsEmpty());
+  cluster.StallDisk(former);
+  ASSERT_TRUE(cluster.Propose("one"));
+  const LogOptions options;
+  // Less than an election timeout after the leader has given up.
+  cluster.RunFor(options.election_timeout + milliseconds(700));
+  const HostName next = cluster.Leader();
+  ASSERT_FALSE(next.IsEmpty());
+  EXPECT_NE(next, former);
+  EXPECT_EQ(cluster.Log(next).CurrentAsOf(cluster.Now()), cluster.Now());
+  EXPECT_EQ(cluster.Applied(next), std::vector<std::string>({"one"}));
+  cluster.ResumeDisk(former);
+  cluster.RunFor(milliseconds(5'000));
+  EXPECT_EQ(cluster.Leader(), next);
+  EXPECT_EQ(cluster.Applied(former), cluster.Applied(next));
+  EXPECT_TRUE(cluster.Violations().empty());
+}
+
+// Guards against a leader that gives up because all disks are slow.
+TEST(AgreedLog, ALeaderKeepsItsOfficeWhileNothingIsCommitted) {
+  LogCluster cluster(3);
+  cluster.RunFor(kElectionTime);
+  const HostName leader = cluster.Leader();
+  ASSERT_FALSE(leader.IsEmpty());
+  cluster.StallDisk(leader);
+  cluster.RunFor(milliseconds(10'000));
+  EXPECT_EQ(cluster.Leader(), leader);
+  EXPECT_EQ(cluster.Log(leader).CurrentAsOf(cluster.Now()), cluster.Now());
+}
+
 //! Returns the replies to appends among `effects`.
 std::vector<AppendReply> RepliesIn(const LogEffects& effects) {
   std::vector<AppendReply> replies;
@@ -368,6 +404,35 @@
   EXPECT_EQ(RepliesIn(log.Receive(leader, heartbeat, now)).size(), 1U);
 }
 
+bool AsksForVotes(const LogEffects& effects) {
+  return std::any_of(effects.sends.begin(), effects.sends.end(),
+                     [](const LogSend& send) {
+                       return std::holds_alternative<VoteRequest>(send.message);
+                     });
+}
+
+// Guards against elections that wait for a host which cannot write its vote,
+// and to which the others yield.
+TEST(AgreedLog, AHostWhoseDiskStallsDoesNotStandForElection) {
+  const HostName leader("a");
+  TimePoint now{std::chrono::hours(1)};
+  SeededRandom random(3);
+  AgreedLog log(HostName("b"), {}, {leader, HostName("b"), HostName("c")}, {},
+                random, now);
+  AppendRequest request;
+  request.term = 1;
+  LogEntry entry;
+  entry.index = 1;
+  entry.term = 1;
+  request.entries.push_back(entry);
+  const LogEffects effects = log.Receive(leader, request, now);
+  ASSERT_EQ(effects.batches.size(), 1U);
+  now += milliseconds(10'000);
+  EXPECT_FALSE(AsksForVotes(log.Tick(now)));
+  log.Persisted(effects.batches[0].ticket, now);
+  EXPECT_TRUE(AsksForVotes(log.Tick(now)));
+}
+
 TEST(AgreedLog, TheCheckerDetectsEntriesAcknowledgedBeforeTheyAreWritten) {
   LogCluster cluster(3);
   cluster.confirms_too_early = true;
--- a/packages/state/tests/log_cluster.cc
+++ b/packages/state/tests/log_cluster.cc
@@ -188,11 +188,13 @@
     for (int i = 0; i < 400 && !this->messages.empty(); ++i) {
       this->Deliver(0, false);
       for (const HostName& name : this->Names()) {
-        this->Persist(name);
+        if (!this->stalled.contains(name)) {
+          this->Persist(name);
+        }
       }
     }
     for (const HostName& name : this->Names()) {
-      while (this->hosts.at(name).log &&
+      while (this->hosts.at(name).log && !this->stalled.contains(name) &&
              !this->hosts.at(name).pending.empty()) {
         this->Persist(name);
       }
--- a/packages/state/tests/log_cluster.h
+++ b/packages/state/tests/log_cluster.h
@@ -29,6 +29,9 @@
   void Drop(std::size_t choice);
   //! Writes the oldest pending batch of a host to its disk and acknowledges it.
   void Persist(const HostName& host);
+  //! Makes RunFor write none of a host's batches until ResumeDisk.
+  void StallDisk(const HostName& host) { this->stalled.insert(host); }
+  void ResumeDisk(const HostName& host) { this->stalled.erase(host); }
   //! Stops a host; its pending batches are lost.
   void Crash(const HostName& host);
   void Restart(const HostName& host);
@@ -98,6 +101,7 @@
   std::map<HostName, Host> hosts;
   std::vector<Message> messages;
   std::set<HostName> isolated;
+  std::set<HostName> stalled;
   //! First entry seen committed at each index, on any host.
   std::map<LogIndex, std::string> committed_entries;
   std::vector<std::string> violations;
