tests, docs: a leader stays while its write waits and nothing is committed

The test of it let no write wait, so it passed even if a leader resigned for its own silent disk alone (trial). Now a write waits at the leader and at one of the two others: the trial fails. The first append of two tests is made in one place, and the bound of another is named: the contact's age from which on reads are refused.

--- a/packages/control/tests/stalled_disk_tests.cc
+++ b/packages/control/tests/stalled_disk_tests.cc
@@ -22,6 +22,8 @@
   static constexpr milliseconds kLook{50};
   //! Within this time a change is acknowledged.
   static constexpr milliseconds kAcknowledged{4'000};
+  //! A host whose leader contact is older refuses reads.
+  static constexpr milliseconds kReadable{1'500};
 
   static std::vector<state::HostRecord> Hosts() {
     return HostsOf({"muscat", "salalah", "sohar"}, 3, 1);
@@ -111,7 +113,7 @@
 
 TEST_F(StalledDiskTest, AnotherVotersDiskChangesNoLeader) {
   const Duration oldest = this->RunWithChanges(this->follower);
-  EXPECT_LE(oldest, milliseconds(1'500));
+  EXPECT_LE(oldest, kReadable);
   EXPECT_EQ(this->cluster.Leader(), this->leader);
   EXPECT_EQ(this->cluster.Violations(), std::vector<std::string>());
 }
--- a/packages/state/tests/agreed_log_tests.cc
+++ b/packages/state/tests/agreed_log_tests.cc
@@ -337,7 +337,7 @@
   cluster.StallDisk(former);
   ASSERT_TRUE(cluster.Propose("one"));
   const LogOptions options;
-  // Less than an election timeout after the leader has given up.
+  // Less than an election timeout after the leader has resigned.
   cluster.RunFor(options.election_timeout + milliseconds(700));
   const HostName next = cluster.Leader();
   ASSERT_FALSE(next.IsEmpty());
@@ -351,15 +351,20 @@
   EXPECT_TRUE(cluster.Violations().empty());
 }
 
-// Guards against a leader that gives up because all disks are slow.
-TEST(AgreedLog, ALeaderStaysWhileNothingIsCommitted) {
+// Guards against a leader that resigns although no other voter is ahead of it.
+TEST(AgreedLog, ALeaderWhoseWriteWaitsStaysWhileNothingIsCommitted) {
   LogCluster cluster(3);
   cluster.RunFor(kElectionTime);
   const HostName leader = cluster.Leader();
   ASSERT_FALSE(leader.IsEmpty());
+  const std::vector<HostName> names = cluster.Names();
   cluster.StallDisk(leader);
+  // One of the three writes, and answers heartbeats; two would commit.
+  cluster.StallDisk(names[names.front() == leader ? 1 : 0]);
+  ASSERT_TRUE(cluster.Propose("one"));
   cluster.RunFor(milliseconds(10'000));
   EXPECT_EQ(cluster.Leader(), leader);
+  EXPECT_TRUE(cluster.Applied(names.back()).empty());
   EXPECT_EQ(cluster.Log(leader).CurrentAsOf(cluster.Now()), cluster.Now());
 }
 
@@ -374,6 +379,17 @@
   return replies;
 }
 
+//! Returns a message with the first entry of the first term.
+AppendRequest FirstAppend() {
+  AppendRequest request;
+  request.term = 1;
+  LogEntry entry;
+  entry.index = 1;
+  entry.term = 1;
+  request.entries.push_back(entry);
+  return request;
+}
+
 // Guards against a leader that loses its lease while a voter's disk is slow or
 // writes a snapshot.
 TEST(AgreedLog, HeartbeatIsAnsweredWhileACommitIndexIsWritten) {
@@ -382,13 +398,7 @@
   SeededRandom random(3);
   AgreedLog log(HostName("b"), {}, {leader, HostName("b"), HostName("c")}, {},
                 random, now);
-  AppendRequest request;
-  request.term = 1;
-  LogEntry entry;
-  entry.index = 1;
-  entry.term = 1;
-  request.entries.push_back(entry);
-  LogEffects effects = log.Receive(leader, request, now);
+  LogEffects effects = log.Receive(leader, FirstAppend(), now);
   EXPECT_TRUE(RepliesIn(effects).empty());
   ASSERT_EQ(effects.batches.size(), 1U);
   EXPECT_EQ(RepliesIn(log.Persisted(effects.batches[0].ticket, now)).size(),
@@ -419,13 +429,7 @@
   SeededRandom random(3);
   AgreedLog log(HostName("b"), {}, {leader, HostName("b"), HostName("c")}, {},
                 random, now);
-  AppendRequest request;
-  request.term = 1;
-  LogEntry entry;
-  entry.index = 1;
-  entry.term = 1;
-  request.entries.push_back(entry);
-  const LogEffects effects = log.Receive(leader, request, now);
+  const LogEffects effects = log.Receive(leader, FirstAppend(), now);
   ASSERT_EQ(effects.batches.size(), 1U);
   now += milliseconds(10'000);
   EXPECT_FALSE(AsksForVotes(log.Tick(now)));
