policy, control, hosts, daemon: settings and messages of the scheduling parts

Cause: the scheduling parts for two deployments with hard load are built side by side and share settings and peer messages. Result: nothing reads the new fields yet; the daemon builds.

--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -14,6 +14,7 @@
 #include "tamarackwing/policy/budget_messages.h"
 #include "tamarackwing/policy/crash_messages.h"
 #include "tamarackwing/policy/rate_messages.h"
+#include "tamarackwing/policy/server_load.h"
 #include "tamarackwing/policy/server_report.h"
 #include "tamarackwing/policy/stream_origin.h"
 #include "tamarackwing/state/control_state.h"
@@ -104,6 +105,14 @@
   std::uint32_t servers = 0;
   //! Prompt tokens sent whose prefill has not finished.
   TokenCount pending_prefill = 0;
+  //! Work that the region's callers offer, whether the region serves it or not,
+  //! and the part of it that may run in another region: the server time, in
+  //! thousandths of a server. Zero from hosts that do not measure it.
+  std::uint32_t offered = 0;
+  std::uint32_t movable = 0;
+  //! Work that the usable servers can do, in thousandths of a server; zero if
+  //! unknown.
+  std::uint32_t capacity = 0;
 };
 
 //! Tokens of a workspace's requests to one target that the sender started since
@@ -234,7 +243,9 @@
                                  policy::TokenRequest,
                                  policy::TokenReply,
                                  policy::TokenReturn,
-                                 RelayedNotice>;
+                                 RelayedNotice,
+                                 policy::LoadReport,
+                                 policy::LoadSummary>;
 
 //! A message and its recipient.
 struct PeerSend {
--- a/packages/gateway/include/tamarackwing/gateway/gateway_settings.h
+++ b/packages/gateway/include/tamarackwing/gateway/gateway_settings.h
@@ -9,6 +9,22 @@
 
 namespace tamarackwing::gateway {
 
+//! Parts of the scheduling of path calls that a deployment turns on; see
+//! docs/settings.md.
+struct SchedulingSettings {
+  //! Asks the bucket keepers of other regions for tokens that the region's
+  //! keeper cannot grant.
+  bool ask_other_keepers = false;
+  //! Shares each server's load and speed among the hosts of a region.
+  bool share_loads = false;
+  //! Moves work to regions with free capacity before requests wait.
+  bool spill_ahead = false;
+  //! Starts a request only where it can end before its deadline.
+  bool fit_deadlines = false;
+  //! Tells servers how urgent a request is.
+  bool pass_urgency = false;
+};
+
 //! Settings of a gateway, fixed when it is constructed.
 struct GatewaySettings {
   HostName host;
@@ -35,6 +51,7 @@
   //! of its service time.
   unsigned spill_margin_percent = 50;
   backend_servers::PoolLimits pool;
+  SchedulingSettings scheduling;
 };
 
 }  // namespace tamarackwing::gateway
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -207,6 +207,23 @@
   demand @2 :UInt32;
   servers @3 :UInt32;
   unread @4 :Int64;
+  offered @5 :UInt32;
+  movable @6 :UInt32;
+  capacity @7 :UInt32;
+}
+
+struct ServerUse {
+  server @0 :UInt32;
+  running @1 :UInt32;
+  pendingPrefill @2 :UInt32;
+  heldTokens @3 :UInt32;
+  pauses @4 :UInt32;
+  pauseSumMs @5 :UInt32;
+}
+
+struct ServerUses {
+  number @0 :UInt64;
+  uses @1 :List(ServerUse);
 }
 
 struct ServedTokens {
@@ -464,5 +481,7 @@
     tokenReply @37 :TokenReply;
     tokenReturn @38 :TokenReturn;
     relayedNotice @39 :RelayedNotice;
+    loadReport @40 :ServerUses;
+    loadSummary @41 :ServerUses;
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -51,6 +51,8 @@
 CAPNP_DECLARE_SCHEMA(f006573370636aa3);
 CAPNP_DECLARE_SCHEMA(8f36956ff03630a1);
 CAPNP_DECLARE_SCHEMA(b7ae59bd2aba1f58);
+CAPNP_DECLARE_SCHEMA(fd9aa783666299f8);
+CAPNP_DECLARE_SCHEMA(e879f5bce14a03af);
 CAPNP_DECLARE_SCHEMA(dee867c786d48ef7);
 CAPNP_DECLARE_SCHEMA(c2d61d35340614e9);
 CAPNP_DECLARE_SCHEMA(d0ebb20da2522cce);
@@ -570,7 +572,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7ae59bd2aba1f58, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b7ae59bd2aba1f58, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerUse {
+  ServerUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd9aa783666299f8, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServerUses {
+  ServerUses() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e879f5bce14a03af, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1059,6 +1091,8 @@
     TOKEN_REPLY,
     TOKEN_RETURN,
     RELAYED_NOTICE,
+    LOAD_REPORT,
+    LOAD_SUMMARY,
   };
 
   struct _capnpPrivate {
@@ -4078,6 +4112,12 @@
 
   inline  ::int64_t getUnread() const;
 
+  inline  ::uint32_t getOffered() const;
+
+  inline  ::uint32_t getMovable() const;
+
+  inline  ::uint32_t getCapacity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4125,6 +4165,15 @@
   inline  ::int64_t getUnread();
   inline void setUnread( ::int64_t value);
 
+  inline  ::uint32_t getOffered();
+  inline void setOffered( ::uint32_t value);
+
+  inline  ::uint32_t getMovable();
+  inline void setMovable( ::uint32_t value);
+
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4151,6 +4200,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServerUse::Reader {
+public:
+  typedef ServerUse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer() const;
+
+  inline  ::uint32_t getRunning() const;
+
+  inline  ::uint32_t getPendingPrefill() const;
+
+  inline  ::uint32_t getHeldTokens() const;
+
+  inline  ::uint32_t getPauses() const;
+
+  inline  ::uint32_t getPauseSumMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerUse::Builder {
+public:
+  typedef ServerUse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline  ::uint32_t getPendingPrefill();
+  inline void setPendingPrefill( ::uint32_t value);
+
+  inline  ::uint32_t getHeldTokens();
+  inline void setHeldTokens( ::uint32_t value);
+
+  inline  ::uint32_t getPauses();
+  inline void setPauses( ::uint32_t value);
+
+  inline  ::uint32_t getPauseSumMs();
+  inline void setPauseSumMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerUse::Pipeline {
+public:
+  typedef ServerUse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServerUses::Reader {
+public:
+  typedef ServerUses Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasUses() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerUses::Builder {
+public:
+  typedef ServerUses Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasUses();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Builder getUses();
+  inline void setUses( ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>> disownUses();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerUses::Pipeline {
+public:
+  typedef ServerUses Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServedTokens::Reader {
 public:
   typedef ServedTokens Reads;
@@ -7235,6 +7471,14 @@
   inline bool hasRelayedNotice() const;
   inline  ::tamarackwing::hosts::wire::RelayedNotice::Reader getRelayedNotice() const;
 
+  inline bool isLoadReport() const;
+  inline bool hasLoadReport() const;
+  inline  ::tamarackwing::hosts::wire::ServerUses::Reader getLoadReport() const;
+
+  inline bool isLoadSummary() const;
+  inline bool hasLoadSummary() const;
+  inline  ::tamarackwing::hosts::wire::ServerUses::Reader getLoadSummary() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7577,6 +7821,22 @@
   inline void adoptRelayedNotice(::capnp::Orphan< ::tamarackwing::hosts::wire::RelayedNotice>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::RelayedNotice> disownRelayedNotice();
 
+  inline bool isLoadReport();
+  inline bool hasLoadReport();
+  inline  ::tamarackwing::hosts::wire::ServerUses::Builder getLoadReport();
+  inline void setLoadReport( ::tamarackwing::hosts::wire::ServerUses::Reader value);
+  inline  ::tamarackwing::hosts::wire::ServerUses::Builder initLoadReport();
+  inline void adoptLoadReport(::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses> disownLoadReport();
+
+  inline bool isLoadSummary();
+  inline bool hasLoadSummary();
+  inline  ::tamarackwing::hosts::wire::ServerUses::Builder getLoadSummary();
+  inline void setLoadSummary( ::tamarackwing::hosts::wire::ServerUses::Reader value);
+  inline  ::tamarackwing::hosts::wire::ServerUses::Builder initLoadSummary();
+  inline void adoptLoadSummary(::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses>&& value);
+  inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses> disownLoadSummary();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10324,6 +10584,180 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t TargetLoad::Reader::getOffered() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getOffered() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setOffered( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLoad::Reader::getMovable() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getMovable() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setMovable( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLoad::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerUse::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerUse::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerUse::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerUse::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerUse::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServerUse::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerUse::Reader::getPendingPrefill() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerUse::Builder::getPendingPrefill() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerUse::Builder::setPendingPrefill( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerUse::Reader::getHeldTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerUse::Builder::getHeldTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServerUse::Builder::setHeldTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerUse::Reader::getPauses() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerUse::Builder::getPauses() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerUse::Builder::setPauses( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerUse::Reader::getPauseSumMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerUse::Builder::getPauseSumMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServerUse::Builder::setPauseSumMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServerUses::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerUses::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerUses::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerUses::Reader::hasUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerUses::Builder::hasUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Reader ServerUses::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Builder ServerUses::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerUses::Builder::setUses( ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Builder ServerUses::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerUses::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>> ServerUses::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServedTokens::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -15135,6 +15569,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isLoadReport() const {
+  return which() == PeerMessage::LOAD_REPORT;
+}
+inline bool PeerMessage::Builder::isLoadReport() {
+  return which() == PeerMessage::LOAD_REPORT;
+}
+inline bool PeerMessage::Reader::hasLoadReport() const {
+  if (which() != PeerMessage::LOAD_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasLoadReport() {
+  if (which() != PeerMessage::LOAD_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::ServerUses::Reader PeerMessage::Reader::getLoadReport() const {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::ServerUses::Builder PeerMessage::Builder::getLoadReport() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setLoadReport( ::tamarackwing::hosts::wire::ServerUses::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_REPORT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::ServerUses::Builder PeerMessage::Builder::initLoadReport() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_REPORT);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptLoadReport(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_REPORT);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses> PeerMessage::Builder::disownLoadReport() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isLoadSummary() const {
+  return which() == PeerMessage::LOAD_SUMMARY;
+}
+inline bool PeerMessage::Builder::isLoadSummary() {
+  return which() == PeerMessage::LOAD_SUMMARY;
+}
+inline bool PeerMessage::Reader::hasLoadSummary() const {
+  if (which() != PeerMessage::LOAD_SUMMARY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasLoadSummary() {
+  if (which() != PeerMessage::LOAD_SUMMARY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::tamarackwing::hosts::wire::ServerUses::Reader PeerMessage::Reader::getLoadSummary() const {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_SUMMARY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::tamarackwing::hosts::wire::ServerUses::Builder PeerMessage::Builder::getLoadSummary() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_SUMMARY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setLoadSummary( ::tamarackwing::hosts::wire::ServerUses::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_SUMMARY);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::tamarackwing::hosts::wire::ServerUses::Builder PeerMessage::Builder::initLoadSummary() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_SUMMARY);
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptLoadSummary(
+    ::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_SUMMARY);
+  ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses> PeerMessage::Builder::disownLoadSummary() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_SUMMARY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::tamarackwing::hosts::wire::ServerUses>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -243,6 +243,36 @@
   out.setDemand(load.demand);
   out.setServers(load.servers);
   out.setUnread(load.pending_prefill);
+  out.setOffered(load.offered);
+  out.setMovable(load.movable);
+  out.setCapacity(load.capacity);
+}
+
+std::uint32_t ClampTokens(TokenCount tokens) {
+  constexpr TokenCount kMax = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp<TokenCount>(tokens, 0, kMax));
+}
+
+void Write(const policy::ServerUse& use, wire::ServerUse::Builder out) {
+  out.setServer(use.server);
+  out.setRunning(use.running);
+  out.setPendingPrefill(ClampTokens(use.pending_prefill));
+  out.setHeldTokens(ClampTokens(use.held_tokens));
+  out.setPauses(use.pauses);
+  out.setPauseSumMs(ClampTokens(use.pause_sum.count()));
+}
+
+template <typename Uses>
+Uses ReadUses(wire::ServerUses::Reader in) {
+  Uses uses;
+  uses.number = in.getNumber();
+  for (const auto use : in.getUses()) {
+    uses.uses.push_back({use.getServer(), use.getRunning(),
+                         use.getPendingPrefill(), use.getHeldTokens(),
+                         use.getPauses(),
+                         std::chrono::milliseconds(use.getPauseSumMs())});
+  }
+  return uses;
 }
 
 std::vector<control::TargetLoad> ReadLoads(
@@ -250,7 +280,8 @@
   std::vector<control::TargetLoad> loads;
   for (const auto load : in) {
     loads.push_back({ToString(load.getTarget()), load.getSlots(),
-                     load.getDemand(), load.getServers(), load.getUnread()});
+                     load.getDemand(), load.getServers(), load.getUnread(),
+                     load.getOffered(), load.getMovable(), load.getCapacity()});
   }
   return loads;
 }
@@ -381,6 +412,12 @@
   }
 }
 
+template <typename Uses>
+void WriteUses(const Uses& uses, wire::ServerUses::Builder out) {
+  out.setNumber(uses.number);
+  WriteList(uses.uses, out.initUses(static_cast<unsigned>(uses.uses.size())));
+}
+
 //! Visitor that encodes the alternative held by a PeerMessage.
 void Write(const policy::QuarantineNotice& notice,
            wire::QuarantineNotice::Builder out) {
@@ -548,6 +585,12 @@
     WriteList(value.limits,
               to.initLimits(static_cast<unsigned>(value.limits.size())));
   }
+  void operator()(const policy::LoadReport& value) {
+    WriteUses(value, this->out.initLoadReport());
+  }
+  void operator()(const policy::LoadSummary& value) {
+    WriteUses(value, this->out.initLoadSummary());
+  }
   void operator()(const control::ProbeRequest& value) {
     this->out.setProbeRequest(value.number);
   }
@@ -1103,6 +1146,10 @@
     }
     case Wire::ROSTER_REPLY:
       return ReadRosterReply(in.getRosterReply(), valid);
+    case Wire::LOAD_REPORT:
+      return ReadUses<policy::LoadReport>(in.getLoadReport());
+    case Wire::LOAD_SUMMARY:
+      return ReadUses<policy::LoadSummary>(in.getLoadSummary());
   }
   valid = false;
   return control::ProbeRequest();
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -215,6 +215,21 @@
       ReadCount(*reader, "spill_margin_percent", gateway.spill_margin_percent);
 }
 
+void ReadScheduling(TableReader& document, Settings& settings) {
+  auto reader = document.Table("scheduling", false);
+  if (!reader) {
+    return;
+  }
+  reader->RejectUnknownFields({"ask_other_keepers", "share_loads",
+                               "spill_ahead", "fit_deadlines", "pass_urgency"});
+  gateway::SchedulingSettings& scheduling = settings.gateway.scheduling;
+  scheduling.ask_other_keepers = reader->Flag("ask_other_keepers", false);
+  scheduling.share_loads = reader->Flag("share_loads", false);
+  scheduling.spill_ahead = reader->Flag("spill_ahead", false);
+  scheduling.fit_deadlines = reader->Flag("fit_deadlines", false);
+  scheduling.pass_urgency = reader->Flag("pass_urgency", false);
+}
+
 void ReadTimes(TableReader& document, Settings& settings) {
   auto reader = document.Table("times", false);
   if (!reader) {
@@ -300,6 +315,7 @@
                                 "operators",
                                 "hosts",
                                 "limits",
+                                "scheduling",
                                 "times",
                                 "membership",
                                 "found_log",
@@ -340,6 +356,7 @@
   }
   ReadLimits(document, settings);
   ReadTimes(document, settings);
+  ReadScheduling(document, settings);
   if (!faults.empty()) {
     return unexpected(std::move(faults));
   }
