policy, control, gateway: hosts of a region share the load and speed of each server

Change: entry hosts report what they have on each server to a collector of their region four times a second and get the sums back; pauses between events give each server's relative speed. Placement, slot waits and admission use both; a prefix moves on after one prefill's wait. A request whose expected end lies beyond its deadline is not started.

--- a/packages/gateway/include/tamarackwing/gateway/path_protocol.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_protocol.h
@@ -23,6 +23,9 @@
   //! Time left until the call's deadline.
   std::chrono::milliseconds left{0};
   std::optional<std::uint64_t> last_event;
+  //! How urgent the call is; zero is the most urgent. If absent, the server
+  //! uses its default.
+  std::optional<std::uint32_t> urgency;
 };
 
 //! Which call a response names as the one that it answers.
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -108,6 +108,12 @@
   void NoteRequest(const std::string& target);
   //! Consumes one retry; returns false if the target's budget is exhausted.
   bool TryRetry(const std::string& target);
+  //! As for the methods of policy::ServerTable.
+  void NotePauses(const BackendServerName& name,
+                  std::uint32_t events,
+                  Duration sum);
+  policy::LoadReport MakeLoadReport();
+  void ApplyLoads(const policy::LoadSummary& summary);
   //! Returns the load that this host has put on the servers of a target.
   policy::OwnLoad LoadOf(const std::string& target);
   //! Removes servers whose lease has expired, unless they are kept as a last
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -361,7 +361,8 @@
         target && (!is_retry || servers.TryRetry(this->service));
     if (!may_send) {
       if (target && target->server) {
-        servers.Release(target->server->name, this->PromptTokens());
+        servers.Release(target->server->name, this->pending_prefill);
+        this->pending_prefill = 0;
       }
       if (this->held_response) {
         const bool sent =
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "answer_reader.h"
@@ -100,7 +101,14 @@
   //! Returns whether to admit the call given its expected wait for a slot. If
   //! not, marks it as shed, sets `retry_after` and logs an event.
   bool TryAdmit(Duration wait);
-  TokenCount PromptTokens() const;
+  //! As above, for the call's times at a server.
+  bool TryAdmit(const policy::ServerChoice& server);
+  //! Returns whether the call may be refused for the sake of others.
+  bool MayShed() const;
+  //! Marks the call as shed and sets `retry_after`; logs an event.
+  void Shed(Duration wait);
+  //! Returns the strictest latency target of the service's streams.
+  std::chrono::milliseconds LatencyTarget() const;
   policy::ServerQuery Query() const;
   //! Returns how many requests per second this host may send to a cold server
   //! that admits `per_kilosecond` requests per 1000 seconds from all hosts.
@@ -138,6 +146,8 @@
                                           const http::ResponseHead& head,
                                           const std::string& events);
   http::Request MakeRequest(const Target& target) const;
+  //! Returns the priority that the server is told; zero is the highest.
+  std::optional<std::uint32_t> Urgency() const;
   //! Returns when to stop waiting for the first byte of a response.
   TimePoint FirstByteDeadline() const;
 
@@ -153,6 +163,13 @@
   policy::TryOutcome HandleConnectionError(http::ConnectionError error);
   //! Records that bytes arrived from a server.
   void NoteAlive(const BackendServerName& server);
+  //! Records how long the server's stream was silent before the events that
+  //! have arrived. `event_before` is the last event before them, `waited_since`
+  //! when this host began to wait for them.
+  void NotePause(const Target& target,
+                 std::string_view events,
+                 std::optional<std::uint64_t> event_before,
+                 TimePoint waited_since);
   //! Records the call and its blocks as sound if the answer, whose body began
   //! at `started`, has gone on for long enough.
   void NoteLongAnswer(const Target& target, TimePoint started);
@@ -248,6 +265,9 @@
   std::uint32_t server_load = 0;
   //! Expected wait for a slot at the last server.
   Duration slot_wait{};
+  //! Expected time until the first byte of the last server's response, or until
+  //! that of another region's.
+  Duration expected_first_byte{};
 
   bool caller_gone = false;
   http::Connection* current_connection = nullptr;
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -75,16 +75,17 @@
   if (!target.server) {
     return std::nullopt;
   }
-  if (!this->TryAdmit(target.server->slot_wait)) {
-    servers.Release(target.server->name, this->PromptTokens());
+  if (!this->TryAdmit(*target.server)) {
+    servers.Release(target.server->name, target.server->prefill_tokens);
     return std::nullopt;
   }
   target.endpoint = EndpointOf(*target.server);
   this->tried.insert(target.server->name);
   this->server_load = target.server->load;
   this->slot_wait = target.server->slot_wait;
+  this->expected_first_byte = target.server->wait + target.server->prefill;
   this->sent_at = servers.Now();
-  this->pending_prefill = this->PromptTokens();
+  this->pending_prefill = target.server->prefill_tokens;
   return target;
 }
 
@@ -92,6 +93,7 @@
   Target target;
   target.endpoint = host.endpoint;
   this->tried_hosts.insert(host.host);
+  this->expected_first_byte = host.expected;
   target.host = std::move(host);
   return target;
 }
@@ -172,32 +174,53 @@
   }
 }
 
-bool PathRequest::TryAdmit(Duration wait) {
+bool PathRequest::TryAdmit(const policy::ServerChoice& server) {
+  if (!this->gateway.Settings().scheduling.fit_deadlines) {
+    return this->TryAdmit(server.slot_wait);
+  }
+  const policy::ExpectedTimes expected{server.wait, server.prefill, server.run};
+  const bool may_shed = this->MayShed();
+  if (may_shed && !policy::FitsDeadline(expected, this->TimeLeft())) {
+    this->Shed(server.wait);
+    return false;
+  }
+  return this->TryAdmit(server.wait);
+}
+
+bool PathRequest::MayShed() const {
   // Only streams are shed. A call that may already have run, or whose caller
   // has got the beginning of its stream, is completed wherever possible.
-  if (this->route->kind != state::PathKind::kStream ||
-      this->plan->MayHaveRun() || this->has_begun) {
-    return true;
-  }
-  const milliseconds latency_target =
-      this->snapshot->paths->StreamTarget(state::ServiceName(this->service));
-  const std::uint64_t key = policy::RendezvousKey(this->call.id);
-  if (policy::ShouldAdmit(wait, latency_target, key)) {
-    return true;
+  return this->route->kind == state::PathKind::kStream &&
+         !this->plan->MayHaveRun() && !this->has_begun;
+}
+
+bool PathRequest::TryAdmit(Duration wait) {
+  const bool is_admitted =
+      !this->MayShed() ||
+      policy::ShouldAdmit(wait, this->LatencyTarget(),
+                          policy::RendezvousKey(this->call.id));
+  if (!is_admitted) {
+    this->Shed(wait);
   }
+  return is_admitted;
+}
+
+milliseconds PathRequest::LatencyTarget() const {
+  return this->snapshot->paths->StreamTarget(state::ServiceName(this->service));
+}
+
+void PathRequest::Shed(Duration wait) {
+  const milliseconds latency_target = this->LatencyTarget();
   this->shed = true;
-  this->retry_after = CeilMs(policy::ShedRetryDelay(wait, latency_target, key));
+  this->retry_after = CeilMs(policy::ShedRetryDelay(
+      wait, latency_target, policy::RendezvousKey(this->call.id)));
   LogEvent(Event::kTurnedAway, LogLevel::kInfo,
            {{"request", this->call.id},
             {"service", this->service},
             {"wait_ms", std::to_string(CeilMs(wait).count())},
             {"target_ms", std::to_string(latency_target.count())},
+            {"left_ms", std::to_string(this->TimeLeft().count())},
             {"retry_ms", std::to_string(this->retry_after.count())}});
-  return false;
-}
-
-TokenCount PathRequest::PromptTokens() const {
-  return this->call.prompt ? this->call.prompt->prompt_tokens : 0;
 }
 
 bool PathRequest::MayForwardTo(const HostName& name) const {
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -41,6 +41,11 @@
 //! it began to write it.
 constexpr milliseconds kSoundAnswer{1'000};
 
+//! Priorities of routes that are told apart within one priority of a workspace.
+constexpr std::uint32_t kRouteLevels = 3;
+//! Max events that are assumed in one piece of a stream, whatever their ids.
+constexpr std::uint64_t kMaxPieceEvents = 64;
+
 //! Returns the number in the last `id:` line of complete events.
 std::optional<std::uint64_t> LastEventId(std::string_view events) {
   constexpr std::string_view kField = "id:";
@@ -93,6 +98,7 @@
   if (target.server) {
     context.server = target.server->name;
     context.workspace = this->grant.workspace;
+    context.urgency = this->Urgency();
   }
   http::Request request =
       this->gateway.Dependencies().protocol.EncodeRequest(this->call, context);
@@ -112,13 +118,32 @@
   return request;
 }
 
+std::optional<std::uint32_t> PathRequest::Urgency() const {
+  if (!this->gateway.Settings().scheduling.pass_urgency ||
+      this->route->kind != state::PathKind::kStream) {
+    return std::nullopt;
+  }
+  const auto workspace =
+      this->snapshot->set->workspaces.find(this->grant.workspace);
+  const std::uint32_t route = std::min(this->route->priority, kRouteLevels - 1);
+  const bool is_known = workspace != this->snapshot->set->workspaces.end();
+  // The workspace's priority comes first; routes rank requests of equal ones.
+  return is_known && workspace->second.priority
+             ? *workspace->second.priority * kRouteLevels + route
+             : route;
+}
+
 TimePoint PathRequest::FirstByteDeadline() const {
   if (!this->plan->MayFollowLoss()) {
     return this->deadline;
   }
   const TimePoint now = this->gateway.Dependencies().clock.Now();
-  const milliseconds first_byte_timeout =
+  Duration first_byte_timeout =
       std::max(kMinFirstByteTimeout, this->route->target_latency);
+  if (this->gateway.Settings().scheduling.fit_deadlines) {
+    // A loaded server is not an unresponsive one.
+    first_byte_timeout += this->expected_first_byte;
+  }
   return std::min(this->deadline, now + first_byte_timeout);
 }
 
@@ -360,6 +385,7 @@
     const TimePoint give_up = this->plan->MayFollowLoss()
                                   ? std::min(this->deadline, now + gap_timeout)
                                   : this->deadline;
+    const std::optional<std::uint64_t> event_before = this->last_event;
     auto piece = co_await reader.Read(give_up);
     this->NoteEnd(connection, reader.End());
     if (!piece) {
@@ -367,6 +393,7 @@
     }
     if (target.server) {
       this->NoteAlive(target.server->name);
+      this->NotePause(target, piece->bytes, event_before, now);
     }
     this->NoteBytes();
     this->NoteLongAnswer(target, body_started);
@@ -395,6 +422,29 @@
   this->gateway.Dependencies().quarantine.NoteAlive(server);
 }
 
+void PathRequest::NotePause(const Target& target,
+                            std::string_view events,
+                            std::optional<std::uint64_t> event_before,
+                            TimePoint waited_since) {
+  const bool shares_loads = this->gateway.Settings().scheduling.share_loads;
+  if (!shares_loads || !this->first_byte_at || events.empty()) {
+    return;
+  }
+  const TimePoint now = this->gateway.Dependencies().clock.Now();
+  // While a slow caller keeps this host from reading, events pile up and say
+  // nothing about the server.
+  if (waited_since - this->last_byte_at > now - waited_since) {
+    return;
+  }
+  const auto event = LastEventId(events);
+  const bool is_counted = event && event_before && *event > *event_before;
+  const std::uint64_t count =
+      is_counted ? std::min(*event - *event_before, kMaxPieceEvents) : 1;
+  this->gateway.Dependencies().servers.NotePauses(
+      target.server->name, static_cast<std::uint32_t>(count),
+      now - this->last_byte_at);
+}
+
 void PathRequest::NoteLongAnswer(const Target& target, TimePoint started) {
   const bool is_long = this->last_byte_at - started >= kSoundAnswer;
   if (target.server && is_long && !this->is_sound) {
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -111,7 +111,7 @@
   const TimePoint now = this->clock.Now();
   auto choice = this->table.Pick(query, now, this->random);
   if (choice) {
-    this->table.NoteSent(choice->name, query.prompt_tokens, now);
+    this->table.NoteSent(choice->name, choice->prefill_tokens, now);
   }
   return choice;
 }
@@ -261,6 +261,23 @@
   this->table.NoteFinished(name, policy::HealthSignal::kInconclusive, now, now);
 }
 
+void ServerDirectory::NotePauses(const BackendServerName& name,
+                                 std::uint32_t events,
+                                 Duration sum) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NotePauses(name, events, sum);
+}
+
+policy::LoadReport ServerDirectory::MakeLoadReport() {
+  const std::lock_guard lock(this->mutex);
+  return this->table.MakeLoadReport(this->clock.Now());
+}
+
+void ServerDirectory::ApplyLoads(const policy::LoadSummary& summary) {
+  const std::lock_guard lock(this->mutex);
+  this->table.ApplyLoads(summary);
+}
+
 void ServerDirectory::SetLimits(policy::ServerTableLimits limits) {
   const std::lock_guard lock(this->mutex);
   this->table.SetLimits(limits);
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -216,9 +216,8 @@
   server @0 :UInt32;
   running @1 :UInt32;
   pendingPrefill @2 :UInt32;
-  heldTokens @3 :UInt32;
-  pauses @4 :UInt32;
-  pauseSumMs @5 :UInt32;
+  pauses @3 :UInt32;
+  pauseSumMs @4 :UInt32;
 }
 
 struct ServerUses {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -4223,8 +4223,6 @@
 
   inline  ::uint32_t getPendingPrefill() const;
 
-  inline  ::uint32_t getHeldTokens() const;
-
   inline  ::uint32_t getPauses() const;
 
   inline  ::uint32_t getPauseSumMs() const;
@@ -4266,9 +4264,6 @@
   inline  ::uint32_t getPendingPrefill();
   inline void setPendingPrefill( ::uint32_t value);
 
-  inline  ::uint32_t getHeldTokens();
-  inline void setHeldTokens( ::uint32_t value);
-
   inline  ::uint32_t getPauses();
   inline void setPauses( ::uint32_t value);
 
@@ -10668,46 +10663,32 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServerUse::Reader::getHeldTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t ServerUse::Builder::getHeldTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void ServerUse::Builder::setHeldTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint32_t ServerUse::Reader::getPauses() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t ServerUse::Builder::getPauses() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 inline void ServerUse::Builder::setPauses( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t ServerUse::Reader::getPauseSumMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t ServerUse::Builder::getPauseSumMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 inline void ServerUse::Builder::setPauseSumMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t ServerUses::Reader::getNumber() const {
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -257,7 +257,6 @@
   out.setServer(use.server);
   out.setRunning(use.running);
   out.setPendingPrefill(ClampTokens(use.pending_prefill));
-  out.setHeldTokens(ClampTokens(use.held_tokens));
   out.setPauses(use.pauses);
   out.setPauseSumMs(ClampTokens(use.pause_sum.count()));
 }
@@ -268,8 +267,7 @@
   uses.number = in.getNumber();
   for (const auto use : in.getUses()) {
     uses.uses.push_back({use.getServer(), use.getRunning(),
-                         use.getPendingPrefill(), use.getHeldTokens(),
-                         use.getPauses(),
+                         use.getPendingPrefill(), use.getPauses(),
                          std::chrono::milliseconds(use.getPauseSumMs())});
   }
   return uses;
--- a/packages/policy/include/tamarackwing/policy/admission.h
+++ b/packages/policy/include/tamarackwing/policy/admission.h
@@ -26,6 +26,22 @@
 //! that may wait longer would starve the others. Thread safety: reentrant.
 bool ShouldAdmit(Duration wait, Duration target, std::uint64_t key);
 
+//! When a request would get its answer if it started now.
+struct ExpectedTimes {
+  //! Until its prefill starts.
+  Duration wait{};
+  //! Of its own prefill.
+  Duration prefill{};
+  //! From its first output to its end.
+  Duration run{};
+};
+
+//! Returns whether a request can end within the time that is left. Handles
+//! overload in which requests that cannot meet their deadlines take slots and
+//! prefill time from those that can: a server works on each until its deadline
+//! cuts it. Thread safety: reentrant.
+bool FitsDeadline(const ExpectedTimes& expected, Duration left);
+
 //! Returns the delay after which a shed request should be retried: the time
 //! until requests are likely to be admitted, lengthened by up to its own length
 //! depending on `key`, so that requests shed together don't return together.
--- a/packages/policy/include/tamarackwing/policy/placement.h
+++ b/packages/policy/include/tamarackwing/policy/placement.h
@@ -20,6 +20,8 @@
   Duration wait{};
   //! `wait` plus the request's own prefill and decode time.
   Duration cost{};
+  //! Relative speed. A server of twice the speed gets twice the groups.
+  double speed = 1;
 };
 
 //! Prompts with a common prefix.
@@ -28,6 +30,11 @@
   std::uint64_t digest = 0;
   //! How long an engine takes to prefill the common prefix.
   Duration prefill_time{};
+  //! The group leaves its server once the wait there exceeds the lowest one by
+  //! more than this many prefills of the common prefix. Among bounds from 1 to
+  //! 10, 4 gave the highest throughput under heavy load where waits are only
+  //! estimated from a host's own requests.
+  int max_extra_prefills = 4;
 };
 
 //! Chooses a server and returns its index in `options`.
@@ -40,7 +47,8 @@
 //! callers that send prompts about the same long documents at rates close to
 //! the engines' prefill capacity: an engine that prefills a document again
 //! delays all prompts queued on it. The group's server is chosen by rendezvous
-//! hashing, so that all hosts agree on it. A server is skipped in favour of the
+//! hashing, weighted by the servers' speeds, so that all hosts agree on it. A
+//! server is skipped in favour of the
 //! next in that order only while its wait exceeds the lowest wait of all
 //! servers by more than several prefills of the common prefix.
 //!
--- a/packages/policy/include/tamarackwing/policy/server_load.h
+++ b/packages/policy/include/tamarackwing/policy/server_load.h
@@ -21,8 +21,6 @@
   std::uint32_t running = 0;
   //! Prompt tokens sent whose prefill has not finished.
   TokenCount pending_prefill = 0;
-  //! Tokens that the requests in flight hold in the KV cache, or will hold.
-  TokenCount held_tokens = 0;
   //! Pauses between two events of a stream, and their sum: in a report, those
   //! since the last report; in a summary, those of the last seconds.
   std::uint32_t pauses = 0;
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -15,8 +15,10 @@
 
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/policy/server_load.h"
 #include "tamarackwing/policy/server_report.h"
 #include "tamarackwing/policy/server_statement.h"
+#include "tamarackwing/policy/shared_load.h"
 
 namespace tamarackwing {
 class RandomSource;
@@ -57,6 +59,12 @@
   double decode_rate = 50;
   //! Max prompt prefixes tracked per server; the oldest is evicted first.
   std::size_t prefixes = 1024;
+  //! Uses what other hosts have on each server, and its speed, while summaries
+  //! of the region's load collector arrive; see SharedLoad.
+  bool shares_loads = false;
+  //! Assumed prompt tokens per second of a server that reports no rate, for the
+  //! waits that are computed from shared loads.
+  double shared_prefill_rate = 30'000;
 };
 
 //! One block of a prompt prefix, as an engine's KV cache stores it.
@@ -160,6 +168,16 @@
   std::uint32_t load = 0;
   //! Expected wait for a free slot.
   Duration slot_wait{};
+  //! Expected time until the server starts this prompt's prefill, the wait for
+  //! a slot included.
+  Duration wait{};
+  //! Prompt tokens that the server is expected to prefill for the request.
+  TokenCount prefill_tokens = 0;
+  //! Expected time for that prefill.
+  Duration prefill{};
+  //! Average time from the first output to the end of the target's requests;
+  //! zero before the first request ended.
+  Duration run{};
   //! See ServerReport.
   std::string software;
   //! Digest of `software`.
@@ -255,6 +273,14 @@
                                         TimePoint now) const;
   //! Takes back a NoteSent: the request was not sent after all.
   void ReturnAllowance(const BackendServerName& name);
+  //! Records pauses of a server's streams; see SharedLoad.
+  void NotePauses(const BackendServerName& name,
+                  std::uint32_t events,
+                  Duration sum);
+  //! Makes this host's next report for the region's load collector.
+  LoadReport MakeLoadReport(TimePoint now);
+  //! Applies the load collector's reply.
+  void ApplyLoads(const LoadSummary& summary);
   //! Returns this host's load on the servers of a target.
   OwnLoad LoadOf(const std::string& target, TimePoint now) const;
   //! Returns the slots of all usable servers of a target, slow start applied;
@@ -299,6 +325,8 @@
     Duration wait{};
     //! `wait` and the request's own prefill and decode time.
     Duration cost{};
+    //! Relative speed; 1 is the median of the target's servers.
+    double speed = 1;
   };
   //! The software versions of a target's servers.
   struct SoftwareWatch {
@@ -376,6 +404,20 @@
   //! a time, all hosts together; the maximum if it names none.
   std::uint32_t SlotsWithinLimit(const Server& server,
                                  const std::string& target) const;
+  //! Returns whether this host knows what the others have on each server.
+  bool KnowsOthers(TimePoint now) const;
+  //! Returns the requests of all hosts on a server. Precondition: KnowsOthers.
+  double SharedLoadOn(const Server& server) const;
+  //! As SlotWaitAt and PrefillWaitAt, from shared loads.
+  Duration SharedSlotWaitAt(const Server& server,
+                            const std::string& target,
+                            TimePoint now) const;
+  Duration SharedPrefillWaitAt(const Server& server, TimePoint now) const;
+  //! Returns the prompt tokens that a server is expected to prefill. A group's
+  //! prefix counts as cached on the server that it is placed on.
+  TokenCount PrefillTokens(const Server& server,
+                           const ServerQuery& query,
+                           TimePoint now) const;
   double PrefillRate(const Server& server) const;
   double DecodeRate(const Server& server) const;
   //! Returns how long the next request of a target waits for a slot.
@@ -401,6 +443,7 @@
   std::unordered_map<BackendServerName, Process> paused;
   std::map<std::string, SoftwareWatch> software_seen;
   std::unordered_map<std::string, TargetLoad> loads;
+  SharedLoad shared;
   HostName self;
   //! Hosts that share the servers' limits, in ascending order.
   std::vector<HostName> sharers;
--- a/packages/policy/src/admission.cc
+++ b/packages/policy/src/admission.cc
@@ -37,6 +37,10 @@
          std::clamp<std::int64_t>(admitted, 0, kPerMille);
 }
 
+bool FitsDeadline(const ExpectedTimes& expected, Duration left) {
+  return expected.wait + expected.prefill + expected.run <= left;
+}
+
 Duration ShedRetryDelay(Duration wait, Duration target, std::uint64_t key) {
   const Duration min_delay = std::max<Duration>(
       kMinRetryDelay, wait - target * kAdmitAllBelow / kPerMille);
--- a/packages/policy/src/placement.cc
+++ b/packages/policy/src/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/policy/rendezvous.h"
@@ -12,10 +13,23 @@
 //! Costs that differ by no more are treated as equal: server reports are too
 //! old to tell them apart.
 constexpr std::chrono::milliseconds kSameCost{50};
-//! A group leaves its server once the wait there exceeds the lowest one by more
-//! than this many prefills of the common prefix. Among bounds from 1 to 10,
-//! this one gave the highest throughput under heavy load.
-constexpr int kMaxExtraPrefills = 4;
+//! Speeds are rounded to powers of this before they weigh groups: a group
+//! moves, and its prefix is prefilled again, whenever a weight changes.
+constexpr double kSpeedStep = 1.5;
+
+//! Returns a rank that is highest for the option that owns a group: rendezvous
+//! hashing, weighted by speed.
+double OwnerRank(const PlacementOption& option, std::uint64_t group) {
+  // The hash's upper 53 bits as a number between 0 and 1, exclusive.
+  constexpr int kUnusedBits = 11;
+  constexpr double kScale = 1.0 / (1ULL << 53);
+  const std::uint64_t hash = RendezvousWeight(group, option.server);
+  const double point =
+      (static_cast<double>(hash >> kUnusedBits) + 0.5) * kScale;
+  const double steps =
+      std::round(std::log(option.speed) / std::log(kSpeedStep));
+  return std::pow(kSpeedStep, steps) / -std::log(point);
+}
 
 std::size_t PlaceAlone(const std::vector<PlacementOption>& options,
                        RandomSource& random) {
@@ -40,14 +54,17 @@
   for (const PlacementOption& option : options) {
     min_wait = std::min(min_wait, option.wait);
   }
-  const Duration max_wait = min_wait + kMaxExtraPrefills * group.prefill_time;
+  const Duration max_wait =
+      min_wait + group.max_extra_prefills * group.prefill_time;
   std::size_t chosen = 0;
-  std::uint64_t max_weight = 0;
+  double max_rank = 0;
   for (std::size_t i = 0; i < options.size(); ++i) {
-    const std::uint64_t weight =
-        RendezvousWeight(group.digest, options[i].server);
-    if (options[i].wait <= max_wait && weight >= max_weight) {
-      max_weight = weight;
+    if (options[i].wait > max_wait) {
+      continue;
+    }
+    const double rank = OwnerRank(options[i], group.digest);
+    if (rank >= max_rank) {
+      max_rank = rank;
       chosen = i;
     }
   }
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -20,6 +20,9 @@
 constexpr double kCachedShare = 0.8;
 //! Output tokens assumed if the actual number is unknown.
 constexpr TokenCount kTypicalOutput = 128;
+//! As PromptGroup::max_extra_prefills, if the waits are known: a group that
+//! leaves its server costs the next one a prefill of the common prefix.
+constexpr int kMaxExtraPrefillsShared = 1;
 //! Broken responses in a row that eject a server. A single one may be caused by
 //! the request or the network.
 constexpr std::uint32_t kBreaksToEject = 2;
@@ -81,6 +84,8 @@
 
 struct ServerTable::Server {
   ServerReport report;
+  //! See ServerIdOf.
+  std::uint32_t id = 0;
   //! Digest of the version of its software.
   std::uint64_t software = 0;
   //! Set while the server names a limit.
@@ -288,6 +293,9 @@
     slot->software = Sha256Prefix(report.software);
   }
   slot->report = report;
+  if (slot->id == 0) {
+    slot->id = ServerIdOf(report.name);
+  }
   if (is_new) {
     this->RestorePause(*slot, now);
   }
@@ -392,23 +400,42 @@
   std::vector<PlacementOption> options;
   options.reserve(usable.size());
   for (const Candidate& candidate : usable) {
-    options.push_back(
-        {candidate.server->report.name.Text(), candidate.wait, candidate.cost});
+    options.push_back({candidate.server->report.name.Text(), candidate.wait,
+                       candidate.cost, candidate.speed});
+  }
+  PromptGroup group;
+  group.digest = query.affinity;
+  if (this->KnowsOthers(now)) {
+    group.prefill_time = Seconds(static_cast<double>(query.affinity_tokens) /
+                                 this->limits.shared_prefill_rate);
+    group.max_extra_prefills = kMaxExtraPrefillsShared;
+  } else {
+    group.prefill_time = Seconds(static_cast<double>(query.affinity_tokens) /
+                                 this->limits.prefill_rate);
   }
-  const PromptGroup group{query.affinity,
-                          Seconds(static_cast<double>(query.affinity_tokens) /
-                                  this->limits.prefill_rate)};
   const Candidate& chosen = usable[ChoosePlacement(options, group, random)];
   const ServerReport& report = chosen.server->report;
-  return ServerChoice{report.name,
-                      report.address,
-                      report.port,
-                      chosen.cost,
-                      chosen.server->own_running,
-                      chosen.slot_wait,
-                      report.software,
-                      chosen.server->software,
-                      report.started};
+  const auto known = this->loads.find(query.target);
+  const TokenCount prefill_tokens =
+      this->PrefillTokens(*chosen.server, query, now);
+  const double prefill_rate = this->KnowsOthers(now)
+                                  ? this->limits.shared_prefill_rate
+                                  : this->PrefillRate(*chosen.server);
+  return ServerChoice{
+      report.name,
+      report.address,
+      report.port,
+      chosen.cost,
+      chosen.server->own_running,
+      chosen.slot_wait,
+      chosen.wait,
+      prefill_tokens,
+      Seconds(static_cast<double>(prefill_tokens) / prefill_rate /
+              chosen.speed),
+      known == this->loads.end() ? Duration::zero() : known->second.run,
+      report.software,
+      chosen.server->software,
+      report.started};
 }
 
 std::vector<ServerTable::Candidate> ServerTable::Candidates(
@@ -420,6 +447,7 @@
   if (servers_of == this->by_target.end()) {
     return usable;
   }
+  const bool knows_others = this->KnowsOthers(now);
   usable.reserve(servers_of->second.size());
   for (const Server* server : servers_of->second) {
     const bool was_tried =
@@ -437,8 +465,10 @@
         HasColdAllowance(*server, query, now)) {
       const Duration slot = this->SlotWaitAt(*server, query.target, now);
       const Duration wait = slot + this->PrefillWaitAt(*server, now);
+      const double speed =
+          knows_others ? 1 / this->shared.SlownessOf(server->id) : 1;
       usable.push_back(
-          {server, slot, wait, wait + this->OwnCost(*server, query)});
+          {server, slot, wait, wait + this->OwnCost(*server, query), speed});
     }
   }
   return usable;
@@ -742,6 +772,40 @@
                                       : found->second->report.leaving;
 }
 
+void ServerTable::NotePauses(const BackendServerName& name,
+                             std::uint32_t events,
+                             Duration sum) {
+  const Server* const server = this->Find(name);
+  if (server != nullptr) {
+    this->shared.NotePauses(server->id, events, sum);
+  }
+}
+
+LoadReport ServerTable::MakeLoadReport(TimePoint now) {
+  std::vector<ServerUse> own;
+  for (const auto& [name, server] : this->servers) {
+    if (server->own_running > 0 || server->pending_prefill > 0) {
+      ServerUse use;
+      use.server = server->id;
+      use.running = server->own_running;
+      use.pending_prefill = server->pending_prefill;
+      own.push_back(use);
+    }
+  }
+  return this->shared.MakeReport(std::move(own), now);
+}
+
+void ServerTable::ApplyLoads(const LoadSummary& summary) {
+  std::vector<std::vector<std::uint32_t>> groups;
+  for (const auto& [target, servers_of] : this->by_target) {
+    std::vector<std::uint32_t>& group = groups.emplace_back();
+    for (const Server* server : servers_of) {
+      group.push_back(server->id);
+    }
+  }
+  this->shared.Accept(summary, groups);
+}
+
 OwnLoad ServerTable::LoadOf(const std::string& target, TimePoint now) const {
   OwnLoad load;
   const auto servers_of = this->by_target.find(target);
@@ -921,6 +985,9 @@
 Duration ServerTable::SlotWaitAt(const Server& server,
                                  const std::string& target,
                                  TimePoint now) const {
+  if (this->KnowsOthers(now)) {
+    return this->SharedSlotWaitAt(server, target, now);
+  }
   Duration run =
       Seconds(static_cast<double>(kTypicalOutput) / this->DecodeRate(server));
   double peers = 0;
@@ -937,7 +1004,62 @@
   return SlotWait(load, this->RampedSlots(server, now), run);
 }
 
+bool ServerTable::KnowsOthers(TimePoint now) const {
+  return this->limits.shares_loads && this->shared.IsFresh(now);
+}
+
+double ServerTable::SharedLoadOn(const Server& server) const {
+  return static_cast<double>(this->shared.OthersOn(server.id).running) +
+         server.own_running;
+}
+
+Duration ServerTable::SharedSlotWaitAt(const Server& server,
+                                       const std::string& target,
+                                       TimePoint now) const {
+  const auto known = this->loads.find(target);
+  const Duration run =
+      known == this->loads.end() || known->second.run == Duration::zero()
+          ? Seconds(static_cast<double>(kTypicalOutput) /
+                    this->DecodeRate(server))
+          : known->second.run;
+  // A slow server takes fewer requests at a time before its streams pause.
+  const double slowness = std::max(1.0, this->shared.SlownessOf(server.id));
+  return SlotWait(this->SharedLoadOn(server),
+                  std::max(1.0, this->RampedSlots(server, now) / slowness),
+                  run);
+}
+
+Duration ServerTable::SharedPrefillWaitAt(const Server& server,
+                                          TimePoint now) const {
+  const double slowness = this->shared.SlownessOf(server.id);
+  const auto pending =
+      static_cast<double>(server.pending_prefill +
+                          this->shared.OthersOn(server.id).pending_prefill);
+  const double typical =
+      static_cast<double>(kTypicalOutput) / this->DecodeRate(server);
+  const double decode_slowdown = this->SharedLoadOn(server) /
+                                 this->RampedSlots(server, now) * typical / 10;
+  return Seconds(
+      (pending / this->limits.shared_prefill_rate + decode_slowdown) *
+      slowness);
+}
+
+TokenCount ServerTable::PrefillTokens(const Server& server,
+                                      const ServerQuery& query,
+                                      TimePoint now) const {
+  if (!this->KnowsOthers(now)) {
+    return query.prompt_tokens;
+  }
+  const TokenCount cached =
+      std::max(server.CachedTokens(query.prefix_blocks),
+               query.affinity == 0 ? 0 : query.affinity_tokens);
+  return std::max<TokenCount>(0, query.prompt_tokens - cached);
+}
+
 Duration ServerTable::PrefillWaitAt(const Server& server, TimePoint now) const {
+  if (this->KnowsOthers(now)) {
+    return this->SharedPrefillWaitAt(server, now);
+  }
   const double typical =
       static_cast<double>(kTypicalOutput) / this->DecodeRate(server);
   // An engine prefills one prompt at a time.
--- a/packages/policy/tests/admission_tests.cc
+++ b/packages/policy/tests/admission_tests.cc
@@ -99,6 +99,15 @@
   return result;
 }
 
+// Guards against requests that take a server's time until their deadline cuts
+// them.
+TEST(Admission, RequestMustEndBeforeItsDeadline) {
+  const ExpectedTimes expected{milliseconds(500), milliseconds(300),
+                               milliseconds(1'200)};
+  EXPECT_TRUE(FitsDeadline(expected, milliseconds(2'000)));
+  EXPECT_FALSE(FitsDeadline(expected, milliseconds(1'999)));
+}
+
 TEST(AdmissionUnderLoad, SheddingKeepsMostRequestsOnTime) {
   const OverloadResult all = Overload(false);
   const OverloadResult admitted = Overload(true);
--- a/packages/policy/tests/placement_tests.cc
+++ b/packages/policy/tests/placement_tests.cc
@@ -35,6 +35,29 @@
   EXPECT_EQ(ChoosePlacement(options, group, random), 1 - home);
 }
 
+// Guards against prefixes that all move, and are prefilled again, when the
+// speed of one server changes.
+TEST(Placement, FasterServersOwnMoreGroups) {
+  constexpr std::uint64_t kGroups = 2'000;
+  SeededRandom random(1);
+  std::vector<PlacementOption> options{
+      Option("a", milliseconds(0), milliseconds(10)),
+      Option("b", milliseconds(0), milliseconds(10)),
+      Option("c", milliseconds(0), milliseconds(10))};
+  std::map<std::size_t, int> owned;
+  int moved = 0;
+  for (std::uint64_t group = 1; group <= kGroups; ++group) {
+    options[0].speed = 1;
+    const std::size_t before = ChoosePlacement(options, {group, {}}, random);
+    options[0].speed = 2.25;
+    const std::size_t owner = ChoosePlacement(options, {group, {}}, random);
+    owned[owner] += 1;
+    moved += owner != before && owner != 0 ? 1 : 0;
+  }
+  EXPECT_EQ(moved, 0);
+  EXPECT_NEAR(1.0 * owned[0] / owned[1], 2.25, 0.35);
+}
+
 TEST(Placement, PromptWithoutGroupGoesToServerWithLowestCost) {
   SeededRandom random(1);
   const std::vector<PlacementOption> options{
--- /dev/null
+++ b/packages/policy/tests/shared_load_tests.cc
@@ -0,0 +1,257 @@
+#include "tamarackwing/policy/shared_load.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "tamarackwing/base/random_source.h"
+#include "tamarackwing/policy/load_board.h"
+#include "tamarackwing/policy/server_table.h"
+
+namespace tamarackwing::policy {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kInterval{250};
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+ServerUse Use(std::uint32_t server,
+              std::uint32_t running,
+              std::uint32_t pauses = 0,
+              milliseconds pause_sum = milliseconds(0)) {
+  return {server, running, 0, pauses, pause_sum};
+}
+
+LoadSummary Summary(std::uint64_t number, std::vector<ServerUse> uses) {
+  return {number, std::move(uses)};
+}
+
+// Guards against a host's own requests being counted twice.
+TEST(SharedLoadTest, SubtractsWhatTheHostReported) {
+  SharedLoad shared;
+  const LoadReport report = shared.MakeReport({Use(1, 4)}, kStart);
+  shared.Accept(Summary(report.number, {Use(1, 10), Use(2, 3)}), {});
+  EXPECT_EQ(shared.OthersOn(1).running, 6U);
+  EXPECT_EQ(shared.OthersOn(2).running, 3U);
+  EXPECT_EQ(shared.OthersOn(3).running, 0U);
+}
+
+// Guards against summaries that are lost, late, repeated, or replies to an
+// earlier process of the host.
+TEST(SharedLoadTest, AppliesOnlyNewerReplies) {
+  SharedLoad shared;
+  const LoadReport first = shared.MakeReport({}, kStart);
+  const LoadReport second = shared.MakeReport({}, kStart + kInterval);
+  shared.Accept(Summary(second.number, {Use(1, 5)}), {});
+  shared.Accept(Summary(first.number, {Use(1, 9)}), {});
+  shared.Accept(Summary(second.number, {Use(1, 9)}), {});
+  shared.Accept(Summary(second.number + 1, {Use(1, 9)}), {});
+  EXPECT_EQ(shared.OthersOn(1).running, 5U);
+}
+
+// Guards against decisions on old information: its age counts from the report
+// that the summary replies to, not from its arrival.
+TEST(SharedLoadTest, SummariesExpire) {
+  SharedLoad shared;
+  EXPECT_FALSE(shared.IsFresh(kStart));
+  const LoadReport report = shared.MakeReport({}, kStart);
+  shared.Accept(Summary(report.number, {}), {});
+  EXPECT_TRUE(shared.IsFresh(kStart + kLoadReportLife / 2));
+  EXPECT_FALSE(shared.IsFresh(kStart + kLoadReportLife));
+}
+
+TEST(SharedLoadTest, ComparesPausesWithinATarget) {
+  SharedLoad shared;
+  const LoadReport report = shared.MakeReport({}, kStart);
+  shared.Accept(Summary(report.number, {Use(1, 5, 400, milliseconds(16'000)),
+                                        Use(2, 5, 400, milliseconds(16'000)),
+                                        Use(3, 5, 400, milliseconds(32'000)),
+                                        Use(9, 5, 400, milliseconds(400'000))}),
+                {{1, 2, 3}, {9}});
+  EXPECT_NEAR(shared.SlownessOf(1), 1, 0.01);
+  EXPECT_NEAR(shared.SlownessOf(3), 2, 0.1);
+  EXPECT_EQ(shared.SlownessOf(9), 1);
+}
+
+// Guards against a speed that is learned from a handful of pauses.
+TEST(SharedLoadTest, FewPausesSayLittle) {
+  SharedLoad shared;
+  const LoadReport report = shared.MakeReport({}, kStart);
+  shared.Accept(Summary(report.number, {Use(1, 5, 400, milliseconds(16'000)),
+                                        Use(2, 5, 400, milliseconds(16'000)),
+                                        Use(3, 1, 2, milliseconds(400))}),
+                {{1, 2, 3}});
+  EXPECT_LT(shared.SlownessOf(3), 1.5);
+}
+
+//! Hosts of one region that place streams onto its servers, each by its own
+//! table, and the region's load collector. A server's streams pause in
+//! proportion to its load and to its slowness.
+class SharedRegion {
+ public:
+  static constexpr std::size_t kHosts = 5;
+  static constexpr int kServers = 8;
+
+  explicit SharedRegion(bool shares_loads) {
+    ServerTableLimits limits;
+    limits.ramp = milliseconds(0);
+    limits.lease = std::chrono::seconds(60);
+    limits.shares_loads = shares_loads;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      this->tables.emplace_back(limits);
+    }
+    for (ServerTable& table : this->tables) {
+      for (int server = 0; server < kServers; ++server) {
+        ServerReport report;
+        report.name = NameOf(server);
+        report.targets = {"drafter"};
+        report.slots = 16;
+        report.address = "10.0.0.1";
+        report.port = static_cast<std::uint16_t>(1'000 + server);
+        table.Announce(report, this->now);
+      }
+    }
+  }
+
+  static BackendServerName NameOf(int server) {
+    return BackendServerName("server-" + std::to_string(server));
+  }
+
+  //! Each host starts a stream every 125 ms; a stream ends after `kEvents`
+  //! events.
+  void Run(Duration span) {
+    constexpr milliseconds kStep{125};
+    for (const TimePoint end = this->now + span; this->now < end;
+         this->now += kStep) {
+      for (std::size_t host = 0; host < kHosts; ++host) {
+        this->StartStream(host);
+      }
+      this->MakeEvents(kStep);
+      if (this->step++ % 2 == 0) {
+        this->Share();
+      }
+    }
+  }
+
+  double LoadOf(int server) const {
+    double load = 0;
+    for (const Stream& stream : this->streams) {
+      load += stream.server == server ? 1 : 0;
+    }
+    return load;
+  }
+
+  double MaxPauseMs() const {
+    double longest = 0;
+    for (int server = 0; server < kServers; ++server) {
+      longest = std::max(longest, this->PauseMs(server));
+    }
+    return longest;
+  }
+
+  std::map<int, double> slowness;
+
+ private:
+  struct Stream {
+    std::size_t host = 0;
+    int server = 0;
+    double events = 0;
+  };
+  static constexpr double kEvents = 40;
+
+  double PauseMs(int server) const {
+    const auto found = this->slowness.find(server);
+    return (20 + 4 * this->LoadOf(server)) *
+           (found == this->slowness.end() ? 1 : found->second);
+  }
+
+  void StartStream(std::size_t host) {
+    ServerQuery query;
+    query.target = "drafter";
+    const auto choice = this->tables[host].Pick(query, this->now, this->random);
+    ASSERT_TRUE(choice);
+    this->tables[host].NoteSent(choice->name, 0, this->now);
+    this->streams.push_back(
+        {host, std::stoi(choice->name.Text().substr(7)), 0});
+  }
+
+  void MakeEvents(milliseconds step) {
+    std::map<int, double> pause_ms;
+    for (int server = 0; server < kServers; ++server) {
+      pause_ms[server] = this->PauseMs(server);
+    }
+    std::erase_if(this->streams, [&](Stream& stream) {
+      const double events =
+          static_cast<double>(step.count()) / pause_ms[stream.server];
+      const double before = stream.events;
+      stream.events += events;
+      const auto whole = static_cast<std::uint32_t>(stream.events) -
+                         static_cast<std::uint32_t>(before);
+      ServerTable& table = this->tables[stream.host];
+      if (whole > 0) {
+        table.NotePauses(
+            NameOf(stream.server), whole,
+            milliseconds(static_cast<int>(whole * pause_ms[stream.server])));
+      }
+      if (stream.events < kEvents) {
+        return false;
+      }
+      table.NoteFinished(NameOf(stream.server), HealthSignal::kAnswered,
+                         this->now, this->now);
+      return true;
+    });
+  }
+
+  void Share() {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      const LoadReport report = this->tables[host].MakeLoadReport(this->now);
+      this->board.Accept(HostName(std::to_string(host)), report, this->now);
+      this->tables[host].ApplyLoads(
+          this->board.Summarize(report.number, this->now));
+    }
+  }
+
+  TimePoint now = kStart;
+  int step = 0;
+  SeededRandom random{3};
+  std::vector<ServerTable> tables;
+  LoadBoard board;
+  std::vector<Stream> streams;
+};
+
+// The load: servers of one service of which a quarter has less than half of the
+// speed of the others. Equal numbers of streams make those of the slow ones
+// pause twice as long.
+TEST(SharedLoadTest, SlowServersGetFewerStreams) {
+  SharedRegion even(false);
+  SharedRegion learned(true);
+  for (SharedRegion* const region : {&even, &learned}) {
+    region->slowness = {{0, 2.2}, {1, 2.2}};
+    region->Run(std::chrono::seconds(15));
+  }
+  EXPECT_LT(learned.MaxPauseMs(), even.MaxPauseMs());
+  EXPECT_LT(learned.LoadOf(0) + learned.LoadOf(1),
+            learned.LoadOf(2) + learned.LoadOf(3));
+  EXPECT_GT(learned.LoadOf(0) + learned.LoadOf(1), 0);
+}
+
+// Guards against a speed that outlives its cause: a server that recovers gets
+// its share back, which requires that an avoided server is still tried.
+TEST(SharedLoadTest, ServersThatRecoverGetTheirShareBack) {
+  SharedRegion region(true);
+  region.slowness = {{0, 3.0}};
+  region.Run(std::chrono::seconds(10));
+  const double slow = region.LoadOf(0);
+  region.slowness.clear();
+  region.Run(std::chrono::seconds(15));
+  double others = 0;
+  for (int server = 1; server < SharedRegion::kServers; ++server) {
+    others += region.LoadOf(server) / (SharedRegion::kServers - 1);
+  }
+  EXPECT_LT(slow, others);
+  EXPECT_GT(region.LoadOf(0), others / 2);
+}
+
+}  // namespace
+}  // namespace tamarackwing::policy
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -27,6 +27,9 @@
 //! Snapshots are renewed even if nothing changes, because every leader contact
 //! extends their `keys_fresh_until`.
 constexpr milliseconds kSnapshotInterval{200};
+//! Interval between load reports: a fraction of the time that most requests
+//! stay on a server.
+constexpr milliseconds kLoadInterval{250};
 constexpr std::chrono::seconds kChangeTimeout{9};
 //! Short against the interval at which metrics are usually collected.
 constexpr std::chrono::seconds kTrafficMetricsInterval{1};
@@ -116,6 +119,7 @@
       // A reply to an earlier process of this host must not match.
       next_stream(NewIncarnation()),
       next_token_request(NewIncarnation()),
+      load_follower(kLoadInterval),
       next_probe(NewIncarnation()) {
   this->SetUpCallbacks();
 }
@@ -263,6 +267,10 @@
   } else if (const auto* returned =
                  std::get_if<policy::TokenReturn>(&message)) {
     this->dependencies.rates.HandleReturn(*returned);
+  } else if (const auto* loads = std::get_if<policy::LoadReport>(&message)) {
+    this->HandleLoadReport(from, *loads);
+  } else if (const auto* summary = std::get_if<policy::LoadSummary>(&message)) {
+    this->HandleLoadSummary(from, *summary);
   } else {
     this->Execute(
         this->node->Receive(from, message, this->dependencies.clock.Now()));
@@ -508,6 +516,7 @@
     this->share_at = now + kShareInterval;
     this->ShareSlots();
   }
+  this->ReportLoads();
   if (now >= this->probe_at) {
     this->probe_at = now + this->node->Options().probe;
     this->ProbeRegions();
@@ -796,6 +805,55 @@
   }
 }
 
+void ControlThread::ReportLoads() {
+  const TimePoint now = this->dependencies.clock.Now();
+  const bool is_entry_host = this->node->Options().self.IsEntryHost();
+  if (!this->settings.gateway.scheduling.share_loads || !is_entry_host ||
+      !this->load_follower.IsDue(now)) {
+    return;
+  }
+  const state::ControlState& state = this->node->State();
+  const RegionName& region = this->settings.gateway.region;
+  const auto live = state.Live().find(region);
+  if (live == state.Live().end()) {
+    return;
+  }
+  const auto collector = this->load_follower.Due(
+      control::LoadCollectors(region, this->node->Leader(), state.Hosts(),
+                              live->second),
+      now);
+  if (!collector) {
+    return;
+  }
+  policy::LoadReport report = this->dependencies.servers.MakeLoadReport();
+  // Numbers of an earlier process of this host are lower.
+  report.number += this->node->Options().self.incarnation;
+  if (*collector == this->settings.gateway.host) {
+    this->HandleLoadReport(*collector, report);
+  } else {
+    this->network->Send(*collector, std::move(report));
+  }
+}
+
+void ControlThread::HandleLoadReport(const HostName& from,
+                                     const policy::LoadReport& report) {
+  const TimePoint now = this->dependencies.clock.Now();
+  this->load_board.Accept(from, report, now);
+  policy::LoadSummary summary = this->load_board.Summarize(report.number, now);
+  if (from == this->settings.gateway.host) {
+    this->HandleLoadSummary(from, std::move(summary));
+  } else {
+    this->network->Send(from, std::move(summary));
+  }
+}
+
+void ControlThread::HandleLoadSummary(const HostName& from,
+                                      policy::LoadSummary summary) {
+  this->load_follower.NoteReply(from, this->dependencies.clock.Now());
+  summary.number -= this->node->Options().self.incarnation;
+  this->dependencies.servers.ApplyLoads(summary);
+}
+
 void ControlThread::ProbeRegions() {
   std::map<RegionName, std::vector<HostName>> by_region;
   for (const auto& [region, live] : this->node->State().Live()) {
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -20,6 +20,7 @@
 #include "tamarackwing/base/random_source.h"
 #include "tamarackwing/control/control_effects.h"
 #include "tamarackwing/control/control_node.h"
+#include "tamarackwing/control/load_collectors.h"
 #include "tamarackwing/gateway/active_requests.h"
 #include "tamarackwing/gateway/admission_gate.h"
 #include "tamarackwing/gateway/block_quarantine.h"
@@ -31,6 +32,8 @@
 #include "tamarackwing/hosts/peer_handler.h"
 #include "tamarackwing/hosts/peer_network.h"
 #include "tamarackwing/operators/operator_service.h"
+#include "tamarackwing/policy/load_board.h"
+#include "tamarackwing/policy/server_load.h"
 #include "tamarackwing/state/disk.h"
 #include "tamarackwing/state/log_store.h"
 #include "turn_watch.h"
@@ -180,6 +183,10 @@
   void ShareLimits(
       const std::map<HostName, const control::RegionStatus*>& peers,
       control::RegionStatus& status);
+  //! Sends what this host has on the servers to the region's load collector.
+  void ReportLoads();
+  void HandleLoadReport(const HostName& from, const policy::LoadReport& report);
+  void HandleLoadSummary(const HostName& from, policy::LoadSummary summary);
   void ProbeRegions();
   void PublishSnapshot();
   void PublishMetrics();
@@ -236,6 +243,9 @@
   std::uint64_t next_token_request;
   //! Until when a host that did not reply is not asked.
   std::map<HostName, TimePoint> silent_keepers;
+  control::LoadFollower load_follower;
+  //! What the hosts of the region report to this host as their collector.
+  policy::LoadBoard load_board;
   std::uint64_t next_probe;
   //! Position of the next region to probe in the round-robin order.
   std::size_t next_region = 0;
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -228,6 +228,7 @@
   scheduling.spill_ahead = reader->Flag("spill_ahead", false);
   scheduling.fit_deadlines = reader->Flag("fit_deadlines", false);
   scheduling.pass_urgency = reader->Flag("pass_urgency", false);
+  settings.servers.shares_loads = scheduling.share_loads;
 }
 
 void ReadTimes(TableReader& document, Settings& settings) {
