--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -143,6 +143,8 @@
 struct OwnLoad {
   //! Usable servers.
   std::uint32_t servers = 0;
+  //! Their slots as announced, without slow start.
+  std::uint32_t slots = 0;
   //! Requests of this host in flight.
   std::uint32_t running = 0;
   //! Prompt tokens sent whose prefill has not finished.
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -749,7 +749,10 @@
     return load;
   }
   for (const Server* server : servers_of->second) {
-    load.servers += this->IsUsable(*server, false, now) ? 1 : 0;
+    if (this->IsUsable(*server, false, now)) {
+      load.servers += 1;
+      load.slots += server->report.slots;
+    }
     load.running += server->own_running;
     load.pending_prefill += server->pending_prefill;
   }
