gateway, daemon: move calls to regions with free capacity before they wait

Cause: with ShouldSpill calls move only after calls wait, and come back as soon as the wait falls. Change: with scheduling.spill_ahead, each host measures what its callers offer and reports it in its region status; probe replies carry the region's sums and capacity. RegionTable renews a plan per target with each share of the slots; PathRequest follows it by a hash of the prompt's shared prefix, within home regions and a quarter of the latency target. Setting prefill_tokens_per_s, event 2201, gauges, docs/design/regional-capacity.md. Probes go to entry hosts only with the switch, since others do not know their region's servers.

--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -30,6 +30,7 @@
   kBlockReleased = 2102,
   kBlockTrial = 2103,
   kBlockTrialFailed = 2104,
+  kSpillPlanned = 2201,
   kLeaderElected = 3001,
   kSteppedDown = 3002,
   kSetApplied = 3003,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -128,6 +128,8 @@
       return "block_trial";
     case Event::kBlockTrialFailed:
       return "block_trial_failed";
+    case Event::kSpillPlanned:
+      return "spill_planned";
     case Event::kLeaderElected:
       return "leader_elected";
     case Event::kSteppedDown:
--- a/packages/gateway/include/tamarackwing/gateway/gateway_settings.h
+++ b/packages/gateway/include/tamarackwing/gateway/gateway_settings.h
@@ -23,6 +23,9 @@
   bool fit_deadlines = false;
   //! Tells servers how urgent a request is.
   bool pass_urgency = false;
+  //! Prompt tokens that a server without other requests processes per second;
+  //! the starting value of what is learned per target. Positive.
+  double prefill_tokens_per_s = 30'000;
 };
 
 //! Settings of a gateway, fixed when it is constructed.
--- a/packages/gateway/include/tamarackwing/gateway/path_call.h
+++ b/packages/gateway/include/tamarackwing/gateway/path_call.h
@@ -56,6 +56,8 @@
   KeyDigest key;
   //! Where the stream began that the call goes on with, if it does.
   std::optional<policy::StreamOrigin> stream;
+  //! The forwarding host.
+  HostName origin;
 };
 
 //! Returns a digest of what stays the same if a caller repeats a request: the
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -139,6 +139,7 @@
       co_return refusal;
     }
   }
+  this->NoteOffered();
   // The forwarding host limits the number of runs, so this host runs a
   // forwarded call at most once.
   const std::size_t max_runs = this->forwarded ? 1 : this->route->most_tries;
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -94,6 +94,24 @@
   //! Returns a host of another region if it is expected to serve this call
   //! enough earlier than this region to make up for the network latency.
   std::optional<ForwardTarget> PickSpill();
+  //! Returns a host of the region to which the region's plan moves this call;
+  //! used instead of the expected waits if SchedulingSettings::spill_ahead.
+  std::optional<ForwardTarget> PickPlanned();
+  //! Returns whether spill plans are made for calls like this one.
+  bool IsPlanned() const;
+  //! Returns whether the call may run in another region, close enough for the
+  //! call's latency target.
+  bool MayMoveTo(const PlannedRegion& region) const;
+  //! Returns the prompt tokens that no other call shares. Precondition: the
+  //! call has a prompt.
+  TokenCount OwnTokens() const;
+  //! Returns whether the call counts as work that this region's callers offer.
+  bool IsOfferedHere() const;
+  //! Adds the call to the work that is offered, unless it counts elsewhere.
+  void NoteOffered();
+  //! Records the times of a finished stream whose first output in this try
+  //! arrived at `first_output`.
+  void NoteServed(const Target& target, TimePoint first_output);
   //! Returns whether a host is a live entry host that is not draining and has
   //! not been tried.
   bool MayForwardTo(const HostName& name) const;
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -123,6 +123,9 @@
 
 std::optional<ForwardTarget> PathRequest::PickSpill() {
   const PathGatewayDependencies& dependencies = this->gateway.Dependencies();
+  if (this->gateway.Settings().scheduling.spill_ahead) {
+    return this->PickPlanned();
+  }
   std::optional<ForwardTarget> remote = this->BestCandidate();
   const bool spills =
       remote && policy::ShouldSpill(dependencies.regions.OwnWait(this->service),
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -355,6 +355,7 @@
   const TimePoint body_started = this->gateway.Dependencies().clock.Now();
   ConnectionCheck sender = this->CheckOf(target);
   AnswerReader reader(connection, &this->events, sender);
+  std::optional<TimePoint> first_output;
   while (true) {
     const TimePoint now = this->gateway.Dependencies().clock.Now();
     const TimePoint give_up = this->plan->MayFollowLoss()
@@ -369,6 +370,7 @@
       this->NoteAlive(target.server->name);
     }
     this->NoteBytes();
+    first_output = first_output.value_or(this->last_byte_at);
     this->NoteLongAnswer(target, body_started);
     this->answer_stage = AnswerStage::kBody;
     if (!piece->bytes.empty() || piece->is_end) {
@@ -383,6 +385,7 @@
         this->gateway.Dependencies().servers.NoteRun(
             this->service, this->last_byte_at - *this->first_byte_at);
       }
+      this->NoteServed(target, *first_output);
       const bool finished = co_await this->writer.FinishStream();
       this->NoteWritten(finished);
       co_return TryOutcome::kServed;
--- a/packages/gateway/tests/path_gateway_fixture.h
+++ b/packages/gateway/tests/path_gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -41,8 +42,18 @@
     return {};
   }
   std::vector<ForwardTarget> Neighbours() override { return this->hosts; }
+  std::shared_ptr<const SpillPlan> PlanFor(const std::string&) override {
+    return this->plan;
+  }
+  void NoteOffered(const std::string&,
+                   const policy::OfferedCall& call) override {
+    this->offered.push_back(call);
+  }
+  void NoteServed(const std::string&, const policy::ServedCall&) override {}
 
   std::vector<ForwardTarget> hosts;
+  std::shared_ptr<const SpillPlan> plan;
+  std::vector<policy::OfferedCall> offered;
 };
 
 //! Keeps the response's status and head.
@@ -71,8 +82,9 @@
 //! to the neighbours that it adds.
 class PathGatewayTest : public testing::Test {
  protected:
-  explicit PathGatewayTest(std::unique_ptr<const PathProtocol> protocol)
-      : protocol(std::move(protocol)) {}
+  explicit PathGatewayTest(std::unique_ptr<const PathProtocol> protocol,
+                           SchedulingSettings scheduling = {})
+      : settings(MakeSettings(scheduling)), protocol(std::move(protocol)) {}
 
   void TearDown() override { this->threads.Stop(); }
 
@@ -141,16 +153,28 @@
   //! Serves one call, as one that another host forwarded if `is_forwarded`.
   http::ResponseHead Serve(const std::string& target,
                            bool is_forwarded = false) {
-    KeptResponse writer;
+    return this->ServeCall(
+        this->MakeCall(target),
+        is_forwarded ? std::optional(ForwardedCall()) : std::nullopt);
+  }
+
+  //! Returns a call with an id of its own.
+  PathCall MakeCall(const std::string& target) {
     PathCall call;
     call.id = "call-" + std::to_string(this->next_call++);
     call.authority = "h";
     call.method = "GET";
     call.target = target;
-    ForwardedCall origin;
-    auto served = is_forwarded ? this->gateway.ServeForwarded(
-                                     std::move(call), std::move(origin), writer)
-                               : this->gateway.Serve(std::move(call), writer);
+    return call;
+  }
+
+  //! Serves a call, as one that another host forwarded if `origin` is set.
+  http::ResponseHead ServeCall(PathCall call,
+                               std::optional<ForwardedCall> origin) {
+    KeptResponse writer;
+    auto served = origin ? this->gateway.ServeForwarded(
+                               std::move(call), std::move(*origin), writer)
+                         : this->gateway.Serve(std::move(call), writer);
     http::asio::co_spawn(*this->threads.All().front(), std::move(served),
                          http::asio::use_future)
         .get();
@@ -174,6 +198,14 @@
     ASSERT_TRUE(this->servers.LinksAreDown());
   }
 
+  static GatewaySettings MakeSettings(SchedulingSettings scheduling) {
+    GatewaySettings made;
+    made.host = HostName("m-1");
+    made.region = RegionName("muscat");
+    made.scheduling = scheduling;
+    return made;
+  }
+
   void Probe() {
     this->prober.Tick();
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
@@ -184,12 +216,7 @@
   Metrics metrics;
   SpanFile spans{""};
   SnapshotHolder snapshots;
-  GatewaySettings settings = [] {
-    GatewaySettings made;
-    made.host = HostName("m-1");
-    made.region = RegionName("muscat");
-    return made;
-  }();
+  GatewaySettings settings;
   ServerDirectory servers{settings.region, {}, clock, 1};
   OpenBudget budget;
   FixedHosts regions;
--- a/packages/policy/include/tamarackwing/policy/offered_work.h
+++ b/packages/policy/include/tamarackwing/policy/offered_work.h
@@ -62,8 +62,6 @@
  public:
   explicit OfferedWork(OfferedWorkOptions options) : options(options) {}
 
-  //! Replaces the options; what was learned remains.
-  void SetOptions(OfferedWorkOptions next) { this->options = next; }
   //! Sets the slots of one server of a target. While it is zero, which means
   //! unknown, the work of outputs is not counted.
   void SetSlots(const std::string& target, double slots);
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -45,6 +45,8 @@
 constexpr milliseconds kKeeperSilence{1'000};
 //! How long the answers about a stream are waited for.
 constexpr milliseconds kStreamTimeout{2'000};
+//! Capacity of one server in region statuses; see control::TargetLoad.
+constexpr std::uint32_t kServerCapacity = 1'000;
 //! Time during which a host without demand also reports to a new leader; long
 //! enough for several reports, because some may be lost.
 constexpr milliseconds kNewLeaderPeriod{3'000};
@@ -724,18 +726,27 @@
   for (const std::string& target : targets) {
     const policy::OwnLoad own_load = this->dependencies.servers.LoadOf(target);
     const auto gate = own_demand.find(target);
+    this->dependencies.regions.SetServers(target, own_load.servers,
+                                          own_load.slots);
+    const policy::WorkRate work = this->dependencies.regions.OfferedOf(target);
     const RegionDemand demand =
         CountDemand(target, self, gate == own_demand.end() ? 0 : gate->second,
-                    own_load, peers);
+                    own_load, work, peers);
     this->dependencies.servers.SetPeerLoad(target, demand.total - demand.own);
     const std::uint32_t slots = this->dependencies.servers.Slots(target);
     const std::uint32_t own_slots =
         policy::ShareSlots(slots, demand.hosts).at(self);
     this->dependencies.gate.SetSlots(target, slots == 0 ? 0 : own_slots);
+    // Without the switch, messages stay as they were.
+    const std::uint32_t capacity = this->settings.gateway.scheduling.spill_ahead
+                                       ? kServerCapacity * own_load.servers
+                                       : 0;
     status.loads.push_back({target, slots, demand.own, own_load.servers,
-                            own_load.pending_prefill});
+                            own_load.pending_prefill, work.offered,
+                            work.movable, capacity});
     region_loads.push_back({target, slots, demand.total, own_load.servers,
-                            demand.pending_prefill});
+                            demand.pending_prefill, demand.offered,
+                            demand.movable, capacity});
   }
   for (const auto& [target, tokens] : this->dependencies.gate.TakeServed()) {
     for (const auto& [workspace, count] : tokens) {
@@ -803,6 +814,12 @@
       by_region[region].assign(live.begin(), live.end());
     }
   }
+  if (this->settings.gateway.scheduling.spill_ahead) {
+    // Hosts with disks only do not know their region's servers.
+    for (auto& [region, hosts] : by_region) {
+      this->KeepEntryHosts(hosts);
+    }
+  }
   // The number of probes per round is bounded, whatever the number of regions.
   std::vector<RegionName> live_regions;
   for (const auto& [region, live] : by_region) {
@@ -822,6 +839,17 @@
   }
 }
 
+void ControlThread::KeepEntryHosts(std::vector<HostName>& hosts) const {
+  const auto& records = this->node->State().Hosts();
+  const auto is_other = [&](const HostName& name) {
+    const auto record = records.find(name);
+    return record == records.end() || !record->second.IsEntryHost();
+  };
+  if (!std::all_of(hosts.begin(), hosts.end(), is_other)) {
+    std::erase_if(hosts, is_other);
+  }
+}
+
 void ControlThread::PublishSnapshot() {
   const TimePoint now = this->dependencies.clock.Now();
   this->snapshot_at = now + kSnapshotInterval;
@@ -898,6 +926,8 @@
     this->traffic_metrics_at = now + kTrafficMetricsInterval;
     this->PublishTrafficMetrics();
     this->LogTraffic();
+    this->spill_log.Publish(this->dependencies.regions.Spills(),
+                            this->dependencies.metrics);
     if (this->disk != nullptr) {
       this->LogLoad();
     }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -13,6 +13,7 @@
 #include "leased_rate_budget.h"
 #include "region_table.h"
 #include "settings.h"
+#include "spill_log.h"
 #include "tamarackwing/backend_servers/server_registry.h"
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/expected.h"
@@ -181,6 +182,8 @@
       const std::map<HostName, const control::RegionStatus*>& peers,
       control::RegionStatus& status);
   void ProbeRegions();
+  //! Removes the hosts that are no entry hosts, unless none would be left.
+  void KeepEntryHosts(std::vector<HostName>& hosts) const;
   void PublishSnapshot();
   void PublishMetrics();
   void PublishVoterMetrics(TimePoint now);
@@ -214,6 +217,7 @@
   std::thread thread;
   TurnWatch turns;
   ControlLoad load;
+  SpillLog spill_log;
   DiskWatch disk_watch;
   std::atomic<bool> updates_acknowledged{false};
   std::atomic<bool> failed{false};
--- a/programs/tamarackwingd/src/daemon.cc
+++ b/programs/tamarackwingd/src/daemon.cc
@@ -85,6 +85,18 @@
   return {};
 }
 
+RegionTable MakeRegionTable(const Settings& settings, const Clock& clock) {
+  const double prefill_rate = settings.servers.prefill_rate;
+  const gateway::SchedulingSettings& scheduling = settings.gateway.scheduling;
+  if (!scheduling.spill_ahead) {
+    return {clock, prefill_rate};
+  }
+  return {clock,
+          prefill_rate,
+          {settings.gateway.region,
+           {scheduling.prefill_tokens_per_s, settings.servers.decode_rate}}};
+}
+
 }  // namespace
 
 struct Daemon::Impl {
@@ -104,7 +116,7 @@
               snapshots,
               policy::RateLeaseOptions(),
               settings.rate_tolerance),
-        regions(freshness_clock, settings.servers.prefill_rate),
+        regions(MakeRegionTable(settings, freshness_clock)),
         quarantine(freshness_clock, metrics),
         streams(freshness_clock),
         prober(*threads.All().front(), servers),
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -221,13 +221,17 @@
     return;
   }
   reader->RejectUnknownFields({"ask_other_keepers", "share_loads",
-                               "spill_ahead", "fit_deadlines", "pass_urgency"});
+                               "spill_ahead", "fit_deadlines", "pass_urgency",
+                               "prefill_tokens_per_s"});
   gateway::SchedulingSettings& scheduling = settings.gateway.scheduling;
   scheduling.ask_other_keepers = reader->Flag("ask_other_keepers", false);
   scheduling.share_loads = reader->Flag("share_loads", false);
   scheduling.spill_ahead = reader->Flag("spill_ahead", false);
   scheduling.fit_deadlines = reader->Flag("fit_deadlines", false);
   scheduling.pass_urgency = reader->Flag("pass_urgency", false);
+  scheduling.prefill_tokens_per_s =
+      std::max(1.0, ReadCount(*reader, "prefill_tokens_per_s",
+                              scheduling.prefill_tokens_per_s));
 }
 
 void ReadTimes(TableReader& document, Settings& settings) {
--- a/programs/tamarackwingd/tests/settings_tests.cc
+++ b/programs/tamarackwingd/tests/settings_tests.cc
@@ -41,6 +41,19 @@
   EXPECT_EQ(settings->callers.port, 1);
 }
 
+TEST(Settings, ReadsTheSpilloverOfTheSchedulingTable) {
+  const auto defaults = ParseSettings(kValidSettings);
+  EXPECT_FALSE(defaults->gateway.scheduling.spill_ahead);
+  EXPECT_EQ(defaults->gateway.scheduling.prefill_tokens_per_s, 30'000);
+  const auto settings = ParseSettings(std::string(kValidSettings) +
+                                      "[scheduling]\nspill_ahead = true\n"
+                                      "prefill_tokens_per_s = 0\n");
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_TRUE(settings->gateway.scheduling.spill_ahead);
+  // A rate of zero would make every call infinite work.
+  EXPECT_EQ(settings->gateway.scheduling.prefill_tokens_per_s, 1);
+}
+
 TEST(Settings, ReportsEveryErrorWithItsPathAndLine) {
   const auto settings = ParseSettings(
       "name = \"x\"\nregion = 3\ncolour = \"red\"\n[callers]\nport = 70000\n");
