--- a/packages/gateway/src/path_spill.cc
+++ b/packages/gateway/src/path_spill.cc
@@ -2,6 +2,7 @@
 //! it follows the plan that moves calls to other regions.
 
 #include <algorithm>
+#include <chrono>
 
 #include "path_request.h"
 #include "spill_choice.h"
@@ -23,8 +24,9 @@
 }
 
 bool PathRequest::MayMoveTo(const PlannedRegion& region) const {
-  return kTargetPerRoundTrip * region.round_trip <=
-             this->route->target_latency &&
+  const std::chrono::milliseconds target = this->route->target_latency;
+  return target.count() > 0 &&
+         kTargetPerRoundTrip * region.round_trip <= target &&
          this->MayRunIn(region.host.region);
 }
 
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -206,6 +206,33 @@
   EXPECT_EQ(number.get(), 7U);
 }
 
+//! Without these numbers a region is left out of all spill plans.
+TEST(PeerNetwork, WorkAndCapacityOfARegionArrive) {
+  const control::TargetLoad sent{"drafter", 64, 9, 4, 100, 3'000, 2'000, 4'000};
+  std::promise<control::TargetLoad> arrived;
+  TestPeer second(
+      kSecond, kSecondAddress,
+      [&](PeerNetwork& network, const HostName& from,
+          const control::PeerMessage&) {
+        network.Send(from, control::ProbeReply{7, {}, {sent}, false});
+      });
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
+        arrived.set_value(std::get<control::ProbeReply>(message).loads.at(0));
+      });
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
+    first.Network().Send(kSecond, control::ProbeRequest{7});
+  });
+  auto load = arrived.get_future();
+  ASSERT_EQ(load.wait_for(kLong), std::future_status::ready);
+  const control::TargetLoad got = load.get();
+  EXPECT_EQ(got.offered, sent.offered);
+  EXPECT_EQ(got.movable, sent.movable);
+  EXPECT_EQ(got.capacity, sent.capacity);
+}
+
 // Guards against a large message that is sent again and again, because its
 // connection ends while it is on its way.
 TEST(PeerNetwork, LargeMessageArrivesAfterTheCallTimeout) {
