policy, gateway: long prompts get servers of their own

Cause: an engine prefills one chunk of a prompt with each decode step, so that long prompts on all servers make nearly all streams pause for longer than callers allow. Change: PrefillPool gives long prompts a share of the servers that follows the server time of both kinds; a request leaves its kind's servers if that saves more than the pause that callers allow. A group's prefix moves on after three prefills' wait.

--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -127,6 +127,9 @@
   void Shed(Duration wait);
   //! Returns the strictest latency target of the service's streams.
   std::chrono::milliseconds LatencyTarget() const;
+  //! Returns whether the prompt's prefill makes other streams pause for a good
+  //! part of what their callers allow. Precondition: the call has a prompt.
+  bool IsLongPrompt() const;
   policy::ServerQuery Query() const;
   //! Returns how many requests per second this host may send to a cold server
   //! that admits `per_kilosecond` requests per 1000 seconds from all hosts.
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -20,6 +20,9 @@
 //! more than one step of a full engine.
 constexpr TokenCount kMinAffinityTokens = 1'024;
 constexpr std::uint32_t kPerKilosecond = 1'000;
+//! A prompt is long if its prefill takes this part of the pause that callers
+//! allow: a few of them in a row use it up.
+constexpr int kPausesPerPrefill = 4;
 
 }  // namespace
 
@@ -226,6 +229,14 @@
             {"retry_ms", std::to_string(this->retry_after.count())}});
 }
 
+bool PathRequest::IsLongPrompt() const {
+  const double seconds =
+      static_cast<double>(this->call.prompt->prompt_tokens) /
+      this->gateway.Settings().scheduling.prefill_tokens_per_s;
+  return kPausesPerPrefill * std::chrono::duration<double>(seconds) >=
+         this->route->target_gap;
+}
+
 bool PathRequest::MayForwardTo(const HostName& name) const {
   const auto host = this->snapshot->hosts->find(name);
   return host != this->snapshot->hosts->end() && host->second.IsEntryHost() &&
@@ -247,6 +258,10 @@
     query.prompt_tokens = prompt.prompt_tokens;
     query.output_tokens = prompt.output_tokens;
     query.prefix_blocks = prompt.prefix_blocks;
+    if (this->gateway.Settings().scheduling.share_loads) {
+      query.pause_allowance = this->route->target_gap;
+      query.is_long_prompt = this->IsLongPrompt();
+    }
     TokenCount shared_tokens = 0;
     for (std::size_t i = 0; i + 1 < prompt.prefix_blocks.size(); ++i) {
       shared_tokens += prompt.prefix_blocks[i].tokens;
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -112,6 +112,7 @@
   auto choice = this->table.Pick(query, now, this->random);
   if (choice) {
     this->table.NoteSent(choice->name, choice->prefill_tokens, now);
+    this->table.NoteWork(query, *choice, now);
   }
   return choice;
 }
@@ -275,7 +276,7 @@
 
 void ServerDirectory::ApplyLoads(const policy::LoadSummary& summary) {
   const std::lock_guard lock(this->mutex);
-  this->table.ApplyLoads(summary);
+  this->table.ApplyLoads(summary, this->clock.Now());
 }
 
 void ServerDirectory::SetLimits(policy::ServerTableLimits limits) {
--- a/packages/policy/include/tamarackwing/policy/placement.h
+++ b/packages/policy/include/tamarackwing/policy/placement.h
@@ -37,7 +37,16 @@
   int max_extra_prefills = 4;
 };
 
-//! Chooses a server and returns its index in `options`.
+//! A chosen server.
+struct Placement {
+  //! Index in the options.
+  std::size_t option = 0;
+  //! Whether it owns the prompt's group, and so has probably cached the common
+  //! prefix.
+  bool is_owner = false;
+};
+
+//! Chooses a server.
 //!
 //! A prompt without a group goes to the cheaper of two random choices among the
 //! servers whose cost is close to the lowest, so that hosts with the same
@@ -53,6 +62,11 @@
 //! servers by more than several prefills of the common prefix.
 //!
 //! Preconditions: `options` is not empty. Thread safety: as for `random`.
+Placement Place(const std::vector<PlacementOption>& options,
+                const PromptGroup& group,
+                RandomSource& random);
+
+//! As Place; returns the index in `options`.
 std::size_t ChoosePlacement(const std::vector<PlacementOption>& options,
                             const PromptGroup& group,
                             RandomSource& random);
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -15,6 +15,7 @@
 
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/identifiers.h"
+#include "tamarackwing/policy/prefill_pool.h"
 #include "tamarackwing/policy/server_load.h"
 #include "tamarackwing/policy/server_report.h"
 #include "tamarackwing/policy/server_statement.h"
@@ -90,6 +91,13 @@
   std::uint64_t affinity = 0;
   //! Length of the prefix that requests with this affinity share.
   TokenCount affinity_tokens = 0;
+  //! Whether the prompt's prefill makes the streams of its server pause; see
+  //! PrefillPool.
+  bool is_long_prompt = false;
+  //! The pause between two events that callers of the target's streams allow;
+  //! zero if unknown. That much more wait is accepted to keep long prompts and
+  //! streams on different servers.
+  Duration pause_allowance{};
   //! Returns how many requests per second this host may send to a server that
   //! is warming up; null for no limit.
   std::function<std::uint32_t(const BackendServerName&)> cold_allowance;
@@ -221,6 +229,10 @@
   std::optional<ServerChoice> Pick(const ServerQuery& query,
                                    TimePoint now,
                                    RandomSource& random) const;
+  //! Records the server time that the request of a query needs on its server.
+  void NoteWork(const ServerQuery& query,
+                const ServerChoice& choice,
+                TimePoint now);
   //! Records that a request was sent to a server, which has to prefill
   //! `prompt_tokens` for it.
   void NoteSent(const BackendServerName& name,
@@ -282,7 +294,7 @@
   //! Makes this host's next report for the region's load collector.
   LoadReport MakeLoadReport(TimePoint now);
   //! Applies the load collector's reply.
-  void ApplyLoads(const LoadSummary& summary);
+  void ApplyLoads(const LoadSummary& summary, TimePoint now);
   //! Returns this host's load on the servers of a target.
   OwnLoad LoadOf(const std::string& target, TimePoint now) const;
   //! Returns the slots of all usable servers of a target, slow start applied;
@@ -319,6 +331,7 @@
     std::uint32_t peers = 0;
     //! Moving average of the run time; zero before the first request ended.
     Duration run{};
+    PrefillPool pool;
   };
   struct Candidate {
     const Server* server = nullptr;
@@ -329,6 +342,8 @@
     Duration cost{};
     //! Relative speed; 1 is the median of the target's servers.
     double speed = 1;
+    //! Whether the server is kept for the other kind of prompts.
+    bool is_misplaced = false;
   };
   //! The software versions of a target's servers.
   struct SoftwareWatch {
@@ -416,10 +431,15 @@
                             TimePoint now) const;
   Duration SharedPrefillWaitAt(const Server& server, TimePoint now) const;
   //! Returns the prompt tokens that a server is expected to prefill. A group's
-  //! prefix counts as cached on the server that it is placed on.
+  //! prefix counts as cached on the server that owns the group.
   TokenCount PrefillTokens(const Server& server,
                            const ServerQuery& query,
+                           bool is_owner,
                            TimePoint now) const;
+  //! Returns the position of each server of a target among them, between 0 and
+  //! 1: those below PrefillPool::Share are for long prompts. All hosts of the
+  //! region use the same order.
+  void SetPoolPositions(TimePoint now);
   double PrefillRate(const Server& server) const;
   double DecodeRate(const Server& server) const;
   //! Returns how long the next request of a target waits for a slot.
--- a/packages/policy/src/placement.cc
+++ b/packages/policy/src/placement.cc
@@ -48,8 +48,8 @@
   return options[second].cost < options[first].cost ? second : first;
 }
 
-std::size_t PlaceInGroup(const std::vector<PlacementOption>& options,
-                         const PromptGroup& group) {
+Placement PlaceInGroup(const std::vector<PlacementOption>& options,
+                       const PromptGroup& group) {
   Duration min_wait = Duration::max();
   for (const PlacementOption& option : options) {
     min_wait = std::min(min_wait, option.wait);
@@ -58,26 +58,31 @@
       min_wait + group.max_extra_prefills * group.prefill_time;
   std::size_t chosen = 0;
   double max_rank = 0;
+  double owner_rank = 0;
   for (std::size_t i = 0; i < options.size(); ++i) {
-    if (options[i].wait > max_wait) {
-      continue;
-    }
     const double rank = OwnerRank(options[i], group.digest);
-    if (rank >= max_rank) {
+    owner_rank = std::max(owner_rank, rank);
+    if (options[i].wait <= max_wait && rank >= max_rank) {
       max_rank = rank;
       chosen = i;
     }
   }
-  return chosen;
+  return {chosen, max_rank == owner_rank};
 }
 
 }  // namespace
 
+Placement Place(const std::vector<PlacementOption>& options,
+                const PromptGroup& group,
+                RandomSource& random) {
+  return group.digest == 0 ? Placement{PlaceAlone(options, random), false}
+                           : PlaceInGroup(options, group);
+}
+
 std::size_t ChoosePlacement(const std::vector<PlacementOption>& options,
                             const PromptGroup& group,
                             RandomSource& random) {
-  return group.digest == 0 ? PlaceAlone(options, random)
-                           : PlaceInGroup(options, group);
+  return Place(options, group, random).option;
 }
 
 }  // namespace tamarackwing::policy
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -20,9 +20,10 @@
 constexpr double kCachedShare = 0.8;
 //! Output tokens assumed if the actual number is unknown.
 constexpr TokenCount kTypicalOutput = 128;
-//! As PromptGroup::max_extra_prefills, if the waits are known: a group that
-//! leaves its server costs the next one a prefill of the common prefix.
-constexpr int kMaxExtraPrefillsShared = 1;
+//! As PromptGroup::max_extra_prefills, if the waits are known. A group that
+//! leaves its server costs the next one a prefill of the common prefix and part
+//! of its cache; with 1, trials read 40% more shared tokens again.
+constexpr int kMaxExtraPrefillsShared = 3;
 //! Broken responses in a row that eject a server. A single one may be caused by
 //! the request or the network.
 constexpr std::uint32_t kBreaksToEject = 2;
@@ -86,6 +87,8 @@
   ServerReport report;
   //! See ServerIdOf.
   std::uint32_t id = 0;
+  //! See ServerTable::SetPoolPositions.
+  double pool_position = 1;
   //! Digest of the version of its software.
   std::uint64_t software = 0;
   //! Set while the server names a limit.
@@ -400,8 +403,11 @@
   std::vector<PlacementOption> options;
   options.reserve(usable.size());
   for (const Candidate& candidate : usable) {
-    options.push_back({candidate.server->report.name.Text(), candidate.wait,
-                       candidate.cost, candidate.speed});
+    const Duration misplaced =
+        candidate.is_misplaced ? query.pause_allowance : Duration::zero();
+    options.push_back({candidate.server->report.name.Text(),
+                       candidate.wait + misplaced, candidate.cost + misplaced,
+                       candidate.speed});
   }
   PromptGroup group;
   group.digest = query.affinity;
@@ -413,11 +419,12 @@
     group.prefill_time = Seconds(static_cast<double>(query.affinity_tokens) /
                                  this->limits.prefill_rate);
   }
-  const Candidate& chosen = usable[ChoosePlacement(options, group, random)];
+  const Placement placement = Place(options, group, random);
+  const Candidate& chosen = usable[placement.option];
   const ServerReport& report = chosen.server->report;
   const auto known = this->loads.find(query.target);
   const TokenCount prefill_tokens =
-      this->PrefillTokens(*chosen.server, query, now);
+      this->PrefillTokens(*chosen.server, query, placement.is_owner, now);
   const double prefill_rate = this->KnowsOthers(now)
                                   ? this->limits.shared_prefill_rate
                                   : this->PrefillRate(*chosen.server);
@@ -448,6 +455,9 @@
     return usable;
   }
   const bool knows_others = this->KnowsOthers(now);
+  const auto load = this->loads.find(query.target);
+  const double long_share =
+      knows_others && load != this->loads.end() ? load->second.pool.Share() : 0;
   usable.reserve(servers_of->second.size());
   for (const Server* server : servers_of->second) {
     const bool was_tried =
@@ -467,8 +477,12 @@
       const Duration wait = slot + this->PrefillWaitAt(*server, now);
       const double speed =
           knows_others ? 1 / this->shared.SlownessOf(server->id) : 1;
-      usable.push_back(
-          {server, slot, wait, wait + this->OwnCost(*server, query), speed});
+      const bool is_misplaced =
+          long_share > 0 &&
+          (server->pool_position < long_share) != query.is_long_prompt;
+      usable.push_back({server, slot, wait,
+                        wait + this->OwnCost(*server, query), speed,
+                        is_misplaced});
     }
   }
   return usable;
@@ -497,6 +511,47 @@
          query.cold_allowance(server.report.name);
 }
 
+void ServerTable::NoteWork(const ServerQuery& query,
+                           const ServerChoice& choice,
+                           TimePoint now) {
+  const Server* const server = this->Find(choice.name);
+  if (!this->limits.shares_loads || query.pause_allowance == Duration::zero() ||
+      server == nullptr) {
+    return;
+  }
+  // Each decode step serves all slots of an engine.
+  const double output = static_cast<double>(query.output_tokens) /
+                        this->DecodeRate(*server) /
+                        std::max(1U, server->report.slots);
+  this->loads[query.target].pool.NoteWork(
+      query.is_long_prompt, choice.prefill + Seconds(output), now);
+}
+
+void ServerTable::SetPoolPositions(TimePoint now) {
+  for (const auto& [target, servers_of] : this->by_target) {
+    std::vector<Server*> order;
+    for (Server* server : servers_of) {
+      if (this->IsServing(*server, false, now)) {
+        order.push_back(server);
+      }
+    }
+    std::sort(order.begin(), order.end(), [](const Server* a, const Server* b) {
+      return std::pair(a->id, a->report.port) <
+             std::pair(b->id, b->report.port);
+    });
+    double total = 0;
+    for (const Server* server : order) {
+      total += 1 / this->shared.SlownessOf(server->id);
+    }
+    double before = 0;
+    for (Server* server : order) {
+      const double speed = 1 / this->shared.SlownessOf(server->id);
+      server->pool_position = (before + speed / 2) / total;
+      before += speed;
+    }
+  }
+}
+
 void ServerTable::NoteSent(const BackendServerName& name,
                            TokenCount prompt_tokens,
                            TimePoint now) {
@@ -795,7 +850,7 @@
   return this->shared.MakeReport(std::move(own), now);
 }
 
-void ServerTable::ApplyLoads(const LoadSummary& summary) {
+void ServerTable::ApplyLoads(const LoadSummary& summary, TimePoint now) {
   std::vector<std::vector<std::uint32_t>> groups;
   for (const auto& [target, servers_of] : this->by_target) {
     std::vector<std::uint32_t>& group = groups.emplace_back();
@@ -804,6 +859,7 @@
     }
   }
   this->shared.Accept(summary, groups);
+  this->SetPoolPositions(now);
 }
 
 OwnLoad ServerTable::LoadOf(const std::string& target, TimePoint now) const {
@@ -1049,13 +1105,13 @@
 
 TokenCount ServerTable::PrefillTokens(const Server& server,
                                       const ServerQuery& query,
+                                      bool is_owner,
                                       TimePoint now) const {
   if (!this->KnowsOthers(now)) {
     return query.prompt_tokens;
   }
-  const TokenCount cached =
-      std::max(server.CachedTokens(query.prefix_blocks),
-               query.affinity == 0 ? 0 : query.affinity_tokens);
+  const TokenCount cached = std::max(server.CachedTokens(query.prefix_blocks),
+                                     is_owner ? query.affinity_tokens : 0);
   return std::max<TokenCount>(0, query.prompt_tokens - cached);
 }
 
--- a/packages/policy/tests/shared_load_tests.cc
+++ b/packages/policy/tests/shared_load_tests.cc
@@ -208,7 +208,7 @@
       const LoadReport report = this->tables[host].MakeLoadReport(this->now);
       this->board.Accept(HostName(std::to_string(host)), report, this->now);
       this->tables[host].ApplyLoads(
-          this->board.Summarize(report.number, this->now));
+          this->board.Summarize(report.number, this->now), this->now);
     }
   }
 
