policy: offered work counts what each call costs, however short

Cause: servers spend a constant time on each call (64 ms on the new deployments), so a region full of short calls looked half idle and moved too little. Change: OfferedWork learns the constant part from the fastest of 32 short prompts.

--- a/packages/policy/include/tamarackwing/policy/offered_work.h
+++ b/packages/policy/include/tamarackwing/policy/offered_work.h
@@ -54,10 +54,11 @@
 //! depend on where or whether the calls are served, so moving them does not
 //! change it, and plans made from it do not oscillate.
 //!
-//! The server time of a call is the time of its own part's prefill and its
-//! share of a server during its output: own tokens / prefill rate + output
-//! time / slots of a server. The shared part of a prompt is assumed to be
-//! cached. Both rates are learned from finished streams. Not thread-safe.
+//! The server time of a call is a constant part, the time of its own part's
+//! prefill and its share of a server during its output: own tokens / prefill
+//! rate + output time / slots of a server. The shared part of a prompt is
+//! assumed to be cached. The constant part and the rates are learned from
+//! finished streams. Not thread-safe.
 class OfferedWork {
  public:
   explicit OfferedWork(OfferedWorkOptions options) : options(options) {}
@@ -94,11 +95,24 @@
     double prefill_square = 0;
     //! Low quantile of the prefill seconds per token; zero until learned.
     double seconds_per_token = 0;
+    //! Seconds that a server spends on each call, however short: the shortest
+    //! time until a first output that no token explains, among the last
+    //! kShortCalls short prompts.
+    double call_seconds = 0;
+    double shortest = kMaxCallSeconds;
+    int short_calls = 0;
     double slots = 0;
     //! Moving average of the output time by route, in seconds.
     std::unordered_map<std::string, double> outputs;
   };
 
+  //! Max constant part of a call's server time, in seconds; more would be a
+  //! large part of any latency target.
+  static constexpr double kMaxCallSeconds = 0.2;
+  //! Short prompts from which the constant part is learned: a few of as many
+  //! find an idle server.
+  static constexpr int kShortCalls = 32;
+
   double SecondsPerToken(const Target& target) const;
 
   OfferedWorkOptions options;
--- a/packages/policy/src/offered_work.cc
+++ b/packages/policy/src/offered_work.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace tamarackwing::policy {
 namespace {
@@ -79,7 +80,7 @@
     output /= load.slots;
   }
   const double factor = DecayFactor(load.at, now);
-  const double work = prefill + output;
+  const double work = load.call_seconds + prefill + output;
   load.offered = load.offered * factor + work;
   load.movable = load.movable * factor + (call.is_movable ? work : 0);
   load.at = std::max(load.at, now);
@@ -93,6 +94,14 @@
   Average(load.outputs[call.route],
           std::max(0.0, Seconds(call.after_first).count()), kOutputWeight);
   const double until_first = Seconds(call.until_first).count();
+  if (call.load <= kFewRequests && call.own_tokens < kLongPrompt) {
+    const double rest = until_first - static_cast<double>(call.own_tokens) *
+                                          this->SecondsPerToken(load);
+    load.shortest = std::clamp(rest, 0.0, load.shortest);
+    if (++load.short_calls % kShortCalls == 0) {
+      load.call_seconds = std::exchange(load.shortest, kMaxCallSeconds);
+    }
+  }
   if (call.own_tokens < kLongPrompt || call.load > kFewRequests ||
       until_first <= 0) {
     return;
--- a/packages/policy/tests/offered_work_tests.cc
+++ b/packages/policy/tests/offered_work_tests.cc
@@ -25,6 +25,26 @@
   TimePoint now = TimePoint() + std::chrono::hours(1);
 };
 
+// Guards against short calls that look free: a server of the observed kind
+// spends 64 ms on each, so that a region full of them looked half idle.
+TEST_F(OfferedWorkTest, CountsWhatEachCallCosts) {
+  ServedCall served;
+  served.route = "chat";
+  served.own_tokens = 300;
+  for (int i = 0; i < 64; ++i) {
+    served.until_first = milliseconds(74 + 10 * (i % 8));
+    this->work.NoteServed(kTarget, served);
+  }
+  OfferedCall call;
+  call.route = "chat";
+  call.own_tokens = 300;
+  for (int i = 0; i < 500; ++i) {
+    this->now += milliseconds(10);
+    this->work.NoteOffered(kTarget, call, this->now);
+  }
+  EXPECT_NEAR(this->work.RateOf(kTarget, this->now).offered, 7'400, 400);
+}
+
 //! 20 calls a second with 100 ms of prefill and 1 s of output in 16 slots.
 TEST_F(OfferedWorkTest, CountsPrefillAndTheShareOfAServerDuringOutput) {
   this->work.SetSlots(kTarget, 16);
--- a/packages/policy/tests/prefill_pool_tests.cc
+++ b/packages/policy/tests/prefill_pool_tests.cc
@@ -10,11 +10,11 @@
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
 
 //! Requests of both kinds for `span`, ten a second.
-void Run(PrefillPool& pool,
-         milliseconds long_time,
-         milliseconds short_time,
-         TimePoint& now,
-         milliseconds span) {
+void AddWork(PrefillPool& pool,
+             milliseconds long_time,
+             milliseconds short_time,
+             TimePoint& now,
+             milliseconds span) {
   for (const TimePoint end = now + span; now < end; now += milliseconds(100)) {
     pool.NoteWork(true, long_time, now);
     pool.NoteWork(false, short_time, now);
@@ -26,9 +26,11 @@
   PrefillPool pool;
   TimePoint now = kStart;
   EXPECT_EQ(pool.Share(), 0);
-  Run(pool, milliseconds(100), milliseconds(200), now, milliseconds(20'000));
+  AddWork(pool, milliseconds(100), milliseconds(200), now,
+          milliseconds(20'000));
   EXPECT_NEAR(pool.Share(), 1.0 / 3, PrefillPool::kStep);
-  Run(pool, milliseconds(200), milliseconds(200), now, milliseconds(20'000));
+  AddWork(pool, milliseconds(200), milliseconds(200), now,
+          milliseconds(20'000));
   EXPECT_NEAR(pool.Share(), 0.5, PrefillPool::kStep);
 }
 
@@ -36,9 +38,10 @@
 TEST(PrefillPoolTest, OneKindGetsNoServersOfItsOwn) {
   PrefillPool pool;
   TimePoint now = kStart;
-  Run(pool, milliseconds(2), milliseconds(200), now, milliseconds(5'000));
+  AddWork(pool, milliseconds(2), milliseconds(200), now, milliseconds(5'000));
   EXPECT_EQ(pool.Share(), 0);
-  Run(pool, milliseconds(20'000), milliseconds(2), now, milliseconds(5'000));
+  AddWork(pool, milliseconds(20'000), milliseconds(2), now,
+          milliseconds(5'000));
   EXPECT_EQ(pool.Share(), 0);
 }
 
