http, gateway: a status outside 100 to 599 is no response

Cause: Beast's parser accepts any three digits as a status, and nothing after it looked. A response with status 000 or 099 was passed on as served. One with 600 or 999 was taken for a failure, passed on if the call must not run twice, and with the mark of a rejection for "not run".

Change: Connection::ReadHead ends with kInvalidStatus. The try is lost and is repeated only if the call may run twice; any other call ends with an unknown outcome. PathRequest counts it as a broken response of the server, on a reused connection too; ServedRequest does not try the same server again.

--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -228,6 +228,8 @@
   http::BodyFraming answer_framing = http::BodyFraming::kLength;
   //! Whether the last try ended because its connection broke.
   bool connection_broke = false;
+  //! Whether the last try's response had a status that is none.
+  bool has_invalid_status = false;
   //! Whether the call may be sent to one server of this region only.
   bool is_trial = false;
   //! Whether the current try has shown that the call and its blocks are sound.
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -141,6 +141,7 @@
   this->answer_stage = AnswerStage::kNone;
   this->answer_end = AnswerEnd::kOpen;
   this->connection_broke = false;
+  this->has_invalid_status = false;
   this->is_sound = false;
   this->signal = policy::HealthSignal::kInconclusive;
   if (!acquired && acquired.error() != http::ConnectionError::kCancelled) {
@@ -170,7 +171,8 @@
   } else {
     try_outcome = this->HandleConnectionError(sent.error());
   }
-  if (connection.reused && this->signal == policy::HealthSignal::kBroken) {
+  if (connection.reused && this->signal == policy::HealthSignal::kBroken &&
+      !this->has_invalid_status) {
     // The server may have closed the connection while it was idle, so this says
     // nothing about its health.
     this->signal = policy::HealthSignal::kInconclusive;
@@ -198,6 +200,10 @@
       this->connection_broke = true;
       this->signal = policy::HealthSignal::kBroken;
       break;
+    case http::ConnectionError::kInvalidStatus:
+      this->has_invalid_status = true;
+      this->signal = policy::HealthSignal::kBroken;
+      break;
     case http::ConnectionError::kConnectFailed:
     case http::ConnectionError::kMalformed:
       this->signal = policy::HealthSignal::kBroken;
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -386,8 +386,9 @@
   }
   if (!head) {
     this->current_connection = nullptr;
-    const bool stale = reused && !this->cancelled && !this->caller_gone &&
-                       this->TimeLeft().count() > 0;
+    const bool stale =
+        reused && head.error() != ConnectionError::kInvalidStatus &&
+        !this->cancelled && !this->caller_gone && this->TimeLeft().count() > 0;
     if (stale) {
       // The reused connection may have failed rather than the server, so try
       // the same server on a new connection.
--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -21,6 +21,8 @@
   kReadFailed,
   kTimeout,
   kMalformed,
+  //! The response's status is not one of HTTP.
+  kInvalidStatus,
   kCancelled,
 };
 
@@ -48,13 +50,14 @@
   asio::awaitable<Expected<void, ConnectionError>> Send(Request request,
                                                         TimePoint deadline);
   //! Reads the head of the response. Precondition: a request was sent.
-  //! Errors: kReadFailed, kMalformed, kTimeout, kCancelled.
+  //! Errors: kReadFailed, kMalformed, kInvalidStatus if the status is outside
+  //! 100 to 599, kTimeout, kCancelled.
   asio::awaitable<Expected<ResponseHead, ConnectionError>> ReadHead(
       TimePoint deadline);
   //! Reads the next piece of the body; an empty piece means that the response
   //! is complete. A response without a declared length is complete when the
   //! server closes the connection cleanly. Precondition: the head was read.
-  //! Errors: as for ReadHead.
+  //! Errors: kReadFailed, kMalformed, kTimeout, kCancelled.
   asio::awaitable<Expected<std::string, ConnectionError>> ReadPiece(
       TimePoint deadline);
   //! Makes pending calls end with kTimeout if the peer's kernel acknowledges
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -21,6 +21,8 @@
 //! Max unparsed bytes: a head, or framing between the pieces of a body.
 constexpr std::size_t kBufferBytes = kHeadBytes + kPieceBytes;
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 constexpr std::chrono::milliseconds kUnackedTimeout{10'000};
 //! Probes of a peer from which a response is awaited. A peer that is silent for
 //! up to two seconds is not given up.
@@ -144,6 +146,10 @@
         this->state->Classify(error, ConnectionError::kReadFailed));
   }
   const auto& message = this->state->parser->get();
+  // The parser accepts any three digits.
+  if (message.result_int() < kMinStatus || message.result_int() > kMaxStatus) {
+    co_return unexpected(ConnectionError::kInvalidStatus);
+  }
   ResponseHead head;
   head.status = message.result_int();
   for (const auto& field : message) {
--- a/tests/request_path_tests.cc
+++ b/tests/request_path_tests.cc
@@ -1,9 +1,11 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <nlohmann/json.hpp>
+
+#include "early_answer_server.h"
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/state/set_parser.h"
-
 #include "test_host.h"
 
 namespace tamarackwing::tests {
@@ -23,7 +25,7 @@
     ASSERT_TRUE(this->host->Start().has_value());
     ASSERT_TRUE(PublishInitialSet(*this->host, *set));
     this->engine = this->StartServer("engine", {"drafter@3"});
-    this->service = this->StartServer("service", {"booking", "gauge"});
+    this->StartService();
     ASSERT_TRUE(WaitFor([&] {
       return this->Send(ServiceRequest("desk-key", "gauge", "")).status == 200;
     }));
@@ -32,6 +34,11 @@
     }));
   }
 
+  //! Starts the server of the service routes.
+  virtual void StartService() {
+    this->service = this->StartServer("service", {"booking", "gauge"});
+  }
+
   std::unique_ptr<fakes::FakeServer> StartServer(
       const std::string& name,
       std::vector<std::string> targets) {
@@ -243,5 +250,84 @@
   EXPECT_EQ(this->Send(ModelRequest("desk-key", 1, false)).status, 200U);
 }
 
+//! A host whose services are served by a server that may answer early.
+class EarlyAnswerPathTest : public RequestPathTest {
+ protected:
+  void StartService() override { this->Announce(); }
+
+  //! Announces the server under a new name, so that its failures before do not
+  //! count, and the one before as leaving.
+  void Announce() {
+    const auto post = [this](int number, bool leaving) {
+      const nlohmann::json report = {
+          {"name", "early-" + std::to_string(number)},
+          {"region", "muscat"},
+          {"data_centre", "muscat-a"},
+          {"address", "127.0.0.1"},
+          {"port", this->peer.Port()},
+          {"targets", {"booking", "gauge"}},
+          {"slots", 8},
+          {"running", 0},
+          {"queued", 0},
+          {"prefill_rate", 20'000},
+          {"decode_rate", 400},
+          {"age_ms", 0},
+          {"leaving", leaving}};
+      http::Request request;
+      request.head.method = "POST";
+      request.head.target = "/v1/servers";
+      request.head.headers.Add("Host", "h");
+      request.body = report.dump();
+      Call(this->threads, this->settings.backend_servers, std::move(request));
+    };
+    post(this->number, true);
+    post(++this->number, false);
+  }
+
+  //! Sends a request with `upload` bytes whose first try gets `answer`.
+  CallResult SendWith(const std::string& route,
+                      std::size_t upload,
+                      http::EarlyAnswer answer) {
+    this->Announce();
+    this->script.Set(std::move(answer));
+    http::Request request = ServiceRequest(
+        "desk-key", route, "key-" + std::to_string(this->number));
+    request.body.assign(std::max<std::size_t>(upload, 2), 'x');
+    return this->Send(std::move(request));
+  }
+
+  //! Expects that an operation which gets `answer` is sent once and ends with
+  //! an unknown outcome, and that an idempotent request does not get it.
+  void ExpectLost(std::size_t upload, const http::EarlyAnswer& answer) {
+    const int before = this->peer.Requests();
+    CallResult operation;
+    // On a busy disk the ledger may refuse an operation, which is not sent
+    // then.
+    WaitFor([&] {
+      operation = this->SendWith("booking", upload, answer);
+      return operation.body.find("\"ran\":\"no\"") == std::string::npos;
+    });
+    EXPECT_EQ(operation.status, 502U) << answer.bytes;
+    EXPECT_NE(operation.body.find("\"ran\":\"unknown\""), std::string::npos)
+        << operation.body;
+    EXPECT_EQ(this->peer.Requests() - before, 1) << answer.bytes;
+    const CallResult gauge = this->SendWith("gauge", upload, answer);
+    EXPECT_TRUE(gauge.body == "ok" || gauge.status == 502U)
+        << gauge.status << " after " << answer.bytes;
+  }
+
+  http::EarlyAnswerScript script;
+  http::EarlyAnswerServer peer{script};
+  int number = 0;
+};
+
+// Guards against a response of a failing server that is passed on, or stored as
+// the answer of an operation.
+TEST_F(EarlyAnswerPathTest, StatusOutside100To599IsNotPassedOn) {
+  for (const std::string& answer : http::AnswersWithoutStatus()) {
+    this->ExpectLost(0, {answer, http::AfterAnswer::kEndAndRead});
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::tests
