http: an unframed response is whole only if the request was received

Cause: Send returns when the kernel has taken the request. If the server then ends its early response with FIN and closes with part of the request unread, reads report the end and never the reset, so the part that had come counted as the whole response.

Change: ReadPiece waits until the peer's kernel has acknowledged the whole request before it ends a response that has neither a length nor chunks; if the connection is lost before that, the response is broken off. The FIN of a server that has received the request acknowledges it, so ordinary responses do not wait.

--- a/packages/gateway/tests/early_answer_tests.cc
+++ b/packages/gateway/tests/early_answer_tests.cc
@@ -13,6 +13,8 @@
 
 using http::AfterAnswer;
 using http::EarlyAnswer;
+using http::kLargeUpload;
+using http::kMediumUpload;
 
 //! Sends the body of a call, and takes each answer for that to its call.
 class BodyProtocol final : public PathProtocol {
@@ -173,6 +175,15 @@
   std::vector<std::unique_ptr<http::EarlyAnswerServer>> peers;
 };
 
+const std::string kUnframed = "HTTP/1.1 200 OK\r\n\r\npart";
+const std::string kShort = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+const std::string kChunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+const std::string kTooLarge =
+    "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nfull";
+const std::string kBusy =
+    "HTTP/1.1 503 Busy\r\nRejected: 1\r\nContent-Length: 4\r\n\r\nfull";
+
 // Guards against a response of a failing server that is passed on, or that a
 // call is taken for rejected after, although it may have run.
 TEST_F(EarlyAnswerTest, StatusOutside100To599IsNotPassedOn) {
@@ -196,5 +207,79 @@
             (CallEnd{503, "refused", 0}));
 }
 
+// Guards against part of an answer that is passed on as the whole.
+TEST_F(EarlyAnswerTest, AnswerThatBreaksOffDuringUploadIsNotPassedOn) {
+  for (const std::size_t upload : {kMediumUpload, kLargeUpload}) {
+    for (const std::string& bytes : {kUnframed, kShort, kChunked}) {
+      for (const AfterAnswer after :
+           {AfterAnswer::kReset, AfterAnswer::kEndAndClose}) {
+        this->ExpectLost(upload, {bytes, after});
+      }
+    }
+  }
+}
+
+// Guards against a stream whose server broke it off between two events and that
+// ends as if it were complete.
+TEST_F(EarlyAnswerTest, StreamThatBreaksOffDuringUploadIsNotCompleted) {
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+      "id: 1\ndata: a\n\n";
+  for (const std::size_t upload : {kMediumUpload, kLargeUpload}) {
+    for (const AfterAnswer after :
+         {AfterAnswer::kReset, AfterAnswer::kEndAndClose}) {
+      this->ReplaceServers();
+      const CallEnd end =
+          this->CallWith("/resumable/1", upload, EarlyAnswer{stream, after});
+      // A caller that has events gets no end; any other gets the answer of the
+      // second server.
+      EXPECT_TRUE(end.status == 0 || end == (CallEnd{200, "ok", 2}))
+          << end << ", " << upload << " bytes";
+    }
+  }
+}
+
+// Guards against a host's answer that is trusted more than a server's.
+TEST_F(EarlyAnswerTest, AnswerOfHostIsJudgedLikeThatOfServer) {
+  for (int i = 0; i < 6; ++i) {
+    this->AddServer("lost-" + std::to_string(i), this->UnusedPort());
+  }
+  this->LoseLinks();
+  this->AddNeighbour("m-2", this->AddPeer().Port());
+  this->AddNeighbour("m-3", this->AddPeer().Port());
+  for (const std::string& answer : http::AnswersWithoutStatus()) {
+    this->ExpectLost(0, {answer, AfterAnswer::kEndAndRead});
+  }
+  for (const AfterAnswer after :
+       {AfterAnswer::kReset, AfterAnswer::kEndAndClose}) {
+    this->ExpectLost(kMediumUpload, {kUnframed, after});
+    this->ExpectLost(kLargeUpload, {kUnframed, after});
+  }
+  EXPECT_EQ(this->CallWith("/once/1", kLargeUpload, EarlyAnswer{kTooLarge}),
+            (CallEnd{413, "full", 1}));
+}
+
+// Guards against a whole rejection that is lost, or a whole answer that is
+// taken for broken off, because it came before the end of the upload.
+TEST_F(EarlyAnswerTest, WholeAnswerDuringUploadCounts) {
+  for (const std::size_t upload : {kMediumUpload, kLargeUpload}) {
+    for (const char* target : kTargets) {
+      this->ReplaceServers();
+      EXPECT_EQ(this->CallWith(target, upload, EarlyAnswer{kTooLarge}),
+                (CallEnd{413, "full", 1}));
+      EXPECT_EQ(this->CallWith(target, upload, EarlyAnswer{kBusy}),
+                (CallEnd{200, "ok", 2}));
+      EXPECT_EQ(
+          this->CallWith(target, upload,
+                         EarlyAnswer{kUnframed, AfterAnswer::kEndAndRead}),
+          (CallEnd{200, "part", 1}));
+    }
+  }
+  this->ReplaceServers();
+  EXPECT_EQ(this->CallWith("/once/1", kMediumUpload,
+                           EarlyAnswer{kTooLarge, AfterAnswer::kEndAndClose}),
+            (CallEnd{413, "full", 1}));
+}
+
 }  // namespace
 }  // namespace tamarackwing::gateway
--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -56,8 +56,9 @@
       TimePoint deadline);
   //! Reads the next piece of the body; an empty piece means that the response
   //! is complete. A response without a declared length is complete when the
-  //! server closes the connection cleanly. Precondition: the head was read.
-  //! Errors: kReadFailed, kMalformed, kTimeout, kCancelled.
+  //! server ends the connection cleanly and has received the whole request:
+  //! after an early response, waits until it has. Precondition: the head was
+  //! read. Errors: kReadFailed, kMalformed, kTimeout, kCancelled.
   asio::awaitable<Expected<std::string, ConnectionError>> ReadPiece(
       TimePoint deadline);
   //! Makes pending calls end with kTimeout if the peer's kernel acknowledges
@@ -82,6 +83,11 @@
 
  private:
   struct State;
+  //! Waits until the peer has received the whole request. Errors: kReadFailed
+  //! if the connection was lost before that, kTimeout, kCancelled.
+  asio::awaitable<Expected<void, ConnectionError>> AwaitReceipt(
+      TimePoint deadline);
+
   std::unique_ptr<State> state;
 };
 
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -1,5 +1,6 @@
 #include "tamarackwing/http/connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -28,6 +29,9 @@
 //! up to two seconds is not given up.
 constexpr std::chrono::seconds kProbeInterval{1};
 constexpr std::chrono::milliseconds kProbeTimeout{2'500};
+//! Time between two looks at how much of a request its peer has received. It is
+//! only spent if the response ended before that.
+constexpr std::chrono::milliseconds kReceiptPollInterval{2};
 
 using Parser = beast_http::response_parser<beast_http::buffer_body>;
 
@@ -180,10 +184,42 @@
       co_return std::string(connection.piece.data(), length);
     }
   }
+  if (connection.parser->need_eof()) {
+    // The connection also ends if the server gives up reading the request.
+    const auto received = co_await this->AwaitReceipt(deadline);
+    if (!received) {
+      co_return unexpected(received.error());
+    }
+  }
   connection.response_complete = true;
   co_return std::string();
 }
 
+asio::awaitable<Expected<void, ConnectionError>> Connection::AwaitReceipt(
+    TimePoint deadline) {
+  asio::steady_timer timer(this->state->stream.get_executor());
+  while (true) {
+    if (this->state->cancelled) {
+      co_return unexpected(ConnectionError::kCancelled);
+    }
+    switch (StateOfSentBytes(this->state->stream.socket())) {
+      case SentBytes::kReceived:
+        co_return Expected<void, ConnectionError>();
+      case SentBytes::kLost:
+        co_return unexpected(ConnectionError::kReadFailed);
+      case SentBytes::kPending:
+        break;
+    }
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now >= deadline) {
+      co_return unexpected(ConnectionError::kTimeout);
+    }
+    timer.expires_at(std::min(deadline, now + kReceiptPollInterval));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(RedirectTo(ignored));
+  }
+}
+
 void Connection::StartProbing() {
   StartKeepAliveProbes(this->state->stream.socket(), kProbeInterval,
                        kProbeTimeout);
--- a/packages/http/src/socket_options.cc
+++ b/packages/http/src/socket_options.cc
@@ -1,6 +1,8 @@
 #include "socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace tamarackwing::http {
@@ -54,6 +56,22 @@
   return Peek(socket) == PendingInput::kClosed;
 }
 
+SentBytes StateOfSentBytes(asio::ip::tcp::socket& socket) {
+  // The error of a reset that follows an orderly end is not reported by reads.
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const bool is_known = ::getsockopt(socket.native_handle(), IPPROTO_TCP,
+                                     TCP_INFO, &info, &length) == 0;
+  if (!is_known || info.tcpi_state == TCP_CLOSE) {
+    return SentBytes::kLost;
+  }
+  int unacknowledged = 0;
+  if (::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+    return SentBytes::kLost;
+  }
+  return unacknowledged == 0 ? SentBytes::kReceived : SentBytes::kPending;
+}
+
 bool IsOpenAndIdle(asio::ip::tcp::socket& socket) {
   return Peek(socket) == PendingInput::kNothing;
 }
--- a/packages/http/src/socket_options.h
+++ b/packages/http/src/socket_options.h
@@ -23,6 +23,20 @@
 //! Precondition: the socket is readable.
 bool IsPeerClosed(asio::ip::tcp::socket& socket);
 
+//! What has become of the bytes that were written to a socket.
+enum class SentBytes {
+  //! The peer's kernel has acknowledged all of them.
+  kReceived,
+  kPending,
+  //! The connection was reset or timed out.
+  kLost,
+};
+
+//! Returns what has become of the bytes written to a socket. A connection that
+//! the peer has ended in order is not lost. Precondition: the socket is
+//! connected, and neither direction was shut down by this end.
+SentBytes StateOfSentBytes(asio::ip::tcp::socket& socket);
+
 //! Returns whether a socket is open and has nothing to read.
 bool IsOpenAndIdle(asio::ip::tcp::socket& socket);
 
--- a/packages/http/tests/early_answer_tests.cc
+++ b/packages/http/tests/early_answer_tests.cc
@@ -9,6 +9,7 @@
 namespace tamarackwing::http {
 namespace {
 
+const std::string kUnframed = "HTTP/1.1 200 OK\r\n\r\npart";
 const std::string kFramed = "Content-Length: 4\r\n\r\nfull";
 
 class EarlyAnswerTest : public testing::Test {
@@ -54,5 +55,47 @@
   }
 }
 
+// Guards against part of a response that is taken for the whole because its
+// server reset the connection while the request was still being written.
+TEST_F(EarlyAnswerTest, ResetDuringUploadBreaksTheResponseOff) {
+  for (const std::size_t upload : {kMediumUpload, kLargeUpload}) {
+    EXPECT_FALSE(this->Exchange(upload, {kUnframed, AfterAnswer::kReset}))
+        << upload;
+  }
+}
+
+// Guards against the same if the server first ends its response in order.
+TEST_F(EarlyAnswerTest, CloseDuringUploadBreaksTheResponseOff) {
+  for (const std::size_t upload : {kMediumUpload, kLargeUpload}) {
+    EXPECT_FALSE(this->Exchange(upload, {kUnframed, AfterAnswer::kEndAndClose}))
+        << upload;
+  }
+}
+
+// Guards against whole responses that are taken for broken off.
+TEST_F(EarlyAnswerTest, ResponseOfServerThatReadsTheRestIsWhole) {
+  for (const std::size_t upload :
+       {std::size_t{0}, kMediumUpload, kLargeUpload}) {
+    const auto unframed =
+        this->Exchange(upload, {kUnframed, AfterAnswer::kEndAndRead});
+    ASSERT_TRUE(unframed) << upload;
+    EXPECT_EQ(unframed->body, "part");
+    const auto framed =
+        this->Exchange(upload, {"HTTP/1.1 413 Too Large\r\n" + kFramed});
+    ASSERT_TRUE(framed) << upload;
+    EXPECT_EQ(framed->head.status, 413U);
+  }
+}
+
+// Guards against a whole rejection that is lost with the rest of the request.
+TEST_F(EarlyAnswerTest, FramedResponseIsWholeAlthoughTheConnectionIsLost) {
+  const auto response = this->Exchange(
+      kMediumUpload,
+      {"HTTP/1.1 503 Busy\r\n" + kFramed, AfterAnswer::kEndAndClose});
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->head.status, 503U);
+  EXPECT_EQ(response->body, "full");
+}
+
 }  // namespace
 }  // namespace tamarackwing::http
--- a/tests/request_path_tests.cc
+++ b/tests/request_path_tests.cc
@@ -329,5 +329,38 @@
   }
 }
 
+// Guards against part of a response that is passed on as the whole because its
+// connection ended while the request was still being written.
+TEST_F(EarlyAnswerPathTest, ResponseThatBreaksOffDuringUploadIsNotPassedOn) {
+  const std::string unframed = "HTTP/1.1 200 OK\r\n\r\npart";
+  // The host accepts requests of up to 4 MB.
+  for (const std::size_t upload :
+       {http::kMediumUpload, http::kMediumUpload * 3}) {
+    for (const http::AfterAnswer after :
+         {http::AfterAnswer::kReset, http::AfterAnswer::kEndAndClose}) {
+      this->ExpectLost(upload, {unframed, after});
+    }
+  }
+}
+
+// Guards against a whole rejection that is lost because it came before the end
+// of the upload.
+TEST_F(EarlyAnswerPathTest, WholeRejectionDuringUploadIsPassedOn) {
+  const std::string rejection =
+      "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nfull";
+  for (const std::string route : {"booking", "gauge"}) {
+    for (const std::size_t upload :
+         {http::kMediumUpload, http::kMediumUpload * 3}) {
+      CallResult result;
+      WaitFor([&] {
+        result = this->SendWith(route, upload, {rejection});
+        return result.body.find("\"ran\":\"no\"") == std::string::npos;
+      });
+      EXPECT_EQ(result.status, 413U) << route;
+      EXPECT_EQ(result.body, "full") << route;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace tamarackwing::tests
