--- a/tests/request_path_tests.cc
+++ b/tests/request_path_tests.cc
@@ -301,8 +301,7 @@
   void ExpectLost(std::size_t upload, const http::EarlyAnswer& answer) {
     const int before = this->peer.Requests();
     CallResult operation;
-    // On a busy disk the ledger may refuse an operation, which is not sent
-    // then.
+    // The ledger may refuse an operation as not run; it is not sent then.
     WaitFor([&] {
       operation = this->SendWith("booking", upload, answer);
       return operation.body.find("\"ran\":\"no\"") == std::string::npos;
