--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -21,6 +21,8 @@
   kReadFailed,
   kTimeout,
   kMalformed,
+  //! The response's status is not one of HTTP.
+  kInvalidStatus,
   kCancelled,
 };
 
@@ -48,13 +50,15 @@
   asio::awaitable<Expected<void, ConnectionError>> Send(Request request,
                                                         TimePoint deadline);
   //! Reads the head of the response. Precondition: a request was sent.
-  //! Errors: kReadFailed, kMalformed, kTimeout, kCancelled.
+  //! Errors: kReadFailed, kMalformed, kInvalidStatus if the status is outside
+  //! 100 to 599, kTimeout, kCancelled.
   asio::awaitable<Expected<ResponseHead, ConnectionError>> ReadHead(
       TimePoint deadline);
   //! Reads the next piece of the body; an empty piece means that the response
   //! is complete. A response without a declared length is complete when the
-  //! server closes the connection cleanly. Precondition: the head was read.
-  //! Errors: as for ReadHead.
+  //! server ends the connection cleanly and has received the whole request:
+  //! after an early response, waits until it has. Precondition: the head was
+  //! read. Errors: kReadFailed, kMalformed, kTimeout, kCancelled.
   asio::awaitable<Expected<std::string, ConnectionError>> ReadPiece(
       TimePoint deadline);
   //! Makes pending calls end with kTimeout if the peer's kernel acknowledges
@@ -79,6 +83,11 @@
 
  private:
   struct State;
+  //! Waits until the peer has received the whole request. Errors: kReadFailed
+  //! if the connection was lost before that, kTimeout, kCancelled.
+  asio::awaitable<Expected<void, ConnectionError>> AwaitReceipt(
+      TimePoint deadline);
+
   std::unique_ptr<State> state;
 };
 
