--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -358,6 +358,7 @@
   number @0 :UInt64;
   workspace @1 :Text;
   tokens @2 :Int64;
+  isCounted @3 :Bool;
 }
 
 struct TokenReply {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -842,7 +842,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb45c38bca7c5a1e, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fb45c38bca7c5a1e, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6022,6 +6022,8 @@
 
   inline  ::int64_t getTokens() const;
 
+  inline bool getIsCounted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6063,6 +6065,9 @@
   inline  ::int64_t getTokens();
   inline void setTokens( ::int64_t value);
 
+  inline bool getIsCounted();
+  inline void setIsCounted(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12549,6 +12554,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TokenRequest::Reader::getIsCounted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool TokenRequest::Builder::getIsCounted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void TokenRequest::Builder::setIsCounted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TokenReply::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -672,6 +672,7 @@
     to.setNumber(value.number);
     to.setWorkspace(ToText(value.workspace.Text()));
     to.setTokens(value.tokens);
+    to.setIsCounted(value.is_counted);
   }
   void operator()(const policy::TokenReply& value) {
     auto to = this->out.initTokenReply();
@@ -976,9 +977,9 @@
   using Wire = wire::PeerMessage;
   if (in.which() == Wire::TOKEN_REQUEST) {
     const auto from = in.getTokenRequest();
-    return policy::TokenRequest{from.getNumber(),
-                                WorkspaceName(ToString(from.getWorkspace())),
-                                read_tokens(from.getTokens())};
+    return policy::TokenRequest{
+        from.getNumber(), WorkspaceName(ToString(from.getWorkspace())),
+        read_tokens(from.getTokens()), from.getIsCounted()};
   }
   if (in.which() == Wire::TOKEN_REPLY) {
     const auto from = in.getTokenReply();
--- a/packages/policy/include/tamarackwing/policy/rate_holder.h
+++ b/packages/policy/include/tamarackwing/policy/rate_holder.h
@@ -40,15 +40,26 @@
   explicit RateHolder(RateLeaseOptions options);
 
   //! Takes the tokens of a request if the level is above zero; a refused
-  //! request counts towards the reported demand, too.
+  //! request counts towards the reported demand, too. `is_counted`: another
+  //! host counts these tokens as its demand, so this one does not; otherwise a
+  //! request that several hosts refuse would draw leases away from the host at
+  //! which the demand is.
   RateDecision Take(const WorkspaceName& workspace,
                     const RateLimit& limit,
                     TokenCount tokens,
-                    TimePoint now);
+                    TimePoint now,
+                    bool is_counted = false);
   //! Returns the tokens of a request that was not run.
   void Return(const WorkspaceName& workspace, TokenCount tokens);
   //! Makes the next report and discards workspaces without recent requests.
   RateReport MakeReport(TimePoint now);
+  //! Returns whether a workspace has no lease or one below its demand, and the
+  //! last report was long enough ago for an early one.
+  bool NeedsEarlyReport(TimePoint now) const;
+  //! Makes a report between two of MakeReport. It names all workspaces, as a
+  //! leader requires of each report, and leaves the measurement of demand as it
+  //! is: a span of some 50 ms has too few requests to measure a rate.
+  RateReport MakeEarlyReport(TimePoint now);
   //! Ignores replies to earlier reports from now on. Called before the first
   //! report to a new leader, which must contain all leases that this host can
   //! still use.
@@ -71,8 +82,17 @@
     //! Smoothed tokens per second requested.
     double demand = 0;
     TimePoint last_used;
+    //! Until when a demand beyond the lease is no reason for an early report,
+    //! because the leader knew of it and granted no more.
+    TimePoint patient_until;
   };
 
+  //! Returns the demand to report before the interval of measurement is over,
+  //! in tokens per second.
+  double DemandSoFar(const Account& account, TimePoint now) const;
+  //! Numbers a report and adds the workspaces' demands and leases to it.
+  RateReport FillReport(TimePoint now);
+
   //! Returns the static and the leased share, in tokens per second.
   TokenCount RateOf(const Account& account, TimePoint now) const;
   void Fill(Account& account, TimePoint now) const;
@@ -82,7 +102,11 @@
   std::uint64_t number = 0;
   //! Number of the newest applied grant.
   std::uint64_t holds = 0;
+  //! When the measurement of demand began, and when the last report was made.
+  TimePoint measured;
   TimePoint reported;
+  //! Whether a demand exceeded its lease since the last report.
+  bool is_short = false;
   //! When each report without a reply was made, by report number.
   std::map<std::uint64_t, TimePoint> pending_reports;
   std::map<WorkspaceName, Account> accounts;
--- a/packages/policy/include/tamarackwing/policy/rate_leases.h
+++ b/packages/policy/include/tamarackwing/policy/rate_leases.h
@@ -23,6 +23,9 @@
   //! The percentage of each rate that is divided equally and without leases, so
   //! that a partitioned host can still serve.
   unsigned static_percent = 10;
+  //! Whether a new leader moves rate among the holders that have reported while
+  //! former leases are unknown; see RateLeases::StartTerm.
+  bool moves_known_leases = false;
 };
 
 //! Returns the static share of a rate that each of `hosts` hosts has without a
@@ -43,8 +46,12 @@
   //! Starts a leader's term with neither rates nor leases: those that earlier
   //! leaders granted to `holders` are unknown. Until each holder has reported
   //! its lease, or all such leases must have expired, no host is granted more
-  //! than it reports to hold. Precondition: a holder accepts no grant of an
-  //! earlier leader after it has reported to this one.
+  //! than it reports to hold; with RateLeaseOptions::moves_known_leases, the
+  //! hosts that have reported are together leased no more than they reported
+  //! to hold. Safe in both cases: the earlier leaders' leases did not exceed
+  //! the rate, so those of the other holders fit next to the reported ones.
+  //! Precondition: a holder accepts no grant of an earlier leader after it has
+  //! reported to this one.
   void StartTerm(std::set<HostName> holders, TimePoint now);
   //! Sets a workspace's rate (tokens per second) for future leases.
   void SetRate(const WorkspaceName& workspace, TokenCount rate);
@@ -82,6 +89,8 @@
   //! still included, so the sums are never too small.
   struct Account {
     TokenCount rate = 0;
+    //! Leases of earlier leaders that holders have reported in this term.
+    TokenCount reported_leases = 0;
     std::map<HostName, Holder> holders;
     TimePoint recounted;
     //! Demand, with headroom, and number of the holders that report.
@@ -96,8 +105,11 @@
   //! Adds a holder that is not in its account's sums.
   void Count(Account& account, Holder& holder, TimePoint now) const;
   void Recount(Account& account, TimePoint now) const;
-  //! Returns the share to lease next to a holder that is in the sums.
-  TokenCount Share(const Account& account, const Holder& holder) const;
+  //! Returns the share of `pool`, the tokens per second that may be on lease,
+  //! to lease next to a holder that is in the sums.
+  static TokenCount Share(const Account& account,
+                          const Holder& holder,
+                          TokenCount pool);
 
   RateLeaseOptions options;
   //! Holders that have not reported since the term started.
--- a/packages/policy/include/tamarackwing/policy/rate_messages.h
+++ b/packages/policy/include/tamarackwing/policy/rate_messages.h
@@ -48,6 +48,9 @@
   std::uint64_t number = 0;
   WorkspaceName workspace;
   TokenCount tokens = 0;
+  //! Whether another keeper was asked for the same tokens before and has
+  //! counted them as demand.
+  bool is_counted = false;
 };
 
 //! The reply to a TokenRequest.
--- a/packages/policy/src/rate_holder.cc
+++ b/packages/policy/src/rate_holder.cc
@@ -11,6 +11,15 @@
 constexpr std::size_t kMaxPendingReports = 16;
 //! Weight of the latest interval in the smoothed demand.
 constexpr double kSmoothing = 0.5;
+//! Min time between two reports: limits the work of the leader, and is short
+//! against the round trip between regions that the reply takes.
+constexpr std::chrono::milliseconds kMinReportInterval{50};
+//! The usual interval of reports; a shorter one measures a single request as a
+//! high rate.
+constexpr std::chrono::milliseconds kMeasuredInterval{300};
+//! A grant that raises a lease by less than this factor shows that the leader
+//! has no more to give, so that early reports would be in vain.
+constexpr double kUsefulRaise = 1.1;
 
 //! Returns the share of the burst that each host has without a lease.
 double StaticBurst(const RateLimit& limit) {
@@ -28,7 +37,8 @@
 RateDecision RateHolder::Take(const WorkspaceName& workspace,
                               const RateLimit& limit,
                               TokenCount tokens,
-                              TimePoint now) {
+                              TimePoint now,
+                              bool is_counted) {
   const auto [place, is_new] = this->accounts.try_emplace(workspace);
   Account& account = place->second;
   if (is_new) {
@@ -37,7 +47,14 @@
   }
   account.limit = limit;
   account.last_used = now;
-  account.requested += tokens;
+  if (!is_counted) {
+    account.requested += tokens;
+    const bool has_lease = account.lease_until > now;
+    const bool falls_short =
+        !has_lease ||
+        this->DemandSoFar(account, now) > static_cast<double>(account.leased);
+    this->is_short |= falls_short && now >= account.patient_until;
+  }
   this->Fill(account, now);
   RateDecision decision;
   decision.rate = this->RateOf(account, now);
@@ -60,10 +77,7 @@
 }
 
 RateReport RateHolder::MakeReport(TimePoint now) {
-  RateReport report;
-  report.number = ++this->number;
-  report.holds = this->holds;
-  const double span = Seconds(now - this->reported);
+  const double span = Seconds(now - this->measured);
   std::erase_if(this->accounts, [&](const auto& entry) {
     return now - entry.second.last_used > kIdleTimeout;
   });
@@ -75,12 +89,38 @@
     // rise again.
     account.demand =
         std::max(rate, account.demand + (rate - account.demand) * kSmoothing);
+  }
+  this->measured = now;
+  return this->FillReport(now);
+}
+
+bool RateHolder::NeedsEarlyReport(TimePoint now) const {
+  return this->is_short && now - this->reported >= kMinReportInterval;
+}
+
+RateReport RateHolder::MakeEarlyReport(TimePoint now) {
+  return this->FillReport(now);
+}
+
+double RateHolder::DemandSoFar(const Account& account, TimePoint now) const {
+  const Duration span =
+      std::max<Duration>(now - this->measured, kMeasuredInterval);
+  return std::max(account.demand,
+                  static_cast<double>(account.requested) / Seconds(span));
+}
+
+RateReport RateHolder::FillReport(TimePoint now) {
+  RateReport report;
+  report.number = ++this->number;
+  report.holds = this->holds;
+  for (const auto& [workspace, account] : this->accounts) {
     const bool is_held = account.lease_until > now;
-    report.demands.push_back({workspace,
-                              static_cast<TokenCount>(account.demand),
-                              is_held ? account.leased : 0});
+    report.demands.push_back(
+        {workspace, static_cast<TokenCount>(this->DemandSoFar(account, now)),
+         is_held ? account.leased : 0});
   }
   this->reported = now;
+  this->is_short = false;
   this->pending_reports[report.number] = now;
   if (this->pending_reports.size() > kMaxPendingReports) {
     this->pending_reports.erase(this->pending_reports.begin());
@@ -105,9 +145,16 @@
     if (found == this->accounts.end()) {
       continue;
     }
-    this->Fill(found->second, now);
-    found->second.leased = share.share;
-    found->second.lease_until = until;
+    Account& account = found->second;
+    this->Fill(account, now);
+    const bool is_held = account.lease_until > now;
+    const double useful =
+        is_held ? static_cast<double>(account.leased) * kUsefulRaise : 0;
+    if (static_cast<double>(share.share) <= useful) {
+      account.patient_until = now + kMeasuredInterval;
+    }
+    account.leased = share.share;
+    account.lease_until = until;
   }
 }
 
--- a/packages/policy/src/rate_leases.cc
+++ b/packages/policy/src/rate_leases.cc
@@ -41,9 +41,13 @@
   RateGrant grant;
   grant.number = report.number;
   // Until the leases of earlier leaders are known or expired, a host is granted
-  // at most what it reports to hold. The limit also applies to the reply to the
-  // last missing report; other hosts may then be granted the remaining rate
-  // before that host reports again.
+  // at most what it reports to hold, or with moves_known_leases its share of
+  // what all hosts that have reported held: moving rate among those adds
+  // nothing to what the earlier leaders granted. `reported_leases` counts a
+  // host's first report only, since the later ones state this leader's leases,
+  // and a host's former lease stays counted until the host reports a newer one.
+  // The limit also applies to the reply to the last missing report; other hosts
+  // may then be granted the remaining rate before that host reports again.
   const bool old_leases_known =
       this->unreported.empty() || now >= this->old_leases_end;
   const bool is_first = this->unreported.erase(host) > 0;
@@ -66,10 +70,17 @@
     });
     if (is_first) {
       holder.leases.push_back({report.holds, demand.held, expires});
+      account.reported_leases += std::max<TokenCount>(0, demand.held);
     }
     this->Count(account, holder, now);
-    TokenCount share = this->Share(account, holder);
-    if (!old_leases_known) {
+    TokenCount pool = account.rate *
+                      (kHundredPercent - this->options.static_percent) /
+                      kHundredPercent;
+    if (!old_leases_known && this->options.moves_known_leases) {
+      pool = std::min(pool, account.reported_leases);
+    }
+    TokenCount share = Share(account, holder, pool);
+    if (!old_leases_known && !this->options.moves_known_leases) {
       share = std::min(share, std::max<TokenCount>(0, demand.held));
     }
     holder.leases.push_back({report.number, share, expires});
@@ -131,10 +142,8 @@
 }
 
 TokenCount RateLeases::Share(const Account& account,
-                             const Holder& holder) const {
-  const TokenCount pool = account.rate *
-                          (kHundredPercent - this->options.static_percent) /
-                          kHundredPercent;
+                             const Holder& holder,
+                             TokenCount pool) {
   const TokenCount own_demand = holder.counted_demand;
   const TokenCount leased_to_others = account.leased - holder.counted_lease;
   TokenCount fair = 0;
