control, gateway, daemon: tokens of other regions' keepers

Cause: an entry host whose region's keeper has too little lease refused requests that other regions' keepers could grant, with the refill time of its static share as retry delay, up to 25 s. Change: with scheduling.ask_other_keepers, ControlThread runs a TokenInquiry for each reservation, reports missing leases at once and returns late grants; TokenBudget:: Reserve takes a latest time, half of the route's latency target; a reservation names the keeper that granted it; tokens_refused lists the keepers and what each said; two metrics count grants of other regions. Without the setting as before, except that tokens granted after a path call's deadline return to their bucket.

--- a/packages/control/include/tamarackwing/control/bucket_keepers.h
+++ b/packages/control/include/tamarackwing/control/bucket_keepers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <vector>
@@ -21,4 +22,17 @@
     const std::map<HostName, state::HostRecord>& hosts,
     const std::map<RegionName, std::set<HostName>>& live);
 
+//! Returns the first keeper of each of at most `count` other regions, without
+//! `silent` hosts: the hosts that the entry hosts there ask first. The regions
+//! depend on the workspace, so that no region gets the questions about all
+//! workspaces. Thread safety: reentrant.
+std::vector<HostName> KeepersOfOtherRegions(
+    const WorkspaceName& workspace,
+    const RegionName& region,
+    const HostName& leader,
+    const std::map<HostName, state::HostRecord>& hosts,
+    const std::map<RegionName, std::set<HostName>>& live,
+    const std::set<HostName>& silent,
+    std::size_t count);
+
 }  // namespace tamarackwing::control
--- a/packages/control/src/bucket_keepers.cc
+++ b/packages/control/src/bucket_keepers.cc
@@ -1,6 +1,8 @@
 #include "tamarackwing/control/bucket_keepers.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 #include "region_ranking.h"
 #include "tamarackwing/policy/rendezvous.h"
@@ -37,4 +39,38 @@
   return keepers;
 }
 
+std::vector<HostName> KeepersOfOtherRegions(
+    const WorkspaceName& workspace,
+    const RegionName& region,
+    const HostName& leader,
+    const std::map<HostName, state::HostRecord>& hosts,
+    const std::map<RegionName, std::set<HostName>>& live,
+    const std::set<HostName>& silent,
+    std::size_t count) {
+  const std::uint64_t key = policy::RendezvousKey(workspace.Text());
+  std::vector<std::pair<std::uint64_t, HostName>> ranked;
+  for (const auto& [of_region, names] : live) {
+    if (of_region == region) {
+      continue;
+    }
+    const auto keepers = BucketKeepers(workspace, of_region, leader, hosts,
+                                       {{of_region, names}});
+    const auto first = std::find_if(
+        keepers.begin(), keepers.end(),
+        [&](const HostName& keeper) { return !silent.contains(keeper); });
+    if (first != keepers.end()) {
+      ranked.emplace_back(policy::RendezvousWeight(key, of_region.Text()),
+                          *first);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  std::vector<HostName> first_keepers;
+  for (auto& [weight, keeper] : ranked) {
+    if (first_keepers.size() < count) {
+      first_keepers.push_back(std::move(keeper));
+    }
+  }
+  return first_keepers;
+}
+
 }  // namespace tamarackwing::control
--- a/packages/control/tests/bucket_keepers_tests.cc
+++ b/packages/control/tests/bucket_keepers_tests.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace tamarackwing::control {
@@ -73,5 +74,46 @@
   }
 }
 
+// Guards against questions that reach another host than the one which keeps the
+// workspace's bucket in its region: tokens would be divided among more buckets.
+TEST_F(BucketKeepersTest, OtherRegionsAreAskedAtTheirFirstKeepers) {
+  for (const char* const region : {"nizwa", "salalah"}) {
+    state::HostRecord host;
+    host.name = HostName(region + std::string("0"));
+    host.region = RegionName(region);
+    host.has_disk = true;
+    this->hosts[host.name] = host;
+    this->live[host.region] = {host.name};
+  }
+  const auto others = [this](const std::string& workspace,
+                             const std::set<HostName>& silent) {
+    return KeepersOfOtherRegions(WorkspaceName(workspace), RegionName("muscat"),
+                                 this->leader, this->hosts, this->live, silent,
+                                 2);
+  };
+  this->leader = HostName("sohar1");
+  std::map<HostName, int> asked;
+  for (int i = 0; i < 60; ++i) {
+    const std::string workspace = "w" + std::to_string(i);
+    const auto in_sohar =
+        BucketKeepers(WorkspaceName(workspace), RegionName("sohar"),
+                      this->leader, this->hosts, this->live);
+    const auto keepers = others(workspace, {});
+    ASSERT_EQ(keepers.size(), 2U);
+    for (const HostName& keeper : keepers) {
+      asked[keeper] += 1;
+      const bool is_in_sohar =
+          keeper.Text().front() == 's' && keeper.Text() != "salalah0";
+      EXPECT_TRUE(!is_in_sohar || keeper == in_sohar.front());
+    }
+    EXPECT_EQ(std::count(keepers.begin(), keepers.end(), this->leader), 0);
+    const auto without = others(workspace, {in_sohar.front()});
+    EXPECT_EQ(std::count(without.begin(), without.end(), in_sohar.front()), 0);
+  }
+  // The regions differ between workspaces.
+  EXPECT_LT(asked[HostName("nizwa0")], 60);
+  EXPECT_LT(asked[HostName("salalah0")], 60);
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/gateway/include/tamarackwing/gateway/token_budget.h
+++ b/packages/gateway/include/tamarackwing/gateway/token_budget.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <string>
 
+#include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/identifiers.h"
 
 namespace tamarackwing::gateway {
@@ -19,6 +21,8 @@
   //! together may; zero if unknown.
   TokenCount host_rate = 0;
   TokenCount fleet_rate = 0;
+  //! For logs: the hosts that were asked, and what each said.
+  std::string keepers;
 };
 
 //! Interface: token rate limits of all workspaces.
@@ -29,9 +33,12 @@
 
   virtual ~TokenBudget() = default;
   //! Reserves tokens; `callback` is called once, from any thread, possibly
-  //! before this returns.
+  //! before this returns. Until `latest`, by the clock that also counts
+  //! suspended time, a budget that is short of tokens may ask hosts of other
+  //! regions for them.
   virtual void Reserve(const WorkspaceName& workspace,
                        TokenCount tokens,
+                       TimePoint latest,
                        Callback callback) = 0;
   //! Ends a reservation after `used` of its tokens were used.
   virtual void Settle(const WorkspaceName& workspace,
--- a/packages/gateway/src/path_request.cc
+++ b/packages/gateway/src/path_request.cc
@@ -322,11 +322,28 @@
   this->tokens = this->call.prompt ? this->call.prompt->prompt_tokens +
                                          this->call.prompt->output_tokens
                                    : workspace->second.plain_tokens;
+  const PathGatewayDependencies& dependencies = this->gateway.Dependencies();
+  const TimePoint now = dependencies.clock.Now();
+  // The other half of the latency target is for the response itself.
+  const Duration allowed =
+      (this->route->target_latency > milliseconds(0)
+           ? std::min<Duration>(this->deadline - this->started,
+                                this->route->target_latency)
+           : this->deadline - this->started) /
+      2;
+  const Duration wait =
+      std::max(Duration::zero(), this->started + allowed - now);
   const auto handoff =
       std::make_shared<http::Handoff<BudgetAnswer>>(this->executor);
-  this->gateway.Dependencies().budget.Reserve(
-      this->grant.workspace, this->tokens,
-      [handoff](BudgetAnswer answer) { handoff->Set(answer); });
+  TokenBudget& budget = dependencies.budget;
+  budget.Reserve(this->grant.workspace, this->tokens,
+                 dependencies.freshness_clock.Now() + wait,
+                 [handoff, &budget, workspace = this->grant.workspace](
+                     const BudgetAnswer& answer) {
+                   if (!handoff->Set(answer) && answer.granted) {
+                     budget.Settle(workspace, answer.reservation, 0);
+                   }
+                 });
   const auto answer = co_await handoff->Wait(this->deadline);
   if (!answer || !answer->granted) {
     LogEvent(Event::kTokensRefused, LogLevel::kInfo,
@@ -335,6 +352,7 @@
               {"tokens", std::to_string(this->tokens)},
               {"host_rate", std::to_string(answer ? answer->host_rate : 0)},
               {"fleet_rate", std::to_string(answer ? answer->fleet_rate : 0)},
+              {"keepers", answer ? answer->keepers : ""},
               {"retry_ms",
                std::to_string(answer ? answer->retry_after.count() : 0)}});
     co_return RefuseNotRun(RefusalCode::kOverBudget,
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -234,7 +234,11 @@
   this->interrupt_wait = [handoff] { handoff->Interrupt(); };
   TokenBudget& budget = this->gateway.Dependencies().budget;
   const WorkspaceName workspace = this->grant.workspace;
-  budget.Reserve(workspace, tokens,
+  const GatewayDependencies& dependencies = this->gateway.Dependencies();
+  const TimePoint latest =
+      dependencies.freshness_clock.Now() +
+      std::max(Duration::zero(), this->deadline - dependencies.clock.Now());
+  budget.Reserve(workspace, tokens, latest,
                  [handoff, &budget, workspace](BudgetAnswer answer) {
                    if (!handoff->Set(answer) && answer.granted) {
                      budget.Settle(workspace, answer.reservation, 0);
--- a/packages/gateway/tests/path_gateway_fixture.h
+++ b/packages/gateway/tests/path_gateway_fixture.h
@@ -28,10 +28,16 @@
 
 class OpenBudget final : public TokenBudget {
  public:
-  void Reserve(const WorkspaceName&, TokenCount, Callback callback) override {
-    callback({true, 1, {}});
+  void Reserve(const WorkspaceName&,
+               TokenCount,
+               TimePoint latest,
+               Callback callback) override {
+    this->last_latest = latest;
+    callback({true, 1, {}, 0, 0, {}});
   }
   void Settle(const WorkspaceName&, std::uint64_t, TokenCount) override {}
+
+  TimePoint last_latest;
 };
 
 class FixedHosts final : public RegionHosts {
--- a/programs/tamarackwingd/src/chunk_budget.cc
+++ b/programs/tamarackwingd/src/chunk_budget.cc
@@ -35,6 +35,7 @@
 
 void ChunkBudget::Reserve(const WorkspaceName& workspace,
                           TokenCount tokens,
+                          TimePoint /*latest*/,
                           Callback callback) {
   gateway::BudgetAnswer answer;
   std::vector<policy::ChunkRequest> requests;
--- a/programs/tamarackwingd/src/chunk_budget.h
+++ b/programs/tamarackwingd/src/chunk_budget.h
@@ -43,6 +43,7 @@
   void SetSources(TokenSources sources);
   void Reserve(const WorkspaceName& workspace,
                TokenCount tokens,
+               TimePoint latest,
                Callback callback) override;
   void Settle(const WorkspaceName& workspace,
               std::uint64_t reservation,
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -43,6 +43,9 @@
 constexpr milliseconds kTokenTimeout{250};
 //! How long a host that did not reply to one is not asked again.
 constexpr milliseconds kKeeperSilence{1'000};
+//! Number of other regions whose keepers are asked for tokens. Two more
+//! requests each bound the work of all keepers at three times that of now.
+constexpr std::size_t kOtherRegions = 2;
 //! How long the answers about a stream are waited for.
 constexpr milliseconds kStreamTimeout{2'000};
 //! Time during which a host without demand also reports to a new leader; long
@@ -257,9 +260,9 @@
     this->HandleStreamAnswer(*answer);
   } else if (const auto* request =
                  std::get_if<policy::TokenRequest>(&message)) {
-    this->network->Send(from, this->dependencies.rates.HandleRequest(*request));
+    this->network->Send(from, this->HandleTokenRequest(*request));
   } else if (const auto* reply = std::get_if<policy::TokenReply>(&message)) {
-    this->HandleTokenReply(*reply);
+    this->HandleTokenReply(from, *reply);
   } else if (const auto* returned =
                  std::get_if<policy::TokenReturn>(&message)) {
     this->dependencies.rates.HandleReturn(*returned);
@@ -341,7 +344,23 @@
   this->network->Send(keeper, request);
 }
 
-void ControlThread::HandleTokenReply(const policy::TokenReply& reply) {
+void ControlThread::HandleTokenReply(const HostName& from,
+                                     const policy::TokenReply& reply) {
+  const auto inquiry = this->inquiries.find(reply.number);
+  if (inquiry != this->inquiries.end()) {
+    PendingInquiry& pending = inquiry->second;
+    auto step =
+        pending.inquiry.NoteReply(from, reply, this->dependencies.clock.Now());
+    if (step.returns_tokens) {
+      this->ReturnTokens({pending.request.workspace, pending.request.tokens},
+                         from);
+    }
+    this->TakeStep(pending, std::move(step));
+    if (pending.inquiry.IsDone(this->dependencies.clock.Now())) {
+      this->inquiries.erase(inquiry);
+    }
+    return;
+  }
   const auto waiting = this->token_requests.find(reply.number);
   if (waiting == this->token_requests.end()) {
     return;
@@ -351,8 +370,114 @@
   callback(reply);
 }
 
-void ControlThread::ReturnTokens(const policy::TokenReturn& returned) {
-  const HostName keeper = this->KeeperOf(returned.workspace);
+policy::TokenReply ControlThread::HandleTokenRequest(
+    const policy::TokenRequest& request) {
+  policy::TokenReply reply = this->dependencies.rates.HandleRequest(request);
+  if (this->settings.gateway.scheduling.ask_other_keepers &&
+      this->dependencies.rates.NeedsEarlyReport()) {
+    this->ReportRates(true);
+  }
+  return reply;
+}
+
+std::vector<HostName> ControlThread::OwnKeepers(
+    const WorkspaceName& workspace) const {
+  const TimePoint now = this->dependencies.clock.Now();
+  const state::ControlState& state = this->node->State();
+  const RegionName& region = this->settings.gateway.region;
+  std::vector<HostName> own;
+  for (const HostName& keeper :
+       control::BucketKeepers(workspace, region, this->node->Leader(),
+                              state.Hosts(), state.Live())) {
+    const auto silent = this->silent_keepers.find(keeper);
+    const bool is_silent =
+        silent != this->silent_keepers.end() && silent->second > now;
+    const bool is_in_region = state.Hosts().at(keeper).region == region;
+    if (!is_silent && (is_in_region || own.empty())) {
+      own.push_back(keeper);
+    }
+  }
+  return own;
+}
+
+std::vector<HostName> ControlThread::OtherKeepers(
+    const WorkspaceName& workspace) const {
+  const TimePoint now = this->dependencies.clock.Now();
+  const state::ControlState& state = this->node->State();
+  std::set<HostName> silent;
+  for (const auto& [keeper, until] : this->silent_keepers) {
+    if (until > now) {
+      silent.insert(keeper);
+    }
+  }
+  return control::KeepersOfOtherRegions(
+      workspace, this->settings.gateway.region, this->node->Leader(),
+      state.Hosts(), state.Live(), silent, kOtherRegions);
+}
+
+void ControlThread::Inquire(policy::TokenRequest request,
+                            TimePoint latest,
+                            LeasedRateBudget::DecisionCallback callback) {
+  const std::uint64_t number = this->next_token_request++;
+  request.number = number;
+  policy::TokenInquiryOptions options;
+  options.keeper_timeout = kTokenTimeout;
+  // Timeouts are noticed at ticks.
+  policy::TokenInquiry inquiry(
+      this->OwnKeepers(request.workspace),
+      [this, workspace = request.workspace] {
+        return this->OtherKeepers(workspace);
+      },
+      latest - kTickInterval, options);
+  const auto [place, is_new] = this->inquiries.try_emplace(
+      number, PendingInquiry{std::move(inquiry), std::move(request),
+                             std::move(callback)});
+  PendingInquiry& pending = place->second;
+  this->TakeStep(pending,
+                 pending.inquiry.Start(this->dependencies.clock.Now()));
+  if (pending.inquiry.IsDone(this->dependencies.clock.Now())) {
+    this->inquiries.erase(place);
+  }
+}
+
+void ControlThread::TakeStep(PendingInquiry& pending,
+                             policy::TokenInquiry::Step step) {
+  const TimePoint now = this->dependencies.clock.Now();
+  for (const HostName& keeper : step.silent) {
+    this->silent_keepers[keeper] = now + kKeeperSilence;
+  }
+  std::optional<policy::TokenReply> own_reply;
+  for (const HostName& keeper : step.ask) {
+    policy::TokenRequest request = pending.request;
+    request.is_counted = pending.inquiry.IsCounted(keeper);
+    if (keeper == this->settings.gateway.host) {
+      own_reply = this->HandleTokenRequest(request);
+    } else {
+      this->network->Send(keeper, request);
+    }
+  }
+  if (step.decision) {
+    const policy::TokenDecision& decision = *step.decision;
+    if (decision.is_from_other_region) {
+      Metrics& metrics = this->dependencies.metrics;
+      metrics.Count("tamarackwing_token_grants_of_other_regions_total");
+      metrics.Count("tamarackwing_tokens_granted_by_other_regions_total",
+                    static_cast<std::uint64_t>(
+                        std::max<TokenCount>(0, pending.request.tokens)));
+    }
+    std::exchange(pending.callback, nullptr)(decision,
+                                             pending.inquiry.Answers());
+  }
+  if (own_reply) {
+    this->TakeStep(pending, pending.inquiry.NoteReply(
+                                this->settings.gateway.host, *own_reply, now));
+  }
+}
+
+void ControlThread::ReturnTokens(const policy::TokenReturn& returned,
+                                 const HostName& granted_by) {
+  const HostName keeper =
+      granted_by.IsEmpty() ? this->KeeperOf(returned.workspace) : granted_by;
   if (keeper == this->settings.gateway.host) {
     this->dependencies.rates.HandleReturn(returned);
   } else if (!keeper.IsEmpty()) {
@@ -517,7 +642,10 @@
   }
   if (now >= this->rates_at) {
     this->rates_at = now + kRateReportInterval;
-    this->ReportRates();
+    this->ReportRates(false);
+  } else if (this->settings.gateway.scheduling.ask_other_keepers &&
+             this->dependencies.rates.NeedsEarlyReport()) {
+    this->ReportRates(true);
   }
   if (now >= this->crashes_at) {
     this->crashes_at = now + kCrashReportInterval;
@@ -636,7 +764,7 @@
   this->probes_sent_at.erase(sent);
 }
 
-void ControlThread::ReportRates() {
+void ControlThread::ReportRates(bool is_early) {
   const HostName& leader = this->node->Leader();
   const TimePoint now = this->dependencies.clock.Now();
   if (!leader.IsEmpty() && leader != this->rates_leader) {
@@ -653,7 +781,9 @@
   if (this->disk == nullptr || is_behind) {
     return;
   }
-  const policy::RateReport report = this->dependencies.rates.MakeReport();
+  const policy::RateReport report =
+      is_early ? this->dependencies.rates.MakeEarlyReport()
+               : this->dependencies.rates.MakeReport();
   if (is_new_leader || !report.demands.empty()) {
     this->Execute(this->node->ReportRates(report, now));
   }
@@ -1004,6 +1134,12 @@
     this->silent_keepers[pending.keeper] = now + kKeeperSilence;
     pending.callback(std::nullopt);
   }
+  for (auto& [number, pending] : this->inquiries) {
+    this->TakeStep(pending, pending.inquiry.Expire(now));
+  }
+  std::erase_if(this->inquiries, [&](const auto& entry) {
+    return entry.second.inquiry.IsDone(now);
+  });
   std::erase_if(this->statuses, [&](auto& entry) {
     if (now - entry.second.since < std::chrono::seconds(2)) {
       return false;
@@ -1034,9 +1170,21 @@
           this->AskForTokens(request, std::move(callback));
         });
   };
-  rate_keepers.give_back = [this](const policy::TokenReturn& returned) {
-    this->network->Post([this, returned] { this->ReturnTokens(returned); });
+  rate_keepers.give_back = [this](const policy::TokenReturn& returned,
+                                  const HostName& keeper) {
+    this->network->Post(
+        [this, returned, keeper] { this->ReturnTokens(returned, keeper); });
   };
+  if (this->settings.gateway.scheduling.ask_other_keepers) {
+    rate_keepers.inquire = [this](const policy::TokenRequest& request,
+                                  TimePoint latest,
+                                  LeasedRateBudget::DecisionCallback callback) {
+      this->network->Post(
+          [this, request, latest, callback = std::move(callback)]() mutable {
+            this->Inquire(request, latest, std::move(callback));
+          });
+    };
+  }
   this->dependencies.rates.SetKeepers(std::move(rate_keepers));
   ChunkBudget::TokenSources sources;
   sources.request = [this](policy::ChunkRequest request) {
@@ -1131,6 +1279,8 @@
   options.catch_up = this->settings.membership.catch_up;
   options.catch_up_wait = times.host_lost;
   options.chunk_life = times.chunk_life;
+  options.rates.moves_known_leases =
+      this->settings.gateway.scheduling.ask_other_keepers;
   options.server_lease = this->settings.servers.lease;
   return options;
 }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -31,6 +31,7 @@
 #include "tamarackwing/hosts/peer_handler.h"
 #include "tamarackwing/hosts/peer_network.h"
 #include "tamarackwing/operators/operator_service.h"
+#include "tamarackwing/policy/token_inquiry.h"
 #include "tamarackwing/state/disk.h"
 #include "tamarackwing/state/log_store.h"
 #include "turn_watch.h"
@@ -144,6 +145,13 @@
     TimePoint since;
   };
 
+  //! A request for tokens that several keepers are asked for.
+  struct PendingInquiry {
+    policy::TokenInquiry inquiry;
+    policy::TokenRequest request;
+    LeasedRateBudget::DecisionCallback callback;
+  };
+
   void HandleMessage(const HostName& from,
                      control::PeerMessage message) override;
   void TellKeepers(const policy::StreamBegun& begun);
@@ -155,8 +163,22 @@
   HostName KeeperOf(const WorkspaceName& workspace) const;
   void AskForTokens(policy::TokenRequest request,
                     LeasedRateBudget::ReplyCallback callback);
-  void HandleTokenReply(const policy::TokenReply& reply);
-  void ReturnTokens(const policy::TokenReturn& returned);
+  void HandleTokenReply(const HostName& from, const policy::TokenReply& reply);
+  //! Asks keepers of this region and of others until one grants the tokens.
+  void Inquire(policy::TokenRequest request,
+               TimePoint latest,
+               LeasedRateBudget::DecisionCallback callback);
+  //! Asks the keepers, and reports the decision, of an inquiry's step.
+  void TakeStep(PendingInquiry& pending, policy::TokenInquiry::Step step);
+  //! Takes tokens from the bucket that this host keeps.
+  policy::TokenReply HandleTokenRequest(const policy::TokenRequest& request);
+  //! Returns the keepers of this region in the order of asking, without those
+  //! that do not reply; one of another region if it has none.
+  std::vector<HostName> OwnKeepers(const WorkspaceName& workspace) const;
+  std::vector<HostName> OtherKeepers(const WorkspaceName& workspace) const;
+  //! Returns tokens to `keeper`, or to the region's if it is empty.
+  void ReturnTokens(const policy::TokenReturn& returned,
+                    const HostName& keeper);
   Expected<control::RecoveredControl, ControlError> Recover();
   void Run(control::RecoveredControl recovered,
            const std::function<void(bool)>& started);
@@ -168,7 +190,7 @@
   void Execute(control::ControlEffects effects);
   void HandleRegionStatus(const control::RegionStatusUpdate& update);
   void HandleProbeResult(const control::ProbeResult& probe_result);
-  void ReportRates();
+  void ReportRates(bool is_early);
   void ReportCrashes();
   void ShareSlots();
   //! Tells the region table which of this region's entry hosts reach servers.
@@ -234,6 +256,8 @@
   //! Pending requests for tokens, by number.
   std::map<std::uint64_t, PendingTokens> token_requests;
   std::uint64_t next_token_request;
+  //! Inquiries that wait for a decision or for late grants, by number.
+  std::map<std::uint64_t, PendingInquiry> inquiries;
   //! Until when a host that did not reply is not asked.
   std::map<HostName, TimePoint> silent_keepers;
   std::uint64_t next_probe;
--- a/programs/tamarackwingd/src/leased_rate_budget.cc
+++ b/programs/tamarackwingd/src/leased_rate_budget.cc
@@ -39,10 +39,16 @@
           std::max<std::size_t>(1, snapshot.entry_hosts)};
 }
 
-//! A reservation's only state: its tokens, and whether they are this host's own
-//! instead of the keeper's.
-std::uint64_t Reservation(TokenCount tokens, bool is_own) {
-  return static_cast<std::uint64_t>(tokens) * 2 + (is_own ? 1 : 0);
+//! The source of a reservation's tokens: this host's own share, the region's
+//! keeper, or kFirstNamed plus the position of the keeper that granted them.
+constexpr std::uint64_t kOwnShare = 0;
+constexpr std::uint64_t kRegionKeeper = 1;
+constexpr std::uint64_t kFirstNamed = 2;
+constexpr std::uint64_t kMaxSources = 256;
+
+//! A reservation's only state: its tokens, and their source.
+std::uint64_t Reservation(TokenCount tokens, std::uint64_t source) {
+  return static_cast<std::uint64_t>(tokens) * kMaxSources + source;
 }
 
 policy::RateLeaseOptions WithoutStaticShare(policy::RateLeaseOptions options) {
@@ -68,6 +74,7 @@
 
 void LeasedRateBudget::Reserve(const WorkspaceName& workspace,
                                TokenCount tokens,
+                               TimePoint latest,
                                Callback callback) {
   const auto snapshot = this->snapshots.Get();
   const auto found = snapshot->set->workspaces.find(workspace);
@@ -79,6 +86,10 @@
     callback(this->TakeOwn(*snapshot, found->second, tokens));
     return;
   }
+  if (this->keepers.inquire) {
+    this->Inquire(snapshot, found->second, tokens, latest, std::move(callback));
+    return;
+  }
   const TokenCount fleet_rate = found->second.rate;
   this->keepers.ask({0, workspace, tokens},
                     [this, snapshot, &limits = found->second, tokens,
@@ -90,11 +101,88 @@
                         callback(this->TakeOwn(*snapshot, limits, tokens));
                         return;
                       }
-                      callback({reply->granted, Reservation(tokens, false),
-                                reply->retry_after, reply->rate, fleet_rate});
+                      callback({reply->granted,
+                                Reservation(tokens, kRegionKeeper),
+                                reply->retry_after,
+                                reply->rate,
+                                fleet_rate,
+                                {}});
                     });
 }
 
+void LeasedRateBudget::Inquire(std::shared_ptr<const state::Snapshot> snapshot,
+                               const state::Workspace& limits,
+                               TokenCount tokens,
+                               TimePoint latest,
+                               Callback callback) {
+  std::optional<std::chrono::milliseconds> known_wait;
+  {
+    const std::lock_guard lock(this->mutex);
+    known_wait = this->refused.RetryAfter(limits.name, this->clock.Now());
+  }
+  if (known_wait) {
+    gateway::BudgetAnswer answer;
+    answer.retry_after = *known_wait;
+    answer.fleet_rate = limits.rate;
+    answer.keepers = "refused_before";
+    callback(std::move(answer));
+    return;
+  }
+  this->keepers.inquire(
+      {0, limits.name, tokens}, latest,
+      [this, snapshot = std::move(snapshot), &limits, tokens,
+       callback = std::move(callback)](const policy::TokenDecision& decision,
+                                       std::string answers) {
+        gateway::BudgetAnswer answer =
+            this->ApplyDecision(*snapshot, limits, tokens, decision);
+        answer.keepers = std::move(answers);
+        callback(std::move(answer));
+      });
+}
+
+gateway::BudgetAnswer LeasedRateBudget::ApplyDecision(
+    const state::Snapshot& snapshot,
+    const state::Workspace& limits,
+    TokenCount tokens,
+    const policy::TokenDecision& decision) {
+  if (decision.verdict == policy::TokenVerdict::kUseStaticShare) {
+    gateway::BudgetAnswer answer = this->TakeOwn(snapshot, limits, tokens);
+    // A lease follows sooner than the static share, a small part of the rate,
+    // has repaid its debt.
+    answer.retry_after = std::min(
+        answer.retry_after, decision.retry_after.value_or(answer.retry_after));
+    return answer;
+  }
+  const std::lock_guard lock(this->mutex);
+  gateway::BudgetAnswer answer;
+  answer.granted = decision.verdict == policy::TokenVerdict::kGranted;
+  answer.host_rate = decision.rate;
+  answer.fleet_rate = limits.rate;
+  if (answer.granted) {
+    answer.reservation = this->KeptReservation(tokens, decision.keeper);
+  } else {
+    answer.retry_after =
+        decision.retry_after.value_or(std::chrono::milliseconds(0));
+    this->refused.Note(limits.name, answer.retry_after, this->clock.Now());
+  }
+  return answer;
+}
+
+std::uint64_t LeasedRateBudget::KeptReservation(TokenCount tokens,
+                                                const HostName& keeper) {
+  const auto found =
+      std::find(this->granting.begin(), this->granting.end(), keeper);
+  const auto position =
+      static_cast<std::uint64_t>(std::distance(this->granting.begin(), found));
+  if (position >= kMaxSources - kFirstNamed) {
+    return Reservation(tokens, kRegionKeeper);
+  }
+  if (found == this->granting.end()) {
+    this->granting.push_back(keeper);
+  }
+  return Reservation(tokens, kFirstNamed + position);
+}
+
 gateway::BudgetAnswer LeasedRateBudget::TakeOwn(
     const state::Snapshot& snapshot,
     const state::Workspace& workspace,
@@ -103,8 +191,9 @@
   const policy::RateDecision decision = this->own.Take(
       workspace.name, OwnLimit(snapshot, workspace, this->tolerance), tokens,
       this->clock.Now());
-  return {decision.granted, Reservation(tokens, true), decision.retry_after,
-          decision.rate, workspace.rate};
+  return {decision.granted,     Reservation(tokens, kOwnShare),
+          decision.retry_after, decision.rate,
+          workspace.rate,       {}};
 }
 
 policy::TokenReply LeasedRateBudget::HandleRequest(
@@ -119,7 +208,7 @@
   const std::lock_guard lock(this->mutex);
   const policy::RateDecision decision = this->kept.Take(
       request.workspace, KeptLimit(*snapshot, found->second, this->tolerance),
-      request.tokens, this->clock.Now());
+      request.tokens, this->clock.Now(), request.is_counted);
   reply.granted = decision.granted;
   reply.retry_after = decision.retry_after;
   reply.rate = decision.rate;
@@ -134,16 +223,25 @@
 void LeasedRateBudget::Settle(const WorkspaceName& workspace,
                               std::uint64_t reservation,
                               TokenCount used) {
-  const TokenCount unused = static_cast<TokenCount>(reservation / 2) - used;
-  const bool is_own = reservation % 2 != 0;
+  const TokenCount unused =
+      static_cast<TokenCount>(reservation / kMaxSources) - used;
+  const std::uint64_t source = reservation % kMaxSources;
   if (unused <= 0) {
     return;
   }
-  if (is_own) {
+  HostName keeper;
+  {
     const std::lock_guard lock(this->mutex);
-    this->own.Return(workspace, unused);
-  } else if (this->keepers.give_back) {
-    this->keepers.give_back({workspace, unused});
+    if (source == kOwnShare) {
+      this->own.Return(workspace, unused);
+      return;
+    }
+    if (source >= kFirstNamed) {
+      keeper = this->granting.at(source - kFirstNamed);
+    }
+  }
+  if (this->keepers.give_back) {
+    this->keepers.give_back({workspace, unused}, keeper);
   }
 }
 
@@ -157,6 +255,16 @@
   return this->kept.MakeReport(this->clock.Now());
 }
 
+bool LeasedRateBudget::NeedsEarlyReport() {
+  const std::lock_guard lock(this->mutex);
+  return this->kept.NeedsEarlyReport(this->clock.Now());
+}
+
+policy::RateReport LeasedRateBudget::MakeEarlyReport() {
+  const std::lock_guard lock(this->mutex);
+  return this->kept.MakeEarlyReport(this->clock.Now());
+}
+
 void LeasedRateBudget::ForgetPendingReports() {
   const std::lock_guard lock(this->mutex);
   this->kept.ForgetPendingReports();
