--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -114,6 +114,7 @@
                   Duration sum);
   policy::LoadReport MakeLoadReport();
   void ApplyLoads(const policy::LoadSummary& summary);
+  policy::SharedLoadState LoadState();
   //! Returns the load that this host has put on the servers of a target.
   policy::OwnLoad LoadOf(const std::string& target);
   //! Removes servers whose lease has expired, unless they are kept as a last
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -279,6 +279,11 @@
   this->table.ApplyLoads(summary, this->clock.Now());
 }
 
+policy::SharedLoadState ServerDirectory::LoadState() {
+  const std::lock_guard lock(this->mutex);
+  return this->table.LoadState(this->clock.Now());
+}
+
 void ServerDirectory::SetLimits(policy::ServerTableLimits limits) {
   const std::lock_guard lock(this->mutex);
   this->table.SetLimits(limits);
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -196,6 +196,14 @@
   std::chrono::milliseconds started{0};
 };
 
+//! What a host knows from its region's load collector, for metrics.
+struct SharedLoadState {
+  //! Whether the last summary is recent enough to be used.
+  bool is_fresh = false;
+  //! Servers whose streams pause for much longer than the median.
+  std::uint32_t slow_servers = 0;
+};
+
 //! Where a server accepts connections.
 struct ServerEndpoint {
   BackendServerName name;
@@ -295,6 +303,7 @@
   LoadReport MakeLoadReport(TimePoint now);
   //! Applies the load collector's reply.
   void ApplyLoads(const LoadSummary& summary, TimePoint now);
+  SharedLoadState LoadState(TimePoint now) const;
   //! Returns this host's load on the servers of a target.
   OwnLoad LoadOf(const std::string& target, TimePoint now) const;
   //! Returns the slots of all usable servers of a target, slow start applied;
--- a/packages/policy/src/prefill_pool.cc
+++ b/packages/policy/src/prefill_pool.cc
@@ -7,9 +7,10 @@
 namespace tamarackwing::policy {
 namespace {
 
-//! Time constant of the decay: a host sees some ten requests a second, of which
-//! it needs about a hundred for an estimate.
-constexpr std::chrono::seconds kDecay{8};
+//! Time constant of the decay: a host sees some ten requests a second, and
+//! needs a few hundred for an estimate that seldom differs from that of other
+//! hosts by a step. Otherwise hosts take a server for different kinds.
+constexpr std::chrono::seconds kDecay{30};
 //! Max share: some servers remain for streams.
 constexpr double kMaxShare = 0.75;
 
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -38,6 +38,8 @@
 //! its answers can tell when that ends.
 constexpr double kMinLimit = 0.2;
 constexpr double kPerKilosecond = 1'000;
+//! Slowness from which on a server is counted as slow.
+constexpr double kSlow = 1.5;
 //! Seconds of its share that a host may send at once after a pause.
 constexpr double kLimitBurst = 2;
 //! Hosts that share even a limit below one request per second each; few, since
@@ -862,6 +864,18 @@
   this->SetPoolPositions(now);
 }
 
+SharedLoadState ServerTable::LoadState(TimePoint now) const {
+  SharedLoadState state;
+  state.is_fresh = this->KnowsOthers(now);
+  if (state.is_fresh) {
+    state.slow_servers = static_cast<std::uint32_t>(std::count_if(
+        this->servers.begin(), this->servers.end(), [&](const auto& entry) {
+          return this->shared.SlownessOf(entry.second->id) > kSlow;
+        }));
+  }
+  return state;
+}
+
 OwnLoad ServerTable::LoadOf(const std::string& target, TimePoint now) const {
   OwnLoad load;
   const auto servers_of = this->by_target.find(target);
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -1110,6 +1110,12 @@
     metrics.Set("tamarackwing_commit_behind",
                 static_cast<double>(this->node->CommitBehind()));
   }
+  if (this->settings.gateway.scheduling.share_loads) {
+    const policy::SharedLoadState loads =
+        this->dependencies.servers.LoadState();
+    metrics.Set("tamarackwing_shared_loads_fresh", loads.is_fresh ? 1 : 0);
+    metrics.Set("tamarackwing_slow_servers", loads.slow_servers);
+  }
   if (now >= this->traffic_metrics_at) {
     this->traffic_metrics_at = now + kTrafficMetricsInterval;
     this->PublishTrafficMetrics();
