policy, gateway: waits are corrected by how late first outputs are

Change: each host averages expected and actual times to first outputs and scales the waits by their ratio (1 to 10) for admission and first-byte timeouts.

--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -112,6 +112,9 @@
   void NotePauses(const BackendServerName& name,
                   std::uint32_t events,
                   Duration sum);
+  void NoteFirstDelay(const std::string& target,
+                      const policy::ServerChoice& choice,
+                      Duration actual);
   policy::LoadReport MakeLoadReport();
   void ApplyLoads(const policy::LoadSummary& summary);
   policy::SharedLoadState LoadState();
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -184,6 +184,8 @@
   policy::TryOutcome HandleConnectionError(http::ConnectionError error);
   //! Records that bytes arrived from a server.
   void NoteAlive(const BackendServerName& server);
+  //! Records how late the server's first output was.
+  void NoteFirstDelay(const Target& target);
   //! Records how long the server's stream was silent before the events that
   //! have arrived. `event_before` is the last event before them, `waited_since`
   //! when this host began to wait for them.
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -403,7 +403,10 @@
       this->NotePause(target, piece->bytes, event_before, now);
     }
     this->NoteBytes();
-    first_output = first_output.value_or(this->last_byte_at);
+    if (!first_output) {
+      first_output = this->last_byte_at;
+      this->NoteFirstDelay(target);
+    }
     this->NoteLongAnswer(target, body_started);
     this->answer_stage = AnswerStage::kBody;
     if (!piece->bytes.empty() || piece->is_end) {
@@ -431,6 +434,14 @@
   this->gateway.Dependencies().quarantine.NoteAlive(server);
 }
 
+void PathRequest::NoteFirstDelay(const Target& target) {
+  if (target.server && this->call.prompt &&
+      this->gateway.Settings().scheduling.share_loads) {
+    this->gateway.Dependencies().servers.NoteFirstDelay(
+        this->service, *target.server, this->last_byte_at - this->try_started);
+  }
+}
+
 void PathRequest::NotePause(const Target& target,
                             std::string_view events,
                             std::optional<std::uint64_t> event_before,
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -269,6 +269,13 @@
   this->table.NotePauses(name, events, sum);
 }
 
+void ServerDirectory::NoteFirstDelay(const std::string& target,
+                                     const policy::ServerChoice& choice,
+                                     Duration actual) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteFirstDelay(target, choice, actual);
+}
+
 policy::LoadReport ServerDirectory::MakeLoadReport() {
   const std::lock_guard lock(this->mutex);
   return this->table.MakeLoadReport(this->clock.Now());
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -179,8 +179,11 @@
   //! Expected wait for a free slot.
   Duration slot_wait{};
   //! Expected time until the server starts this prompt's prefill, the wait for
-  //! a slot included.
+  //! a slot included. With shared loads, corrected by how late first outputs
+  //! have lately been.
   Duration wait{};
+  //! `wait` and `prefill` before that correction; see NoteFirstDelay.
+  Duration plain_first{};
   //! Prompt tokens that the server is expected to prefill for the request.
   TokenCount prefill_tokens = 0;
   //! Expected time for that prefill.
@@ -246,6 +249,11 @@
   void NoteSent(const BackendServerName& name,
                 TokenCount prompt_tokens,
                 TimePoint now);
+  //! Records how long a server took until the first output of a request that
+  //! was expected after `choice.plain_first`.
+  void NoteFirstDelay(const std::string& target,
+                      const ServerChoice& choice,
+                      Duration actual);
   //! Records the first output of a request: its prefill has finished.
   void NoteFirstOutput(const BackendServerName& name, TokenCount prompt_tokens);
   //! Records that a request sent at `sent` has ended, and ejects the server if
@@ -341,6 +349,13 @@
     //! Moving average of the run time; zero before the first request ended.
     Duration run{};
     PrefillPool pool;
+    //! Moving averages of the expected and the actual time until a request's
+    //! first output, in seconds.
+    double expected_first = 0;
+    double actual_first = 0;
+
+    //! Returns how much longer first outputs take than expected.
+    double DelayRatio() const;
   };
   struct Candidate {
     const Server* server = nullptr;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -38,6 +38,14 @@
 //! its answers can tell when that ends.
 constexpr double kMinLimit = 0.2;
 constexpr double kPerKilosecond = 1'000;
+//! The weight of a new first output in the averages of their delays is 1 over
+//! this: a host sees some ten of them a second.
+constexpr double kDelayWeight = 32;
+//! A server that is ten times later than expected is in trouble, not loaded.
+constexpr double kMaxDelayRatio = 10;
+//! An idle server needs some decode steps and the network's time for a first
+//! output, however short the prompt.
+constexpr Duration kMinFirst = std::chrono::milliseconds(50);
 //! Slowness from which on a server is counted as slow.
 constexpr double kSlow = 1.5;
 //! Seconds of its share that a host may send at once after a pause.
@@ -424,12 +432,18 @@
   const Placement placement = Place(options, group, random);
   const Candidate& chosen = usable[placement.option];
   const ServerReport& report = chosen.server->report;
+  const bool corrects =
+      this->KnowsOthers(now) && query.pause_allowance.count() > 0;
   const auto known = this->loads.find(query.target);
   const TokenCount prefill_tokens =
       this->PrefillTokens(*chosen.server, query, placement.is_owner, now);
   const double prefill_rate = this->KnowsOthers(now)
                                   ? this->limits.shared_prefill_rate
                                   : this->PrefillRate(*chosen.server);
+  const Duration prefill = Seconds(static_cast<double>(prefill_tokens) /
+                                   prefill_rate / chosen.speed);
+  const double ratio =
+      corrects && known != this->loads.end() ? known->second.DelayRatio() : 1;
   return ServerChoice{
       report.name,
       report.address,
@@ -437,10 +451,10 @@
       chosen.cost,
       chosen.server->own_running,
       chosen.slot_wait,
-      chosen.wait,
+      std::chrono::duration_cast<Duration>(chosen.wait * ratio),
+      chosen.wait + prefill,
       prefill_tokens,
-      Seconds(static_cast<double>(prefill_tokens) / prefill_rate /
-              chosen.speed),
+      prefill,
       known == this->loads.end() ? Duration::zero() : known->second.run,
       report.software,
       chosen.server->software,
@@ -789,6 +803,25 @@
   return next;
 }
 
+double ServerTable::TargetLoad::DelayRatio() const {
+  return this->expected_first <= 0
+             ? 1
+             : std::clamp(this->actual_first / this->expected_first, 1.0,
+                          kMaxDelayRatio);
+}
+
+void ServerTable::NoteFirstDelay(const std::string& target,
+                                 const ServerChoice& choice,
+                                 Duration actual) {
+  const auto average = [](double& known, Duration sample) {
+    const double seconds = std::chrono::duration<double>(sample).count();
+    known = known == 0 ? seconds : known + (seconds - known) / kDelayWeight;
+  };
+  TargetLoad& load = this->loads[target];
+  average(load.expected_first, std::max(choice.plain_first, kMinFirst));
+  average(load.actual_first, actual);
+}
+
 void ServerTable::NoteFirstOutput(const BackendServerName& name,
                                   TokenCount prompt_tokens) {
   Server* const server = this->Find(name);
