--- a/packages/control/src/load_collectors.cc
+++ b/packages/control/src/load_collectors.cc
@@ -48,7 +48,12 @@
   if (!this->IsDue(now)) {
     return std::nullopt;
   }
+  const bool was_stalled = now - this->due_at > this->interval;
   this->due_at = now + this->interval;
+  if (was_stalled) {
+    // This host was suspended or busy: the collector is not to blame.
+    this->heard_at = now;
+  }
   if (!this->collector.IsEmpty() &&
       now - this->heard_at > kMaxSilentIntervals * this->interval) {
     this->silent_until[this->collector] = now + kSilentFor;
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -400,7 +400,9 @@
     }
     if (target.server) {
       this->NoteAlive(target.server->name);
-      this->NotePause(target, piece->bytes, event_before, now);
+      if (first_output) {
+        this->NotePause(target, piece->bytes, event_before, now);
+      }
     }
     this->NoteBytes();
     if (!first_output) {
@@ -447,7 +449,7 @@
                             std::optional<std::uint64_t> event_before,
                             TimePoint waited_since) {
   const bool shares_loads = this->gateway.Settings().scheduling.share_loads;
-  if (!shares_loads || !this->first_byte_at || events.empty()) {
+  if (!shares_loads || events.empty()) {
     return;
   }
   const TimePoint now = this->gateway.Dependencies().clock.Now();
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -273,7 +273,7 @@
                                      const policy::ServerChoice& choice,
                                      Duration actual) {
   const std::lock_guard lock(this->mutex);
-  this->table.NoteFirstDelay(target, choice, actual);
+  this->table.NoteFirstDelay(target, choice, actual, this->clock.Now());
 }
 
 policy::LoadReport ServerDirectory::MakeLoadReport() {
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -223,6 +223,8 @@
 struct ServerUses {
   number @0 :UInt64;
   uses @1 :List(ServerUse);
+  # In a summary, how many hosts it includes.
+  hosts @2 :UInt32;
 }
 
 struct ServedTokens {
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -602,7 +602,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e879f5bce14a03af, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e879f5bce14a03af, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4318,6 +4318,8 @@
   inline bool hasUses() const;
   inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
 
+  inline  ::uint32_t getHosts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4356,6 +4358,9 @@
   inline void adoptUses(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerUse,  ::capnp::Kind::STRUCT>> disownUses();
 
+  inline  ::uint32_t getHosts();
+  inline void setHosts( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10744,6 +10749,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t ServerUses::Reader::getHosts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerUses::Builder::getHosts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerUses::Builder::setHosts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServedTokens::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -587,7 +587,9 @@
     WriteUses(value, this->out.initLoadReport());
   }
   void operator()(const policy::LoadSummary& value) {
-    WriteUses(value, this->out.initLoadSummary());
+    auto to = this->out.initLoadSummary();
+    WriteUses(value, to);
+    to.setHosts(value.hosts);
   }
   void operator()(const control::ProbeRequest& value) {
     this->out.setProbeRequest(value.number);
@@ -1147,8 +1149,11 @@
       return ReadRosterReply(in.getRosterReply(), valid);
     case Wire::LOAD_REPORT:
       return ReadUses<policy::LoadReport>(in.getLoadReport());
-    case Wire::LOAD_SUMMARY:
-      return ReadUses<policy::LoadSummary>(in.getLoadSummary());
+    case Wire::LOAD_SUMMARY: {
+      auto summary = ReadUses<policy::LoadSummary>(in.getLoadSummary());
+      summary.hosts = in.getLoadSummary().getHosts();
+      return summary;
+    }
   }
   valid = false;
   return control::ProbeRequest();
--- a/packages/policy/include/tamarackwing/policy/server_load.h
+++ b/packages/policy/include/tamarackwing/policy/server_load.h
@@ -44,6 +44,8 @@
   //! Number of the report that it replies to; that report is included.
   std::uint64_t number = 0;
   std::vector<ServerUse> uses;
+  //! Hosts whose reports are included.
+  std::uint32_t hosts = 0;
 };
 
 }  // namespace tamarackwing::policy
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -63,8 +63,8 @@
   //! Uses what other hosts have on each server, and its speed, while summaries
   //! of the region's load collector arrive; see SharedLoad.
   bool shares_loads = false;
-  //! Assumed prompt tokens per second of a server that reports no rate, for the
-  //! waits that are computed from shared loads.
+  //! Prompt tokens per second of an undisturbed server, for the waits that are
+  //! computed from shared loads; `prefill_rate` is that of a server under load.
   double shared_prefill_rate = 30'000;
 };
 
@@ -188,8 +188,7 @@
   TokenCount prefill_tokens = 0;
   //! Expected time for that prefill.
   Duration prefill{};
-  //! Average time from the first output to the end of the target's requests;
-  //! zero before the first request ended.
+  //! Expected time from the first output to the end.
   Duration run{};
   //! See ServerReport.
   std::string software;
@@ -253,7 +252,8 @@
   //! was expected after `choice.plain_first`.
   void NoteFirstDelay(const std::string& target,
                       const ServerChoice& choice,
-                      Duration actual);
+                      Duration actual,
+                      TimePoint now);
   //! Records the first output of a request: its prefill has finished.
   void NoteFirstOutput(const BackendServerName& name, TokenCount prompt_tokens);
   //! Records that a request sent at `sent` has ended, and ejects the server if
@@ -342,6 +342,9 @@
 
  private:
   struct Server;
+  //! Seconds that an idle server needs for a first output, however short the
+  //! prompt: some decode steps and the network's time.
+  static constexpr double kMinFirst = 0.05;
   //! Load of a target over all its servers.
   struct TargetLoad {
     //! Requests of other hosts in flight.
@@ -351,11 +354,13 @@
     PrefillPool pool;
     //! Moving averages of the expected and the actual time until a request's
     //! first output, in seconds.
-    double expected_first = 0;
-    double actual_first = 0;
+    double expected_first = kMinFirst;
+    double actual_first = kMinFirst;
+    TimePoint delay_at;
 
-    //! Returns how much longer first outputs take than expected.
-    double DelayRatio() const;
+    //! Returns how much longer first outputs take than expected; 1 if there
+    //! have been none for a while.
+    double DelayRatio(TimePoint now) const;
   };
   struct Candidate {
     const Server* server = nullptr;
--- a/packages/policy/include/tamarackwing/policy/shared_load.h
+++ b/packages/policy/include/tamarackwing/policy/shared_load.h
@@ -58,6 +58,8 @@
 
   //! Number of the last report.
   std::uint64_t number = 0;
+  //! When it was made.
+  TimePoint reported;
   //! Reports without a reply, by number.
   std::map<std::uint64_t, Sent> sent;
   std::unordered_map<std::uint32_t, Pauses> pauses;
--- a/packages/policy/include/tamarackwing/policy/token_inquiry.h
+++ b/packages/policy/include/tamarackwing/policy/token_inquiry.h
@@ -58,6 +58,9 @@
   std::optional<std::chrono::milliseconds> retry_after;
   //! The largest rate of the keepers that decided, in tokens per second.
   TokenCount rate = 0;
+  //! Whether keepers of other regions were asked, too, and all have refused, so
+  //! that another request would be refused as well.
+  bool is_unanimous = false;
 };
 
 //! Asks bucket keepers for the tokens of one request: those of the host's
--- a/packages/policy/src/load_board.cc
+++ b/packages/policy/src/load_board.cc
@@ -66,11 +66,13 @@
   this->Expire(now);
   LoadSummary summary;
   summary.number = number;
+  summary.hosts = static_cast<std::uint32_t>(this->reports.size());
   summary.uses.reserve(this->totals.size());
   for (auto entry = this->totals.begin(); entry != this->totals.end();) {
     Total& total = entry->second;
     Decay(total, now);
-    if (total.running <= 0 && total.pauses < kMinPauses) {
+    const bool has_load = total.running > 0 || total.pending_prefill > 0;
+    if (!has_load && total.pauses < kMinPauses) {
       entry = this->totals.erase(entry);
       continue;
     }
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -43,9 +43,9 @@
 constexpr double kDelayWeight = 32;
 //! A server that is ten times later than expected is in trouble, not loaded.
 constexpr double kMaxDelayRatio = 10;
-//! An idle server needs some decode steps and the network's time for a first
-//! output, however short the prompt.
-constexpr Duration kMinFirst = std::chrono::milliseconds(50);
+//! Without first outputs the ratio returns to 1 with this time constant, so
+//! that a target is tried again after all its requests were turned away.
+constexpr std::chrono::seconds kDelayLife{5};
 //! Slowness from which on a server is counted as slow.
 constexpr double kSlow = 1.5;
 //! Seconds of its share that a host may send at once after a pause.
@@ -442,23 +442,24 @@
                                   : this->PrefillRate(*chosen.server);
   const Duration prefill = Seconds(static_cast<double>(prefill_tokens) /
                                    prefill_rate / chosen.speed);
-  const double ratio =
-      corrects && known != this->loads.end() ? known->second.DelayRatio() : 1;
-  return ServerChoice{
-      report.name,
-      report.address,
-      report.port,
-      chosen.cost,
-      chosen.server->own_running,
-      chosen.slot_wait,
-      std::chrono::duration_cast<Duration>(chosen.wait * ratio),
-      chosen.wait + prefill,
-      prefill_tokens,
-      prefill,
-      known == this->loads.end() ? Duration::zero() : known->second.run,
-      report.software,
-      chosen.server->software,
-      report.started};
+  const double ratio = corrects && known != this->loads.end()
+                           ? known->second.DelayRatio(now)
+                           : 1;
+  return ServerChoice{report.name,
+                      report.address,
+                      report.port,
+                      chosen.cost,
+                      chosen.server->own_running,
+                      chosen.slot_wait,
+                      std::chrono::duration_cast<Duration>(chosen.wait * ratio),
+                      chosen.wait + prefill,
+                      prefill_tokens,
+                      prefill,
+                      Seconds(static_cast<double>(query.output_tokens) /
+                              this->DecodeRate(*chosen.server) / chosen.speed),
+                      report.software,
+                      chosen.server->software,
+                      report.started};
 }
 
 std::vector<ServerTable::Candidate> ServerTable::Candidates(
@@ -803,23 +804,26 @@
   return next;
 }
 
-double ServerTable::TargetLoad::DelayRatio() const {
-  return this->expected_first <= 0
-             ? 1
-             : std::clamp(this->actual_first / this->expected_first, 1.0,
-                          kMaxDelayRatio);
+double ServerTable::TargetLoad::DelayRatio(TimePoint now) const {
+  const double ratio = std::clamp(this->actual_first / this->expected_first,
+                                  1.0, kMaxDelayRatio);
+  const double age = std::chrono::duration<double>(now - this->delay_at) /
+                     std::chrono::duration<double>(kDelayLife);
+  return 1 + (ratio - 1) * std::exp(-std::max(0.0, age));
 }
 
 void ServerTable::NoteFirstDelay(const std::string& target,
                                  const ServerChoice& choice,
-                                 Duration actual) {
+                                 Duration actual,
+                                 TimePoint now) {
   const auto average = [](double& known, Duration sample) {
     const double seconds = std::chrono::duration<double>(sample).count();
-    known = known == 0 ? seconds : known + (seconds - known) / kDelayWeight;
+    known += (std::max(seconds, kMinFirst) - known) / kDelayWeight;
   };
   TargetLoad& load = this->loads[target];
-  average(load.expected_first, std::max(choice.plain_first, kMinFirst));
+  average(load.expected_first, choice.plain_first);
   average(load.actual_first, actual);
+  load.delay_at = now;
 }
 
 void ServerTable::NoteFirstOutput(const BackendServerName& name,
--- a/packages/policy/src/shared_load.cc
+++ b/packages/policy/src/shared_load.cc
@@ -32,6 +32,11 @@
 LoadReport SharedLoad::MakeReport(std::vector<ServerUse> own, TimePoint now) {
   LoadReport report;
   report.number = ++this->number;
+  if (now - this->reported > kLoadReportLife) {
+    // Pauses of a time without a collector say nothing about now.
+    this->pauses.clear();
+  }
+  this->reported = now;
   report.uses = std::move(own);
   Sent& made = this->sent[report.number];
   made.at = now;
--- a/packages/policy/src/token_inquiry.cc
+++ b/packages/policy/src/token_inquiry.cc
@@ -195,7 +195,11 @@
 void TokenInquiry::DecideWithoutGrant(TimePoint now, Step& step) {
   TokenDecision decision;
   bool has_replied = false;
+  bool has_asked_others = false;
+  bool all_refused = true;
   for (const Asked& a : this->asked) {
+    has_asked_others |= a.is_other;
+    all_refused &= a.answer == KeeperAnswer::kRefused;
     if (a.answer == KeeperAnswer::kRefused) {
       decision.verdict = TokenVerdict::kRefused;
       decision.rate = std::max(decision.rate, a.rate);
@@ -207,6 +211,7 @@
   if (decision.verdict == TokenVerdict::kUseStaticShare && has_replied) {
     decision.retry_after = this->options.lease_due;
   }
+  decision.is_unanimous = has_asked_others && all_refused;
   this->Decide(std::move(decision), now, step);
 }
 
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -30,6 +30,8 @@
 //! Interval between load reports: a fraction of the time that most requests
 //! stay on a server.
 constexpr milliseconds kLoadInterval{250};
+//! Share of the region's live entry hosts that a load summary must include.
+constexpr double kMinSummarizedShare = 0.8;
 constexpr std::chrono::seconds kChangeTimeout{9};
 //! Short against the interval at which metrics are usually collected.
 constexpr std::chrono::seconds kTrafficMetricsInterval{1};
@@ -959,6 +961,12 @@
   if (live == state.Live().end()) {
     return;
   }
+  this->entry_hosts_in_region = static_cast<std::uint32_t>(std::count_if(
+      live->second.begin(), live->second.end(), [&](const HostName& name) {
+        const auto host = state.Hosts().find(name);
+        return host != state.Hosts().end() && host->second.IsEntryHost() &&
+               !host->second.draining;
+      }));
   const auto collector = this->load_follower.Due(
       control::LoadCollectors(region, this->node->Leader(), state.Hosts(),
                               live->second),
@@ -991,6 +999,11 @@
 void ControlThread::HandleLoadSummary(const HostName& from,
                                       policy::LoadSummary summary) {
   this->load_follower.NoteReply(from, this->dependencies.clock.Now());
+  // A collector that has just been chosen, or that few hosts have chosen, knows
+  // a part of the load: servers would look idle.
+  if (summary.hosts < this->entry_hosts_in_region * kMinSummarizedShare) {
+    return;
+  }
   summary.number -= this->node->Options().self.incarnation;
   this->dependencies.servers.ApplyLoads(summary);
 }
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -272,6 +272,8 @@
   //! Until when a host that did not reply is not asked.
   std::map<HostName, TimePoint> silent_keepers;
   control::LoadFollower load_follower;
+  //! Live entry hosts of this region when loads were last reported.
+  std::uint32_t entry_hosts_in_region = 0;
   //! What the hosts of the region report to this host as their collector.
   policy::LoadBoard load_board;
   std::uint64_t next_probe;
--- a/programs/tamarackwingd/src/leased_rate_budget.cc
+++ b/programs/tamarackwingd/src/leased_rate_budget.cc
@@ -163,7 +163,9 @@
   } else {
     answer.retry_after =
         decision.retry_after.value_or(std::chrono::milliseconds(0));
-    this->refused.Note(limits.name, answer.retry_after, this->clock.Now());
+    if (decision.is_unanimous) {
+      this->refused.Note(limits.name, answer.retry_after, this->clock.Now());
+    }
   }
   return answer;
 }
--- a/programs/tamarackwingd/src/settings.cc
+++ b/programs/tamarackwingd/src/settings.cc
@@ -233,6 +233,7 @@
   scheduling.prefill_tokens_per_s =
       std::max(1.0, ReadCount(*reader, "prefill_tokens_per_s",
                               scheduling.prefill_tokens_per_s));
+  settings.servers.shared_prefill_rate = scheduling.prefill_tokens_per_s;
 }
 
 void ReadTimes(TableReader& document, Settings& settings) {
--- a/programs/tamarackwingd/tests/leased_rate_budget_tests.cc
+++ b/programs/tamarackwingd/tests/leased_rate_budget_tests.cc
@@ -122,8 +122,8 @@
 // Guards against a flood of one workspace that reaches the keepers of all
 // regions.
 TEST_F(InquiringBudgetTest, RefusalOfAllKeepersIsRememberedForAShortTime) {
-  this->decision = {policy::TokenVerdict::kRefused, HostName(), false,
-                    std::chrono::milliseconds(2'000), 9};
+  this->decision = {policy::TokenVerdict::kRefused,   HostName(), false,
+                    std::chrono::milliseconds(2'000), 9,          true};
   for (int i = 0; i < 50; ++i) {
     EXPECT_FALSE(this->Reserve(100).granted);
   }
@@ -136,6 +136,16 @@
   EXPECT_EQ(this->asked, 2);
 }
 
+// Guards against calls that are refused because another call, with less time,
+// could not wait for all keepers.
+TEST_F(InquiringBudgetTest, RefusalOfSomeKeepersIsNotRemembered) {
+  this->decision = {policy::TokenVerdict::kRefused, HostName(), false,
+                    std::chrono::milliseconds(2'000), 9};
+  EXPECT_FALSE(this->Reserve(100).granted);
+  EXPECT_FALSE(this->Reserve(100).granted);
+  EXPECT_EQ(this->asked, 2);
+}
+
 // Guards against a Retry-After of the static share's refill time, up to 25 s,
 // while a lease is due in a fraction of a second.
 TEST_F(InquiringBudgetTest, RefusalOfTheStaticShareNamesWhenALeaseIsDue) {
