policy: admission by deadline does not take a stated maximum for the expected output

Cause: with fit_deadlines a request was refused if its max output would not fit, though few outputs reach it: at the default decode_rate a listener's 910 tokens take 18 s of 15 s left, at idle servers too. Change: the run time is the target's average, or that of the max output if it is shorter; none before a request has ended. A server that reports zero slots no longer divides shared waits. Tests: the run time; a server with one and a half times its load; loads and summaries over the wire. shared_load_tests announces servers in one place.

--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -233,6 +233,37 @@
   EXPECT_EQ(got.capacity, sent.capacity);
 }
 
+// Guards against loads that change on the way: hosts would place requests by
+// them.
+TEST(PeerNetwork, LoadReportsAndSummariesArrive) {
+  const std::vector<policy::ServerUse> uses{
+      {7, 3, 9'000, 40, milliseconds(1'600)}};
+  std::promise<policy::LoadReport> reported;
+  std::promise<policy::LoadSummary> summarized;
+  TestPeer second(kSecond, kSecondAddress,
+                  [&](PeerNetwork& network, const HostName& from,
+                      const control::PeerMessage& message) {
+                    reported.set_value(std::get<policy::LoadReport>(message));
+                    network.Send(from, policy::LoadSummary{5, uses, 12});
+                  });
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
+        summarized.set_value(std::get<policy::LoadSummary>(message));
+      });
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
+    first.Network().Send(kSecond, policy::LoadReport{5, uses});
+  });
+  auto summary = summarized.get_future();
+  ASSERT_EQ(summary.wait_for(kLong), std::future_status::ready);
+  EXPECT_EQ(reported.get_future().get().uses, uses);
+  const policy::LoadSummary got = summary.get();
+  EXPECT_EQ(got.number, 5U);
+  EXPECT_EQ(got.uses, uses);
+  EXPECT_EQ(got.hosts, 12U);
+}
+
 // Guards against a large message that is sent again and again, because its
 // connection ends while it is on its way.
 TEST(PeerNetwork, LargeMessageArrivesAfterTheCallTimeout) {
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -188,7 +188,9 @@
   TokenCount prefill_tokens = 0;
   //! Expected time for that prefill.
   Duration prefill{};
-  //! Expected time from the first output to the end.
+  //! Expected time from the first output to the end: the target's average, or
+  //! that of the max output if it is shorter. Callers state a maximum that few
+  //! outputs reach. Zero before any request of the target has ended.
   Duration run{};
   //! See ServerReport.
   std::string software;
@@ -450,15 +452,18 @@
   //! a time, all hosts together; the maximum if it names none.
   std::uint32_t SlotsWithinLimit(const Server& server,
                                  const std::string& target) const;
-  //! Returns whether this host knows what the others have on each server.
+  //! Returns whether a recent summary of the load collector is known.
   bool KnowsOthers(TimePoint now) const;
-  //! Returns the requests of all hosts on a server. Precondition: KnowsOthers.
+  //! Returns the requests of all hosts on a server. Precondition:
+  //! KnowsOthers.
   double SharedLoadOn(const Server& server) const;
   //! As SlotWaitAt and PrefillWaitAt, from shared loads.
   Duration SharedSlotWaitAt(const Server& server,
                             const std::string& target,
                             TimePoint now) const;
   Duration SharedPrefillWaitAt(const Server& server, TimePoint now) const;
+  //! See ServerChoice::run.
+  Duration RunTime(const Server& server, const ServerQuery& query) const;
   //! Returns the prompt tokens that a server is expected to prefill. A group's
   //! prefix counts as cached on the server that owns the group.
   TokenCount PrefillTokens(const Server& server,
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -20,9 +20,9 @@
 constexpr double kCachedShare = 0.8;
 //! Output tokens assumed if the actual number is unknown.
 constexpr TokenCount kTypicalOutput = 128;
-//! As PromptGroup::max_extra_prefills, if the waits are known. A group that
-//! leaves its server costs the next one a prefill of the common prefix and part
-//! of its cache; with 1, trials read 40% more shared tokens again.
+//! As PromptGroup::max_extra_prefills, if the waits are known: a group that
+//! leaves its server costs a prefill of the common prefix now, one when it
+//! returns, and one of what it evicts from the other server's cache.
 constexpr int kMaxExtraPrefillsShared = 3;
 //! Broken responses in a row that eject a server. A single one may be caused by
 //! the request or the network.
@@ -455,8 +455,7 @@
                       chosen.wait + prefill,
                       prefill_tokens,
                       prefill,
-                      Seconds(static_cast<double>(query.output_tokens) /
-                              this->DecodeRate(*chosen.server) / chosen.speed),
+                      this->RunTime(*chosen.server, query),
                       report.software,
                       chosen.server->software,
                       report.started};
@@ -1148,12 +1147,24 @@
   const double typical =
       static_cast<double>(kTypicalOutput) / this->DecodeRate(server);
   const double decode_slowdown = this->SharedLoadOn(server) /
-                                 this->RampedSlots(server, now) * typical / 10;
+                                 std::max(1U, this->RampedSlots(server, now)) *
+                                 typical / 10;
   return Seconds(
       (pending / this->limits.shared_prefill_rate + decode_slowdown) *
       slowness);
 }
 
+Duration ServerTable::RunTime(const Server& server,
+                              const ServerQuery& query) const {
+  const auto known = this->loads.find(query.target);
+  if (known == this->loads.end()) {
+    return Duration::zero();
+  }
+  const Duration longest = Seconds(static_cast<double>(query.output_tokens) /
+                                   this->DecodeRate(server));
+  return std::min(longest, known->second.run);
+}
+
 TokenCount ServerTable::PrefillTokens(const Server& server,
                                       const ServerQuery& query,
                                       bool is_owner,
--- a/packages/policy/tests/admission_tests.cc
+++ b/packages/policy/tests/admission_tests.cc
@@ -108,6 +108,31 @@
   EXPECT_FALSE(FitsDeadline(expected, milliseconds(1'999)));
 }
 
+// The load: one and a half times what a server can run, each request with 3 s
+// until its deadline, at which the server stops working on it.
+TEST(AdmissionUnderLoad, RequestsThatCannotEndTakeNoTimeFromOthers) {
+  constexpr milliseconds kRun{1'000};
+  constexpr milliseconds kLeft{3'000};
+  constexpr milliseconds kGap{667};
+  const auto served = [&](bool checks_deadline) {
+    int count = 0;
+    milliseconds free_at{0};
+    for (milliseconds now{0}; now < seconds(100); now += kGap) {
+      const milliseconds begins = std::max(now, free_at);
+      const ExpectedTimes expected{begins - now, milliseconds(0), kRun};
+      const bool fits = FitsDeadline(expected, kLeft);
+      if (checks_deadline && !fits) {
+        continue;
+      }
+      free_at = std::max(free_at, std::min(begins + kRun, now + kLeft));
+      count += fits ? 1 : 0;
+    }
+    return count;
+  };
+  EXPECT_GT(served(true), 90);
+  EXPECT_LT(served(false), served(true) / 2);
+}
+
 TEST(AdmissionUnderLoad, SheddingKeepsMostRequestsOnTime) {
   const OverloadResult all = Overload(false);
   const OverloadResult admitted = Overload(true);
--- a/packages/policy/tests/load_board_tests.cc
+++ b/packages/policy/tests/load_board_tests.cc
@@ -56,6 +56,7 @@
   this->board.Accept(this->b, Report(9, {Use(4, 50)}), this->start);
   EXPECT_EQ(this->UseAt(this->start).running, 7U);
   EXPECT_EQ(this->UseAt(this->start).pending_prefill, 150);
+  EXPECT_EQ(this->board.Summarize(1, this->start).hosts, 2U);
 }
 
 // Guards against load that is counted twice, or is never removed.
--- a/packages/policy/tests/shared_load_tests.cc
+++ b/packages/policy/tests/shared_load_tests.cc
@@ -27,6 +27,22 @@
   return {number, std::move(uses), 1};
 }
 
+BackendServerName NameOf(int server) {
+  return BackendServerName("server-" + std::to_string(server));
+}
+
+void AnnounceServers(ServerTable& table, int count) {
+  for (int server = 0; server < count; ++server) {
+    ServerReport report;
+    report.name = NameOf(server);
+    report.targets = {"drafter"};
+    report.slots = 16;
+    report.address = "10.0.0.1";
+    report.port = static_cast<std::uint16_t>(1'000 + server);
+    table.Announce(report, kStart);
+  }
+}
+
 // Guards against a host's own requests being counted twice.
 TEST(SharedLoadTest, SubtractsWhatTheHostReported) {
   SharedLoad shared;
@@ -102,22 +118,10 @@
       this->tables.emplace_back(limits);
     }
     for (ServerTable& table : this->tables) {
-      for (int server = 0; server < kServers; ++server) {
-        ServerReport report;
-        report.name = NameOf(server);
-        report.targets = {"drafter"};
-        report.slots = 16;
-        report.address = "10.0.0.1";
-        report.port = static_cast<std::uint16_t>(1'000 + server);
-        table.Announce(report, this->now);
-      }
+      AnnounceServers(table, kServers);
     }
   }
 
-  static BackendServerName NameOf(int server) {
-    return BackendServerName("server-" + std::to_string(server));
-  }
-
   //! Each host starts a stream every 125 ms; a stream ends after `kEvents`
   //! events.
   void Run(Duration span) {
@@ -269,25 +273,13 @@
     limits.lease = std::chrono::minutes(10);
     limits.shares_loads = shares_loads;
     ServerTable table(limits);
-    for (int server = 0; server < kServers; ++server) {
-      ServerReport report;
-      report.name = NameOf(server);
-      report.targets = {"drafter"};
-      report.slots = 16;
-      report.address = "10.0.0.1";
-      report.port = static_cast<std::uint16_t>(1'000 + server);
-      table.Announce(report, kStart);
-    }
+    AnnounceServers(table, kServers);
     const LoadReport report = table.MakeLoadReport(kStart);
     table.ApplyLoads(
         Summary(report.number, {Use(ServerIdOf(NameOf(0)), running)}), kStart);
     return table;
   }
 
-  static BackendServerName NameOf(int server) {
-    return BackendServerName("server-" + std::to_string(server));
-  }
-
   std::map<std::string, int> Pick(const ServerTable& table,
                                   const ServerQuery& query,
                                   TimePoint now = kStart) {
@@ -373,5 +365,19 @@
       static_cast<double>(before / milliseconds(1)), 50);
 }
 
+// Guards against the refusal of requests whose callers state a large maximum:
+// few outputs reach it, and a server would have time for them.
+TEST_F(SharedTableTest, RunTimeIsNoLongerThanTheAverage) {
+  ServerTable table = this->MakeTable(true, 0);
+  ServerQuery query;
+  query.target = "drafter";
+  query.output_tokens = 1'000;
+  EXPECT_EQ(table.Pick(query, kStart, this->random)->run, Duration::zero());
+  table.NoteRun("drafter", milliseconds(2'000));
+  EXPECT_EQ(table.Pick(query, kStart, this->random)->run, milliseconds(2'000));
+  query.output_tokens = 50;
+  EXPECT_EQ(table.Pick(query, kStart, this->random)->run, milliseconds(1'000));
+}
+
 }  // namespace
 }  // namespace tamarackwing::policy
