control: keepers of other regions are looked up only for the regions asked

Cause: a refused reservation ranked the keepers of all other regions and used two. Change: the regions are ranked first. Result: the 27 tests of keepers and collectors in control_tests pass.

--- a/packages/control/src/bucket_keepers.cc
+++ b/packages/control/src/bucket_keepers.cc
@@ -48,26 +48,26 @@
     const std::set<HostName>& silent,
     std::size_t count) {
   const std::uint64_t key = policy::RendezvousKey(workspace.Text());
-  std::vector<std::pair<std::uint64_t, HostName>> ranked;
+  std::vector<std::pair<std::uint64_t, const RegionName*>> ranked;
   for (const auto& [of_region, names] : live) {
-    if (of_region == region) {
-      continue;
-    }
-    const auto keepers = BucketKeepers(workspace, of_region, leader, hosts,
-                                       {{of_region, names}});
-    const auto first = std::find_if(
-        keepers.begin(), keepers.end(),
-        [&](const HostName& keeper) { return !silent.contains(keeper); });
-    if (first != keepers.end()) {
+    if (of_region != region) {
       ranked.emplace_back(policy::RendezvousWeight(key, of_region.Text()),
-                          *first);
+                          &of_region);
     }
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
   std::vector<HostName> first_keepers;
-  for (auto& [weight, keeper] : ranked) {
-    if (first_keepers.size() < count) {
-      first_keepers.push_back(std::move(keeper));
+  for (const auto& [weight, of_region] : ranked) {
+    if (first_keepers.size() >= count) {
+      break;
+    }
+    const auto keepers = BucketKeepers(workspace, *of_region, leader, hosts,
+                                       {{*of_region, live.at(*of_region)}});
+    const auto first = std::find_if(
+        keepers.begin(), keepers.end(),
+        [&](const HostName& keeper) { return !silent.contains(keeper); });
+    if (first != keepers.end()) {
+      first_keepers.push_back(*first);
     }
   }
   return first_keepers;
