policy, benchmarks: placement of groups costs no logarithm of equal speeds

Cause: each placement of a group took three logarithms and a power per server, also with shared loads off; no benchmark showed it. Change: servers of speed 1 need one logarithm. Benchmarks of groups and of shared loads.

--- a/benchmarks/decision_benchmark.cc
+++ b/benchmarks/decision_benchmark.cc
@@ -76,6 +76,60 @@
 }
 BENCHMARK(RoutingDecisionWithLimits)->Arg(18)->Arg(69);
 
+//! As RoutingDecision, for a prompt whose shared prefix is placed by hashing.
+void RoutingDecisionForAGroup(benchmark::State& state) {
+  ManualClock clock;
+  SeededRandom random(1);
+  ServerTable table{ServerTableLimits()};
+  for (int i = 0; i < state.range(0); ++i) {
+    table.Announce(Report(i), clock.Now());
+  }
+  ServerQuery query;
+  query.target = "drafter@3";
+  query.prompt_tokens = 9'000;
+  query.output_tokens = 50;
+  query.affinity = 77;
+  query.affinity_tokens = 6'000;
+  query.prefix_blocks = {{75, 2'500}, {77, 3'500}, {79, 3'000}};
+  query.data_centre = DataCentreName("a");
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(table.Pick(query, clock.Now(), random));
+  }
+}
+BENCHMARK(RoutingDecisionForAGroup)->Arg(18)->Arg(150);
+
+//! As RoutingDecisionForAGroup, with shared loads and a speed of each server.
+void RoutingDecisionWithSharedLoads(benchmark::State& state) {
+  ManualClock clock;
+  SeededRandom random(1);
+  ServerTableLimits limits;
+  limits.shares_loads = true;
+  ServerTable table{limits};
+  LoadSummary summary;
+  for (int i = 0; i < state.range(0); ++i) {
+    table.Announce(Report(i), clock.Now());
+    summary.uses.push_back(
+        {ServerIdOf(Report(i).name), 3, 500, 100,
+         std::chrono::milliseconds(3'000 + 1'000 * (i % 5))});
+  }
+  summary.number = table.MakeLoadReport(clock.Now()).number;
+  table.ApplyLoads(summary, clock.Now());
+  ServerQuery query;
+  query.target = "drafter@3";
+  query.prompt_tokens = 9'000;
+  query.output_tokens = 50;
+  query.affinity = 77;
+  query.affinity_tokens = 6'000;
+  query.prefix_blocks = {{75, 2'500}, {77, 3'500}, {79, 3'000}};
+  query.is_long_prompt = true;
+  query.pause_allowance = std::chrono::milliseconds(600);
+  query.data_centre = DataCentreName("a");
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(table.Pick(query, clock.Now(), random));
+  }
+}
+BENCHMARK(RoutingDecisionWithSharedLoads)->Arg(18)->Arg(150);
+
 //! Measures what an answer adds that says nothing special about its server.
 void StatementOfAnAnswer(benchmark::State& state) {
   ManualClock clock;
--- a/packages/policy/include/tamarackwing/policy/placement.h
+++ b/packages/policy/include/tamarackwing/policy/placement.h
@@ -57,9 +57,9 @@
 //! the engines' prefill capacity: an engine that prefills a document again
 //! delays all prompts queued on it. The group's server is chosen by rendezvous
 //! hashing, weighted by the servers' speeds, so that all hosts agree on it. A
-//! server is skipped in favour of the
-//! next in that order only while its wait exceeds the lowest wait of all
-//! servers by more than several prefills of the common prefix.
+//! server is skipped in favour of the next in that order only while its wait
+//! exceeds the lowest wait of all servers by more than several prefills of the
+//! common prefix.
 //!
 //! Preconditions: `options` is not empty. Thread safety: as for `random`.
 Placement Place(const std::vector<PlacementOption>& options,
--- a/packages/policy/src/placement.cc
+++ b/packages/policy/src/placement.cc
@@ -26,9 +26,12 @@
   const std::uint64_t hash = RendezvousWeight(group, option.server);
   const double point =
       (static_cast<double>(hash >> kUnusedBits) + 0.5) * kScale;
-  const double steps =
-      std::round(std::log(option.speed) / std::log(kSpeedStep));
-  return std::pow(kSpeedStep, steps) / -std::log(point);
+  if (option.speed == 1) {
+    return -1 / std::log(point);
+  }
+  static const double kLogStep = std::log(kSpeedStep);
+  const double steps = std::round(std::log(option.speed) / kLogStep);
+  return -std::exp(steps * kLogStep) / std::log(point);
 }
 
 std::size_t PlaceAlone(const std::vector<PlacementOption>& options,
