--- a/packages/control/src/load_collectors.cc
+++ b/packages/control/src/load_collectors.cc
@@ -10,7 +10,8 @@
 
 //! Number of intervals without a reply after which another collector is asked.
 constexpr int kMaxSilentIntervals = 3;
-//! How long a collector that did not reply is passed over.
+//! How long a collector that did not reply is passed over: about the time after
+//! which the leader no longer counts a stopped host as live.
 constexpr std::chrono::seconds kSilentFor{2};
 
 }  // namespace
@@ -51,7 +52,8 @@
   const bool was_stalled = now - this->due_at > this->interval;
   this->due_at = now + this->interval;
   if (was_stalled) {
-    // This host was suspended or busy: the collector is not to blame.
+    // This host was suspended or busy, so a missing reply says nothing about
+    // the collector.
     this->heard_at = now;
   }
   if (!this->collector.IsEmpty() &&
--- a/packages/gateway/tests/path_gateway_fixture.h
+++ b/packages/gateway/tests/path_gateway_fixture.h
@@ -62,6 +62,22 @@
   std::vector<policy::OfferedCall> offered;
 };
 
+//! For calls that reach no server.
+class NullPathProtocol final : public PathProtocol {
+ public:
+  http::Request EncodeRequest(const PathCall&,
+                              const SendContext&) const override {
+    return {};
+  }
+  PathResponse ReadResponse(const PathCall&,
+                            const http::ResponseHead&) const override {
+    return {};
+  }
+  http::Response EncodeRefusal(const Refusal&) const override {
+    return http::MakeResponse(503, "text/plain", "refused");
+  }
+};
+
 //! Keeps the response's status and head.
 class KeptResponse : public http::ResponseWriter {
  public:
--- a/packages/gateway/tests/path_spill_tests.cc
+++ b/packages/gateway/tests/path_spill_tests.cc
@@ -14,21 +14,6 @@
 
 using std::chrono::milliseconds;
 
-class SilentProtocol final : public PathProtocol {
- public:
-  http::Request EncodeRequest(const PathCall&,
-                              const SendContext&) const override {
-    return {};
-  }
-  PathResponse ReadResponse(const PathCall&,
-                            const http::ResponseHead&) const override {
-    return {};
-  }
-  http::Response EncodeRefusal(const Refusal&) const override {
-    return http::MakeResponse(503, "text/plain", "refused");
-  }
-};
-
 SchedulingSettings SpillsAhead() {
   SchedulingSettings settings;
   settings.spill_ahead = true;
@@ -38,7 +23,7 @@
 class PathSpillTest : public PathGatewayTest {
  protected:
   explicit PathSpillTest(SchedulingSettings scheduling = SpillsAhead())
-      : PathGatewayTest(std::make_unique<SilentProtocol>(), scheduling) {}
+      : PathGatewayTest(std::make_unique<NullPathProtocol>(), scheduling) {}
 
   void SetUp() override {
     this->AddRoute("chat", state::PathKind::kStream);
--- a/packages/gateway/tests/token_wait_tests.cc
+++ b/packages/gateway/tests/token_wait_tests.cc
@@ -9,24 +9,9 @@
 
 using std::chrono::milliseconds;
 
-class SilentProtocol final : public PathProtocol {
- public:
-  http::Request EncodeRequest(const PathCall&,
-                              const SendContext&) const override {
-    return {};
-  }
-  PathResponse ReadResponse(const PathCall&,
-                            const http::ResponseHead&) const override {
-    return {};
-  }
-  http::Response EncodeRefusal(const Refusal&) const override {
-    return http::MakeResponse(503, "text/plain", "");
-  }
-};
-
 class TokenWaitTest : public PathGatewayTest {
  protected:
-  TokenWaitTest() : PathGatewayTest(std::make_unique<SilentProtocol>()) {
+  TokenWaitTest() : PathGatewayTest(std::make_unique<NullPathProtocol>()) {
     // The workspace of routes that are open.
     this->set.workspaces[WorkspaceName()].rate = 1'000;
     this->AddRoute("chat", state::PathKind::kStream);
--- a/packages/policy/include/tamarackwing/policy/rate_holder.h
+++ b/packages/policy/include/tamarackwing/policy/rate_holder.h
@@ -84,7 +84,7 @@
     TimePoint last_used;
     //! Until when a demand beyond the lease is no reason for an early report,
     //! because the leader knew of it and granted no more.
-    TimePoint patient_until;
+    TimePoint no_early_report_until;
   };
 
   //! Returns the demand to report before the interval of measurement is over,
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -453,9 +453,9 @@
   std::uint32_t SlotsWithinLimit(const Server& server,
                                  const std::string& target) const;
   //! Returns whether a recent summary of the load collector is known.
-  bool KnowsOthers(TimePoint now) const;
+  bool HasSharedLoads(TimePoint now) const;
   //! Returns the requests of all hosts on a server. Precondition:
-  //! KnowsOthers.
+  //! HasSharedLoads.
   double SharedLoadOn(const Server& server) const;
   //! As SlotWaitAt and PrefillWaitAt, from shared loads.
   Duration SharedSlotWaitAt(const Server& server,
--- a/packages/policy/src/rate_holder.cc
+++ b/packages/policy/src/rate_holder.cc
@@ -53,7 +53,7 @@
     const bool falls_short =
         !has_lease ||
         this->DemandSoFar(account, now) > static_cast<double>(account.leased);
-    this->is_short |= falls_short && now >= account.patient_until;
+    this->is_short |= falls_short && now >= account.no_early_report_until;
   }
   this->Fill(account, now);
   RateDecision decision;
@@ -151,7 +151,7 @@
     const double useful =
         is_held ? static_cast<double>(account.leased) * kUsefulRaise : 0;
     if (static_cast<double>(share.share) <= useful) {
-      account.patient_until = now + kMeasuredInterval;
+      account.no_early_report_until = now + kMeasuredInterval;
     }
     account.leased = share.share;
     account.lease_until = until;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -421,7 +421,7 @@
   }
   PromptGroup group;
   group.digest = query.affinity;
-  if (this->KnowsOthers(now)) {
+  if (this->HasSharedLoads(now)) {
     group.prefill_time = Seconds(static_cast<double>(query.affinity_tokens) /
                                  this->limits.shared_prefill_rate);
     group.max_extra_prefills = kMaxExtraPrefillsShared;
@@ -433,11 +433,11 @@
   const Candidate& chosen = usable[placement.option];
   const ServerReport& report = chosen.server->report;
   const bool corrects =
-      this->KnowsOthers(now) && query.pause_allowance.count() > 0;
+      this->HasSharedLoads(now) && query.pause_allowance.count() > 0;
   const auto known = this->loads.find(query.target);
   const TokenCount prefill_tokens =
       this->PrefillTokens(*chosen.server, query, placement.is_owner, now);
-  const double prefill_rate = this->KnowsOthers(now)
+  const double prefill_rate = this->HasSharedLoads(now)
                                   ? this->limits.shared_prefill_rate
                                   : this->PrefillRate(*chosen.server);
   const Duration prefill = Seconds(static_cast<double>(prefill_tokens) /
@@ -470,10 +470,11 @@
   if (servers_of == this->by_target.end()) {
     return usable;
   }
-  const bool knows_others = this->KnowsOthers(now);
+  const bool has_shared_loads = this->HasSharedLoads(now);
   const auto load = this->loads.find(query.target);
-  const double long_share =
-      knows_others && load != this->loads.end() ? load->second.pool.Share() : 0;
+  const double long_share = has_shared_loads && load != this->loads.end()
+                                ? load->second.pool.Share()
+                                : 0;
   usable.reserve(servers_of->second.size());
   for (const Server* server : servers_of->second) {
     const bool was_tried =
@@ -492,7 +493,7 @@
       const Duration slot = this->SlotWaitAt(*server, query.target, now);
       const Duration wait = slot + this->PrefillWaitAt(*server, now);
       const double speed =
-          knows_others ? 1 / this->shared.SlownessOf(server->id) : 1;
+          has_shared_loads ? 1 / this->shared.SlownessOf(server->id) : 1;
       const bool is_misplaced =
           long_share > 0 &&
           (server->pool_position < long_share) != query.is_long_prompt;
@@ -902,7 +903,7 @@
 
 SharedLoadState ServerTable::LoadState(TimePoint now) const {
   SharedLoadState state;
-  state.is_fresh = this->KnowsOthers(now);
+  state.is_fresh = this->HasSharedLoads(now);
   if (state.is_fresh) {
     state.slow_servers = static_cast<std::uint32_t>(std::count_if(
         this->servers.begin(), this->servers.end(), [&](const auto& entry) {
@@ -1094,7 +1095,7 @@
 Duration ServerTable::SlotWaitAt(const Server& server,
                                  const std::string& target,
                                  TimePoint now) const {
-  if (this->KnowsOthers(now)) {
+  if (this->HasSharedLoads(now)) {
     return this->SharedSlotWaitAt(server, target, now);
   }
   Duration run =
@@ -1113,7 +1114,7 @@
   return SlotWait(load, this->RampedSlots(server, now), run);
 }
 
-bool ServerTable::KnowsOthers(TimePoint now) const {
+bool ServerTable::HasSharedLoads(TimePoint now) const {
   return this->limits.shares_loads && this->shared.IsFresh(now);
 }
 
@@ -1169,7 +1170,7 @@
                                       const ServerQuery& query,
                                       bool is_owner,
                                       TimePoint now) const {
-  if (!this->KnowsOthers(now)) {
+  if (!this->HasSharedLoads(now)) {
     return query.prompt_tokens;
   }
   const TokenCount cached = std::max(server.CachedTokens(query.prefix_blocks),
@@ -1178,7 +1179,7 @@
 }
 
 Duration ServerTable::PrefillWaitAt(const Server& server, TimePoint now) const {
-  if (this->KnowsOthers(now)) {
+  if (this->HasSharedLoads(now)) {
     return this->SharedPrefillWaitAt(server, now);
   }
   const double typical =
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -30,7 +30,8 @@
 //! Interval between load reports: a fraction of the time that most requests
 //! stay on a server.
 constexpr milliseconds kLoadInterval{250};
-//! Share of the region's live entry hosts that a load summary must include.
+//! Share of the region's live entry hosts that a load summary must include. Not
+//! all: a host that has just stopped counts as live for some seconds.
 constexpr double kMinSummarizedShare = 0.8;
 constexpr std::chrono::seconds kChangeTimeout{9};
 //! Short against the interval at which metrics are usually collected.
