policy, gateway, base: logs tell by which report a server counts as warm

Change: 2013 names both processes, the age of the news and what was sent in the second before it; 2014, at level debug, what the host believed of the server that it chose.

--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -26,6 +26,8 @@
   kBackendServerBrittle = 2010,
   kBackendServerPaused = 2011,
   kBackendServerUnreadable = 2012,
+  kBackendServerRestarted = 2013,
+  kBackendServerChosen = 2014,
   kBlockQuarantined = 2101,
   kBlockReleased = 2102,
   kBlockTrial = 2103,
@@ -98,6 +100,10 @@
 //! Thread safety: callable from any thread.
 void SetLogLevel(LogLevel level);
 
+//! Returns whether events of this severity are logged.
+//! Thread safety: callable from any thread.
+bool IsLogged(LogLevel level);
+
 //! Logs one event. Thread safety: callable from any thread.
 void LogEvent(Event event,
               LogLevel level,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -54,6 +54,10 @@
   EventLogger().setLogLevel(ToLibraryLevel(level));
 }
 
+bool IsLogged(LogLevel level) {
+  return EventLogger().isEnabledFor(ToLibraryLevel(level));
+}
+
 void LogEvent(Event event,
               LogLevel level,
               std::initializer_list<EventField> fields) {
@@ -120,6 +124,10 @@
       return "backend_server_paused";
     case Event::kBackendServerUnreadable:
       return "backend_server_unreadable";
+    case Event::kBackendServerRestarted:
+      return "backend_server_restarted";
+    case Event::kBackendServerChosen:
+      return "backend_server_chosen";
     case Event::kBlockQuarantined:
       return "block_quarantined";
     case Event::kBlockReleased:
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -30,6 +30,35 @@
             {"age_ms", std::to_string(age.count())}});
 }
 
+std::string MillisecondsText(Duration duration) {
+  return std::to_string(
+      std::chrono::floor<std::chrono::milliseconds>(duration).count());
+}
+
+void LogRestart(const policy::ServerReport& report,
+                const policy::ProcessChange& change) {
+  LogEvent(Event::kBackendServerRestarted, LogLevel::kInfo,
+           {{"server", report.name.Text()},
+            {"started", MillisecondsText(report.started)},
+            {"former", MillisecondsText(change.former)},
+            {"sequence", std::to_string(report.sequence)},
+            {"cold_ms", MillisecondsText(report.cold_for)},
+            {"relayed_ms", MillisecondsText(report.relayed_for)},
+            {"silent_ms", MillisecondsText(change.silent)},
+            {"sent", std::to_string(change.sent)}});
+}
+
+void LogChoice(const BackendServerName& server,
+               const policy::ServerBelief& belief) {
+  LogEvent(Event::kBackendServerChosen, LogLevel::kDebug,
+           {{"server", server.Text()},
+            {"started", MillisecondsText(belief.started)},
+            {"cold", belief.is_cold ? "yes" : "no"},
+            {"sequence", std::to_string(belief.sequence)},
+            {"report_age_ms", MillisecondsText(belief.report_age)},
+            {"sent", std::to_string(belief.sent)}});
+}
+
 void LogStatement(const BackendServerName& server,
                   const policy::ServerStatement& statement,
                   const policy::StatementChanges& changes,
@@ -111,6 +140,9 @@
   const TimePoint now = this->clock.Now();
   auto choice = this->table.Pick(query, now, this->random);
   if (choice) {
+    if (IsLogged(LogLevel::kDebug)) {
+      LogChoice(choice->name, *this->table.Belief(choice->name, now));
+    }
     this->table.NoteSent(choice->name, choice->prefill_tokens, now);
     this->table.NoteWork(query, *choice, now);
   }
@@ -407,15 +439,18 @@
 }
 
 void ServerDirectory::Apply(const policy::ServerReport& report) {
-  bool is_new = false;
+  policy::ReportChanges changes;
   {
     const std::lock_guard lock(this->mutex);
-    is_new = this->table.Announce(report, this->clock.Now());
-    if (is_new) {
+    changes = this->table.Announce(report, this->clock.Now());
+    if (changes.is_new) {
       this->links.NoteNewServer(report.name);
     }
   }
-  if (is_new) {
+  if (changes.process) {
+    LogRestart(report, *changes.process);
+  }
+  if (changes.is_new) {
     LogEvent(Event::kBackendServerAnnounced, LogLevel::kInfo,
              {{"server", report.name.Text()}, {"software", report.software}});
   }
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -155,6 +155,36 @@
   std::optional<TimePoint> paused_until;
 };
 
+//! A report's process has replaced the known one of the same server.
+struct ProcessChange {
+  //! Start time of the former process; see ServerReport.
+  std::chrono::milliseconds former{0};
+  //! Time since the former process's last report was applied.
+  Duration silent{};
+  //! Requests that this host has sent to the server in the last second.
+  std::uint32_t sent = 0;
+};
+
+//! What a report changed.
+struct ReportChanges {
+  //! The server was not known.
+  bool is_new = false;
+  std::optional<ProcessChange> process;
+};
+
+//! What the host believes of a server, for logs.
+struct ServerBelief {
+  //! Start time of the process; see ServerReport.
+  std::chrono::milliseconds started{0};
+  //! Number of the last report, and the time since it was applied.
+  std::uint64_t sequence = 0;
+  Duration report_age{};
+  //! Whether the server counts as cold.
+  bool is_cold = false;
+  //! Requests that this host has sent to it in the last second.
+  std::uint32_t sent = 0;
+};
+
 //! This host's load on the servers of a target.
 struct OwnLoad {
   //! Usable servers.
@@ -227,12 +257,12 @@
   ~ServerTable();
   ServerTable(ServerTable&&) noexcept;
 
-  //! Applies an announcement or renewal; returns whether the server is new.
-  //! Drops a report that is older than the known state, including one whose
-  //! address a newer server has taken over. A report with `leaving` and without
-  //! an address deregisters the server of that name; its sender need not know
-  //! more than the name.
-  bool Announce(const ServerReport& report, TimePoint now);
+  //! Applies an announcement or renewal and returns what it changed. Drops a
+  //! report that is older than the known state, including one whose address a
+  //! newer server has taken over. A report with `leaving` and without an
+  //! address deregisters the server of that name; its sender need not know more
+  //! than the name.
+  ReportChanges Announce(const ServerReport& report, TimePoint now);
   //! Removes servers whose lease has expired, except those that are kept as a
   //! last resort (see ServerTableLimits::lapsed), and returns their names.
   std::vector<BackendServerName> Expire(TimePoint now);
@@ -245,6 +275,9 @@
   void NoteWork(const ServerQuery& query,
                 const ServerChoice& choice,
                 TimePoint now);
+  //! Returns what this host believes of a server; nullopt if it is unknown.
+  std::optional<ServerBelief> Belief(const BackendServerName& name,
+                                     TimePoint now) const;
   //! Records that a request was sent to a server, which has to prefill
   //! `prompt_tokens` for it.
   void NoteSent(const BackendServerName& name,
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -137,6 +137,10 @@
   TimePoint cold_until;
   //! When requests were sent to it within kColdSpan while it was cold.
   std::deque<TimePoint> cold_sends;
+  //! When requests were sent to it within kColdSpan.
+  std::deque<TimePoint> recent_sends;
+  //! When the last report was applied.
+  TimePoint reported_at;
   //! When requests were sent to it since the load of the last report was
   //! measured.
   std::deque<TimePoint> sent;
@@ -157,6 +161,13 @@
     }
   }
 
+  //! Returns how many requests were sent to it within kColdSpan.
+  std::uint32_t SentLately(TimePoint now) const {
+    return static_cast<std::uint32_t>(
+        std::count_if(this->recent_sends.begin(), this->recent_sends.end(),
+                      [&](TimePoint at) { return now - at <= kColdSpan; }));
+  }
+
   //! Returns the tokens of the leading blocks that are probably cached.
   TokenCount CachedTokens(const std::vector<PrefixBlock>& prefix_blocks) const {
     TokenCount cached_tokens = 0;
@@ -267,20 +278,21 @@
   this->by_address[endpoint] = report.name;
 }
 
-bool ServerTable::Announce(const ServerReport& report, TimePoint now) {
+ReportChanges ServerTable::Announce(const ServerReport& report, TimePoint now) {
+  ReportChanges changes;
   if (this->IsFromDeparted(report)) {
     Process& process = this->departed.at(report.name);
     if (process.started == report.started) {
       process.until = now + kDepartedLife;
     }
-    return false;
+    return changes;
   }
   if (this->IsStale(report)) {
-    return false;
+    return changes;
   }
   if (report.address.empty() && report.leaving) {
     this->MarkLeaving(report, now);
-    return false;
+    return changes;
   }
   if (report.leaving) {
     this->NoteDeparted(report.name, report.started, now);
@@ -289,27 +301,30 @@
   }
   this->AssignAddress(report);
   std::unique_ptr<Server>& slot = this->servers[report.name];
-  const bool is_new = !slot;
-  if (is_new) {
+  changes.is_new = !slot;
+  if (changes.is_new) {
     slot = std::make_unique<Server>();
     slot->usable_since = now;
   } else {
     this->Unindex(*slot);
     if (slot->report.started != report.started) {
+      changes.process = {slot->report.started, now - slot->reported_at,
+                         slot->SentLately(now)};
       // A new process has lost the old one's cache, load and failures.
       *slot = Server();
       slot->usable_since = now;
     }
   }
-  if (is_new || slot->report.software != report.software ||
+  if (changes.is_new || slot->report.software != report.software ||
       slot->software == 0) {
     slot->software = Sha256Prefix(report.software);
   }
   slot->report = report;
+  slot->reported_at = now;
   if (slot->id == 0) {
     slot->id = ServerIdOf(report.name);
   }
-  if (is_new) {
+  if (changes.is_new) {
     this->RestorePause(*slot, now);
   }
   this->NoteSoftware(report.targets, slot->software, now);
@@ -319,7 +334,7 @@
   slot->load_measured = now - report.age;
   slot->DropSentBefore(slot->load_measured);
   this->Index(*slot);
-  return is_new;
+  return changes;
 }
 
 void ServerTable::NoteSoftware(const std::vector<std::string>& targets,
@@ -569,6 +584,18 @@
   }
 }
 
+std::optional<ServerBelief> ServerTable::Belief(const BackendServerName& name,
+                                                TimePoint now) const {
+  const auto found = this->servers.find(name);
+  if (found == this->servers.end()) {
+    return std::nullopt;
+  }
+  const Server& server = *found->second;
+  return ServerBelief{server.report.started, server.report.sequence,
+                      now - server.reported_at, server.cold_until > now,
+                      server.SentLately(now)};
+}
+
 void ServerTable::NoteSent(const BackendServerName& name,
                            TokenCount prompt_tokens,
                            TimePoint now) {
@@ -583,6 +610,10 @@
   server.own_running += 1;
   server.pending_prefill += prompt_tokens;
   server.sent.push_back(now);
+  server.recent_sends.push_back(now);
+  while (now - server.recent_sends.front() > kColdSpan) {
+    server.recent_sends.pop_front();
+  }
   if (server.limit) {
     server.limit->FillTo(now);
     server.limit->level = std::max(0.0, server.limit->level - 1);
