--- a/packages/policy/tests/server_report_tests.cc
+++ b/packages/policy/tests/server_report_tests.cc
@@ -266,6 +266,27 @@
   EXPECT_FALSE(this->IsPicked());
 }
 
+// Guards against a flood of a server that starts again (issue 64).
+TEST_F(ServerHealth, RestartedServerIsNotFloodedBeforeItsFirstReport) {
+  const BackendServerName name("x");
+  this->clock.Advance(milliseconds(10));
+  this->Finish(HealthSignal::kUnreachable, this->clock.Now());
+  this->clock.Advance(milliseconds(600));
+  ServerQuery query = this->Query();
+  query.cold_allowance = [](const BackendServerName&) { return 1U; };
+  int sent = 0;
+  for (int ms = 0; ms < 900; ms += 10) {
+    if (this->Pick(query)) {
+      const TimePoint now = this->clock.Now();
+      this->table.NoteSent(name, 0, now);
+      this->table.NoteFinished(name, HealthSignal::kAnswered, now, now);
+      sent += 1;
+    }
+    this->clock.Advance(milliseconds(10));
+  }
+  EXPECT_LE(sent, 1);
+}
+
 TEST(Rendezvous, EveryKeyHasTheRequestedNumberOfOwners) {
   std::vector<HostName> hosts;
   for (int i = 0; i < 9; ++i) {
