policy, gateway: a server is warm as long as evidence is newer than the last sign

Cause: absence of news was taken for warmth. Class: a belief without an age, which no sign to the contrary ends. Change: ServerWarmth holds what shows a server warm and as of when. Refused and lost connections, silence, a reopened data centre and the host's own start end that, until a report sent later, or bytes on a connection older than the evidence. A choice is checked again when its connection is open. Why it works: every request passes the same decision, and the owners' allowance does not depend on having seen the new process.

--- a/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
+++ b/packages/backend_servers/include/tamarackwing/backend_servers/connection_pool.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "tamarackwing/base/clock.h"
 #include "tamarackwing/base/expected.h"
@@ -38,6 +39,14 @@
   //! Whether an answer that names no request has come on it. A later one that
   //! names none may be its copy.
   bool had_unnamed_answer = false;
+  //! When it was opened.
+  TimePoint opened;
+  //! Whether the server had stated a time for which it keeps the connection
+  //! open, which has not passed. Else it may close it as an idle one.
+  bool is_kept_open = false;
+  //! When the last of the idle connections was opened that the server was found
+  //! to have closed before the time that it had stated; nullopt if none was.
+  std::optional<TimePoint> lost_idle;
 };
 
 //! Pool of idle connections to backend servers, with a limited idle time.
@@ -71,6 +80,9 @@
     //! Not reused after this idle time, as the server may close it.
     Duration max_idle{};
     bool had_unnamed_answer = false;
+    TimePoint opened;
+    //! Whether the server has stated how long it keeps idle connections.
+    bool has_stated_timeout = false;
   };
 
   http::asio::io_context& context;
--- a/packages/backend_servers/src/connection_pool.cc
+++ b/packages/backend_servers/src/connection_pool.cc
@@ -18,6 +18,7 @@
   const TimePoint now = std::chrono::steady_clock::now();
   std::deque<Idle>& connections = this->idle[endpoint];
   std::size_t at = max_idle.count() > 0 ? connections.size() : 0;
+  std::optional<TimePoint> lost_idle;
   while (at > 0) {
     at -= 1;
     const Duration idle = now - connections[at].idle_since;
@@ -31,8 +32,14 @@
     Idle candidate = std::move(connections[at]);
     connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(at));
     if (!is_expired && candidate.connection->IsOpenAndIdle()) {
-      co_return PooledConnection{std::move(candidate.connection), true,
-                                 candidate.had_unnamed_answer};
+      co_return PooledConnection{
+          std::move(candidate.connection), true,
+          candidate.had_unnamed_answer,    candidate.opened,
+          candidate.has_stated_timeout,    lost_idle};
+    }
+    if (!is_expired && candidate.has_stated_timeout &&
+        candidate.connection->IsClosedByPeer()) {
+      lost_idle = std::max(lost_idle.value_or(TimePoint()), candidate.opened);
     }
   }
   auto connection = std::make_unique<http::Connection>(this->context);
@@ -43,7 +50,12 @@
   if (!connected) {
     co_return unexpected(connected.error());
   }
-  co_return PooledConnection{std::move(connection), false, false};
+  co_return PooledConnection{std::move(connection),
+                             false,
+                             false,
+                             std::chrono::steady_clock::now(),
+                             true,
+                             lost_idle};
 }
 
 http::asio::awaitable<bool> ConnectionPool::Replenish(http::Endpoint endpoint,
@@ -70,6 +82,8 @@
                                             : this->limits.max_idle_time);
   entry.connection = std::move(connection.connection);
   entry.had_unnamed_answer = connection.had_unnamed_answer;
+  entry.opened = connection.opened;
+  entry.has_stated_timeout = keep_alive_timeout.has_value();
   entry.idle_since = std::chrono::steady_clock::now();
   connections.push_back(std::move(entry));
 }
--- a/packages/base/include/tamarackwing/base/event.h
+++ b/packages/base/include/tamarackwing/base/event.h
@@ -28,6 +28,7 @@
   kBackendServerUnreadable = 2012,
   kBackendServerRestarted = 2013,
   kBackendServerChosen = 2014,
+  kBackendServerDoubted = 2015,
   kBlockQuarantined = 2101,
   kBlockReleased = 2102,
   kBlockTrial = 2103,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -128,6 +128,8 @@
       return "backend_server_restarted";
     case Event::kBackendServerChosen:
       return "backend_server_chosen";
+    case Event::kBackendServerDoubted:
+      return "backend_server_doubted";
     case Event::kBlockQuarantined:
       return "block_quarantined";
     case Event::kBlockReleased:
--- a/packages/gateway/include/tamarackwing/gateway/server_directory.h
+++ b/packages/gateway/include/tamarackwing/gateway/server_directory.h
@@ -85,7 +85,17 @@
   void NoteConnected();
   void NoteProbeFailed(const BackendServerName& name);
   //! Records that bytes arrived from a server.
-  void NoteAlive(const BackendServerName& name);
+  void NoteAlive(const BackendServerName& name, TimePoint opened);
+  void NoteLostConnection(const policy::ServerChoice& server, TimePoint opened);
+  void NoteRefusedConnection(const policy::ServerChoice& server);
+  //! As for the methods of policy::ServerTable; `source` names the host that
+  //! saw the signs, for the log.
+  void NoteDoubt(const policy::ServerDoubt& doubt, std::string_view source);
+  //! As for policy::ServerTable. Empty while this host may have lost its own
+  //! links to the servers.
+  std::vector<policy::ServerDoubt> TakeDoubts();
+  std::vector<policy::ServerDoubt> OwnDoubts();
+  void SetClosed(const std::set<DataCentreName>& data_centres);
   bool IsLeaving(const BackendServerName& name);
   //! Returns the time of the directory's clock.
   TimePoint Now() const { return this->clock.Now(); }
--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -276,6 +276,9 @@
   bool is_sound = false;
   //! What the last try shows about its server's health.
   policy::HealthSignal signal = policy::HealthSignal::kInconclusive;
+  //! When the connection of the current try was opened, by the clock of the
+  //! server directory.
+  TimePoint connection_opened;
   //! When the last try began, by the clock of the server directory.
   TimePoint sent_at;
   //! Prompt tokens of the current try whose prefill has not finished.
--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -75,6 +75,12 @@
   return std::nullopt;
 }
 
+//! Returns the time since a time of the connection pool, whose clock is not
+//! that of the server directory.
+Duration AgeOf(TimePoint pool_time) {
+  return std::chrono::steady_clock::now() - pool_time;
+}
+
 //! Returns whether a response answers the call that it came for. Rejections may
 //! name no call.
 bool IsOwnAnswer(const PathResponse& response) {
@@ -169,20 +175,31 @@
   this->has_invalid_status = false;
   this->is_sound = false;
   this->signal = policy::HealthSignal::kInconclusive;
+  ServerDirectory& servers = this->gateway.Dependencies().servers;
   if (!acquired && acquired.error() != http::ConnectionError::kCancelled) {
     this->signal = policy::HealthSignal::kUnreachable;
+    if (target.server &&
+        acquired.error() == http::ConnectionError::kConnectFailed) {
+      servers.NoteRefusedConnection(*target.server);
+    }
   }
   if (!acquired || this->caller_gone) {
     co_return TryOutcome::kNotSent;
   }
   backend_servers::PooledConnection connection = std::move(*acquired);
+  this->connection_opened = servers.Now() - AgeOf(connection.opened);
+  if (target.server && connection.lost_idle) {
+    servers.NoteLostConnection(*target.server,
+                               servers.Now() - AgeOf(*connection.lost_idle));
+  }
   if (target.server && !connection.reused) {
     this->gateway.Dependencies().servers.NoteConnected();
     connection.connection->StartProbing();
   }
   if (target.server &&
       !this->gateway.Dependencies().servers.MaySendTo(*target.server)) {
-    // It has said so in another answer while the connection opened.
+    // It has said that it wants none, or may have become cold, while the
+    // connection opened.
     pool.Release(target.endpoint, std::move(connection));
     co_return TryOutcome::kNotSent;
   }
@@ -196,6 +213,12 @@
   } else {
     try_outcome = this->HandleConnectionError(sent.error());
   }
+  // A new connection may also be reset because the server has too many.
+  const bool should_stay_open = this->answer_stage != AnswerStage::kNone ||
+                                (connection.reused && connection.is_kept_open);
+  if (target.server && this->connection_broke && should_stay_open) {
+    servers.NoteLostConnection(*target.server, this->connection_opened);
+  }
   if (connection.reused && this->signal == policy::HealthSignal::kBroken &&
       !this->has_invalid_status) {
     // The server may have closed the connection while it was idle, so this says
@@ -432,7 +455,8 @@
 }
 
 void PathRequest::NoteAlive(const BackendServerName& server) {
-  this->gateway.Dependencies().servers.NoteAlive(server);
+  this->gateway.Dependencies().servers.NoteAlive(server,
+                                                 this->connection_opened);
   this->gateway.Dependencies().quarantine.NoteAlive(server);
 }
 
--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -48,12 +48,25 @@
             {"sent", std::to_string(change.sent)}});
 }
 
+void LogDoubt(const policy::ServerDoubt& doubt,
+              std::string_view source,
+              TimePoint now) {
+  LogEvent(Event::kBackendServerDoubted, LogLevel::kInfo,
+           {{"server", doubt.server.Text()},
+            {"started", MillisecondsText(doubt.started)},
+            {"source", std::string(source)},
+            {"first_age_ms", MillisecondsText(now - doubt.signs.first)},
+            {"last_age_ms", MillisecondsText(now - doubt.signs.last)}});
+}
+
 void LogChoice(const BackendServerName& server,
                const policy::ServerBelief& belief) {
   LogEvent(Event::kBackendServerChosen, LogLevel::kDebug,
            {{"server", server.Text()},
             {"started", MillisecondsText(belief.started)},
             {"cold", belief.is_cold ? "yes" : "no"},
+            {"doubt_age_ms",
+             belief.doubt_age ? MillisecondsText(*belief.doubt_age) : ""},
             {"sequence", std::to_string(belief.sequence)},
             {"report_age_ms", MillisecondsText(belief.report_age)},
             {"sent", std::to_string(belief.sent)}});
@@ -101,7 +114,7 @@
                                  std::uint64_t seed)
     : region(std::move(region)),
       clock(clock),
-      table(limits),
+      table(limits, clock.Now()),
       retry_reserve(kRetryReserve),
       random(seed) {}
 
@@ -159,11 +172,64 @@
   return choice->expected;
 }
 
-void ServerDirectory::NoteAlive(const BackendServerName& name) {
+void ServerDirectory::NoteAlive(const BackendServerName& name,
+                                TimePoint opened) {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
   this->links.NoteAlive(now);
-  this->table.NoteAlive(name, now);
+  this->table.NoteAlive(name, opened, now);
+}
+
+void ServerDirectory::NoteLostConnection(const policy::ServerChoice& server,
+                                         TimePoint opened) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteLostConnection(server, opened, this->clock.Now());
+}
+
+void ServerDirectory::NoteDoubt(const policy::ServerDoubt& doubt,
+                                std::string_view source) {
+  const TimePoint now = this->clock.Now();
+  bool is_news = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    is_news = this->table.NoteDoubt(doubt, now);
+  }
+  if (is_news) {
+    LogDoubt(doubt, source, now);
+  }
+}
+
+void ServerDirectory::NoteRefusedConnection(
+    const policy::ServerChoice& server) {
+  const std::lock_guard lock(this->mutex);
+  this->table.NoteRefusedConnection(server, this->clock.Now());
+}
+
+std::vector<policy::ServerDoubt> ServerDirectory::TakeDoubts() {
+  const TimePoint now = this->clock.Now();
+  std::vector<policy::ServerDoubt> due;
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->links.State() == policy::LinkState::kUp) {
+      due = this->table.TakeDoubts(now);
+    }
+  }
+  for (const policy::ServerDoubt& doubt : due) {
+    LogDoubt(doubt, "self", now);
+  }
+  return due;
+}
+
+std::vector<policy::ServerDoubt> ServerDirectory::OwnDoubts() {
+  const std::lock_guard lock(this->mutex);
+  return this->links.State() == policy::LinkState::kUp
+             ? this->table.OwnDoubts(this->clock.Now())
+             : std::vector<policy::ServerDoubt>();
+}
+
+void ServerDirectory::SetClosed(const std::set<DataCentreName>& data_centres) {
+  const std::lock_guard lock(this->mutex);
+  this->table.SetClosed(data_centres, this->clock.Now());
 }
 
 void ServerDirectory::Finish(const BackendServerName& name,
--- a/packages/http/include/tamarackwing/http/connection.h
+++ b/packages/http/include/tamarackwing/http/connection.h
@@ -75,6 +75,9 @@
   //! that arrive after a complete response belong to no request, so such a
   //! connection must not be reused.
   bool IsOpenAndIdle();
+  //! Returns whether the peer has closed the connection and all that it sent
+  //! has been read.
+  bool IsClosedByPeer();
   //! Returns how long the server keeps an idle connection open, if the
   //! `Keep-Alive` header of the last response declares it.
   std::optional<std::chrono::seconds> KeepAliveTimeout() const;
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -243,6 +243,10 @@
   return http::IsOpenAndIdle(this->state->stream.socket());
 }
 
+bool Connection::IsClosedByPeer() {
+  return IsPeerClosed(this->state->stream.socket());
+}
+
 std::optional<std::chrono::seconds> Connection::KeepAliveTimeout() const {
   if (!this->state->parser) {
     return std::nullopt;
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -19,6 +19,7 @@
 #include "tamarackwing/policy/server_load.h"
 #include "tamarackwing/policy/server_report.h"
 #include "tamarackwing/policy/server_statement.h"
+#include "tamarackwing/policy/server_warmth.h"
 #include "tamarackwing/policy/shared_load.h"
 
 namespace tamarackwing {
@@ -53,6 +54,10 @@
   //! version that they named is taken for the only one: longer than a stream
   //! lasts.
   std::chrono::milliseconds software_span{60'000};
+  //! How long a server counts as cold after the last sign that its process may
+  //! have been replaced, if no report ends that before: longer than a server
+  //! takes to warm up.
+  std::chrono::milliseconds doubt{10'000};
   //! Assumed prompt tokens per second of a server that reports no rate.
   double prefill_rate = 2'000;
   //! Assumed output tokens per second and request of a server that reports no
@@ -181,6 +186,9 @@
   Duration report_age{};
   //! Whether the server counts as cold.
   bool is_cold = false;
+  //! Time since the last sign that its process may have been replaced, if that
+  //! is why it counts as cold.
+  std::optional<Duration> doubt_age;
   //! Requests that this host has sent to it in the last second.
   std::uint32_t sent = 0;
 };
@@ -228,6 +236,10 @@
   std::uint64_t software_digest = 0;
   //! Start time of the server's process; see ServerReport.
   std::chrono::milliseconds started{0};
+  //! Whether the server counted as cold, and whether requests to cold servers
+  //! of the target are limited.
+  bool is_cold = false;
+  bool limits_cold = false;
 };
 
 //! What a host knows from its region's load collector, for metrics.
@@ -250,7 +262,9 @@
 //! this host has sent since the report. Not thread-safe.
 class ServerTable {
  public:
-  explicit ServerTable(ServerTableLimits limits);
+  //! `start` is when this host began to hear of servers. What was reported
+  //! before that shows no warmth: signs since then may have been missed.
+  explicit ServerTable(ServerTableLimits limits, TimePoint start = TimePoint());
 
   //! Replaces the limits; leases and ejections already set keep their end.
   void SetLimits(ServerTableLimits next) { this->limits = next; }
@@ -301,8 +315,32 @@
                     HealthSignal signal,
                     TimePoint sent,
                     TimePoint now);
-  //! Records that bytes were received from a server.
-  void NoteAlive(const BackendServerName& name, TimePoint now);
+  //! Records that bytes were received from a server, on a connection opened at
+  //! `opened`.
+  void NoteAlive(const BackendServerName& name,
+                 TimePoint opened,
+                 TimePoint now);
+  //! Records that the server of a choice closed a connection opened at `opened`
+  //! that should have stayed open: its process may have been replaced.
+  void NoteLostConnection(const ServerChoice& server,
+                          TimePoint opened,
+                          TimePoint now);
+  //! Records that the server of a choice refused a connection. While other
+  //! requests of this host run there, it may only have too many connections.
+  void NoteRefusedConnection(const ServerChoice& server, TimePoint now);
+  //! Applies what another host of the region has seen of a server's process.
+  //! Returns whether it is news.
+  bool NoteDoubt(const ServerDoubt& doubt, TimePoint now);
+  //! Returns the lost connections since the last call of which the other hosts
+  //! of the region have not been told. A server that is only silent may be so
+  //! to this host alone, which tells nobody.
+  std::vector<ServerDoubt> TakeDoubts(TimePoint now);
+  //! Returns the signs that this host has seen of servers that still count as
+  //! cold because of them, whether it has told the others or not.
+  std::vector<ServerDoubt> OwnDoubts(TimePoint now) const;
+  //! Sets the data centres that are closed for new requests. The servers of one
+  //! that is opened again may have become cold, whatever their reports said.
+  void SetClosed(const std::set<DataCentreName>& data_centres, TimePoint now);
   //! Records a prefix that is probably in the server's KV cache; a hint only,
   //! since the server may have evicted it.
   void NotePrefix(const BackendServerName& name, std::uint64_t prefix);
@@ -417,8 +455,23 @@
     //! When a report last named each version.
     std::map<std::uint64_t, TimePoint> seen;
   };
+  //! Whether a server is warm, and what the region knows of that; kept beyond
+  //! the server's record.
+  struct WarmthRecord {
+    ServerWarmth warmth;
+    //! The last sign that the hosts of the region were told.
+    TimePoint told;
+    //! The last sign that this host has seen itself and tells.
+    std::optional<TimePoint> seen;
+    //! Start time of the last process that is known to have been replaced.
+    std::chrono::milliseconds replaced{0};
+    //! Whether it has seen signs that it has not told.
+    bool is_due = false;
+  };
   //! Returns the server of that name; null if unknown.
   Server* Find(const BackendServerName& name);
+  //! Records a sign; returns whether it is news.
+  bool Doubt(Server& server, TimePoint now) const;
   //! A server's process that is remembered even if its record is gone.
   struct Process {
     std::chrono::milliseconds started{};
@@ -443,7 +496,10 @@
   bool ApplyTolerance(Server& server,
                       const RateStatement& tolerance,
                       TimePoint now);
-  void Eject(Server& server, TimePoint sent, TimePoint now);
+  void Eject(Server& server,
+             HealthSignal signal,
+             TimePoint sent,
+             TimePoint now);
   //! Assigns the report's address to its server and removes the server that
   //! had it before.
   void AssignAddress(const ServerReport& report);
@@ -523,6 +579,9 @@
   void Unindex(const Server& server);
 
   ServerTableLimits limits;
+  TimePoint start;
+  //! Outlives the record of a server in `servers`.
+  std::unordered_map<BackendServerName, WarmthRecord> warmth;
   std::unordered_map<BackendServerName, std::unique_ptr<Server>> servers;
   std::unordered_map<std::string, std::vector<Server*>> by_target;
   //! Processes that have announced their shutdown, until they are forgotten.
@@ -536,6 +595,9 @@
   HostName self;
   //! Hosts that share the servers' limits, in ascending order.
   std::vector<HostName> sharers;
+  std::set<DataCentreName> closed;
+  //! When each data centre was opened again last.
+  std::map<DataCentreName, TimePoint> reopened;
   //! The server that announced each address and port last.
   std::map<std::pair<std::string, std::uint16_t>, BackendServerName> by_address;
 };
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -29,8 +29,9 @@
 constexpr std::uint32_t kBreaksToEject = 2;
 //! The weight of a new run time in the moving average is 1 over this.
 constexpr int kRunAverageWeight = 32;
-//! The sliding window over which requests to a cold server are counted.
-constexpr std::chrono::seconds kColdSpan{1};
+//! Signs that a server's process may have been replaced are told to the other
+//! hosts of the region again if they are newer than the last ones by this.
+constexpr std::chrono::milliseconds kTellAgain{500};
 //! A limit is forgotten if no host of the region has had an answer of its
 //! server for this long.
 constexpr std::chrono::seconds kLimitLife{10};
@@ -134,12 +135,10 @@
   std::uint32_t own_running = 0;
   //! Prompt tokens sent by this host whose prefill has not finished.
   TokenCount pending_prefill = 0;
-  TimePoint cold_until;
-  //! When requests were sent to it within kColdSpan while it was cold.
-  std::deque<TimePoint> cold_sends;
-  //! When requests were sent to it within kColdSpan.
-  std::deque<TimePoint> recent_sends;
-  //! When the last report was applied.
+  //! Never null.
+  ServerWarmth* warmth = nullptr;
+  //! When the first and the last report of its process were applied.
+  TimePoint first_reported_at;
   TimePoint reported_at;
   //! When requests were sent to it since the load of the last report was
   //! measured.
@@ -161,13 +160,6 @@
     }
   }
 
-  //! Returns how many requests were sent to it within kColdSpan.
-  std::uint32_t SentLately(TimePoint now) const {
-    return static_cast<std::uint32_t>(
-        std::count_if(this->recent_sends.begin(), this->recent_sends.end(),
-                      [&](TimePoint at) { return now - at <= kColdSpan; }));
-  }
-
   //! Returns the tokens of the leading blocks that are probably cached.
   TokenCount CachedTokens(const std::vector<PrefixBlock>& prefix_blocks) const {
     TokenCount cached_tokens = 0;
@@ -197,7 +189,8 @@
   return "unknown";
 }
 
-ServerTable::ServerTable(ServerTableLimits limits) : limits(limits) {}
+ServerTable::ServerTable(ServerTableLimits limits, TimePoint start)
+    : limits(limits), start(start) {}
 ServerTable::~ServerTable() = default;
 ServerTable::ServerTable(ServerTable&&) noexcept = default;
 
@@ -309,12 +302,16 @@
     this->Unindex(*slot);
     if (slot->report.started != report.started) {
       changes.process = {slot->report.started, now - slot->reported_at,
-                         slot->SentLately(now)};
+                         slot->warmth->SentLately(now)};
       // A new process has lost the old one's cache, load and failures.
       *slot = Server();
       slot->usable_since = now;
     }
   }
+  if (slot->warmth == nullptr) {
+    slot->warmth = &this->warmth[report.name].warmth;
+    slot->first_reported_at = now;
+  }
   if (changes.is_new || slot->report.software != report.software ||
       slot->software == 0) {
     slot->software = Sha256Prefix(report.software);
@@ -328,8 +325,19 @@
     this->RestorePause(*slot, now);
   }
   this->NoteSoftware(report.targets, slot->software, now);
-  slot->cold_until = now + report.cold_for;
-  const TimePoint lease_until = now - report.relayed_for + this->limits.lease;
+  const TimePoint sent = now - report.relayed_for;
+  const bool is_replaced =
+      report.started > std::chrono::milliseconds(0) &&
+      report.started <= this->warmth.at(report.name).replaced;
+  if (!is_replaced) {
+    slot->warmth->NoteReport(sent, report.cold_for, now);
+  }
+  const auto reopened_at = this->reopened.find(report.data_centre);
+  const TimePoint valid_from = reopened_at == this->reopened.end()
+                                   ? this->start
+                                   : std::max(this->start, reopened_at->second);
+  slot->warmth->NoteReopened(valid_from, this->limits.doubt, now);
+  const TimePoint lease_until = sent + this->limits.lease;
   slot->lease_until = std::max(slot->lease_until, lease_until);
   slot->load_measured = now - report.age;
   slot->DropSentBefore(slot->load_measured);
@@ -400,6 +408,10 @@
     }
     this->servers.erase(name);
   }
+  std::erase_if(this->warmth, [&](const auto& entry) {
+    return !this->servers.contains(entry.first) &&
+           entry.second.warmth.IsForgettable(now);
+  });
   for (auto* const processes : {&this->departed, &this->paused}) {
     std::erase_if(*processes, [&](const auto& process) {
       return process.second.until <= now;
@@ -473,7 +485,9 @@
                       this->RunTime(*chosen.server, query),
                       report.software,
                       chosen.server->software,
-                      report.started};
+                      report.started,
+                      chosen.server->warmth->IsCold(now),
+                      query.cold_allowance != nullptr};
 }
 
 std::vector<ServerTable::Candidate> ServerTable::Candidates(
@@ -533,14 +547,8 @@
 bool ServerTable::HasColdAllowance(const Server& server,
                                    const ServerQuery& query,
                                    TimePoint now) {
-  if (server.cold_until <= now || !query.cold_allowance) {
-    return true;
-  }
-  const auto recent =
-      std::count_if(server.cold_sends.begin(), server.cold_sends.end(),
-                    [&](TimePoint sent) { return now - sent <= kColdSpan; });
-  return static_cast<std::uint32_t>(recent) <
-         query.cold_allowance(server.report.name);
+  return !query.cold_allowance || !server.warmth->IsCold(now) ||
+         server.warmth->MaySend(query.cold_allowance(server.report.name), now);
 }
 
 void ServerTable::NoteWork(const ServerQuery& query,
@@ -591,9 +599,13 @@
     return std::nullopt;
   }
   const Server& server = *found->second;
-  return ServerBelief{server.report.started, server.report.sequence,
-                      now - server.reported_at, server.cold_until > now,
-                      server.SentLately(now)};
+  const auto doubt = server.warmth->Doubt(now);
+  return ServerBelief{server.report.started,
+                      server.report.sequence,
+                      now - server.reported_at,
+                      server.warmth->IsCold(now),
+                      doubt ? std::optional(now - doubt->last) : std::nullopt,
+                      server.warmth->SentLately(now)};
 }
 
 void ServerTable::NoteSent(const BackendServerName& name,
@@ -610,26 +622,21 @@
   server.own_running += 1;
   server.pending_prefill += prompt_tokens;
   server.sent.push_back(now);
-  server.recent_sends.push_back(now);
-  while (now - server.recent_sends.front() > kColdSpan) {
-    server.recent_sends.pop_front();
-  }
+  server.warmth->NoteSent(now);
   if (server.limit) {
     server.limit->FillTo(now);
     server.limit->level = std::max(0.0, server.limit->level - 1);
   }
   server.gate.NoteSent();
-  if (server.cold_until > now) {
-    server.cold_sends.push_back(now);
-    while (now - server.cold_sends.front() > kColdSpan) {
-      server.cold_sends.pop_front();
-    }
-  }
 }
 
 void ServerTable::ReturnAllowance(const BackendServerName& name) {
   Server* const server = this->Find(name);
-  if (server != nullptr && server->limit) {
+  if (server == nullptr) {
+    return;
+  }
+  server->warmth->ReturnSent();
+  if (server->limit) {
     server->limit->level += 1;
   }
 }
@@ -727,7 +734,9 @@
            pause->second.started != chosen.started;
   }
   const Server& server = *found->second;
-  return !server.report.leaving &&
+  const bool turned_cold =
+      chosen.limits_cold && !chosen.is_cold && server.warmth->IsCold(now);
+  return !server.report.leaving && !turned_cold &&
          (!server.paused_until || *server.paused_until <= now);
 }
 
@@ -980,17 +989,17 @@
       server.silent_since = now;
       break;
     case HealthSignal::kUnreachable:
-      this->Eject(server, sent, now);
+      this->Eject(server, signal, sent, now);
       break;
     case HealthSignal::kBroken:
       server.broken_responses += 1;
       if (server.broken_responses >= kBreaksToEject || server.failures > 0) {
-        this->Eject(server, sent, now);
+        this->Eject(server, signal, sent, now);
       }
       break;
     case HealthSignal::kSilent:
       if (server.last_alive <= sent) {
-        this->Eject(server, sent, now);
+        this->Eject(server, signal, sent, now);
       }
       break;
     case HealthSignal::kInconclusive:
@@ -998,15 +1007,110 @@
   }
 }
 
-void ServerTable::NoteAlive(const BackendServerName& name, TimePoint now) {
+void ServerTable::NoteAlive(const BackendServerName& name,
+                            TimePoint opened,
+                            TimePoint now) {
   Server* const server = this->Find(name);
   if (server != nullptr) {
     server->last_alive = now;
     server->silent_since = now;
+    server->warmth->NoteBytes(opened, now);
+  }
+}
+
+void ServerTable::NoteLostConnection(const ServerChoice& chosen,
+                                     TimePoint opened,
+                                     TimePoint now) {
+  Server* const server = this->Find(chosen.name);
+  // A connection to the former process says nothing about its successor.
+  const bool is_of_former = server == nullptr ||
+                            server->report.started != chosen.started ||
+                            opened < server->first_reported_at;
+  if (!is_of_former && this->Doubt(*server, now)) {
+    WarmthRecord& record = this->warmth.at(chosen.name);
+    record.seen = now;
+    record.is_due = true;
+  }
+}
+
+void ServerTable::NoteRefusedConnection(const ServerChoice& chosen,
+                                        TimePoint now) {
+  const Server* const server = this->Find(chosen.name);
+  // The refused request still counts as running.
+  if (server != nullptr && server->own_running <= 1) {
+    this->NoteLostConnection(chosen, now, now);
+  }
+}
+
+bool ServerTable::Doubt(Server& server, TimePoint now) const {
+  return server.warmth->NoteSigns({now, now}, this->limits.doubt, now);
+}
+
+bool ServerTable::NoteDoubt(const ServerDoubt& doubt, TimePoint now) {
+  const Server* const server = this->Find(doubt.server);
+  const bool is_of_former = server != nullptr &&
+                            doubt.started != std::chrono::milliseconds(0) &&
+                            doubt.started < server->report.started;
+  const auto known = this->warmth.find(doubt.server);
+  // Reports from before this host's start show no warmth anyway.
+  if (is_of_former || known == this->warmth.end()) {
+    return false;
+  }
+  WarmthRecord& record = known->second;
+  record.told = std::max(record.told, doubt.signs.last);
+  if (doubt.is_replaced) {
+    record.replaced = std::max(record.replaced, doubt.started);
+  }
+  return record.warmth.NoteSigns(doubt.signs, this->limits.doubt, now);
+}
+
+std::vector<ServerDoubt> ServerTable::TakeDoubts(TimePoint now) {
+  std::vector<ServerDoubt> due;
+  for (const auto& [name, server] : this->servers) {
+    WarmthRecord& record = this->warmth.at(name);
+    const auto doubt = record.warmth.Doubt(now);
+    const bool is_told = doubt && record.told >= doubt->first &&
+                         doubt->last - record.told < kTellAgain;
+    if (std::exchange(record.is_due, false) && doubt && !is_told) {
+      record.told = doubt->last;
+      due.push_back({name, server->report.started, *doubt});
+    }
   }
+  return due;
 }
 
-void ServerTable::Eject(Server& server, TimePoint sent, TimePoint now) {
+std::vector<ServerDoubt> ServerTable::OwnDoubts(TimePoint now) const {
+  std::vector<ServerDoubt> own;
+  for (const auto& [name, server] : this->servers) {
+    const WarmthRecord& record = this->warmth.at(name);
+    const auto doubt = record.warmth.Doubt(now);
+    if (doubt && record.seen && *record.seen >= doubt->first) {
+      own.push_back(
+          {name, server->report.started, {doubt->first, *record.seen}});
+    }
+  }
+  return own;
+}
+
+void ServerTable::SetClosed(const std::set<DataCentreName>& data_centres,
+                            TimePoint now) {
+  for (const DataCentreName& data_centre : this->closed) {
+    if (!data_centres.contains(data_centre)) {
+      this->reopened[data_centre] = now;
+      for (const auto& [name, server] : this->servers) {
+        if (server->report.data_centre == data_centre) {
+          server->warmth->NoteReopened(now, this->limits.doubt, now);
+        }
+      }
+    }
+  }
+  this->closed = data_centres;
+}
+
+void ServerTable::Eject(Server& server,
+                        HealthSignal signal,
+                        TimePoint sent,
+                        TimePoint now) {
   if (server.failures > 0 && sent < server.ejected_until) {
     return;
   }
@@ -1020,6 +1124,13 @@
   server.usable_since = server.ejected_until;
   server.prefixes.clear();
   server.prefix_order.clear();
+  // The process that failed may have been replaced already, and one that runs
+  // other requests may have refused a connection because it has too many.
+  const bool is_full =
+      signal == HealthSignal::kUnreachable && server.own_running > 0;
+  if (sent >= server.first_reported_at && !is_full) {
+    this->Doubt(server, now);
+  }
 }
 
 void ServerTable::NotePrefix(const BackendServerName& name,
@@ -1050,7 +1161,7 @@
     if (this->IsUsable(*server, false, now)) {
       // A cold server sustains a few requests per second only, however many
       // slots it has.
-      slots += server->cold_until > now
+      slots += server->warmth->IsCold(now)
                    ? 1
                    : std::min(this->RampedSlots(*server, now),
                               this->SlotsWithinLimit(*server, target));
--- a/packages/policy/tests/server_report_tests.cc
+++ b/packages/policy/tests/server_report_tests.cc
@@ -240,13 +240,13 @@
   this->table.NoteSent(name, 0, this->clock.Now());
   for (int i = 0; i < 5; ++i) {
     this->clock.Advance(milliseconds(1'000));
-    this->table.NoteAlive(name, this->clock.Now());
+    this->table.NoteAlive(name, this->clock.Now(), this->clock.Now());
     this->table.Announce(Report("x", 100, 5 + i), this->clock.Now());
     EXPECT_TRUE(this->IsPicked());
   }
   this->clock.Advance(milliseconds(1'501));
   EXPECT_FALSE(this->IsPicked());
-  this->table.NoteAlive(name, this->clock.Now());
+  this->table.NoteAlive(name, this->clock.Now(), this->clock.Now());
   EXPECT_TRUE(this->IsPicked());
 }
 
@@ -258,7 +258,8 @@
 TEST_F(ServerHealth, ServerThatRespondsToOtherRequestsIsNotSilent) {
   const TimePoint sent = this->clock.Now();
   this->clock.Advance(milliseconds(500));
-  this->table.NoteAlive(BackendServerName("x"), this->clock.Now());
+  this->table.NoteAlive(BackendServerName("x"), this->clock.Now(),
+                        this->clock.Now());
   this->clock.Advance(milliseconds(500));
   this->Finish(HealthSignal::kSilent, sent);
   EXPECT_TRUE(this->IsPicked());
