control: a host keeps its source of reports while the order of sources changes

Cause: RosterFollower kept the position of its source in a list that is reordered when a host is counted as lost, and so went on to a host that it had not chosen, often one of another region without the region's reports, for up to five seconds. Change: the source is kept by name.

--- a/packages/control/include/tamarackwing/control/roster_follower.h
+++ b/packages/control/include/tamarackwing/control/roster_follower.h
@@ -49,8 +49,6 @@
   //! When each request without a reply was sent.
   std::map<std::uint64_t, TimePoint> asked;
   HostName source;
-  //! Position of `source` in the sources' order.
-  std::size_t position = 0;
   TimePoint last_reply;
   TimePoint source_since;
   RosterCursor known;
--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -33,12 +33,16 @@
   this->due_at = now + this->interval;
   const bool is_silent =
       now - this->last_reply > kMaxSilentIntervals * this->interval;
-  if (this->position != 0 && now - this->source_since >= kRetryBest) {
-    this->position = 0;
-  } else if (is_silent && !this->source.IsEmpty()) {
-    this->position = (this->position + 1) % sources.size();
+  // The sources' order changes while hosts are counted as lost.
+  const auto current = std::find(sources.begin(), sources.end(), this->source);
+  const bool tries_best =
+      current == sources.end() ||
+      (current != sources.begin() && now - this->source_since >= kRetryBest);
+  auto next = tries_best ? sources.begin() : current;
+  if (!tries_best && is_silent && ++next == sources.end()) {
+    next = sources.begin();
   }
-  const HostName& chosen = sources[this->position % sources.size()];
+  const HostName& chosen = *next;
   if (chosen != this->source) {
     this->source = chosen;
     this->source_since = now;
