control, hosts, daemon: hosts tell their region of servers that may have started anew

Change: lost connections go to the other entry hosts of the region with the next tick, joined, once for all that saw them; region statuses repeat those that still count. A control host that gets the report of another process, or of a warm server that is cold again, tells the region before it is asked.

--- a/packages/control/include/tamarackwing/control/control_effects.h
+++ b/packages/control/include/tamarackwing/control/control_effects.h
@@ -27,6 +27,12 @@
   ProbeReply reply;
 };
 
+//! Signs received from another host; see ServerDoubts.
+struct DoubtsUpdate {
+  HostName from;
+  std::vector<HeardDoubt> doubts;
+};
+
 //! The actions that a control node requests from its caller. Log batches must
 //! be written in order, and so must ledger batches; all other actions may be
 //! taken in any order.
@@ -45,6 +51,7 @@
   std::vector<ProbeResult> probes;
   //! Reports of backend servers of this region, for this entry host.
   std::vector<policy::ServerReport> servers;
+  std::vector<DoubtsUpdate> doubts;
   //! Whether the traffic threads need a new snapshot.
   bool snapshot_changed = false;
 };
--- a/packages/control/include/tamarackwing/control/control_node.h
+++ b/packages/control/include/tamarackwing/control/control_node.h
@@ -120,12 +120,19 @@
   //! Updates the next report to the hosts of this region from `status`: its
   //! loads replace those of the report; its served tokens and server reports
   //! are added. `loads` are this region's loads, sent in reply to probes.
-  void SetRegionStatus(RegionStatus status, std::vector<TargetLoad> loads);
+  void SetRegionStatus(RegionStatus status,
+                       std::vector<TargetLoad> loads,
+                       TimePoint now);
   //! Sends a probe to a host of another region.
   ControlEffects Probe(const HostName& host, std::uint64_t number);
   //! Records a backend server's report and forwards it to the hosts with disks
-  //! in its region, at once or with the next batch.
+  //! in its region, at once or with the next batch. The entry hosts of its
+  //! region hear with the next tick that the server was replaced or turned
+  //! cold.
   ControlEffects RelayServer(const policy::ServerReport& report, TimePoint now);
+  //! Tells the other entry hosts of this region of signs that the processes of
+  //! backend servers may have been replaced.
+  ControlEffects TellDoubts(std::vector<HeardDoubt> doubts);
   //! Requests this host's shares of the workspaces' rates from the leader; the
   //! reply appears in ControlEffects::rate_grants. Does nothing if no leader is
   //! known.
@@ -218,6 +225,10 @@
                         const WithdrawalNotice& notice,
                         TimePoint now,
                         ControlEffects& effects);
+  //! Sends signs to the entry hosts of a region.
+  void SendDoubts(const RegionName& region,
+                  std::vector<HeardDoubt> doubts,
+                  ControlEffects& effects) const;
   void HandleRegionStatus(const HostName& from,
                           const RegionStatus& status,
                           ControlEffects& effects);
@@ -367,7 +378,12 @@
   LogIndex appended_set_index = 0;
   std::map<std::string, LogIndex> pending_tasks;
   std::set<KeyDigest> uncommitted_withdrawn;
+  //! Backend servers that have reported from another process, or that they are
+  //! cold again, by region, for the entry hosts there.
+  std::map<RegionName, std::vector<HeardDoubt>> turned_cold;
   RegionStatus region_status;
+  //! When the ages of its doubts were right.
+  TimePoint doubts_at;
   std::vector<TargetLoad> region_loads;
   std::map<HostName, std::uint64_t> status_number;
   std::map<HostName, std::map<std::uint64_t, TimePoint>> status_sent;
--- a/packages/control/include/tamarackwing/control/peer_message.h
+++ b/packages/control/include/tamarackwing/control/peer_message.h
@@ -132,6 +132,22 @@
   std::chrono::milliseconds age{0};
 };
 
+//! Signs that the process of a backend server may have been replaced, as the
+//! sender knows them; see policy::ServerDoubt.
+struct HeardDoubt {
+  BackendServerName server;
+  std::chrono::milliseconds started{0};
+  //! Time since the first and the last sign when the message was sent.
+  std::chrono::milliseconds first_age{0};
+  std::chrono::milliseconds last_age{0};
+  bool is_replaced = false;
+};
+
+//! Signs that the sender has seen, for the entry hosts of the servers' region.
+struct ServerDoubts {
+  std::vector<HeardDoubt> doubts;
+};
+
 //! The status that a host sends to the others of its region, a few times a
 //! second.
 struct RegionStatus {
@@ -149,6 +165,9 @@
   //! Backend servers' reports that the sender received directly.
   std::vector<policy::ServerReport> servers;
   std::vector<HeardLimit> limits;
+  //! Signs that the sender has seen itself and that still count; see
+  //! ServerDoubts. A host that missed a notice hears of them here.
+  std::vector<HeardDoubt> doubts;
 };
 
 //! Requests the load of the recipient's region.
@@ -245,7 +264,8 @@
                                  policy::TokenReturn,
                                  RelayedNotice,
                                  policy::LoadReport,
-                                 policy::LoadSummary>;
+                                 policy::LoadSummary,
+                                 ServerDoubts>;
 
 //! A message and its recipient.
 struct PeerSend {
--- a/packages/control/include/tamarackwing/control/server_roster.h
+++ b/packages/control/include/tamarackwing/control/server_roster.h
@@ -23,6 +23,9 @@
   //! new; false for a renewal, for one that is older than the last, and once
   //! the roster is full.
   bool Note(const policy::ServerReport& report, TimePoint sent);
+  //! Returns the last report of a server, valid until the next change of the
+  //! roster; null if it is unknown.
+  const policy::ServerReport* Find(const BackendServerName& name) const;
   //! Returns what a host lacks.
   RosterReply Reply(const RosterRequest& request, TimePoint now) const;
   //! Forgets servers that have not reported for a while.
--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -156,6 +156,9 @@
   if (now >= this->relay_at) {
     this->SendServerReports(now, effects);
   }
+  for (auto& [region, doubts] : std::exchange(this->turned_cold, {})) {
+    this->SendDoubts(region, std::move(doubts), effects);
+  }
   this->FetchRoster(now, effects);
   if (this->log.IsLeader() && now >= this->leader_tasks_at) {
     this->leader_tasks_at = now + this->options.report / 2;
@@ -202,6 +205,8 @@
     effects.statuses.push_back(*status_reply);
   } else if (const auto* servers = std::get_if<ServerReports>(&message)) {
     this->HandleServerReports(*servers, now, effects);
+  } else if (const auto* doubts = std::get_if<ServerDoubts>(&message)) {
+    effects.doubts.push_back({from, doubts->doubts});
   } else if (const auto* roster_request =
                  std::get_if<RosterRequest>(&message)) {
     this->HandleRosterRequest(from, *roster_request, now, effects);
@@ -343,10 +348,13 @@
 }
 
 void ControlNode::SetRegionStatus(RegionStatus status,
-                                  std::vector<TargetLoad> loads) {
+                                  std::vector<TargetLoad> loads,
+                                  TimePoint now) {
   RegionStatus& next = this->region_status;
   next.loads = std::move(status.loads);
   next.limits = std::move(status.limits);
+  next.doubts = std::move(status.doubts);
+  this->doubts_at = now;
   if (next.links_down != status.links_down) {
     next.links_down = status.links_down;
     this->region_report_at = TimePoint();
@@ -371,6 +379,17 @@
 ControlEffects ControlNode::RelayServer(const policy::ServerReport& report,
                                         TimePoint now) {
   ControlEffects effects;
+  const policy::ServerReport* const last = this->roster.Find(report.name);
+  const bool is_replaced = last != nullptr && last->started < report.started;
+  const bool turned_cold = last != nullptr && last->started == report.started &&
+                           last->cold_for == milliseconds(0) &&
+                           report.cold_for > milliseconds(0);
+  if ((is_replaced || turned_cold) && !report.leaving) {
+    HeardDoubt& doubt = this->turned_cold[report.region].emplace_back();
+    doubt.server = report.name;
+    doubt.started = last->started;
+    doubt.is_replaced = is_replaced;
+  }
   const bool is_news = this->roster.Note(report, now);
   if (this->relay.AddReport(report, now) || is_news) {
     this->SendServerReports(now, effects);
@@ -378,6 +397,27 @@
   return effects;
 }
 
+ControlEffects ControlNode::TellDoubts(std::vector<HeardDoubt> doubts) {
+  ControlEffects effects;
+  this->SendDoubts(this->options.self.region, std::move(doubts), effects);
+  return effects;
+}
+
+void ControlNode::SendDoubts(const RegionName& region,
+                             std::vector<HeardDoubt> doubts,
+                             ControlEffects& effects) const {
+  if (doubts.empty()) {
+    return;
+  }
+  const ServerDoubts message{std::move(doubts)};
+  for (const auto& [name, host] : this->state.Hosts()) {
+    if (host.region == region && host.IsEntryHost() &&
+        name != this->options.self.name) {
+      effects.sends.push_back({name, message});
+    }
+  }
+}
+
 ControlEffects ControlNode::ReportRates(const policy::RateReport& report,
                                         TimePoint now) {
   ControlEffects effects;
@@ -1152,6 +1192,11 @@
   RegionStatus status = this->region_status;
   status.epoch = view == this->state.Views().end() ? 0 : view->second.epoch;
   status.draining = this->draining;
+  const auto waited = std::chrono::floor<milliseconds>(now - this->doubts_at);
+  for (HeardDoubt& doubt : status.doubts) {
+    doubt.first_age += waited;
+    doubt.last_age += waited;
+  }
   for (const HostName& peer : peers) {
     const auto last =
         this->status_number.try_emplace(peer, this->options.self.incarnation);
--- a/packages/control/src/message_kind.cc
+++ b/packages/control/src/message_kind.cc
@@ -17,7 +17,7 @@
                   "stream_query",  "stream_answer",  "roster_request",
                   "roster_reply",  "token_request",  "token_reply",
                   "token_return",  "relayed_notice", "load_report",
-                  "load_summary"};
+                  "load_summary",  "server_doubts"};
 
 }  // namespace
 
--- a/packages/control/src/server_roster.cc
+++ b/packages/control/src/server_roster.cc
@@ -76,6 +76,12 @@
   return true;
 }
 
+const policy::ServerReport* ServerRoster::Find(
+    const BackendServerName& name) const {
+  const auto known = this->servers.find(name);
+  return known == this->servers.end() ? nullptr : &known->second.report;
+}
+
 RosterReply ServerRoster::Reply(const RosterRequest& request,
                                 TimePoint now) const {
   const bool is_known = request.known.epoch == this->epoch;
--- a/packages/control/tests/control_cluster.cc
+++ b/packages/control/tests/control_cluster.cc
@@ -299,6 +299,11 @@
   this->ApplyEffects(host, this->Node(host).RelayServer(report, this->now));
 }
 
+void ControlCluster::TellDoubts(const HostName& host,
+                                std::vector<HeardDoubt> doubts) {
+  this->ApplyEffects(host, this->Node(host).TellDoubts(std::move(doubts)));
+}
+
 std::uint64_t ControlCluster::RequestPermitAt(const HostName& host,
                                               const std::string& region,
                                               const std::string& operation) {
@@ -436,6 +441,10 @@
   for (const policy::ServerReport& report : effects.servers) {
     this->servers[host][report.name] = report;
   }
+  for (const DoubtsUpdate& update : effects.doubts) {
+    std::vector<HeardDoubt>& told = this->doubts[host];
+    told.insert(told.end(), update.doubts.begin(), update.doubts.end());
+  }
   this->notices[host] += effects.quarantine_notices.size();
   for (const ChangeDone& done : effects.changes) {
     this->outcomes[{host, done.number}] = done.outcome;
--- a/packages/control/tests/control_cluster.h
+++ b/packages/control/tests/control_cluster.h
@@ -124,6 +124,12 @@
       const HostName& host) {
     return this->servers[host];
   }
+  //! Tells the host's region of signs that a server was replaced.
+  void TellDoubts(const HostName& host, std::vector<HeardDoubt> doubts);
+  //! Returns the signs that a host was told.
+  const std::vector<HeardDoubt>& DoubtsToldTo(const HostName& host) {
+    return this->doubts[host];
+  }
   //! Requests a permit. Returns its number for Verdict.
   std::uint64_t RequestPermitAt(const HostName& host,
                                 const std::string& region,
@@ -235,6 +241,7 @@
   std::uint64_t entries_sent = 0;
   std::map<std::string, std::uint64_t> sent_by_kind;
   std::map<HostName, std::map<BackendServerName, policy::ServerReport>> servers;
+  std::map<HostName, std::vector<HeardDoubt>> doubts;
   std::map<HostName, std::size_t> notices;
   TokenCount tokens = 0;
 };
--- a/packages/control/tests/message_kind_tests.cc
+++ b/packages/control/tests/message_kind_tests.cc
@@ -11,6 +11,7 @@
   EXPECT_EQ(MessageKind(PeerMessage(policy::StreamAnswer())), "stream_answer");
   EXPECT_EQ(MessageKind(PeerMessage(policy::TokenReturn())), "token_return");
   EXPECT_EQ(MessageKind(PeerMessage(RelayedNotice())), "relayed_notice");
+  EXPECT_EQ(MessageKind(PeerMessage(ServerDoubts())), "server_doubts");
 }
 
 // Guards against a request or an outcome that is not sent.
--- a/packages/control/tests/roster_tests.cc
+++ b/packages/control/tests/roster_tests.cc
@@ -165,6 +165,22 @@
   EXPECT_GT(std::count(asked.begin(), asked.end(), "b"), 15);
 }
 
+// Guards against reports from a host of another region, which may have none.
+TEST_F(RosterTest, SourceIsKeptWhileALostHostMovesToTheEndOfTheOrder) {
+  const HostName first("core-1");
+  const HostName second("core-2");
+  const HostName remote("core-9");
+  HostName asked;
+  for (int i = 0; i < 6; ++i) {
+    asked = this->follower.Due({first, second, remote}, this->clock.Now())->to;
+    this->clock.Advance(kInterval);
+  }
+  ASSERT_EQ(asked, second);
+  const auto request =
+      this->follower.Due({second, remote, first}, this->clock.Now());
+  EXPECT_EQ(request->to, second);
+}
+
 TEST_F(RosterTest, FullRosterTakesNoMoreNames) {
   for (int i = 0; i < 20'000; ++i) {
     this->roster.Note(Report("s" + std::to_string(i), 1), this->clock.Now());
@@ -382,5 +398,65 @@
   }
 }
 
+//! Returns how many signs each entry host of a region was told.
+std::set<std::size_t> DoubtsToldIn(RosterFleet& fleet,
+                                   const std::string& region,
+                                   int entry_hosts,
+                                   const std::string& but = "") {
+  std::set<std::size_t> counts;
+  for (int i = 103; i < 103 + entry_hosts; ++i) {
+    const std::string name = region + "-" + std::to_string(i);
+    if (name != but) {
+      counts.insert(fleet.cluster.DoubtsToldTo(HostName(name)).size());
+    }
+  }
+  return counts;
+}
+
+// Guards against a flood of a server that starts again before its first report
+// reaches the hosts (issue 64).
+TEST(RosterFleet, EntryHostsHearAtOnceOfAServerThatWasReplacedOrIsColdAgain) {
+  constexpr int kEntryHosts = 5;
+  RosterFleet fleet(kEntryHosts);
+  ASSERT_TRUE(fleet.cluster.RunUntil([&] { return fleet.cluster.AllReady(); },
+                                     milliseconds(20'000)));
+  const HostName control("muscat-100");
+  fleet.Round(2, {control.Text()});
+  policy::ServerReport cold = Report("i-0", 5);
+  cold.cold_for = milliseconds(3'000);
+  fleet.cluster.RelayServer(control, cold);
+  policy::ServerReport replaced = Report("i-1", 1);
+  replaced.started = milliseconds(200);
+  fleet.cluster.RelayServer(control, replaced);
+  fleet.cluster.Run(milliseconds(150));
+  EXPECT_EQ(DoubtsToldIn(fleet, "muscat", kEntryHosts),
+            std::set<std::size_t>{2});
+  EXPECT_EQ(DoubtsToldIn(fleet, "sohar", kEntryHosts),
+            std::set<std::size_t>{0});
+  const auto& told = fleet.cluster.DoubtsToldTo(HostName("muscat-103"));
+  EXPECT_FALSE(told.at(0).is_replaced);
+  EXPECT_TRUE(told.at(1).is_replaced);
+  EXPECT_EQ(told.at(1).started, milliseconds(100));
+  fleet.Round(1, {control.Text()});
+  EXPECT_EQ(told.size(), 2U);
+}
+
+TEST(RosterFleet, SignsReachTheOtherEntryHostsOfTheRegionOnly) {
+  constexpr int kEntryHosts = 5;
+  RosterFleet fleet(kEntryHosts);
+  ASSERT_TRUE(fleet.cluster.RunUntil([&] { return fleet.cluster.AllReady(); },
+                                     milliseconds(20'000)));
+  HeardDoubt doubt;
+  doubt.server = BackendServerName("i-0");
+  fleet.cluster.TellDoubts(HostName("muscat-103"), {doubt, doubt});
+  fleet.cluster.Run(milliseconds(150));
+  EXPECT_EQ(DoubtsToldIn(fleet, "muscat", kEntryHosts, "muscat-103"),
+            std::set<std::size_t>{2});
+  EXPECT_EQ(DoubtsToldIn(fleet, "sohar", kEntryHosts),
+            std::set<std::size_t>{0});
+  EXPECT_EQ(fleet.cluster.MessagesOfKind("server_doubts"),
+            static_cast<std::uint64_t>(kEntryHosts - 1));
+}
+
 }  // namespace
 }  // namespace tamarackwing::control
--- a/packages/hosts/src/peer.capnp
+++ b/packages/hosts/src/peer.capnp
@@ -282,6 +282,14 @@
   ageMs @2 :Int64;
 }
 
+struct ServerDoubt {
+  server @0 :Text;
+  startedMs @1 :Int64;
+  firstAgeMs @2 :Int64;
+  lastAgeMs @3 :Int64;
+  isReplaced @4 :Bool;
+}
+
 struct RegionStatus {
   number @0 :UInt64;
   echo @1 :UInt64;
@@ -292,6 +300,7 @@
   servers @6 :List(ServerReport);
   limits @7 :List(HeardLimit);
   linksDown @8 :Bool;
+  doubts @9 :List(ServerDoubt);
 }
 
 struct ProbeReply {
@@ -485,5 +494,6 @@
     relayedNotice @39 :RelayedNotice;
     loadReport @40 :ServerUses;
     loadSummary @41 :ServerUses;
+    serverDoubts @42 :List(ServerDoubt);
   }
 }
--- a/packages/hosts/src/peer.capnp.h
+++ b/packages/hosts/src/peer.capnp.h
@@ -58,6 +58,7 @@
 CAPNP_DECLARE_SCHEMA(d0ebb20da2522cce);
 CAPNP_DECLARE_SCHEMA(b765589f4b36017c);
 CAPNP_DECLARE_SCHEMA(d735796dd5548ab4);
+CAPNP_DECLARE_SCHEMA(c2d3d71b4e763e4f);
 CAPNP_DECLARE_SCHEMA(b46a10f79bb2e486);
 CAPNP_DECLARE_SCHEMA(b04129bc28fb0554);
 CAPNP_DECLARE_SCHEMA(a40b44560d9320af);
@@ -684,6 +685,21 @@
   };
 };
 
+struct ServerDoubt {
+  ServerDoubt() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c2d3d71b4e763e4f, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RegionStatus {
   RegionStatus() = delete;
 
@@ -692,7 +708,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b46a10f79bb2e486, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b46a10f79bb2e486, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1093,6 +1109,7 @@
     RELAYED_NOTICE,
     LOAD_REPORT,
     LOAD_SUMMARY,
+    SERVER_DOUBTS,
   };
 
   struct _capnpPrivate {
@@ -4996,6 +5013,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServerDoubt::Reader {
+public:
+  typedef ServerDoubt Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::int64_t getStartedMs() const;
+
+  inline  ::int64_t getFirstAgeMs() const;
+
+  inline  ::int64_t getLastAgeMs() const;
+
+  inline bool getIsReplaced() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerDoubt::Builder {
+public:
+  typedef ServerDoubt Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline  ::int64_t getFirstAgeMs();
+  inline void setFirstAgeMs( ::int64_t value);
+
+  inline  ::int64_t getLastAgeMs();
+  inline void setLastAgeMs( ::int64_t value);
+
+  inline bool getIsReplaced();
+  inline void setIsReplaced(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerDoubt::Pipeline {
+public:
+  typedef ServerDoubt Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RegionStatus::Reader {
 public:
   typedef RegionStatus Reads;
@@ -5035,6 +5153,9 @@
 
   inline bool getLinksDown() const;
 
+  inline bool hasDoubts() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader getDoubts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5106,6 +5227,13 @@
   inline bool getLinksDown();
   inline void setLinksDown(bool value);
 
+  inline bool hasDoubts();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder getDoubts();
+  inline void setDoubts( ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder initDoubts(unsigned int size);
+  inline void adoptDoubts(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>> disownDoubts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7484,6 +7612,10 @@
   inline bool hasLoadSummary() const;
   inline  ::tamarackwing::hosts::wire::ServerUses::Reader getLoadSummary() const;
 
+  inline bool isServerDoubts() const;
+  inline bool hasServerDoubts() const;
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader getServerDoubts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7842,6 +7974,14 @@
   inline void adoptLoadSummary(::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses>&& value);
   inline ::capnp::Orphan< ::tamarackwing::hosts::wire::ServerUses> disownLoadSummary();
 
+  inline bool isServerDoubts();
+  inline bool hasServerDoubts();
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder getServerDoubts();
+  inline void setServerDoubts( ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder initServerDoubts(unsigned int size);
+  inline void adoptServerDoubts(::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>> disownServerDoubts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11563,6 +11703,96 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerDoubt::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerDoubt::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerDoubt::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerDoubt::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerDoubt::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerDoubt::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerDoubt::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerDoubt::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ServerDoubt::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerDoubt::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerDoubt::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerDoubt::Reader::getFirstAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerDoubt::Builder::getFirstAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServerDoubt::Builder::setFirstAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServerDoubt::Reader::getLastAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerDoubt::Builder::getLastAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerDoubt::Builder::setLastAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerDoubt::Reader::getIsReplaced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerDoubt::Builder::getIsReplaced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void ServerDoubt::Builder::setIsReplaced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RegionStatus::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -11769,6 +11999,40 @@
       ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RegionStatus::Reader::hasDoubts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool RegionStatus::Builder::hasDoubts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader RegionStatus::Reader::getDoubts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::getDoubts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void RegionStatus::Builder::setDoubts( ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder RegionStatus::Builder::initDoubts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void RegionStatus::Builder::adoptDoubts(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>> RegionStatus::Builder::disownDoubts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ProbeReply::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -15696,6 +15960,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isServerDoubts() const {
+  return which() == PeerMessage::SERVER_DOUBTS;
+}
+inline bool PeerMessage::Builder::isServerDoubts() {
+  return which() == PeerMessage::SERVER_DOUBTS;
+}
+inline bool PeerMessage::Reader::hasServerDoubts() const {
+  if (which() != PeerMessage::SERVER_DOUBTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasServerDoubts() {
+  if (which() != PeerMessage::SERVER_DOUBTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Reader::getServerDoubts() const {
+  KJ_IREQUIRE((which() == PeerMessage::SERVER_DOUBTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::getServerDoubts() {
+  KJ_IREQUIRE((which() == PeerMessage::SERVER_DOUBTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setServerDoubts( ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::SERVER_DOUBTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::initServerDoubts(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::SERVER_DOUBTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Builder::adoptServerDoubts(
+    ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::SERVER_DOUBTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>> PeerMessage::Builder::disownServerDoubts() {
+  KJ_IREQUIRE((which() == PeerMessage::SERVER_DOUBTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::tamarackwing::hosts::wire::ServerDoubt,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/packages/hosts/src/wire_codec.cc
+++ b/packages/hosts/src/wire_codec.cc
@@ -361,6 +361,24 @@
   out.setAgeMs(limit.age.count());
 }
 
+void Write(const control::HeardDoubt& doubt, wire::ServerDoubt::Builder out) {
+  out.setServer(ToText(doubt.server.Text()));
+  out.setStartedMs(doubt.started.count());
+  out.setFirstAgeMs(doubt.first_age.count());
+  out.setLastAgeMs(doubt.last_age.count());
+  out.setIsReplaced(doubt.is_replaced);
+}
+
+control::HeardDoubt Read(wire::ServerDoubt::Reader in) {
+  control::HeardDoubt doubt;
+  doubt.server = BackendServerName(ToString(in.getServer()));
+  doubt.started = milliseconds(in.getStartedMs());
+  doubt.first_age = ReadSpan(in.getFirstAgeMs());
+  doubt.last_age = ReadSpan(in.getLastAgeMs());
+  doubt.is_replaced = in.getIsReplaced();
+  return doubt;
+}
+
 void Write(const policy::CrashSuspect& suspect,
            wire::CrashSuspect::Builder out) {
   out.setBlock(suspect.block);
@@ -582,6 +600,8 @@
               to.initServers(static_cast<unsigned>(value.servers.size())));
     WriteList(value.limits,
               to.initLimits(static_cast<unsigned>(value.limits.size())));
+    WriteList(value.doubts,
+              to.initDoubts(static_cast<unsigned>(value.doubts.size())));
   }
   void operator()(const policy::LoadReport& value) {
     WriteUses(value, this->out.initLoadReport());
@@ -591,6 +611,10 @@
     WriteUses(value, to);
     to.setHosts(value.hosts);
   }
+  void operator()(const control::ServerDoubts& value) {
+    WriteList(value.doubts, this->out.initServerDoubts(
+                                static_cast<unsigned>(value.doubts.size())));
+  }
   void operator()(const control::ProbeRequest& value) {
     this->out.setProbeRequest(value.number);
   }
@@ -805,6 +829,15 @@
   return reply;
 }
 
+std::vector<control::HeardDoubt> ReadDoubts(
+    capnp::List<wire::ServerDoubt>::Reader in) {
+  std::vector<control::HeardDoubt> doubts;
+  for (const auto doubt : in) {
+    doubts.push_back(Read(doubt));
+  }
+  return doubts;
+}
+
 control::RegionStatus ReadRegionStatus(wire::RegionStatus::Reader in) {
   control::RegionStatus status;
   status.number = in.getNumber();
@@ -829,6 +862,7 @@
                   : std::optional(static_cast<std::uint64_t>(rate)),
          ReadSpan(limit.getAgeMs())});
   }
+  status.doubts = ReadDoubts(in.getDoubts());
   return status;
 }
 
@@ -1154,6 +1188,8 @@
       summary.hosts = in.getLoadSummary().getHosts();
       return summary;
     }
+    case Wire::SERVER_DOUBTS:
+      return control::ServerDoubts{ReadDoubts(in.getServerDoubts())};
   }
   valid = false;
   return control::ProbeRequest();
--- a/packages/hosts/tests/peer_network_tests.cc
+++ b/packages/hosts/tests/peer_network_tests.cc
@@ -264,6 +264,33 @@
   EXPECT_EQ(got.hosts, 12U);
 }
 
+TEST(PeerNetwork, SignsOfReplacedServersArrive) {
+  std::promise<control::ServerDoubts> arrived;
+  TestPeer second(
+      kSecond, kSecondAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage& message) {
+        arrived.set_value(std::get<control::ServerDoubts>(message));
+      });
+  TestPeer first(
+      kFirst, kFirstAddress,
+      [&](PeerNetwork&, const HostName&, const control::PeerMessage&) {});
+  first.Network().Post([&] {
+    first.Network().SetHosts({RecordOf(kSecond, kSecondAddress)});
+    first.Network().Send(
+        kSecond,
+        control::ServerDoubts{{{BackendServerName("i-1"), milliseconds(100),
+                                milliseconds(30), milliseconds(20), true}}});
+  });
+  auto doubts = arrived.get_future();
+  ASSERT_EQ(doubts.wait_for(kLong), std::future_status::ready);
+  const control::HeardDoubt got = doubts.get().doubts.at(0);
+  EXPECT_EQ(got.server, BackendServerName("i-1"));
+  EXPECT_EQ(got.started, milliseconds(100));
+  EXPECT_EQ(got.first_age, milliseconds(30));
+  EXPECT_EQ(got.last_age, milliseconds(20));
+  EXPECT_TRUE(got.is_replaced);
+}
+
 // Guards against a large message that is sent again and again, because its
 // connection ends while it is on its way.
 TEST(PeerNetwork, LargeMessageArrivesAfterTheCallTimeout) {
--- a/programs/tamarackwingd/src/control_thread.cc
+++ b/programs/tamarackwingd/src/control_thread.cc
@@ -640,6 +640,7 @@
   const TimePoint now = this->dependencies.clock.Now();
   this->dependencies.servers.Expire();
   this->dependencies.prober.Tick();
+  this->TellDoubts();
   this->dependencies.gate.Expire(this->dependencies.traffic_clock.Now());
   this->dependencies.budget.Tick();
   if (now >= this->share_at) {
@@ -735,6 +736,11 @@
   for (const policy::ServerReport& report : effects.servers) {
     this->dependencies.servers.ApplyRelayed(report);
   }
+  for (const control::DoubtsUpdate& update : effects.doubts) {
+    this->dependencies.metrics.Count("tamarackwing_server_doubts_heard_total",
+                                     update.doubts.size());
+    this->ApplyDoubts(update.from, update.doubts);
+  }
   for (const control::ProbeResult& probe_result : effects.probes) {
     this->HandleProbeResult(probe_result);
   }
@@ -753,6 +759,7 @@
         {limit.server, limit.per_kilosecond, now - limit.age},
         update.from.Text());
   }
+  this->ApplyDoubts(update.from, update.status.doubts);
   for (const control::ServedTokens& tokens : update.status.served) {
     const auto workspace = snapshot->set->workspaces.find(tokens.workspace);
     const std::uint32_t weight = workspace == snapshot->set->workspaces.end()
@@ -764,6 +771,42 @@
   this->region_statuses[update.from] = update.status;
 }
 
+void ControlThread::ApplyDoubts(
+    const HostName& from,
+    const std::vector<control::HeardDoubt>& doubts) {
+  const TimePoint now = this->dependencies.clock.Now();
+  for (const control::HeardDoubt& doubt : doubts) {
+    this->dependencies.servers.NoteDoubt(
+        {doubt.server,
+         doubt.started,
+         {now - doubt.first_age, now - doubt.last_age},
+         doubt.is_replaced},
+        from.Text());
+  }
+}
+
+std::vector<control::HeardDoubt> ControlThread::ToHeard(
+    const std::vector<policy::ServerDoubt>& doubts) const {
+  const TimePoint now = this->dependencies.clock.Now();
+  std::vector<control::HeardDoubt> heard;
+  heard.reserve(doubts.size());
+  for (const policy::ServerDoubt& doubt : doubts) {
+    heard.push_back({doubt.server, doubt.started,
+                     std::chrono::floor<milliseconds>(now - doubt.signs.first),
+                     std::chrono::floor<milliseconds>(now - doubt.signs.last)});
+  }
+  return heard;
+}
+
+void ControlThread::TellDoubts() {
+  const auto doubts = this->dependencies.servers.TakeDoubts();
+  if (!doubts.empty()) {
+    this->dependencies.metrics.Count("tamarackwing_server_doubts_told_total",
+                                     doubts.size());
+    this->Execute(this->node->TellDoubts(this->ToHeard(doubts)));
+  }
+}
+
 void ControlThread::HandleProbeResult(
     const control::ProbeResult& probe_result) {
   const auto sent = this->probes_sent_at.find(probe_result.reply.number);
@@ -897,10 +940,11 @@
   }
   status.servers = std::exchange(this->announced, {});
   status.links_down = this->dependencies.servers.LinksAreDown();
+  status.doubts = this->ToHeard(this->dependencies.servers.OwnDoubts());
   this->FindNeighbours(peers);
   this->ShareLimits(peers, status);
   this->dependencies.regions.NoteOwnLoads(region_loads);
-  this->node->SetRegionStatus(std::move(status), std::move(region_loads));
+  this->node->SetRegionStatus(std::move(status), std::move(region_loads), now);
 }
 
 void ControlThread::FindNeighbours(
@@ -1061,6 +1105,7 @@
     this->entry_hosts = static_cast<std::uint32_t>(snapshot->entry_hosts);
     this->ApplyHosts(*snapshot->hosts);
   }
+  this->dependencies.servers.SetClosed(snapshot->closed_data_centres);
   this->dependencies.snapshots.Set(std::move(snapshot));
   this->PublishMetrics();
   ReturnFreeMemory();
--- a/programs/tamarackwingd/src/control_thread.h
+++ b/programs/tamarackwingd/src/control_thread.h
@@ -192,6 +192,12 @@
   //! Logs when the disk begins to take no more writes, and when it ends.
   void WatchDisk();
   void Execute(control::ControlEffects effects);
+  void ApplyDoubts(const HostName& from,
+                   const std::vector<control::HeardDoubt>& doubts);
+  std::vector<control::HeardDoubt> ToHeard(
+      const std::vector<policy::ServerDoubt>& doubts) const;
+  //! Tells the region what this host has seen of servers' processes.
+  void TellDoubts();
   void HandleRegionStatus(const control::RegionStatusUpdate& update);
   void HandleProbeResult(const control::ProbeResult& probe_result);
   void ReportRates(bool is_early);
