policy, gateway: a loaded server that reports is not taken for a replaced one

Cause: a request without an answer in time counted as a sign of that moment, also at servers that were only late, and kept them cold until the next report. Change: the sign dates from when the request was sent, so a report since then refutes it. A connection that is reset after its request has waited is a sign.

--- a/packages/gateway/src/path_try.cc
+++ b/packages/gateway/src/path_try.cc
@@ -37,6 +37,9 @@
 //! servers are down.
 constexpr milliseconds kDownConnectTimeout{300};
 
+//! A server that has too many connections resets a new one within this time.
+constexpr milliseconds kRejectionTime{500};
+
 //! A server that has streamed an answer for this long does not crash because
 //! it began to write it.
 constexpr milliseconds kSoundAnswer{1'000};
@@ -213,8 +216,10 @@
   } else {
     try_outcome = this->HandleConnectionError(sent.error());
   }
-  // A new connection may also be reset because the server has too many.
+  const Duration held =
+      this->gateway.Dependencies().clock.Now() - this->try_started;
   const bool should_stay_open = this->answer_stage != AnswerStage::kNone ||
+                                held >= kRejectionTime ||
                                 (connection.reused && connection.is_kept_open);
   if (target.server && this->connection_broke && should_stay_open) {
     servers.NoteLostConnection(*target.server, this->connection_opened);
--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -470,8 +470,8 @@
   };
   //! Returns the server of that name; null if unknown.
   Server* Find(const BackendServerName& name);
-  //! Records a sign; returns whether it is news.
-  bool Doubt(Server& server, TimePoint now) const;
+  //! Records a sign of the time `at`; returns whether it is news.
+  bool Doubt(Server& server, TimePoint at, TimePoint now) const;
   //! A server's process that is remembered even if its record is gone.
   struct Process {
     std::chrono::milliseconds started{};
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -1026,7 +1026,7 @@
   const bool is_of_former = server == nullptr ||
                             server->report.started != chosen.started ||
                             opened < server->first_reported_at;
-  if (!is_of_former && this->Doubt(*server, now)) {
+  if (!is_of_former && this->Doubt(*server, now, now)) {
     WarmthRecord& record = this->warmth.at(chosen.name);
     record.seen = now;
     record.is_due = true;
@@ -1042,8 +1042,8 @@
   }
 }
 
-bool ServerTable::Doubt(Server& server, TimePoint now) const {
-  return server.warmth->NoteSigns({now, now}, this->limits.doubt, now);
+bool ServerTable::Doubt(Server& server, TimePoint at, TimePoint now) const {
+  return server.warmth->NoteSigns({at, at}, this->limits.doubt, now);
 }
 
 bool ServerTable::NoteDoubt(const ServerDoubt& doubt, TimePoint now) {
@@ -1129,7 +1129,9 @@
   const bool is_full =
       signal == HealthSignal::kUnreachable && server.own_running > 0;
   if (sent >= server.first_reported_at && !is_full) {
-    this->Doubt(server, now);
+    // A loaded server is late, too: what it has reported since the request was
+    // sent shows it warm.
+    this->Doubt(server, signal == HealthSignal::kBroken ? now : sent, now);
   }
 }
 
--- a/packages/policy/tests/server_warmth_tests.cc
+++ b/packages/policy/tests/server_warmth_tests.cc
@@ -306,6 +306,19 @@
   EXPECT_TRUE(this->table.Belief(this->name, this->clock.Now())->is_cold);
 }
 
+// Guards against servers that turn cold because they are loaded.
+TEST_F(DoubtedServerTest, ServerThatReportsWhileARequestWaitsIsOnlyLate) {
+  this->clock.Advance(milliseconds(10));
+  const TimePoint sent = this->clock.Now();
+  this->table.NoteSent(this->name, 0, sent);
+  this->clock.Advance(milliseconds(500));
+  this->Announce(100, 5);
+  this->clock.Advance(milliseconds(1'000));
+  this->table.NoteFinished(this->name, HealthSignal::kSilent, sent,
+                           this->clock.Now());
+  EXPECT_FALSE(this->table.Belief(this->name, this->clock.Now())->is_cold);
+}
+
 TEST_F(DoubtedServerTest, DoubtOutlivesTheServersRecord) {
   this->clock.Advance(milliseconds(10));
   this->Fail(HealthSignal::kUnreachable);
