control: a host returns to its best source of reports when that is not lost any more

Cause: since the source is kept by its name, a host whose control host was counted as lost for a moment went on with one of another region, which has no reports of its own, for five seconds. Before, the change of order took it back at once. Change: another first source is asked at once.

--- a/packages/control/include/tamarackwing/control/roster_follower.h
+++ b/packages/control/include/tamarackwing/control/roster_follower.h
@@ -49,6 +49,8 @@
   //! When each request without a reply was sent.
   std::map<std::uint64_t, TimePoint> asked;
   HostName source;
+  //! The first of the sources at the last request.
+  HostName best;
   TimePoint last_reply;
   TimePoint source_since;
   RosterCursor known;
--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -36,12 +36,13 @@
   // The sources' order changes while hosts are counted as lost.
   const auto current = std::find(sources.begin(), sources.end(), this->source);
   const bool tries_best =
-      current == sources.end() ||
+      current == sources.end() || sources.front() != this->best ||
       (current != sources.begin() && now - this->source_since >= kRetryBest);
   auto next = tries_best ? sources.begin() : current;
   if (!tries_best && is_silent && ++next == sources.end()) {
     next = sources.begin();
   }
+  this->best = sources.front();
   const HostName& chosen = *next;
   if (chosen != this->source) {
     this->source = chosen;
--- a/packages/control/tests/roster_tests.cc
+++ b/packages/control/tests/roster_tests.cc
@@ -181,6 +181,21 @@
   EXPECT_EQ(request->to, second);
 }
 
+// Guards against five seconds without reports after a control host of the
+// region has been counted as lost for a moment.
+TEST_F(RosterTest, SourceOfTheRegionIsAskedAgainAsSoonAsItIsNotLost) {
+  const HostName own("core-1");
+  const HostName remote("core-9");
+  for (Duration asked{0}; asked <= std::chrono::seconds(5);
+       asked += kInterval) {
+    this->Fetch(this->roster, own.Text());
+  }
+  this->clock.Advance(kInterval);
+  EXPECT_EQ(this->follower.Due({remote, own}, this->clock.Now())->to, remote);
+  this->clock.Advance(kInterval);
+  EXPECT_EQ(this->follower.Due({own, remote}, this->clock.Now())->to, own);
+}
+
 TEST_F(RosterTest, FullRosterTakesNoMoreNames) {
   for (int i = 0; i < 20'000; ++i) {
     this->roster.Note(Report("s" + std::to_string(i), 1), this->clock.Now());
