control: a late report of a warm-up is not taken for a server that is cold again

Cause: a control host compared a report with the last one without looking at their order, so that a report that arrives after a later one told the whole region to take a warm server for cold. Change: only a report with a higher sequence number does. Result: RosterFleet.LateReportOfAWarmUpTellsNothing fails without the change.

--- a/packages/control/src/control_node.cc
+++ b/packages/control/src/control_node.cc
@@ -381,7 +381,9 @@
   ControlEffects effects;
   const policy::ServerReport* const last = this->roster.Find(report.name);
   const bool is_replaced = last != nullptr && last->started < report.started;
+  // A report may arrive after a later one.
   const bool turned_cold = last != nullptr && last->started == report.started &&
+                           last->sequence < report.sequence &&
                            last->cold_for == milliseconds(0) &&
                            report.cold_for > milliseconds(0);
   if ((is_replaced || turned_cold) && !report.leaving) {
--- a/packages/control/tests/roster_tests.cc
+++ b/packages/control/tests/roster_tests.cc
@@ -456,6 +456,22 @@
   EXPECT_EQ(told.size(), 2U);
 }
 
+// Guards against a sound server that the whole region takes for cold.
+TEST(RosterFleet, LateReportOfAWarmUpTellsNothing) {
+  constexpr int kEntryHosts = 5;
+  RosterFleet fleet(kEntryHosts);
+  ASSERT_TRUE(fleet.cluster.RunUntil([&] { return fleet.cluster.AllReady(); },
+                                     milliseconds(20'000)));
+  const HostName control("muscat-100");
+  fleet.cluster.RelayServer(control, Report("i-0", 6));
+  policy::ServerReport late = Report("i-0", 5);
+  late.cold_for = milliseconds(200);
+  fleet.cluster.RelayServer(control, late);
+  fleet.cluster.Run(milliseconds(150));
+  EXPECT_EQ(DoubtsToldIn(fleet, "muscat", kEntryHosts),
+            std::set<std::size_t>{0});
+}
+
 TEST(RosterFleet, SignsReachTheOtherEntryHostsOfTheRegionOnly) {
   constexpr int kEntryHosts = 5;
   RosterFleet fleet(kEntryHosts);
