policy: a host that has started takes servers for warm once it has heard of signs

What callers saw: an entry host that had restarted refused requests for three seconds and more, because it took every server for cold until that had reported again, and reports come every 1.2 s and later beside hosts that restart. Cause: any report from before the host's start was refused as evidence for ten seconds, the time that a doubt lasts, and signs of servers that it did not know were dropped. Change: it waits for a second, in which it hears the signs that the other hosts tell and repeat, and keeps those of servers that it does not know yet, however old. Result: StartedHostTest; TakesServersWithoutSignsForWarmOnceItHasHeard fails without the change.

--- a/packages/policy/include/tamarackwing/policy/server_warmth.h
+++ b/packages/policy/include/tamarackwing/policy/server_warmth.h
@@ -42,6 +42,10 @@
   void NoteReport(TimePoint sent,
                   std::chrono::milliseconds cold_for,
                   TimePoint now);
+  //! Records that until `until`, signs from before `start` may still be
+  //! unheard: a report that the server sent before `start` shows no warmth
+  //! until then.
+  void NoteUnheard(TimePoint start, TimePoint until, TimePoint now);
   //! Records signs, unless newer evidence is known. `life` is how long a doubt
   //! lasts after its last sign if no evidence ends it: longer than a server
   //! takes to warm up. Returns whether they are news.
@@ -80,6 +84,8 @@
   TimePoint shown_at;
   std::optional<DoubtSpan> doubt;
   TimePoint doubt_until;
+  //! Until when earlier signs may be unheard; see NoteUnheard.
+  TimePoint unheard_until;
   //! The last time from which on only reports are evidence.
   TimePoint reports_from;
   bool was_reported = false;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -333,10 +333,11 @@
     slot->warmth->NoteReport(sent, report.cold_for, now);
   }
   const auto reopened_at = this->reopened.find(report.data_centre);
-  const TimePoint valid_from = reopened_at == this->reopened.end()
-                                   ? this->start
-                                   : std::max(this->start, reopened_at->second);
-  slot->warmth->NoteReopened(valid_from, this->limits.doubt, now);
+  if (reopened_at != this->reopened.end()) {
+    slot->warmth->NoteReopened(reopened_at->second, this->limits.doubt, now);
+  }
+  slot->warmth->NoteUnheard(this->start, this->start + this->limits.hearing,
+                            now);
   const TimePoint lease_until = sent + this->limits.lease;
   slot->lease_until = std::max(slot->lease_until, lease_until);
   slot->load_measured = now - report.age;
@@ -1051,12 +1052,10 @@
   const bool is_of_former = server != nullptr &&
                             doubt.started != std::chrono::milliseconds(0) &&
                             doubt.started < server->report.started;
-  const auto known = this->warmth.find(doubt.server);
-  // Reports from before this host's start show no warmth anyway.
-  if (is_of_former || known == this->warmth.end()) {
+  if (is_of_former) {
     return false;
   }
-  WarmthRecord& record = known->second;
+  WarmthRecord& record = this->warmth[doubt.server];
   record.told = std::max(record.told, doubt.signs.last);
   if (doubt.is_replaced) {
     record.replaced = std::max(record.replaced, doubt.started);
--- a/packages/policy/src/server_warmth.cc
+++ b/packages/policy/src/server_warmth.cc
@@ -20,6 +20,14 @@
   this->was_reported = true;
 }
 
+void ServerWarmth::NoteUnheard(TimePoint start,
+                               TimePoint until,
+                               TimePoint now) {
+  const bool was_cold = this->IsCold(now);
+  this->unheard_until = this->shown_at > start ? TimePoint() : until;
+  this->NoteTurn(was_cold, now);
+}
+
 bool ServerWarmth::NoteSigns(DoubtSpan signs, Duration life, TimePoint now) {
   const bool is_news = !this->Doubt(now) || signs.last > this->doubt->last;
   if (signs.last <= this->shown_at || !is_news) {
@@ -66,7 +74,8 @@
 }
 
 bool ServerWarmth::IsCold(TimePoint now) const {
-  return this->cold_until > now || this->Doubt(now).has_value();
+  return this->cold_until > now || this->unheard_until > now ||
+         this->Doubt(now).has_value();
 }
 
 bool ServerWarmth::MaySend(std::uint32_t allowance, TimePoint now) const {
--- a/packages/policy/tests/server_warmth_tests.cc
+++ b/packages/policy/tests/server_warmth_tests.cc
@@ -350,5 +350,89 @@
   EXPECT_GT(this->MostInASecond(seconds(1)), 50);
 }
 
+//! A host that starts while a server's last report is half a second old.
+class StartedHostTest : public DoubtedServerTest {
+ protected:
+  StartedHostTest() { this->clock.Advance(seconds(1)); }
+
+  void HearReportFromBeforeStart() {
+    this->Hear(
+        4, std::chrono::ceil<milliseconds>(this->clock.Now() - this->start) +
+               milliseconds(500));
+  }
+
+  void HearNewReport() { this->Hear(5, milliseconds(0)); }
+
+  void Hear(std::uint64_t sequence, milliseconds relayed_for) {
+    ServerReport report;
+    report.name = this->name;
+    report.targets = {"desk"};
+    report.slots = 64;
+    report.started = milliseconds(100);
+    report.sequence = sequence;
+    report.relayed_for = relayed_for;
+    this->started.Announce(report, this->clock.Now());
+  }
+
+  std::optional<ServerChoice> PickStarted() {
+    ServerQuery query;
+    query.target = "desk";
+    query.cold_allowance = [](const BackendServerName&) { return 1U; };
+    return this->started.Pick(query, this->clock.Now(), this->random);
+  }
+
+  const TimePoint start = this->clock.Now() + seconds(1);
+  ServerTable started{Limits(), this->start};
+};
+
+// Guards against a flood by a host that starts right after a server has, and
+// knows only the report of the former process.
+TEST_F(StartedHostTest, SendsNothingUntilItHasHeardOfSigns) {
+  this->HearReportFromBeforeStart();
+  this->clock.Advance(Limits().hearing - milliseconds(1));
+  EXPECT_FALSE(this->PickStarted().has_value());
+}
+
+// Guards against a host that refuses what it can serve for seconds after its
+// start, until each server has reported again.
+TEST_F(StartedHostTest, TakesServersWithoutSignsForWarmOnceItHasHeard) {
+  this->HearReportFromBeforeStart();
+  this->clock.Advance(Limits().hearing);
+  const auto choice = this->PickStarted();
+  ASSERT_TRUE(choice.has_value());
+  EXPECT_FALSE(choice->is_cold);
+}
+
+TEST_F(StartedHostTest, SignHeardBeforeTheFirstReportEndsWithALaterOne) {
+  this->started.NoteDoubt(this->Doubt(100), this->clock.Now());
+  this->HearReportFromBeforeStart();
+  this->clock.Advance(Limits().hearing + milliseconds(1));
+  EXPECT_TRUE(this->PickStarted()->is_cold);
+  this->HearNewReport();
+  EXPECT_FALSE(this->PickStarted()->is_cold);
+}
+
+// Guards against a sign that counts for nothing because it is older than the
+// start of the host that hears of it.
+TEST_F(StartedHostTest, SignFromBeforeTheStartCountsAfterTheFirstReport) {
+  ServerDoubt doubt = this->Doubt(100);
+  doubt.signs.first -= milliseconds(200);
+  doubt.signs.last -= milliseconds(200);
+  this->HearReportFromBeforeStart();
+  this->clock.Advance(milliseconds(300));
+  EXPECT_TRUE(this->started.NoteDoubt(doubt, this->clock.Now()));
+  this->clock.Advance(Limits().hearing);
+  EXPECT_TRUE(this->PickStarted()->is_cold);
+  this->HearNewReport();
+  EXPECT_FALSE(this->PickStarted()->is_cold);
+}
+
+TEST_F(StartedHostTest, ReportFromAfterTheStartShowsWarmthAtOnce) {
+  this->HearReportFromBeforeStart();
+  this->clock.Advance(milliseconds(10));
+  this->HearNewReport();
+  EXPECT_FALSE(this->PickStarted()->is_cold);
+}
+
 }  // namespace
 }  // namespace tamarackwing::policy
