gateway: requests of the models' API keep the limit for a server that may be cold

Cause: only PathRequest set the limit; a ServedRequest sent a server that had just failed, and may have been replaced, all that it got. Change: both take it from MakeColdAllowance. The servers of that API report neither a warm-up nor a process, so that only signs make one cold, and few of that API's failures are signs; what is missing is in docs/design/server-warmth.md.

--- a/packages/gateway/src/path_request.h
+++ b/packages/gateway/src/path_request.h
@@ -131,10 +131,6 @@
   //! part of what their callers allow. Precondition: the call has a prompt.
   bool IsLongPrompt() const;
   policy::ServerQuery Query() const;
-  //! Returns how many requests per second this host may send to a cold server
-  //! that admits `per_kilosecond` requests per 1000 seconds from all hosts.
-  std::uint32_t ColdAllowance(const BackendServerName& server,
-                              std::uint32_t per_kilosecond) const;
 
   http::asio::awaitable<policy::TryOutcome> Try(const Target& target);
   http::asio::awaitable<policy::TryOutcome> ReadResponse(
--- a/packages/gateway/src/path_target.cc
+++ b/packages/gateway/src/path_target.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "backend_exchange.h"
+#include "cold_allowance.h"
 #include "path_request.h"
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/policy/admission.h"
@@ -19,7 +20,6 @@
 //! prefix-cache affinity: repeating the prefill of a prefix this long costs
 //! more than one step of a full engine.
 constexpr TokenCount kMinAffinityTokens = 1'024;
-constexpr std::uint32_t kPerKilosecond = 1'000;
 //! A prompt is long if its prefill takes this part of the pause that callers
 //! allow: a few of them in a row use it up.
 constexpr int kPausesPerPrefill = 4;
@@ -272,36 +272,9 @@
       query.affinity_tokens = shared_tokens;
     }
   }
-  const auto service =
-      this->snapshot->set->services.find(state::ServiceName(this->service));
-  if (service != this->snapshot->set->services.end() &&
-      service->second.warmup_per_kilosecond > 0) {
-    const std::uint32_t rate = service->second.warmup_per_kilosecond;
-    query.cold_allowance = [this, rate](const BackendServerName& server) {
-      return this->ColdAllowance(server, rate);
-    };
-  }
+  query.cold_allowance = MakeColdAllowance(
+      this->snapshot, this->gateway.Settings(), this->service);
   return query;
 }
 
-std::uint32_t PathRequest::ColdAllowance(const BackendServerName& server,
-                                         std::uint32_t per_kilosecond) const {
-  const GatewaySettings& settings = this->gateway.Settings();
-  std::vector<HostName> hosts;
-  for (const auto& [name, host] : *this->snapshot->hosts) {
-    if (host.region == settings.region && host.IsEntryHost() &&
-        this->snapshot->live.contains(name)) {
-      hosts.push_back(name);
-    }
-  }
-  // Each of the chosen hosts may send the server one request per second, so
-  // their number equals the requests per second that the server admits.
-  const std::size_t owners =
-      std::max<std::size_t>(1, per_kilosecond / kPerKilosecond);
-  return policy::IsAmongOwners(policy::RendezvousKey(server.Text()),
-                               settings.host, hosts, owners)
-             ? 1
-             : 0;
-}
-
 }  // namespace tamarackwing::gateway
--- a/packages/gateway/src/served_request.cc
+++ b/packages/gateway/src/served_request.cc
@@ -6,6 +6,7 @@
 #include "answer_reader.h"
 #include "backend_exchange.h"
 #include "backend_request.h"
+#include "cold_allowance.h"
 #include "tamarackwing/base/digest.h"
 #include "tamarackwing/base/event.h"
 #include "tamarackwing/callers/refusal_response.h"
@@ -501,6 +502,8 @@
     query.output_tokens = this->call->output_tokens;
     query.prefix = this->call->prefix;
   }
+  query.cold_allowance =
+      MakeColdAllowance(this->snapshot, this->gateway.Settings(), this->target);
   return query;
 }
 
--- a/tests/request_path_tests.cc
+++ b/tests/request_path_tests.cc
@@ -17,7 +17,7 @@
 class RequestPathTest : public testing::Test {
  protected:
   void SetUp() override {
-    auto set = state::ParseSet(ExampleSet());
+    auto set = state::ParseSet(this->Set());
     ASSERT_TRUE(set.has_value());
     this->settings.gateway.stream_silence = std::chrono::milliseconds(300);
     this->settings.servers.ramp = std::chrono::milliseconds(0);
@@ -34,6 +34,8 @@
     }));
   }
 
+  virtual std::string Set() const { return ExampleSet(); }
+
   //! Starts the server of the service routes.
   virtual void StartService() {
     this->service = this->StartServer("service", {"booking", "gauge"});
@@ -41,7 +43,9 @@
 
   std::unique_ptr<fakes::FakeServer> StartServer(
       const std::string& name,
-      std::vector<std::string> targets) {
+      std::vector<std::string> targets,
+      std::chrono::milliseconds announce_every =
+          std::chrono::milliseconds(100)) {
     fakes::FakeIdentity identity;
     identity.name = name;
     identity.region = "muscat";
@@ -50,7 +54,7 @@
     identity.hosts = {this->settings.backend_servers};
     fakes::FakeBehaviour behaviour;
     behaviour.report_lag = std::chrono::milliseconds(10);
-    behaviour.announce_every = std::chrono::milliseconds(100);
+    behaviour.announce_every = announce_every;
     auto server =
         std::make_unique<fakes::FakeServer>(this->threads, identity, behaviour);
     EXPECT_NE(server->Start({"127.0.0.1", 0}), 0);
@@ -250,6 +254,51 @@
   EXPECT_EQ(this->Send(ModelRequest("desk-key", 1, false)).status, 200U);
 }
 
+//! A host of a service whose servers bear one request per second while they
+//! warm up, and report once.
+class WarmUpPathTest : public RequestPathTest {
+ protected:
+  WarmUpPathTest() {
+    this->settings.servers.lease = std::chrono::milliseconds(kReportOnce);
+  }
+
+  std::string Set() const override {
+    return ExampleSet() +
+           "[[services]]\nname = \"gauge\"\nwarmup_ms = 3000\n"
+           "warmup_per_kilosecond = 1000\n";
+  }
+
+  void StartService() override {
+    this->service =
+        this->StartServer("service", {"booking", "gauge"}, kReportOnce);
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kReportOnce{60'000};
+};
+
+// Guards against a server that gets its full load after it failed, although its
+// process may have been replaced since its last report.
+TEST_F(WarmUpPathTest, FailedServerGetsFewRequestsUntilItReports) {
+  fakes::FakeBehaviour behaviour = this->service->Behaviour();
+  behaviour.fail_status = 500;
+  this->service->SetBehaviour(behaviour);
+  EXPECT_NE(this->Send(ServiceRequest("desk-key", "gauge", "")).status, 200U);
+  behaviour.fail_status = 0;
+  this->service->SetBehaviour(behaviour);
+
+  const std::uint32_t before = this->service->Started();
+  const auto start = std::chrono::steady_clock::now();
+  std::chrono::duration<double> passed{0};
+  while (passed < std::chrono::seconds(3)) {
+    this->Send(ServiceRequest("desk-key", "gauge", ""));
+    passed = std::chrono::steady_clock::now() - start;
+  }
+  const std::uint32_t sent = this->service->Started() - before;
+  EXPECT_GE(sent, 1U);
+  EXPECT_LE(sent, passed.count() + 1);
+}
+
 //! A host whose services are served by a server that may answer early.
 class EarlyAnswerPathTest : public RequestPathTest {
  protected:
