control: a host's place in one roster is not taken for its place in another

Cause: a cursor named the process by its epoch alone, the time of its start. Control hosts that had started at the same moment had the same epoch. An entry host that had asked one of another region while its own were cut off kept that one's version, and refused the replies of its own control hosts, whose versions were lower, as old. Change: a cursor counts only for the host that it came from. Result: RosterTest.ReportsOfAnotherSourceWithTheSameEpochAreLearnt fails without the change.

--- a/packages/control/include/tamarackwing/control/roster_follower.h
+++ b/packages/control/include/tamarackwing/control/roster_follower.h
@@ -54,6 +54,9 @@
   TimePoint last_reply;
   TimePoint source_since;
   RosterCursor known;
+  //! The host whose roster `known` refers to. Hosts that start at the same
+  //! moment have the same epoch.
+  HostName known_from;
   //! Reports of the known epoch, by the server's number.
   std::map<std::uint32_t, policy::ServerReport> reports;
 };
--- a/packages/control/include/tamarackwing/control/roster_message.h
+++ b/packages/control/include/tamarackwing/control/roster_message.h
@@ -11,7 +11,7 @@
 
 //! A point in the history of one process's roster of backend servers.
 struct RosterCursor {
-  //! Identifies the process; zero if nothing of its roster is known.
+  //! Identifies the host's process; zero if nothing of its roster is known.
   std::uint64_t epoch = 0;
   std::uint64_t version = 0;
 
--- a/packages/control/include/tamarackwing/control/server_roster.h
+++ b/packages/control/include/tamarackwing/control/server_roster.h
@@ -15,8 +15,8 @@
 //! a few bytes. A state machine without I/O. Not thread-safe.
 class ServerRoster {
  public:
-  //! Preconditions: `epoch` differs between processes; a report counts as a
-  //! sign of life for `lease`.
+  //! Preconditions: `epoch` differs between a host's processes; a report counts
+  //! as a sign of life for `lease`.
   ServerRoster(std::uint64_t epoch, std::chrono::milliseconds lease);
 
   //! Records a report that was sent at `sent`. Returns whether it says anything
--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -53,7 +53,9 @@
   if (this->asked.size() > kMaxUnanswered) {
     this->asked.erase(this->asked.begin());
   }
-  return Request{chosen, {this->number, this->region, this->known}};
+  const RosterCursor cursor =
+      chosen == this->known_from ? this->known : RosterCursor();
+  return Request{chosen, {this->number, this->region, cursor}};
 }
 
 std::vector<policy::ServerReport> RosterFollower::HandleReply(
@@ -61,7 +63,8 @@
     const RosterReply& reply,
     TimePoint now) {
   std::vector<policy::ServerReport> due;
-  const bool is_same_epoch = reply.reached.epoch == this->known.epoch;
+  const bool is_same_epoch =
+      from == this->known_from && reply.reached.epoch == this->known.epoch;
   const bool is_old =
       is_same_epoch && reply.reached.version < this->known.version;
   // Replies may overtake each other, also while the source changes.
@@ -77,7 +80,7 @@
       std::chrono::ceil<std::chrono::milliseconds>(now - request->second);
   this->asked.erase(request);
   this->last_reply = now;
-  if (reply.reached.epoch != this->known.epoch) {
+  if (!is_same_epoch) {
     this->reports.clear();
   }
   bool lacks_report = false;
@@ -98,6 +101,7 @@
   }
   // An empty cursor asks for all reports.
   this->known = lacks_report ? RosterCursor() : reply.reached;
+  this->known_from = from;
   return due;
 }
 
--- a/packages/control/tests/roster_tests.cc
+++ b/packages/control/tests/roster_tests.cc
@@ -196,6 +196,18 @@
   EXPECT_EQ(this->follower.Due({own, remote}, this->clock.Now())->to, own);
 }
 
+// Guards against an entry host that learns of no server of its region for good
+// once it has asked a host that started at the same moment as its source.
+TEST_F(RosterTest, ReportsOfAnotherSourceWithTheSameEpochAreLearnt) {
+  ServerRoster remote(1, kLease);
+  for (int i = 0; i < 9; ++i) {
+    remote.Note(Report("r" + std::to_string(i), 1), this->clock.Now());
+  }
+  this->Fetch(remote, "core-9");
+  this->roster.Note(Report("x", 1), this->clock.Now());
+  EXPECT_EQ(this->Fetch(this->roster), std::vector<std::string>{"x"});
+}
+
 TEST_F(RosterTest, FullRosterTakesNoMoreNames) {
   for (int i = 0; i < 20'000; ++i) {
     this->roster.Note(Report("s" + std::to_string(i), 1), this->clock.Now());
