--- a/packages/control/src/roster_follower.cc
+++ b/packages/control/src/roster_follower.cc
@@ -33,7 +33,8 @@
   this->due_at = now + this->interval;
   const bool is_silent =
       now - this->last_reply > kMaxSilentIntervals * this->interval;
-  // The sources' order changes while hosts are counted as lost.
+  // The sources' order changes while hosts are counted as lost. Hosts of other
+  // regions may have no reports, so a new first one is asked at once.
   const auto current = std::find(sources.begin(), sources.end(), this->source);
   const bool tries_best =
       current == sources.end() || sources.front() != this->best ||
