policy: a region whose hosts learn of a replaced server only by being told

Cause: in all cases of ColdServerRegionTest hosts learnt of the crash by themselves, so the tests also passed while no host told another of lost connections. Change: a case of 97 hosts, a server that is down for 0.2 s, and reports 1.5 s late.

--- a/packages/policy/tests/cold_server_region_tests.cc
+++ b/packages/policy/tests/cold_server_region_tests.cc
@@ -314,6 +314,7 @@
         RegionCase{27, 10, milliseconds(200)},
         RegionCase{97, 20, milliseconds(1'200)},
         RegionCase{2, 10, milliseconds(1'200), 1, milliseconds(4'000)},
+        RegionCase{97, 20, milliseconds(200), 97, milliseconds(1'500)},
         RegionCase{27, 20, milliseconds(1'200), 9, milliseconds(4'000)},
         RegionCase{27, 20, milliseconds(4'000), 0, milliseconds(0), 9}));
 
