policy: names of the doubt after a host's start; tests share one report and one query

`hearing` and NoteUnheard did not say what they limit: they are start_doubt and NoteStart. The tests of server warmth built the same report and query twice. No change of behaviour.

--- a/packages/policy/include/tamarackwing/policy/server_table.h
+++ b/packages/policy/include/tamarackwing/policy/server_table.h
@@ -58,10 +58,10 @@
   //! have been replaced, if no report ends that before: longer than a server
   //! takes to warm up.
   std::chrono::milliseconds doubt{10'000};
-  //! How long after its start a host may not have heard yet of the signs that
-  //! the other hosts of the region have seen. It takes no server for warm by a
-  //! report from before its start meanwhile.
-  std::chrono::milliseconds hearing{1'000};
+  //! How long after its start a host takes no server for warm by a report from
+  //! before its start: it hears meanwhile of the signs that other hosts of the
+  //! region have seen.
+  std::chrono::milliseconds start_doubt{1'000};
   //! Assumed prompt tokens per second of a server that reports no rate.
   double prefill_rate = 2'000;
   //! Assumed output tokens per second and request of a server that reports no
@@ -266,7 +266,7 @@
 //! this host has sent since the report. Not thread-safe.
 class ServerTable {
  public:
-  //! `start` is when this host started; see ServerTableLimits::hearing.
+  //! `start` is when this host started; see ServerTableLimits::start_doubt.
   explicit ServerTable(ServerTableLimits limits, TimePoint start = TimePoint());
 
   //! Replaces the limits; leases and ejections already set keep their end.
--- a/packages/policy/include/tamarackwing/policy/server_warmth.h
+++ b/packages/policy/include/tamarackwing/policy/server_warmth.h
@@ -42,10 +42,9 @@
   void NoteReport(TimePoint sent,
                   std::chrono::milliseconds cold_for,
                   TimePoint now);
-  //! Records that until `until`, signs from before `start` may still be
-  //! unheard: a report that the server sent before `start` shows no warmth
-  //! until then.
-  void NoteUnheard(TimePoint start, TimePoint until, TimePoint now);
+  //! Records that this host started at `start`. It may have missed signs, so a
+  //! report that the server sent before shows no warmth until `until`.
+  void NoteStart(TimePoint start, TimePoint until, TimePoint now);
   //! Records signs, unless newer evidence is known. `life` is how long a doubt
   //! lasts after its last sign if no evidence ends it: longer than a server
   //! takes to warm up. Returns whether they are news.
@@ -84,8 +83,8 @@
   TimePoint shown_at;
   std::optional<DoubtSpan> doubt;
   TimePoint doubt_until;
-  //! Until when earlier signs may be unheard; see NoteUnheard.
-  TimePoint unheard_until;
+  //! Until when the last report shows no warmth; see NoteStart.
+  TimePoint start_doubt_until;
   //! The last time from which on only reports are evidence.
   TimePoint reports_from;
   bool was_reported = false;
--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -336,8 +336,8 @@
   if (reopened_at != this->reopened.end()) {
     slot->warmth->NoteReopened(reopened_at->second, this->limits.doubt, now);
   }
-  slot->warmth->NoteUnheard(this->start, this->start + this->limits.hearing,
-                            now);
+  slot->warmth->NoteStart(this->start, this->start + this->limits.start_doubt,
+                          now);
   const TimePoint lease_until = sent + this->limits.lease;
   slot->lease_until = std::max(slot->lease_until, lease_until);
   slot->load_measured = now - report.age;
--- a/packages/policy/src/server_warmth.cc
+++ b/packages/policy/src/server_warmth.cc
@@ -20,11 +20,9 @@
   this->was_reported = true;
 }
 
-void ServerWarmth::NoteUnheard(TimePoint start,
-                               TimePoint until,
-                               TimePoint now) {
+void ServerWarmth::NoteStart(TimePoint start, TimePoint until, TimePoint now) {
   const bool was_cold = this->IsCold(now);
-  this->unheard_until = this->shown_at > start ? TimePoint() : until;
+  this->start_doubt_until = this->shown_at > start ? TimePoint() : until;
   this->NoteTurn(was_cold, now);
 }
 
@@ -74,7 +72,7 @@
 }
 
 bool ServerWarmth::IsCold(TimePoint now) const {
-  return this->cold_until > now || this->unheard_until > now ||
+  return this->cold_until > now || this->start_doubt_until > now ||
          this->Doubt(now).has_value();
 }
 
--- a/packages/policy/tests/server_warmth_tests.cc
+++ b/packages/policy/tests/server_warmth_tests.cc
@@ -112,9 +112,7 @@
     return limits;
   }
 
-  void Announce(int started_ms,
-                std::uint64_t sequence,
-                milliseconds cold_for = kWarm) {
+  ServerReport Report(int started_ms, std::uint64_t sequence) const {
     ServerReport report;
     report.name = this->name;
     report.data_centre = DataCentreName("a");
@@ -124,15 +122,20 @@
     report.slots = 64;
     report.started = milliseconds(started_ms);
     report.sequence = sequence;
-    report.cold_for = cold_for;
-    this->table.Announce(report, this->clock.Now());
+    return report;
   }
 
-  std::optional<ServerChoice> Pick() {
+  void Announce(int started_ms, std::uint64_t sequence) {
+    this->table.Announce(this->Report(started_ms, sequence), this->clock.Now());
+  }
+
+  std::optional<ServerChoice> Pick() { return this->PickFrom(this->table); }
+
+  std::optional<ServerChoice> PickFrom(ServerTable& servers) {
     ServerQuery query;
     query.target = "desk";
     query.cold_allowance = [](const BackendServerName&) { return 1U; };
-    return this->table.Pick(query, this->clock.Now(), this->random);
+    return servers.Pick(query, this->clock.Now(), this->random);
   }
 
   //! Sends whatever may be sent, each request answered at once, for a while;
@@ -324,10 +327,7 @@
   this->Fail(HealthSignal::kUnreachable);
   this->clock.Advance(Limits().lease);
   EXPECT_EQ(this->table.Expire(this->clock.Now()).size(), 1U);
-  ServerReport late;
-  late.name = this->name;
-  late.targets = {"desk"};
-  late.started = milliseconds(100);
+  ServerReport late = this->Report(100, 4);
   late.relayed_for = Limits().lease + milliseconds(1);
   this->table.Announce(late, this->clock.Now());
   const auto choice = this->Pick();
@@ -364,21 +364,13 @@
   void HearNewReport() { this->Hear(5, milliseconds(0)); }
 
   void Hear(std::uint64_t sequence, milliseconds relayed_for) {
-    ServerReport report;
-    report.name = this->name;
-    report.targets = {"desk"};
-    report.slots = 64;
-    report.started = milliseconds(100);
-    report.sequence = sequence;
+    ServerReport report = this->Report(100, sequence);
     report.relayed_for = relayed_for;
     this->started.Announce(report, this->clock.Now());
   }
 
   std::optional<ServerChoice> PickStarted() {
-    ServerQuery query;
-    query.target = "desk";
-    query.cold_allowance = [](const BackendServerName&) { return 1U; };
-    return this->started.Pick(query, this->clock.Now(), this->random);
+    return this->PickFrom(this->started);
   }
 
   const TimePoint start = this->clock.Now() + seconds(1);
@@ -389,7 +381,7 @@
 // knows only the report of the former process.
 TEST_F(StartedHostTest, SendsNothingUntilItHasHeardOfSigns) {
   this->HearReportFromBeforeStart();
-  this->clock.Advance(Limits().hearing - milliseconds(1));
+  this->clock.Advance(Limits().start_doubt - milliseconds(1));
   EXPECT_FALSE(this->PickStarted().has_value());
 }
 
@@ -397,7 +389,7 @@
 // start, until each server has reported again.
 TEST_F(StartedHostTest, TakesServersWithoutSignsForWarmOnceItHasHeard) {
   this->HearReportFromBeforeStart();
-  this->clock.Advance(Limits().hearing);
+  this->clock.Advance(Limits().start_doubt);
   const auto choice = this->PickStarted();
   ASSERT_TRUE(choice.has_value());
   EXPECT_FALSE(choice->is_cold);
@@ -406,7 +398,7 @@
 TEST_F(StartedHostTest, SignHeardBeforeTheFirstReportEndsWithALaterOne) {
   this->started.NoteDoubt(this->Doubt(100), this->clock.Now());
   this->HearReportFromBeforeStart();
-  this->clock.Advance(Limits().hearing + milliseconds(1));
+  this->clock.Advance(Limits().start_doubt + milliseconds(1));
   EXPECT_TRUE(this->PickStarted()->is_cold);
   this->HearNewReport();
   EXPECT_FALSE(this->PickStarted()->is_cold);
@@ -421,7 +413,7 @@
   this->HearReportFromBeforeStart();
   this->clock.Advance(milliseconds(300));
   EXPECT_TRUE(this->started.NoteDoubt(doubt, this->clock.Now()));
-  this->clock.Advance(Limits().hearing);
+  this->clock.Advance(Limits().start_doubt);
   EXPECT_TRUE(this->PickStarted()->is_cold);
   this->HearNewReport();
   EXPECT_FALSE(this->PickStarted()->is_cold);
