policy: a request is not sent to a server that has taken over the address of the chosen one

Cause: between the choice of a server and an open connection, another server could report from the same address. The chosen one's record was gone then, and the check that a request may still be sent passed, so that a new and cold server got a request that no limit counted. Change: the check fails if the address has another server by now; another one is tried. Result: DoubtedServerTest.RequestIsNotSentIfAnotherServerHasTheAddressNow fails without it.

--- a/packages/policy/src/server_table.cc
+++ b/packages/policy/src/server_table.cc
@@ -730,6 +730,11 @@
   }
   const auto found = this->servers.find(chosen.name);
   if (found == this->servers.end()) {
+    // A server with another name may listen at the address by now.
+    const auto holder = this->by_address.find({chosen.address, chosen.port});
+    if (holder != this->by_address.end() && holder->second != chosen.name) {
+      return false;
+    }
     const auto pause = this->paused.find(chosen.name);
     return pause == this->paused.end() || pause->second.until <= now ||
            pause->second.started != chosen.started;
--- a/packages/policy/tests/server_warmth_tests.cc
+++ b/packages/policy/tests/server_warmth_tests.cc
@@ -212,6 +212,16 @@
   EXPECT_FALSE(this->table.MaySendTo(*choice, this->clock.Now()));
 }
 
+// Guards against a request to a server that has taken over the address of the
+// one that was chosen, and may be cold.
+TEST_F(DoubtedServerTest, RequestIsNotSentIfAnotherServerHasTheAddressNow) {
+  const auto choice = this->Pick();
+  ServerReport successor = this->Report(200, 1);
+  successor.name = BackendServerName("y");
+  this->table.Announce(successor, this->clock.Now());
+  EXPECT_FALSE(this->table.MaySendTo(*choice, this->clock.Now()));
+}
+
 TEST_F(DoubtedServerTest, LostConnectionOfTheFormerProcessIsNoSign) {
   this->clock.Advance(milliseconds(10));
   const auto choice = this->Pick();
