--- a/packages/control/tests/roster_tests.cc
+++ b/packages/control/tests/roster_tests.cc
@@ -425,79 +425,75 @@
   }
 }
 
-//! Returns how many signs each entry host of a region was told.
-std::set<std::size_t> DoubtsToldIn(RosterFleet& fleet,
-                                   const std::string& region,
-                                   int entry_hosts,
-                                   const std::string& but = "") {
-  std::set<std::size_t> counts;
-  for (int i = 103; i < 103 + entry_hosts; ++i) {
-    const std::string name = region + "-" + std::to_string(i);
-    if (name != but) {
-      counts.insert(fleet.cluster.DoubtsToldTo(HostName(name)).size());
+//! A fleet whose hosts tell each other of signs of replaced servers.
+class ToldSignsTest : public testing::Test {
+ protected:
+  static constexpr int kEntryHosts = 5;
+
+  void SetUp() override {
+    ASSERT_TRUE(this->fleet.cluster.RunUntil(
+        [&] { return this->fleet.cluster.AllReady(); }, milliseconds(20'000)));
+  }
+
+  //! Returns how many signs each entry host of a region but one was told.
+  std::set<std::size_t> DoubtsToldIn(const std::string& region,
+                                     const std::string& but = "") {
+    std::set<std::size_t> counts;
+    for (int i = 103; i < 103 + kEntryHosts; ++i) {
+      const std::string name = region + "-" + std::to_string(i);
+      if (name != but) {
+        counts.insert(this->fleet.cluster.DoubtsToldTo(HostName(name)).size());
+      }
     }
+    return counts;
   }
-  return counts;
-}
+
+  RosterFleet fleet{kEntryHosts};
+};
 
 // Guards against a flood of a server that starts again before its first report
 // reaches the hosts (issue 64).
-TEST(RosterFleet, EntryHostsHearAtOnceOfAServerThatWasReplacedOrIsColdAgain) {
-  constexpr int kEntryHosts = 5;
-  RosterFleet fleet(kEntryHosts);
-  ASSERT_TRUE(fleet.cluster.RunUntil([&] { return fleet.cluster.AllReady(); },
-                                     milliseconds(20'000)));
+TEST_F(ToldSignsTest,
+       EntryHostsHearAtOnceOfAServerThatWasReplacedOrIsColdAgain) {
   const HostName control("muscat-100");
-  fleet.Round(2, {control.Text()});
+  this->fleet.Round(2, {control.Text()});
   policy::ServerReport cold = Report("i-0", 5);
   cold.cold_for = milliseconds(3'000);
-  fleet.cluster.RelayServer(control, cold);
+  this->fleet.cluster.RelayServer(control, cold);
   policy::ServerReport replaced = Report("i-1", 1);
   replaced.started = milliseconds(200);
-  fleet.cluster.RelayServer(control, replaced);
-  fleet.cluster.Run(milliseconds(150));
-  EXPECT_EQ(DoubtsToldIn(fleet, "muscat", kEntryHosts),
-            std::set<std::size_t>{2});
-  EXPECT_EQ(DoubtsToldIn(fleet, "sohar", kEntryHosts),
-            std::set<std::size_t>{0});
-  const auto& told = fleet.cluster.DoubtsToldTo(HostName("muscat-103"));
+  this->fleet.cluster.RelayServer(control, replaced);
+  this->fleet.cluster.Run(milliseconds(150));
+  EXPECT_EQ(this->DoubtsToldIn("muscat"), std::set<std::size_t>{2});
+  EXPECT_EQ(this->DoubtsToldIn("sohar"), std::set<std::size_t>{0});
+  const auto& told = this->fleet.cluster.DoubtsToldTo(HostName("muscat-103"));
   EXPECT_FALSE(told.at(0).is_replaced);
   EXPECT_TRUE(told.at(1).is_replaced);
   EXPECT_EQ(told.at(1).started, milliseconds(100));
-  fleet.Round(1, {control.Text()});
+  this->fleet.Round(1, {control.Text()});
   EXPECT_EQ(told.size(), 2U);
 }
 
 // Guards against a sound server that the whole region takes for cold.
-TEST(RosterFleet, LateReportOfAWarmUpTellsNothing) {
-  constexpr int kEntryHosts = 5;
-  RosterFleet fleet(kEntryHosts);
-  ASSERT_TRUE(fleet.cluster.RunUntil([&] { return fleet.cluster.AllReady(); },
-                                     milliseconds(20'000)));
+TEST_F(ToldSignsTest, LateReportOfAWarmUpTellsNothing) {
   const HostName control("muscat-100");
-  fleet.cluster.RelayServer(control, Report("i-0", 6));
+  this->fleet.cluster.RelayServer(control, Report("i-0", 6));
   policy::ServerReport late = Report("i-0", 5);
   late.cold_for = milliseconds(200);
-  fleet.cluster.RelayServer(control, late);
-  fleet.cluster.Run(milliseconds(150));
-  EXPECT_EQ(DoubtsToldIn(fleet, "muscat", kEntryHosts),
-            std::set<std::size_t>{0});
+  this->fleet.cluster.RelayServer(control, late);
+  this->fleet.cluster.Run(milliseconds(150));
+  EXPECT_EQ(this->DoubtsToldIn("muscat"), std::set<std::size_t>{0});
 }
 
-TEST(RosterFleet, SignsReachTheOtherEntryHostsOfTheRegionOnly) {
-  constexpr int kEntryHosts = 5;
-  RosterFleet fleet(kEntryHosts);
-  ASSERT_TRUE(fleet.cluster.RunUntil([&] { return fleet.cluster.AllReady(); },
-                                     milliseconds(20'000)));
+TEST_F(ToldSignsTest, SignsReachTheOtherEntryHostsOfTheRegionOnly) {
   HeardDoubt doubt;
   doubt.server = BackendServerName("i-0");
-  fleet.cluster.TellDoubts(HostName("muscat-103"), {doubt, doubt});
-  fleet.cluster.Run(milliseconds(150));
-  EXPECT_EQ(DoubtsToldIn(fleet, "muscat", kEntryHosts, "muscat-103"),
+  this->fleet.cluster.TellDoubts(HostName("muscat-103"), {doubt, doubt});
+  this->fleet.cluster.Run(milliseconds(150));
+  EXPECT_EQ(this->DoubtsToldIn("muscat", "muscat-103"),
             std::set<std::size_t>{2});
-  EXPECT_EQ(DoubtsToldIn(fleet, "sohar", kEntryHosts),
-            std::set<std::size_t>{0});
-  EXPECT_EQ(fleet.cluster.MessagesOfKind("server_doubts"),
+  EXPECT_EQ(this->DoubtsToldIn("sohar"), std::set<std::size_t>{0});
+  EXPECT_EQ(this->fleet.cluster.MessagesOfKind("server_doubts"),
             static_cast<std::uint64_t>(kEntryHosts - 1));
 }
 
