--- a/packages/gateway/src/server_directory.cc
+++ b/packages/gateway/src/server_directory.cc
@@ -54,6 +54,7 @@
   LogEvent(Event::kBackendServerDoubted, LogLevel::kInfo,
            {{"server", doubt.server.Text()},
             {"started", MillisecondsText(doubt.started)},
+            {"replaced", doubt.is_replaced ? "yes" : "no"},
             {"source", std::string(source)},
             {"first_age_ms", MillisecondsText(now - doubt.signs.first)},
             {"last_age_ms", MillisecondsText(now - doubt.signs.last)}});
